--- /dev/null
+++ b/laburnumpin/__init__.py
@@ -0,0 +1,1 @@
+"""A serving system for model and application requests on reclaimable VMs."""
--- /dev/null
+++ b/laburnumpin/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks that replay decisions in virtual time."""
--- /dev/null
+++ b/laburnumpin/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The work of each command as a plain function."""
--- /dev/null
+++ b/laburnumpin/config/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration: typed options, schema, loading and process settings."""
--- /dev/null
+++ b/laburnumpin/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions: one reducer over all events, effects as data."""
--- /dev/null
+++ b/laburnumpin/core/counters.py
@@ -0,0 +1,36 @@
+"""Counters by name and label, for refusals, retries and anomalies."""
+
+from __future__ import annotations
+
+
+class Counters:
+    """Counts events; the metrics endpoint reads them."""
+
+    __slots__ = ("_values",)
+
+    def __init__(self) -> None:
+        self._values: dict[tuple[str, str], int] = {}
+
+    def increment(self, name: str, label: str = "", amount: int = 1) -> None:
+        """Add `amount` to the counter `name` with the value `label`."""
+        key = (name, label)
+        self._values[key] = self._values.get(key, 0) + amount
+
+    def value(self, name: str, label: str = "") -> int:
+        """Return one counter, 0 when it was never incremented."""
+        return self._values.get((name, label), 0)
+
+    def total(self, name: str) -> int:
+        """Return the sum of a counter over its labels."""
+        total = 0
+        for (counted, _), value in self._values.items():
+            if counted == name:
+                total += value
+        return total
+
+    def items(self) -> list[tuple[str, str, int]]:
+        """Return name, label and value of every counter, sorted."""
+        rows = []
+        for (name, label), value in self._values.items():
+            rows.append((name, label, value))
+        return sorted(rows)
--- /dev/null
+++ b/laburnumpin/core/effects.py
@@ -0,0 +1,293 @@
+"""Effects that the reducer asks the shell to carry out."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from laburnumpin.core import deployment
+from laburnumpin.core import messages
+from laburnumpin.core import store
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Accept:
+    """Tell the caller that the request was accepted."""
+
+    exchange_id: str
+    request_id: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Refuse:
+    """Tell the caller why the exchange failed."""
+
+    exchange_id: str
+    failure: messages.Failure
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class AnswerStatus:
+    """Tell the caller or operator the status of a request."""
+
+    exchange_id: str
+    status: messages.RequestStatus
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class SendChunk:
+    """Deliver a part of an answer to a reader."""
+
+    reader_id: str
+    chunk: messages.Chunk
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class EndReader:
+    """Deliver the end of an answer to a reader."""
+
+    reader_id: str
+    outcome: messages.Outcome
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Dispatch:
+    """Send a request to an upstream.
+
+    The first byte must not go out after `valid_until_ms`; the shell then
+    reports `EXPIRED_BEFORE_SEND` with verdict `NOT_RUN`.
+    """
+
+    attempt_id: str
+    request_id: str
+    upstream_id: str
+    address: str
+    kind: deployment.ServiceKind
+    operation: str
+    body: str
+    prompt: str
+    max_tokens: int
+    priority: deployment.Priority
+    offset: int
+    idempotency_key: str | None
+    valid_until_ms: int
+    first_byte_timeout_ms: int
+    inter_token_timeout_ms: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class CancelAttempt:
+    """Stop an attempt at its upstream; no event follows."""
+
+    attempt_id: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ImportCache:
+    """Move the KV cache of a request from one engine to another."""
+
+    request_id: str
+    source_address: str
+    target_upstream_id: str
+    target_address: str
+    timeout_ms: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class PollLoad:
+    """Ask an upstream for its load and, for engines, its cache events.
+
+    With `new_connection` the poll must not reuse a connection, because the
+    last one timed out and its connection may have gone silent.
+    """
+
+    upstream_id: str
+    address: str
+    kind: deployment.ServiceKind
+    after_cache_sequence: int
+    timeout_ms: int
+    new_connection: bool
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ListVms:
+    """Read the platform's list of VMs."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ListNotices:
+    """Read the open reclaim notices."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ListPrices:
+    """Read the current prices."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Transact:
+    """Write rows if all conditions hold."""
+
+    operation_id: store.OperationId
+    conditions: tuple[store.Condition, ...]
+    writes: tuple[store.Write, ...]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ReadRows:
+    """Read rows of a table by key."""
+
+    operation_id: store.OperationId
+    table: str
+    keys: tuple[str, ...]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ScanRows:
+    """Read the rows of a table whose key has a prefix."""
+
+    operation_id: store.OperationId
+    table: str
+    prefix: str
+    limit: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class PutObject:
+    """Write an object."""
+
+    operation_id: store.OperationId
+    key: str
+    body: bytes
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class GetObject:
+    """Read an object."""
+
+    operation_id: store.OperationId
+    key: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class DeleteObject:
+    """Delete an object."""
+
+    operation_id: store.OperationId
+    key: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ListObjects:
+    """List the objects under a prefix."""
+
+    operation_id: store.OperationId
+    prefix: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class StartVm:
+    """Start a VM; the shell drops the call after `valid_until_ms`."""
+
+    order_id: str
+    service: str
+    zone: str
+    vm_class: str
+    reclaimable: bool
+    valid_until_ms: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class StopVm:
+    """Stop a VM; the shell drops the call after `valid_until_ms`."""
+
+    order_id: str
+    vm_id: str
+    valid_until_ms: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class SendOrder:
+    """State the model and role that an engine should have.
+
+    The shell drops the call after `valid_until_ms`.
+    """
+
+    order_id: str
+    upstream_id: str
+    address: str
+    fencing_number: int
+    valid_until_ms: int
+    model: str
+    model_version: str
+    adapters: tuple[str, ...]
+    role: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class SendPeer:
+    """Send a message to a peer."""
+
+    peer_id: str
+    address: str
+    message: messages.Message
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class SetReadiness:
+    """Change what the readiness endpoint answers."""
+
+    ready: bool
+    reason: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ObserveLatency:
+    """Record a duration in the histogram `name`."""
+
+    name: str
+    duration_ms: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Log:
+    """Write a log message of a documented type."""
+
+    message_type: str
+    level: str
+    fields: dict[str, str | int | float | bool | None]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Exit:
+    """Stop the process; all work is finished or handed over."""
+
+
+Effect = (
+    Accept
+    | Refuse
+    | AnswerStatus
+    | SendChunk
+    | EndReader
+    | Dispatch
+    | CancelAttempt
+    | ImportCache
+    | PollLoad
+    | ListVms
+    | ListNotices
+    | ListPrices
+    | Transact
+    | ReadRows
+    | ScanRows
+    | PutObject
+    | GetObject
+    | DeleteObject
+    | ListObjects
+    | StartVm
+    | StopVm
+    | SendOrder
+    | SendPeer
+    | SetReadiness
+    | ObserveLatency
+    | Log
+    | Exit
+)
--- /dev/null
+++ b/laburnumpin/core/ids.py
@@ -0,0 +1,41 @@
+"""Identifiers of entries, requests and attempts."""
+
+from __future__ import annotations
+
+import dataclasses
+import re
+
+_REQUEST_ID = re.compile(r"([A-Za-z0-9_-]{1,64})\.([0-9]{1,16})\.([0-9]{1,16})")
+
+
+@dataclasses.dataclass(slots=True, frozen=True, order=True)
+class EntryId:
+    """One run of the entry daemon on one VM.
+
+    `incarnation` is the start time of the process in milliseconds.
+    """
+
+    vm_id: str
+    incarnation: int
+
+
+def request_id(entry: EntryId, counter: int) -> str:
+    """Return the id of the request that `entry` accepted as `counter`."""
+    return f"{entry.vm_id}.{entry.incarnation}.{counter}"
+
+
+def owner_of(request: str) -> EntryId | None:
+    """Return the entry that accepted a request, or None for a malformed id."""
+    match = _REQUEST_ID.fullmatch(request)
+    if match is None:
+        return None
+    return EntryId(match.group(1), int(match.group(2)))
+
+
+def attempt_id(request: str, entry: EntryId, number: int) -> str:
+    """Return the id of an attempt.
+
+    The entry that makes the attempt is part of the id, since a successor
+    counts its attempts anew after a handover.
+    """
+    return f"{request}/{entry.vm_id}.{entry.incarnation}/{number}"
--- /dev/null
+++ b/laburnumpin/core/messages.py
@@ -0,0 +1,249 @@
+"""Messages between entries, as data."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from laburnumpin import verdict
+from laburnumpin.core import deployment
+from laburnumpin.core import ids
+
+PROTOCOL_VERSION = 1
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Failure:
+    """Why a request failed or was refused, as the caller sees it."""
+
+    code: str
+    message: str
+    verdict: verdict.Verdict
+    retry_after_ms: int | None = None
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Outcome:
+    """The end of a request: the total offset, or a failure."""
+
+    total_offset: int
+    failure: Failure | None = None
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Chunk:
+    """A part of an answer; a model's offsets count generated tokens."""
+
+    offset: int
+    next_offset: int
+    text: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class UpstreamLoad:
+    """How many attempts an entry has in flight at one upstream."""
+
+    upstream_id: str
+    in_flight: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class LeavingUpstream:
+    """An upstream that is leaving; holds for this incarnation for good."""
+
+    upstream_id: str
+    incarnation: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Departure:
+    """An entry that handed its work over, and to whom."""
+
+    entry: ids.EntryId
+    successors: tuple[ids.EntryId, ...]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ServiceDemand:
+    """Demand for a service as one entry sees it."""
+
+    service: str
+    tokens_per_s: int
+    queued_tokens: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Digest:
+    """Periodic summary of an entry for its neighbours."""
+
+    entry: ids.EntryId
+    sequence: int
+    zone: str
+    peer_address: str
+    accepting: bool
+    configuration_version: int
+    confirmed_age_ms: int
+    loads: tuple[UpstreamLoad, ...]
+    leaving: tuple[LeavingUpstream, ...]
+    departures: tuple[Departure, ...]
+    demands: tuple[ServiceDemand, ...]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ConfigurationPull:
+    """Asks a peer for a configuration newer than `have_version`."""
+
+    have_version: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ConfigurationPush:
+    """A configuration as the store accepted it."""
+
+    version: int
+    change_id: str
+    document: str
+    confirmed_age_ms: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class HandedRequest:
+    """A request as it goes over to a successor."""
+
+    request_id: str
+    customer: str
+    service: str
+    operation: str
+    body: str
+    prompt: str
+    max_tokens: int
+    idempotency_key: str | None
+    deadline_ms: int
+    priority: deployment.Priority
+    accepted_ms: int
+    verdict: verdict.Verdict
+    claim_token: str | None
+    claimed: bool
+    sent: bool
+    upstream_id: str | None
+    chunks: tuple[Chunk, ...]
+    outcome: Outcome | None
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class HandoverOffer:
+    """Requests that a leaving entry offers to a successor."""
+
+    batch_id: str
+    source: ids.EntryId
+    requests: tuple[HandedRequest, ...]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class HandoverAck:
+    """The successor now owns the requests of the batch.
+
+    With `accepted` false the successor did not take the batch, because it
+    is leaving itself, and will never run any of it.
+    """
+
+    batch_id: str
+    accepted: bool
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Subscribe:
+    """Asks the owner of a request for its output from `offset` on."""
+
+    subscription_id: str
+    request_id: str
+    customer: str | None
+    offset: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Unsubscribe:
+    """Ends a subscription."""
+
+    subscription_id: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class SubscriptionChunk:
+    """A part of an answer for a subscription."""
+
+    subscription_id: str
+    chunk: Chunk
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class SubscriptionEnd:
+    """The end of an answer for a subscription."""
+
+    subscription_id: str
+    outcome: Outcome
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class RequestStatus:
+    """What is known of a request."""
+
+    request_id: str
+    phase: str
+    next_offset: int
+    verdict: verdict.Verdict
+    owner: ids.EntryId
+    outcome: Outcome | None = None
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class StatusQuery:
+    """Asks the owner of a request for its status; `cancel` also ends it."""
+
+    query_id: str
+    request_id: str
+    customer: str | None
+    cancel: bool = False
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class StatusReply:
+    """Answers a `StatusQuery`; None when the request is unknown here."""
+
+    query_id: str
+    status: RequestStatus | None
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class QuotaRequest:
+    """Asks a neighbour to lend part of its share of a customer's rate."""
+
+    loan_id: str
+    customer: str
+    rate_tokens_per_s: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class QuotaLoan:
+    """Lends a rate for `duration_ms`, counted from the receipt."""
+
+    loan_id: str
+    customer: str
+    rate_tokens_per_s: int
+    duration_ms: int
+
+
+Message = (
+    Digest
+    | ConfigurationPull
+    | ConfigurationPush
+    | HandoverOffer
+    | HandoverAck
+    | Subscribe
+    | Unsubscribe
+    | SubscriptionChunk
+    | SubscriptionEnd
+    | StatusQuery
+    | StatusReply
+    | QuotaRequest
+    | QuotaLoan
+)
--- /dev/null
+++ b/laburnumpin/core/requests.py
@@ -0,0 +1,493 @@
+"""The life of a request, from its arrival to its outcome."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+from typing import TYPE_CHECKING
+
+from laburnumpin import verdict
+from laburnumpin.core import claims
+from laburnumpin.core import deployment
+from laburnumpin.core import effects
+from laburnumpin.core import events
+from laburnumpin.core import ids
+from laburnumpin.core import lifecycle
+from laburnumpin.core import limits
+from laburnumpin.core import messages
+from laburnumpin.core import prefixes
+from laburnumpin.core import retries
+from laburnumpin.core import routing
+from laburnumpin.core import subscriptions
+from laburnumpin.core import upstreams
+
+if TYPE_CHECKING:
+    from laburnumpin.core import state as entry_state
+
+# How long an ended request can still be read.
+RETENTION_MS = 300_000
+# A dispatch that the shell has not started by then is decided anew.
+DISPATCH_VALID_MS = 1_000
+FIRST_BYTE_TIMEOUT_MS = 10_000
+INTER_TOKEN_TIMEOUT_MS = 5_000
+
+
+class Phase(enum.Enum):
+    """Phase of a request."""
+
+    QUEUED = "queued"
+    CLAIMING = "claiming"
+    RUNNING = "running"
+    ENDED = "ended"
+    HANDED_OVER = "handed_over"
+
+
+@dataclasses.dataclass(slots=True)
+class Attempt:
+    """One try of a request at one upstream."""
+
+    attempt_id: str
+    upstream_id: str
+    started_ms: int
+    start_offset: int
+
+
+@dataclasses.dataclass(slots=True)
+class Request:
+    """A request that this entry owns or owned.
+
+    `configuration` is the version that was in force at the arrival; it
+    applies until the end. `not_before_ms` delays a retry.
+    """
+
+    request_id: str
+    customer: str
+    service: deployment.Service
+    operation: deployment.Operation
+    body: str
+    prompt: str
+    prompt_tokens: int
+    max_tokens: int
+    blocks: tuple[str, ...]
+    idempotency_key: str | None
+    accepted_ms: int
+    deadline_ms: int
+    priority: deployment.Priority
+    configuration: deployment.Configuration
+    phase: Phase = Phase.QUEUED
+    verdict: verdict.Verdict = verdict.Verdict.NOT_RUN
+    attempt: Attempt | None = None
+    attempt_count: int = 0
+    not_before_ms: int = 0
+    first_output_ms: int | None = None
+    chunks: list[messages.Chunk] = dataclasses.field(default_factory=list)
+    outcome: messages.Outcome | None = None
+    ended_ms: int = 0
+    claim_token: str | None = None
+    claimed: bool = False
+    handed_to: ids.EntryId | None = None
+    last_upstream_id: str | None = None
+
+    @property
+    def next_offset(self) -> int:
+        """Return the offset that follows the output received so far."""
+        return self.chunks[-1].next_offset if self.chunks else 0
+
+
+class RequestsState:
+    """The requests of this entry, by id, and the attempts in flight."""
+
+    __slots__ = ("by_attempt", "by_id", "ended", "next_counter", "unfinished")
+
+    def __init__(self) -> None:
+        self.by_id: dict[str, Request] = {}
+        self.by_attempt: dict[str, str] = {}
+        self.ended: list[str] = []
+        self.next_counter = 1
+        self.unfinished = 0
+
+
+def has_unfinished(state: entry_state.EntryState) -> bool:
+    """Return whether any request is neither ended nor handed over."""
+    return state.requests.unfinished > 0
+
+
+def on_arrived(
+    state: entry_state.EntryState, event: events.RequestArrived
+) -> list[effects.Effect]:
+    """Accept a request or refuse it with a coded failure."""
+    refused = lifecycle.refusal_reason(state, event.now_ms)
+    if refused is not None:
+        return _refuse(
+            state, event, refused, "this entry accepts no new requests", 1_000
+        )
+    current = state.configuration.current
+    assert current is not None
+    service = current.deployment.services.get(event.service)
+    if service is None:
+        return _refuse(state, event, "unknown_service", "no such service")
+    operation = service.operations.get(event.operation)
+    if operation is None:
+        return _refuse(state, event, "unknown_operation", "no such operation")
+    if event.deadline_ms <= event.now_ms:
+        return _refuse(state, event, "deadline_passed", "the deadline passed")
+    request = Request(
+        request_id=ids.request_id(state.entry, state.requests.next_counter),
+        customer=event.customer,
+        service=service,
+        operation=operation,
+        body=event.body,
+        prompt=event.prompt,
+        prompt_tokens=prefixes.count_tokens(event.prompt),
+        max_tokens=event.max_tokens,
+        blocks=prefixes.block_hashes(event.prompt),
+        idempotency_key=event.idempotency_key,
+        accepted_ms=event.now_ms,
+        deadline_ms=event.deadline_ms,
+        priority=event.priority or operation.priority,
+        configuration=current,
+    )
+    failure = limits.admit(state, request, event.now_ms)
+    if failure is not None:
+        state.counters.increment("refusals", failure.code)
+        return [effects.Refuse(event.exchange_id, failure)]
+    state.requests.next_counter += 1
+    state.requests.by_id[request.request_id] = request
+    state.requests.unfinished += 1
+    state.counters.increment("accepted", service.name)
+    result: list[effects.Effect] = [
+        effects.Accept(event.exchange_id, request.request_id)
+    ]
+    limits.enqueue(state, request, event.now_ms)
+    result.extend(dispatch_queued(state, event.now_ms))
+    return result
+
+
+def dispatch_queued(
+    state: entry_state.EntryState, now_ms: int
+) -> list[effects.Effect]:
+    """Start the queued requests for which an upstream has room."""
+    result: list[effects.Effect] = []
+    for request in limits.candidates(state, now_ms):
+        if request.not_before_ms > now_ms:
+            continue
+        if routing.choose(state, request, now_ms) is None:
+            continue
+        limits.dequeue(state, request, now_ms)
+        if request.operation.idempotent or request.claimed:
+            result.extend(_start_attempt(state, request, now_ms))
+            continue
+        request.phase = Phase.CLAIMING
+        result.extend(claims.claim(state, request, now_ms))
+    return result
+
+
+def on_claimed(
+    state: entry_state.EntryState, request: Request, now_ms: int
+) -> list[effects.Effect]:
+    """Continue with a request whose claim is committed."""
+    request.claimed = True
+    return _start_attempt(state, request, now_ms)
+
+
+def on_claim_failed(
+    state: entry_state.EntryState,
+    request: Request,
+    failure: messages.Failure,
+    now_ms: int,
+) -> list[effects.Effect]:
+    """End a request whose claim was not obtained."""
+    request.verdict = verdict.combine(request.verdict, failure.verdict)
+    return end(state, request, failure, now_ms)
+
+
+def on_claim_outcome(
+    state: entry_state.EntryState,
+    request: Request,
+    chunks: tuple[messages.Chunk, ...],
+    outcome: messages.Outcome,
+    now_ms: int,
+) -> list[effects.Effect]:
+    """End a request with the outcome recorded for its idempotency key."""
+    request.verdict = verdict.Verdict.RAN
+    result: list[effects.Effect] = []
+    for chunk in chunks:
+        request.chunks.append(chunk)
+        result.extend(subscriptions.deliver(state, request, chunk))
+    result.extend(_finish(state, request, outcome, now_ms))
+    return result
+
+
+def on_attempt_output(
+    state: entry_state.EntryState, event: events.AttemptOutput
+) -> list[effects.Effect]:
+    """Append output of the current attempt; drop what belongs elsewhere."""
+    request = _request_of_attempt(state, event.attempt_id)
+    if request is None:
+        state.counters.increment("dropped_answers", "unknown_attempt")
+        return []
+    chunk = event.chunk
+    if chunk.next_offset <= request.next_offset:
+        state.counters.increment("dropped_answers", "duplicate")
+        return []
+    if chunk.offset != request.next_offset:
+        state.counters.increment("dropped_answers", "gap")
+        result: list[effects.Effect] = [effects.CancelAttempt(event.attempt_id)]
+        result.extend(
+            _attempt_failed(
+                state,
+                request,
+                verdict.Verdict.MAY_HAVE_RUN,
+                events.AttemptFailure.PROTOCOL_ERROR,
+                event.now_ms,
+            )
+        )
+        return result
+    request.verdict = verdict.combine(
+        request.verdict, verdict.Verdict.MAY_HAVE_RUN
+    )
+    request.chunks.append(chunk)
+    result = []
+    if request.first_output_ms is None:
+        request.first_output_ms = event.now_ms
+        result.append(
+            effects.ObserveLatency(
+                "first_token", event.now_ms - request.accepted_ms
+            )
+        )
+    result.extend(subscriptions.deliver(state, request, chunk))
+    return result
+
+
+def on_attempt_completed(
+    state: entry_state.EntryState, event: events.AttemptCompleted
+) -> list[effects.Effect]:
+    """End a request whose answer is whole."""
+    request = _request_of_attempt(state, event.attempt_id)
+    if request is None:
+        state.counters.increment("dropped_answers", "unknown_attempt")
+        return []
+    if event.total_offset != request.next_offset:
+        state.counters.increment("dropped_answers", "truncated")
+        return _attempt_failed(
+            state,
+            request,
+            verdict.Verdict.MAY_HAVE_RUN,
+            events.AttemptFailure.TRUNCATED,
+            event.now_ms,
+        )
+    request.verdict = verdict.Verdict.RAN
+    prefixes.on_completed(state, request, event.now_ms)
+    outcome = messages.Outcome(event.total_offset)
+    return _finish(state, request, outcome, event.now_ms)
+
+
+def on_attempt_failed(
+    state: entry_state.EntryState, event: events.AttemptFailed
+) -> list[effects.Effect]:
+    """Retry a failed attempt where that is safe, or end the request."""
+    request = _request_of_attempt(state, event.attempt_id)
+    if request is None:
+        state.counters.increment("dropped_answers", "unknown_attempt")
+        return []
+    return _attempt_failed(
+        state, request, event.verdict, event.failure, event.now_ms
+    )
+
+
+def on_cache_imported(
+    state: entry_state.EntryState, event: events.CacheImported
+) -> list[effects.Effect]:
+    """Count the import; the next attempt finds the cache at its engine."""
+    label = "succeeded" if event.succeeded else "failed"
+    state.counters.increment("cache_imports", label)
+    return []
+
+
+def on_tick(
+    state: entry_state.EntryState, event: events.Tick
+) -> list[effects.Effect]:
+    """Expire deadlines, dispatch what waits, forget ended requests."""
+    result: list[effects.Effect] = []
+    for request in limits.expired(state, event.now_ms):
+        limits.dequeue(state, request, event.now_ms)
+        failure = messages.Failure(
+            "deadline_passed",
+            "the deadline passed before an upstream had room",
+            request.verdict,
+        )
+        result.extend(end(state, request, failure, event.now_ms))
+    result.extend(dispatch_queued(state, event.now_ms))
+    own = state.requests
+    while own.ended:
+        oldest = own.by_id[own.ended[0]]
+        if event.now_ms < oldest.ended_ms + RETENTION_MS:
+            break
+        del own.by_id[own.ended.pop(0)]
+    return result
+
+
+def cancel(
+    state: entry_state.EntryState, request: Request, now_ms: int
+) -> list[effects.Effect]:
+    """End a request on its caller's wish."""
+    if request.outcome is not None or request.phase is Phase.HANDED_OVER:
+        return []
+    result: list[effects.Effect] = []
+    if request.phase is Phase.QUEUED:
+        limits.dequeue(state, request, now_ms)
+    if request.attempt is not None:
+        result.append(effects.CancelAttempt(request.attempt.attempt_id))
+        request.verdict = verdict.combine(
+            request.verdict, verdict.Verdict.MAY_HAVE_RUN
+        )
+    failure = messages.Failure(
+        "cancelled", "the caller cancelled the request", request.verdict
+    )
+    result.extend(end(state, request, failure, now_ms))
+    return result
+
+
+def end(
+    state: entry_state.EntryState,
+    request: Request,
+    failure: messages.Failure,
+    now_ms: int,
+) -> list[effects.Effect]:
+    """End a request with a failure."""
+    state.counters.increment("failures", failure.code)
+    outcome = messages.Outcome(request.next_offset, failure)
+    return _finish(state, request, outcome, now_ms)
+
+
+def status(
+    state: entry_state.EntryState, request: Request
+) -> messages.RequestStatus:
+    """Return what callers and operators may see of a request."""
+    return messages.RequestStatus(
+        request.request_id,
+        request.phase.value,
+        request.next_offset,
+        request.verdict,
+        state.entry,
+        request.outcome,
+    )
+
+
+def _start_attempt(
+    state: entry_state.EntryState, request: Request, now_ms: int
+) -> list[effects.Effect]:
+    upstream = routing.choose(state, request, now_ms)
+    if upstream is None:
+        request.phase = Phase.QUEUED
+        limits.enqueue(state, request, now_ms)
+        return []
+    request.attempt_count += 1
+    if request.attempt_count == 1:
+        retries.on_first_attempt(state, request)
+    request.phase = Phase.RUNNING
+    attempt = Attempt(
+        ids.attempt_id(request.request_id, state.entry, request.attempt_count),
+        upstream.upstream_id,
+        now_ms,
+        request.next_offset,
+    )
+    request.attempt = attempt
+    request.last_upstream_id = upstream.upstream_id
+    state.requests.by_attempt[attempt.attempt_id] = request.request_id
+    upstreams.on_dispatched(state, upstream, request, now_ms)
+    return [
+        effects.Dispatch(
+            attempt_id=attempt.attempt_id,
+            request_id=request.request_id,
+            upstream_id=upstream.upstream_id,
+            address=upstream.address,
+            kind=request.service.kind,
+            operation=request.operation.name,
+            body=request.body,
+            prompt=request.prompt,
+            max_tokens=request.max_tokens,
+            priority=request.priority,
+            offset=request.next_offset,
+            idempotency_key=request.idempotency_key,
+            valid_until_ms=min(now_ms + DISPATCH_VALID_MS, request.deadline_ms),
+            first_byte_timeout_ms=FIRST_BYTE_TIMEOUT_MS,
+            inter_token_timeout_ms=INTER_TOKEN_TIMEOUT_MS,
+        )
+    ]
+
+
+def _attempt_failed(
+    state: entry_state.EntryState,
+    request: Request,
+    attempt_verdict: verdict.Verdict,
+    failure: events.AttemptFailure,
+    now_ms: int,
+) -> list[effects.Effect]:
+    _close_attempt(state, request, now_ms, failure)
+    request.verdict = verdict.combine(request.verdict, attempt_verdict)
+    decision = retries.decide(state, request, attempt_verdict, failure, now_ms)
+    if decision.failure is not None:
+        return end(state, request, decision.failure, now_ms)
+    request.phase = Phase.QUEUED
+    request.not_before_ms = decision.not_before_ms
+    limits.enqueue(state, request, now_ms)
+    return dispatch_queued(state, now_ms)
+
+
+def _close_attempt(
+    state: entry_state.EntryState,
+    request: Request,
+    now_ms: int,
+    failure: events.AttemptFailure | None,
+) -> None:
+    attempt = request.attempt
+    if attempt is None:
+        return
+    request.attempt = None
+    state.requests.by_attempt.pop(attempt.attempt_id, None)
+    upstreams.on_attempt_ended(state, attempt, request, failure, now_ms)
+
+
+def _finish(
+    state: entry_state.EntryState,
+    request: Request,
+    outcome: messages.Outcome,
+    now_ms: int,
+) -> list[effects.Effect]:
+    _close_attempt(state, request, now_ms, None)
+    request.phase = Phase.ENDED
+    request.outcome = outcome
+    request.ended_ms = now_ms
+    state.requests.ended.append(request.request_id)
+    state.requests.unfinished -= 1
+    limits.on_ended(state, request, now_ms)
+    result: list[effects.Effect] = [
+        effects.ObserveLatency("request", now_ms - request.accepted_ms)
+    ]
+    result.extend(claims.on_ended(state, request, now_ms))
+    result.extend(subscriptions.end(state, request, outcome))
+    return result
+
+
+def _request_of_attempt(
+    state: entry_state.EntryState, attempt_id: str
+) -> Request | None:
+    request_id = state.requests.by_attempt.get(attempt_id)
+    if request_id is None:
+        return None
+    return state.requests.by_id[request_id]
+
+
+def _refuse(
+    state: entry_state.EntryState,
+    event: events.RequestArrived,
+    code: str,
+    message: str,
+    retry_after_ms: int | None = None,
+) -> list[effects.Effect]:
+    state.counters.increment("refusals", code)
+    failure = messages.Failure(
+        code, message, verdict.Verdict.NOT_RUN, retry_after_ms
+    )
+    return [effects.Refuse(event.exchange_id, failure)]
--- /dev/null
+++ b/laburnumpin/exceptions.py
@@ -0,0 +1,78 @@
+"""Errors with stable codes."""
+
+from __future__ import annotations
+
+
+class LaburnumpinError(Exception):
+    """Base of all errors that carry a stable code."""
+
+    code = "internal_error"
+
+    def __init__(self, message: str) -> None:
+        super().__init__(message)
+        self.message = message
+
+
+class FieldError:
+    """One problem with one field of a configuration or of the settings."""
+
+    __slots__ = ("code", "field", "message")
+
+    def __init__(self, field: str, code: str, message: str) -> None:
+        self.field = field
+        self.code = code
+        self.message = message
+
+    def __str__(self) -> str:
+        return f"{self.field}: {self.message} [{self.code}]"
+
+
+class ConfigurationError(LaburnumpinError):
+    """A configuration or the settings are invalid; lists every problem."""
+
+    code = "configuration_invalid"
+
+    def __init__(self, errors: list[FieldError]) -> None:
+        super().__init__("; ".join(str(error) for error in errors))
+        self.errors = errors
+
+
+class ConfigurationConflictError(LaburnumpinError):
+    """Another operator changed the configuration first."""
+
+    code = "configuration_conflict"
+
+    def __init__(self, base_version: int, current_version: int) -> None:
+        super().__init__(
+            f"the change is based on version {base_version}, but version "
+            f"{current_version} is current"
+        )
+        self.base_version = base_version
+        self.current_version = current_version
+
+
+class PlatformUnavailableError(LaburnumpinError):
+    """The platform refused the call or was not reached; nothing was done."""
+
+    code = "platform_unavailable"
+
+
+class PlatformAnswerLostError(LaburnumpinError):
+    """The platform's answer was lost; the call may have taken effect."""
+
+    code = "platform_answer_lost"
+
+
+class MessageError(LaburnumpinError):
+    """A message from a peer could not be decoded or has a wrong version."""
+
+    code = "message_invalid"
+
+
+class OperatorApiError(LaburnumpinError):
+    """The operator API of an entry answered with an error."""
+
+    def __init__(self, code: str, message: str, status: int) -> None:
+        super().__init__(message)
+        self.code = code
+        self.status = status
--- /dev/null
+++ b/laburnumpin/server/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: turns I/O into events and carries out effects."""
--- /dev/null
+++ b/laburnumpin/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, model engines and plain services."""
