Add stand-ins for platform, engine and plain service

Add the three apps as thin shells around classes without I/O (tables, cloud, batching, prefix cache, orders), a middleware that applies fault switches and logs calls, and a listener that can cut or silence single connections. The listener records the sockets that it accepts, because hypercorn offers no way to close a connection without a response. Each stand-in runs in the current process (`standins.running`) or as its own (`commands.standin`).

The engine's text is a hash of the prompt and the token offset, so that any reader can check that an answer is whole and belongs to its prompt.

--- /dev/null
+++ b/laburnumpin/standins/batching.py
@@ -0,0 +1,321 @@
+"""Continuous batching of an engine in steps, over time that is passed in."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+from laburnumpin.core import deployment
+from laburnumpin.core import prefixes
+from laburnumpin.standins import prefix_cache
+
+# A batch that was paused longer than this continues from the present instead
+# of computing the missed steps at once.
+MAX_CATCH_UP_MS = 500
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class BatchSettings:
+    """Speed and sizes of an engine.
+
+    A prefill chunk of 64 tokens takes 8 ms beside running streams, so that
+    a step of 16 streams with prefill lasts 32 ms, within the inter-token
+    target of 36 ms. Without decoding streams the chunk is not bounded.
+    """
+
+    slots: int = 16
+    base_step_ms: float = 8.0
+    stream_step_ms: float = 1.0
+    prefill_tokens_per_s: float = 8_000.0
+    prefill_chunk_tokens: int = 64
+    cache_blocks: int = 2_000
+    max_waiting: int = 256
+    retention_ms: int = 30_000
+
+
+class Phase(enum.Enum):
+    """How far a generation is."""
+
+    IMPORTED = "imported"
+    WAITING = "waiting"
+    RUNNING = "running"
+    ENDED = "ended"
+    CANCELLED = "cancelled"
+
+
+@dataclasses.dataclass(slots=True)
+class Generation:
+    """One generation; `produced` counts tokens from offset 0.
+
+    `unread_since_ms` is the time since when nobody reads it, or None.
+    """
+
+    request_id: str
+    prompt: str
+    max_tokens: int
+    priority: deployment.Priority
+    prompt_tokens: int
+    blocks: tuple[str, ...]
+    phase: Phase = Phase.WAITING
+    cached_prompt_tokens: int = 0
+    prefill_left: int = 0
+    produced: int = 0
+    computed_tokens: int = 0
+    readers: int = 0
+    unread_since_ms: int | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class Step:
+    """The step that is being computed."""
+
+    end_ms: float
+    duration_ms: float
+    prefill: dict[str, int]
+    decoding: tuple[str, ...]
+
+
+class Batch:
+    """Generations of one engine, its slots and its prefix cache."""
+
+    __slots__ = (
+        "_loaded_ms",
+        "_running",
+        "_step",
+        "_waiting",
+        "cache",
+        "generations",
+        "last_step_ms",
+        "settings",
+    )
+
+    def __init__(self, settings: BatchSettings) -> None:
+        self.settings = settings
+        self.cache = prefix_cache.PrefixCache(settings.cache_blocks)
+        self.generations: dict[str, Generation] = {}
+        self.last_step_ms = settings.base_step_ms
+        self._running: list[Generation] = []
+        self._waiting: list[Generation] = []
+        self._step: Step | None = None
+        self._loaded_ms = 0
+
+    @property
+    def running_count(self) -> int:
+        """Return the number of occupied slots."""
+        return len(self._running)
+
+    @property
+    def waiting_count(self) -> int:
+        """Return the number of generations without a slot."""
+        return len(self._waiting)
+
+    @property
+    def is_full(self) -> bool:
+        """Return whether no further generation may wait."""
+        return len(self._waiting) >= self.settings.max_waiting
+
+    @property
+    def step_end_ms(self) -> float | None:
+        """Return when the present step ends, None while idle."""
+        return None if self._step is None else self._step.end_ms
+
+    def submit(
+        self,
+        request_id: str,
+        prompt: str,
+        max_tokens: int,
+        priority: deployment.Priority,
+        now_ms: int,
+    ) -> Generation:
+        """Queue a new generation; the id must not be known."""
+        generation = _new_generation(request_id, prompt, max_tokens, priority)
+        generation.unread_since_ms = now_ms
+        self.generations[request_id] = generation
+        self._enqueue(generation, now_ms)
+        return generation
+
+    def import_generation(
+        self,
+        request_id: str,
+        prompt: str,
+        max_tokens: int,
+        priority: deployment.Priority,
+        offset: int,
+        now_ms: int,
+    ) -> Generation:
+        """Take over a generation at `offset`; it continues when read."""
+        known = self.generations.get(request_id)
+        if known is not None:
+            return known
+        generation = _new_generation(request_id, prompt, max_tokens, priority)
+        generation.produced = offset
+        generation.cached_prompt_tokens = generation.prompt_tokens
+        generation.unread_since_ms = now_ms
+        generation.phase = Phase.IMPORTED
+        if offset >= max_tokens:
+            generation.phase = Phase.ENDED
+        self.cache.add(generation.blocks, now_ms)
+        self.generations[request_id] = generation
+        return generation
+
+    def attach(self, generation: Generation, now_ms: int) -> None:
+        """Count a reader; an imported generation continues."""
+        generation.readers += 1
+        generation.unread_since_ms = None
+        if generation.phase is Phase.IMPORTED:
+            generation.phase = Phase.WAITING
+            self._enqueue(generation, now_ms)
+
+    def detach(self, generation: Generation, now_ms: int) -> None:
+        """Count a reader that went away."""
+        generation.readers -= 1
+        if generation.readers == 0:
+            generation.unread_since_ms = now_ms
+
+    def cancel(self, request_id: str) -> Generation | None:
+        """Drop a generation; None when it is unknown."""
+        generation = self.generations.pop(request_id, None)
+        if generation is None:
+            return None
+        if generation in self._waiting:
+            self._waiting.remove(generation)
+        if generation in self._running:
+            self._running.remove(generation)
+        if generation.phase is not Phase.ENDED:
+            generation.phase = Phase.CANCELLED
+        return generation
+
+    def expire(self, now_ms: int) -> list[Generation]:
+        """Drop the generations that nobody read for the retention time."""
+        expired = []
+        limit_ms = now_ms - self.settings.retention_ms
+        for generation in list(self.generations.values()):
+            since_ms = generation.unread_since_ms
+            if since_ms is None or since_ms > limit_ms:
+                continue
+            self.cancel(generation.request_id)
+            expired.append(generation)
+        return expired
+
+    def load_model(self, now_ms: int, duration_ms: int) -> None:
+        """Drop the cache and compute nothing until the model is loaded."""
+        self.cache.clear(now_ms)
+        self._loaded_ms = now_ms + duration_ms
+
+    def advance(self, now_ms: int) -> list[Generation]:
+        """Finish the steps that are due; return what made progress."""
+        changed: dict[str, Generation] = {}
+        while self._step is not None and self._step.end_ms <= now_ms:
+            step = self._step
+            for generation in self._finish(step, now_ms):
+                changed[generation.request_id] = generation
+            start_ms = step.end_ms
+            if now_ms - start_ms > MAX_CATCH_UP_MS:
+                start_ms = now_ms
+            self._start_step(start_ms)
+        return list(changed.values())
+
+    def backlog_tokens(self) -> int:
+        """Return the tokens still to compute, prompts and output."""
+        total = 0
+        for generation in self._running:
+            total += generation.prefill_left
+            total += generation.max_tokens - generation.produced
+        for generation in self._waiting:
+            if generation.produced == 0:
+                total += generation.prompt_tokens
+            total += generation.max_tokens - generation.produced
+        return total
+
+    def _enqueue(self, generation: Generation, now_ms: int) -> None:
+        self._waiting.append(generation)
+        if self._step is None:
+            self._start_step(max(now_ms, self._loaded_ms))
+
+    def _start_step(self, start_ms: float) -> None:
+        self._admit()
+        if not self._running:
+            self._step = None
+            return
+        decoding = [each for each in self._running if not each.prefill_left]
+        prefill = self._plan_prefill(bounded=bool(decoding))
+        settings = self.settings
+        duration_ms = settings.base_step_ms
+        duration_ms += settings.stream_step_ms * len(self._running)
+        tokens = sum(prefill.values())
+        duration_ms += tokens * 1_000 / settings.prefill_tokens_per_s
+        self._step = Step(
+            start_ms + duration_ms,
+            duration_ms,
+            prefill,
+            tuple(each.request_id for each in decoding),
+        )
+
+    def _admit(self) -> None:
+        while self._waiting and len(self._running) < self.settings.slots:
+            generation = min(self._waiting, key=_rank)
+            self._waiting.remove(generation)
+            generation.phase = Phase.RUNNING
+            self._running.append(generation)
+            if generation.produced > 0:
+                continue
+            cached = self.cache.match(generation.blocks)
+            cached_tokens = cached * prefixes.TOKENS_PER_BLOCK
+            generation.cached_prompt_tokens = cached_tokens
+            generation.prefill_left = generation.prompt_tokens - cached_tokens
+
+    def _plan_prefill(self, bounded: bool) -> dict[str, int]:
+        left = self.settings.prefill_chunk_tokens
+        plan: dict[str, int] = {}
+        for generation in self._running:
+            if not generation.prefill_left:
+                continue
+            tokens = generation.prefill_left
+            if bounded:
+                tokens = min(tokens, left)
+                left -= tokens
+            if tokens:
+                plan[generation.request_id] = tokens
+        return plan
+
+    def _finish(self, step: Step, now_ms: int) -> list[Generation]:
+        self.last_step_ms = step.duration_ms
+        changed = []
+        for generation in list(self._running):
+            request_id = generation.request_id
+            tokens = step.prefill.get(request_id, 0)
+            generation.prefill_left -= tokens
+            generation.computed_tokens += tokens
+            if tokens and not generation.prefill_left:
+                self.cache.add(generation.blocks, now_ms)
+            is_decoding = request_id in step.decoding or tokens
+            if generation.prefill_left or not is_decoding:
+                continue
+            generation.produced += 1
+            generation.computed_tokens += 1
+            changed.append(generation)
+            if generation.produced >= generation.max_tokens:
+                generation.phase = Phase.ENDED
+                self._running.remove(generation)
+        return changed
+
+
+def _rank(generation: Generation) -> int:
+    is_bulk = generation.priority is deployment.Priority.BULK
+    return 1 if is_bulk else 0
+
+
+def _new_generation(
+    request_id: str,
+    prompt: str,
+    max_tokens: int,
+    priority: deployment.Priority,
+) -> Generation:
+    return Generation(
+        request_id,
+        prompt,
+        max_tokens,
+        priority,
+        prefixes.count_tokens(prompt),
+        prefixes.block_hashes(prompt),
+    )
--- /dev/null
+++ b/laburnumpin/standins/documents.py
@@ -0,0 +1,179 @@
+"""Documents of the stand-ins' HTTP interfaces, and their errors."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+from typing import Any
+from typing import TypeVar
+
+import cattrs
+from starlette import exceptions as starlette_exceptions
+from starlette import requests
+from starlette import responses
+
+from laburnumpin.core import store
+
+T = TypeVar("T")
+_CONVERTER = cattrs.Converter(detailed_validation=False)
+
+
+class RefusedError(Exception):
+    """A stand-in refuses a call; becomes a response with a code."""
+
+    def __init__(
+        self, status: int, code: str, message: str, retry_after_s: int = 0
+    ) -> None:
+        super().__init__(message)
+        self.status = status
+        self.code = code
+        self.message = message
+        self.retry_after_s = retry_after_s
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Error:
+    """Code and message of an error."""
+
+    code: str
+    message: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ErrorDocument:
+    """The body of every error response."""
+
+    error: Error
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Transaction:
+    """Body of `POST /tables/transact`."""
+
+    conditions: tuple[store.Condition, ...] = ()
+    writes: tuple[store.Write, ...] = ()
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Versions:
+    """Response to a transaction that took effect."""
+
+    versions: tuple[int, ...]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Conflicts:
+    """Response to a transaction whose conditions do not hold."""
+
+    conflicts: tuple[store.Row, ...]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class RowsQuery:
+    """Body of `POST /tables/read`."""
+
+    table: str
+    keys: tuple[str, ...]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Rows:
+    """Rows of a table."""
+
+    rows: tuple[store.Row, ...]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Keys:
+    """Keys of objects."""
+
+    keys: tuple[str, ...]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Done:
+    """Response to a call that returns nothing else."""
+
+    done: bool = True
+
+
+def decode(value: Any, kind: type[T]) -> T:
+    """Check a JSON value against a dataclass.
+
+    Raises:
+        RefusedError: The value does not fit (400).
+    """
+    try:
+        return _CONVERTER.structure(value, kind)
+    except Exception as error:
+        raise RefusedError(
+            400, "invalid_request", f"not a {kind.__name__}: {error!r}"
+        ) from error
+
+
+def encode(document: Any) -> Any:
+    """Return the JSON value of a dataclass."""
+    return _CONVERTER.unstructure(document)
+
+
+async def read_json(request: requests.Request) -> Any:
+    """Return the JSON body of a request.
+
+    Raises:
+        RefusedError: The body is no JSON (400).
+    """
+    try:
+        return json.loads(await request.body() or b"{}")
+    except ValueError as error:
+        raise RefusedError(400, "invalid_request", str(error)) from error
+
+
+async def read(request: requests.Request, kind: type[T]) -> T:
+    """Return the body of a request as a dataclass.
+
+    Raises:
+        RefusedError: The body does not fit (400).
+    """
+    return decode(await read_json(request), kind)
+
+
+def respond(document: Any, status: int = 200) -> responses.JSONResponse:
+    """Return a response with a dataclass as its body."""
+    return responses.JSONResponse(encode(document), status)
+
+
+def error_response(error: RefusedError) -> responses.JSONResponse:
+    """Return the response for a refused call."""
+    response = respond(
+        ErrorDocument(Error(error.code, error.message)), error.status
+    )
+    if error.retry_after_s:
+        response.headers["Retry-After"] = str(error.retry_after_s)
+    return response
+
+
+async def handle_refused(
+    request: requests.Request, error: Exception
+) -> responses.Response:
+    """Convert a `RefusedError` for starlette."""
+    del request
+    assert isinstance(error, RefusedError)
+    return error_response(error)
+
+
+async def handle_http_error(
+    request: requests.Request, error: Exception
+) -> responses.Response:
+    """Convert starlette's own errors, such as an unknown path."""
+    del request
+    assert isinstance(error, starlette_exceptions.HTTPException)
+    code = {404: "not_found", 405: "method_not_allowed"}.get(
+        error.status_code, "invalid_request"
+    )
+    return error_response(RefusedError(error.status_code, code, error.detail))
+
+
+EXCEPTION_HANDLERS: dict[Any, Any] = {
+    RefusedError: handle_refused,
+    starlette_exceptions.HTTPException: handle_http_error,
+}
--- /dev/null
+++ b/laburnumpin/standins/faults.py
@@ -0,0 +1,305 @@
+"""Faults that tests switch on, shared by all stand-ins."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+from typing import Any
+
+import anyio
+from starlette import applications
+from starlette import datastructures
+from starlette import requests
+from starlette import responses
+from starlette import routing
+from starlette import types
+
+from laburnumpin import clock
+from laburnumpin.standins import documents
+from laburnumpin.standins import serving
+
+MAX_LOG_ENTRIES = 100_000
+
+
+@dataclasses.dataclass(slots=True)
+class Faults:
+    """Switches of `POST /admin/faults`; absent fields keep their value.
+
+    `path` limits `freeze`, `delay_ms`, `refuse`, `lose_answers` and
+    `cut_streams` to paths that start with it. `lose_answers`,
+    `cut_streams`, `cache_event_gap` and `silence_connections` are used up:
+    the first two count down with each call that they affect, the third
+    loses that many events, the fourth silences what is connected now. A
+    stream is cut after `cut_after_chunks` parts of its body.
+    """
+
+    path: str = ""
+    freeze: bool = False
+    delay_ms: int = 0
+    refuse: bool = False
+    lose_answers: int = 0
+    cut_streams: int = 0
+    cut_after_chunks: int = 1
+    silence_connections: bool = False
+    leaving: bool = False
+    cache_event_gap: int = 0
+    cache_event_delay_ms: int = 0
+    report_lag_ms: int = 0
+    vm_list_lag_ms: int = 0
+    refuse_starts: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class LogEntry:
+    """One call; `status` 0 means that no response was started."""
+
+    at_ms: int
+    method: str
+    path: str
+    request_id: str = ""
+    attempt_id: str = ""
+    idempotency_key: str = ""
+    status: int = 0
+    fault: str = ""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Log:
+    """Response to `GET /admin/log`."""
+
+    entries: tuple[LogEntry, ...]
+
+
+class FaultSwitches:
+    """The present faults, the log of calls, and what to do on a change."""
+
+    def __init__(self, time: clock.Clock) -> None:
+        self.clock = time
+        self.faults = Faults()
+        self.log: collections.deque[LogEntry] = collections.deque(
+            maxlen=MAX_LOG_ENTRIES
+        )
+        self.on_change: list[Callable[[Faults], None]] = []
+        self._listener: serving.Listener | None = None
+        self._changed = anyio.Event()
+
+    def attach(self, listener: serving.Listener) -> None:
+        """Set the listener whose connections are cut or silenced."""
+        self._listener = listener
+
+    def update(self, **changes: Any) -> Faults:
+        """Change some switches and tell those that wait."""
+        merged = documents.encode(self.faults)
+        merged.update(changes)
+        unknown = merged.keys() - documents.encode(Faults()).keys()
+        if unknown:
+            names = ", ".join(sorted(unknown))
+            raise documents.RefusedError(
+                400, "invalid_request", f"unknown fields: {names}"
+            )
+        self.faults = documents.decode(merged, Faults)
+        if self.faults.silence_connections and self._listener is not None:
+            self._listener.silence()
+        for callback in self.on_change:
+            callback(self.faults)
+        self.faults.silence_connections = False
+        self.faults.cache_event_gap = 0
+        self._changed.set()
+        self._changed = anyio.Event()
+        return self.faults
+
+    async def wait_while_frozen(self, path: str) -> None:
+        """Return when `path` is not frozen, or no longer."""
+        while self.faults.freeze and path.startswith(self.faults.path):
+            await self._changed.wait()
+
+    def use_lost_answer(self, path: str) -> bool:
+        """Return whether the answer to this call gets lost."""
+        faults = self.faults
+        if not faults.lose_answers or not path.startswith(faults.path):
+            return False
+        faults.lose_answers -= 1
+        return True
+
+    def use_cut(self, path: str) -> bool:
+        """Return whether this stream gets cut."""
+        faults = self.faults
+        if not faults.cut_streams or not path.startswith(faults.path):
+            return False
+        faults.cut_streams -= 1
+        return True
+
+    def is_silent(self, peer: tuple[str, int]) -> bool:
+        """Return whether the connection of a peer went silent."""
+        return self._listener is not None and self._listener.is_silent(peer)
+
+    def cut(self, peer: tuple[str, int]) -> None:
+        """Close the connection of a peer."""
+        if self._listener is not None:
+            self._listener.cut(peer)
+
+
+class FaultMiddleware:
+    """Applies the switches to the calls of an app and logs the calls."""
+
+    def __init__(self, app: types.ASGIApp, switches: FaultSwitches) -> None:
+        self._app = app
+        self._switches = switches
+
+    async def __call__(
+        self,
+        scope: types.Scope,
+        receive: types.Receive,
+        send: types.Send,
+    ) -> None:
+        """Handle one call."""
+        if scope["type"] != "http":
+            await self._app(scope, receive, send)
+            return
+        call = _Call(self._switches, scope, receive, send)
+        await call.run(self._app)
+
+
+class _Call:
+    """One call on its way through the faults."""
+
+    def __init__(
+        self,
+        switches: FaultSwitches,
+        scope: types.Scope,
+        receive: types.Receive,
+        send: types.Send,
+    ) -> None:
+        self._switches = switches
+        self._scope = scope
+        self._receive = receive
+        self._send = send
+        self._peer: tuple[str, int] = tuple(scope["client"])
+        self._path: str = scope["path"]
+        self._is_cut = False
+        self._is_gone = False
+        self._receivers = 0
+        self._chunks = 0
+        self._lost = False
+        self.entry = _log_entry(switches.clock.now_ms(), scope)
+
+    async def run(self, app: types.ASGIApp) -> None:
+        """Apply the faults that come before the call, then run it."""
+        switches = self._switches
+        switches.log.append(self.entry)
+        if switches.is_silent(self._peer):
+            self.entry.fault = "silent"
+            await self._stay_silent()
+            return
+        await switches.wait_while_frozen(self._path)
+        faults = switches.faults
+        applies = self._path.startswith(faults.path)
+        if applies and faults.delay_ms:
+            await anyio.sleep(faults.delay_ms / 1_000)
+        if applies and faults.refuse:
+            self.entry.fault = "refused"
+            error = documents.RefusedError(
+                503, "unavailable", "refused by a fault switch"
+            )
+            response = documents.error_response(error)
+            await response(self._scope, self._receive, self.send)
+            return
+        self._lost = switches.use_lost_answer(self._path)
+        await app(self._scope, self.receive, self.send)
+
+    async def receive(self) -> types.Message:
+        """Pass on a part of the request, or that the client went away."""
+        if self._is_gone:
+            return {"type": "http.disconnect"}
+        self._receivers += 1
+        try:
+            message = await self._receive()
+        finally:
+            self._receivers -= 1
+        if message["type"] == "http.disconnect":
+            self._is_gone = True
+        return message
+
+    async def send(self, message: types.Message) -> None:
+        """Pass a part of the response on, unless a fault prevents it."""
+        if self._is_cut:
+            return
+        if self._switches.is_silent(self._peer):
+            self.entry.fault = "silent"
+            await self._stay_silent()
+            return
+        if self._lost:
+            self._cut("answer_lost")
+            return
+        if message["type"] == "http.response.start":
+            self.entry.status = message["status"]
+        await self._switches.wait_while_frozen(self._path)
+        await self._send(message)
+        if message["type"] == "http.response.body" and message.get("body"):
+            self._count_chunk(bool(message.get("more_body")))
+
+    def _count_chunk(self, more: bool) -> None:
+        self._chunks += 1
+        if not more or self._chunks < self._switches.faults.cut_after_chunks:
+            return
+        if self._switches.use_cut(self._path):
+            self._cut("cut")
+
+    def _cut(self, fault: str) -> None:
+        self._is_cut = True
+        self.entry.fault = fault
+        self._switches.cut(self._peer)
+
+    async def _stay_silent(self) -> None:
+        # Only one receiver gets the disconnect. When the app already waits
+        # for it, the app cancels this call.
+        if self._receivers:
+            await anyio.sleep_forever()
+        while not self._is_gone:
+            await self.receive()
+        self._is_cut = True
+
+
+def _log_entry(now_ms: int, scope: types.Scope) -> LogEntry:
+    headers = datastructures.Headers(scope=scope)
+    return LogEntry(
+        now_ms,
+        scope["method"],
+        scope["path"],
+        headers.get("x-request-id", ""),
+        headers.get("x-attempt-id", ""),
+        headers.get("idempotency-key", ""),
+    )
+
+
+Endpoint = Callable[[requests.Request], Awaitable[responses.Response]]
+
+
+def admin_app(
+    switches: FaultSwitches, routes: list[routing.Route]
+) -> applications.Starlette:
+    """Return the app of the admin port, with the stand-in's own routes."""
+
+    async def change(request: requests.Request) -> responses.Response:
+        changes = await documents.read_json(request)
+        return documents.respond(switches.update(**changes))
+
+    async def show(request: requests.Request) -> responses.Response:
+        del request
+        return documents.respond(switches.faults)
+
+    async def show_log(request: requests.Request) -> responses.Response:
+        del request
+        return documents.respond(Log(tuple(switches.log)))
+
+    return applications.Starlette(
+        routes=[
+            routing.Route("/admin/faults", change, methods=["POST"]),
+            routing.Route("/admin/faults", show, methods=["GET"]),
+            routing.Route("/admin/log", show_log, methods=["GET"]),
+            *routes,
+        ],
+        exception_handlers=documents.EXCEPTION_HANDLERS,
+    )
--- /dev/null
+++ b/laburnumpin/standins/orders.py
@@ -0,0 +1,62 @@
+"""Orders to an engine, with and without a check of fencing numbers."""
+
+from __future__ import annotations
+
+import enum
+
+from laburnumpin.standins import engine_documents
+
+
+class OrderAnswer(enum.Enum):
+    """What an engine does with an order."""
+
+    ACCEPTED = "accepted"
+    STALE_FENCING = "stale_fencing"
+    BUSY = "busy"
+
+
+class Orders:
+    """The model and role in force, and the highest fencing number."""
+
+    __slots__ = (
+        "_checks_fencing",
+        "accepted",
+        "fencing_number",
+        "model",
+        "model_version",
+        "role",
+    )
+
+    def __init__(self, settings: engine_documents.EngineSettings) -> None:
+        self._checks_fencing = settings.checks_fencing
+        self.accepted: list[engine_documents.Order] = []
+        self.fencing_number = 0
+        self.model = settings.model
+        self.model_version = settings.model_version
+        self.role = settings.role
+
+    def changes_model(self, order: engine_documents.Order) -> bool:
+        """Return whether the order needs another model in memory."""
+        present = (self.model, self.model_version)
+        return (order.model, order.version) != present
+
+    def apply(
+        self, order: engine_documents.Order, is_working: bool
+    ) -> OrderAnswer:
+        """Take over an order unless it is stale or would stop work.
+
+        A busy engine that checks fencing numbers remembers the number, so
+        that an earlier holder of the lease cannot act after the refusal.
+        """
+        is_stale = order.fencing_number < self.fencing_number
+        if is_stale and self._checks_fencing:
+            return OrderAnswer.STALE_FENCING
+        self.fencing_number = order.fencing_number
+        changes = self.changes_model(order) or order.role != self.role
+        if changes and is_working:
+            return OrderAnswer.BUSY
+        self.model = order.model
+        self.model_version = order.version
+        self.role = order.role
+        self.accepted.append(order)
+        return OrderAnswer.ACCEPTED
--- /dev/null
+++ b/laburnumpin/standins/running.py
@@ -0,0 +1,125 @@
+"""Starting of stand-ins inside the current process."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+from collections.abc import Coroutine
+import contextlib
+import dataclasses
+from typing import Any
+from typing import Generic
+from typing import Protocol
+from typing import TypeVar
+
+import anyio
+from starlette import applications
+
+from laburnumpin import clock
+from laburnumpin.standins import engine
+from laburnumpin.standins import engine_documents
+from laburnumpin.standins import faults
+from laburnumpin.standins import plain_service
+from laburnumpin.standins import platform
+from laburnumpin.standins import platform_documents
+from laburnumpin.standins import serving
+
+LOOPBACK = "127.0.0.1"
+
+
+class StandIn(Protocol):
+    """What the three stand-ins have in common."""
+
+    switches: faults.FaultSwitches
+
+    def app(self) -> applications.Starlette:
+        """Return the app of the main port."""
+
+    def admin_app(self) -> applications.Starlette:
+        """Return the app of the admin port."""
+
+
+S = TypeVar("S", bound=StandIn)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Binding:
+    """Where a stand-in listens; port 0 chooses a free port."""
+
+    host: str = LOOPBACK
+    port: int = 0
+    admin_port: int = 0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Running(Generic[S]):
+    """A stand-in that serves, and its addresses."""
+
+    standin: S
+    address: serving.Address
+    admin_address: serving.Address
+
+
+@contextlib.asynccontextmanager
+async def run_platform(
+    settings: platform_documents.PlatformSettings | None = None,
+    binding: Binding | None = None,
+) -> AsyncIterator[Running[platform.Platform]]:
+    """Run a platform until the context ends."""
+    standin = platform.Platform(
+        settings or platform_documents.PlatformSettings(), clock.SystemClock()
+    )
+    async with _run(standin, binding or Binding()) as running:
+        yield running
+
+
+@contextlib.asynccontextmanager
+async def run_engine(
+    settings: engine_documents.EngineSettings | None = None,
+    binding: Binding | None = None,
+) -> AsyncIterator[Running[engine.Engine]]:
+    """Run an engine until the context ends."""
+    standin = engine.Engine(
+        settings or engine_documents.EngineSettings(), clock.SystemClock()
+    )
+    async with _run(standin, binding or Binding(), standin.run) as running:
+        yield running
+
+
+@contextlib.asynccontextmanager
+async def run_plain_service(
+    settings: plain_service.PlainSettings | None = None,
+    binding: Binding | None = None,
+) -> AsyncIterator[Running[plain_service.PlainService]]:
+    """Run a plain service until the context ends."""
+    standin = plain_service.PlainService(
+        settings or plain_service.PlainSettings(), clock.SystemClock()
+    )
+    async with _run(standin, binding or Binding()) as running:
+        yield running
+
+
+@contextlib.asynccontextmanager
+async def _run(
+    standin: S,
+    binding: Binding,
+    work: Callable[[], Coroutine[Any, Any, None]] | None = None,
+) -> AsyncIterator[Running[S]]:
+    listener = serving.Listener(binding.host, binding.port)
+    admin_listener = serving.Listener(binding.host, binding.admin_port)
+    standin.switches.attach(listener)
+    running = Running(standin, listener.address, admin_listener.address)
+    stop = anyio.Event()
+    async with anyio.create_task_group() as workers:
+        if work is not None:
+            workers.start_soon(work)
+        async with anyio.create_task_group() as servers:
+            servers.start_soon(serving.serve, standin.app(), listener, stop)
+            servers.start_soon(
+                serving.serve, standin.admin_app(), admin_listener, stop
+            )
+            try:
+                yield running
+            finally:
+                stop.set()
+        workers.cancel_scope.cancel()
--- /dev/null
+++ b/laburnumpin/standins/serving.py
@@ -0,0 +1,124 @@
+"""Serving of the stand-ins' apps over sockets that can be cut."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+import logging
+import socket
+from typing import Any
+from typing import cast
+import weakref
+
+import anyio
+import hypercorn
+from hypercorn import config as hypercorn_config
+import hypercorn.asyncio
+from starlette import applications
+
+BACKLOG = 1_024
+KEEP_ALIVE_TIMEOUT_S = 120
+GRACEFUL_TIMEOUT_S = 0.5
+
+_LOGGER = logging.getLogger("laburnumpin.standins")
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Address:
+    """A bound address."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+    @property
+    def url(self) -> str:
+        """Return the base URL for HTTP."""
+        return f"http://{self}"
+
+
+class Listener(socket.socket):
+    """A listening socket that remembers its open connections by peer.
+
+    A silent connection stays open, but the app neither reads requests from
+    it nor sends responses; connections opened later are not affected.
+    """
+
+    __slots__ = ("_connections", "_silent")
+
+    def __init__(self, host: str, port: int) -> None:
+        super().__init__(socket.AF_INET, socket.SOCK_STREAM)
+        self._connections: weakref.WeakValueDictionary[
+            tuple[str, int], socket.socket
+        ] = weakref.WeakValueDictionary()
+        self._silent: weakref.WeakSet[socket.socket] = weakref.WeakSet()
+        self.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.setblocking(False)
+        self.bind((host, port))
+        # Connections wait in the backlog until the app is served.
+        self.listen(BACKLOG)
+
+    @property
+    def address(self) -> Address:
+        """Return the bound address, with the port that was chosen."""
+        host, port = self.getsockname()[:2]
+        return Address(host, port)
+
+    def accept(self) -> tuple[socket.socket, Any]:
+        """Accept a connection and remember it."""
+        connection, peer = super().accept()
+        self._connections[peer[0], peer[1]] = connection
+        return connection, peer
+
+    def silence(self) -> None:
+        """Make all connections that are open now silent for good."""
+        self._silent.update(self._connections.values())
+
+    def is_silent(self, peer: tuple[str, int]) -> bool:
+        """Return whether the connection of a peer is silent."""
+        connection = self._connections.get(peer)
+        return connection is not None and connection in self._silent
+
+    def cut(self, peer: tuple[str, int]) -> None:
+        """Close the connection of a peer at once."""
+        connection = self._connections.get(peer)
+        if connection is None:
+            return
+        try:
+            connection.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            # The peer closed it first.
+            return
+
+
+class _ListenerConfig(hypercorn_config.Config):
+    """A hypercorn configuration that serves one existing socket."""
+
+    def __init__(self, listener: Listener) -> None:
+        super().__init__()
+        self.errorlog = _LOGGER
+        self.accesslog = None
+        self.keep_alive_timeout = KEEP_ALIVE_TIMEOUT_S
+        self.graceful_timeout = GRACEFUL_TIMEOUT_S
+        self._listener = listener
+
+    def create_sockets(self) -> hypercorn_config.Sockets:
+        """Return the listener in place of new sockets."""
+        return hypercorn_config.Sockets([], [self._listener], [])
+
+
+async def serve(
+    app: applications.Starlette,
+    listener: Listener,
+    stop: anyio.Event,
+) -> None:
+    """Serve until `stop` is set, then close all connections."""
+    trigger = cast(Callable[..., Awaitable[None]], stop.wait)
+    await hypercorn.asyncio.serve(
+        cast(Any, app),
+        _ListenerConfig(listener),
+        shutdown_trigger=trigger,
+    )
