--- a/laburnumpin/standins/running.py
+++ b/laburnumpin/standins/running.py
@@ -121,5 +121,6 @@
             try:
                 yield running
             finally:
+                standin.switches.update(freeze=False)
                 stop.set()
         workers.cancel_scope.cancel()
--- a/laburnumpin/standins/serving.py
+++ b/laburnumpin/standins/serving.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable
-from collections.abc import Callable
 import dataclasses
 import logging
 import socket
@@ -82,6 +80,11 @@
         connection = self._connections.get(peer)
         return connection is not None and connection in self._silent
 
+    def cut_all(self) -> None:
+        """Close all connections at once."""
+        for peer in list(self._connections.keys()):
+            self.cut(peer)
+
     def cut(self, peer: tuple[str, int]) -> None:
         """Close the connection of a peer at once."""
         connection = self._connections.get(peer)
@@ -115,10 +118,15 @@
     listener: Listener,
     stop: anyio.Event,
 ) -> None:
-    """Serve until `stop` is set, then close all connections."""
-    trigger = cast(Callable[..., Awaitable[None]], stop.wait)
+    """Serve until `stop` is set, then cut all connections."""
+
+    async def wait_for_stop() -> None:
+        await stop.wait()
+        # Calls end when their client is gone, so none has to be cancelled.
+        listener.cut_all()
+
     await hypercorn.asyncio.serve(
         cast(Any, app),
         _ListenerConfig(listener),
-        shutdown_trigger=trigger,
+        shutdown_trigger=wait_for_stop,
     )
--- a/laburnumpin/tests/test_standins_apps.py
+++ b/laburnumpin/tests/test_standins_apps.py
@@ -15,6 +15,7 @@
 from laburnumpin.standins import batching
 from laburnumpin.standins import engine_documents
 from laburnumpin.standins import running
+from laburnumpin.standins import sse
 from laburnumpin.standins import text
 
 pytestmark = pytest.mark.anyio
@@ -55,19 +56,12 @@
     answer = Answer(offset=body["offset"])
     async with client.stream("POST", "/v1/generate", json=body) as response:
         response.raise_for_status()
-        name = ""
-        async for line in response.aiter_lines():
-            field, _, value = line.partition(": ")
-            if field == "event":
-                name = value
-            if field == "id":
-                answer.offset = int(value)
-            if field != "data":
-                continue
-            if name == "end":
-                answer.end = json.loads(value)
-                continue
-            answer.text += json.loads(value)["text"]
+        async for event in sse.read_events(response.aiter_lines()):
+            if event.name == "end":
+                answer.end = json.loads(event.data)
+                break
+            answer.offset = int(event.event_id)
+            answer.text += json.loads(event.data)["text"]
             if stop_at is not None and answer.offset >= stop_at:
                 break
     return answer
