Name request and attempt ids of generations in the engine's log

The log took the ids from headers, but a generation names them in its body, so tests could not see when an engine got which attempt.

--- a/laburnumpin/standins/batching.py
+++ b/laburnumpin/standins/batching.py
@@ -43,7 +43,9 @@
     CANCELLED = "cancelled"
 
 
-@dataclasses.dataclass(slots=True)
+# Compared by identity, because comparing all fields made queue look-ups slow
+# and each generation exists only once.
+@dataclasses.dataclass(slots=True, eq=False)
 class Generation:
     """One generation; `produced` counts tokens from offset 0.
 
@@ -207,7 +209,7 @@
         changed: dict[str, Generation] = {}
         while self._step is not None and self._step.end_ms <= now_ms:
             step = self._step
-            for generation in self._finish(step, now_ms):
+            for generation in self._finish(step):
                 changed[generation.request_id] = generation
             start_ms = step.end_ms
             if now_ms - start_ms > MAX_CATCH_UP_MS:
@@ -278,7 +280,7 @@
                 plan[generation.request_id] = tokens
         return plan
 
-    def _finish(self, step: Step, now_ms: int) -> list[Generation]:
+    def _finish(self, step: Step) -> list[Generation]:
         self.last_step_ms = step.duration_ms
         changed = []
         for generation in list(self._running):
@@ -287,7 +289,7 @@
             generation.prefill_left -= tokens
             generation.computed_tokens += tokens
             if tokens and not generation.prefill_left:
-                self.cache.add(generation.blocks, now_ms)
+                self.cache.add(generation.blocks, int(step.end_ms))
             is_decoding = request_id in step.decoding or tokens
             if generation.prefill_left or not is_decoding:
                 continue
--- a/laburnumpin/standins/cloud.py
+++ b/laburnumpin/standins/cloud.py
@@ -86,14 +86,18 @@
         """Bound the starts of a VM class in a zone from now on."""
         self._capacity[capacity.zone, capacity.vm_class] = capacity.vms
 
-    def start(self, order: StartOrder, now_ms: int) -> str | None:
-        """Start a VM; None when there is no capacity.
+    def start(
+        self, order: StartOrder, now_ms: int, refuse: bool = False
+    ) -> str | None:
+        """Start a VM; None when there is no capacity, or with `refuse`.
 
         A repeated order returns the VM that it started the first time.
         """
         known = self._orders.get(order.order_id)
         if known is not None:
             return known
+        if refuse:
+            return None
         place = (order.zone, order.vm_class)
         left = self._capacity.get(place)
         if left is not None:
--- a/laburnumpin/standins/engine.py
+++ b/laburnumpin/standins/engine.py
@@ -119,6 +119,9 @@
 
     async def _generate(self, request: requests.Request) -> responses.Response:
         body = await documents.read(request, engine_documents.GenerateRequest)
+        entry = faults.log_entry(request)
+        entry.request_id = body.request_id
+        entry.attempt_id = body.attempt_id
         generation = self._find_or_submit(body)
         self.batch.attach(generation, self.clock.now_ms())
         self._wake()
@@ -264,7 +267,7 @@
                 409, "model_mismatch", "the cache is of another model"
             )
         await anyio.sleep(body.size_bytes / self.settings.kv_bytes_per_s)
-        generation = self.batch.import_generation(
+        self.batch.import_generation(
             body.request_id,
             body.prompt,
             body.max_tokens,
@@ -272,7 +275,6 @@
             body.offset,
             self.clock.now_ms(),
         )
-        del generation
         return documents.respond(documents.Done())
 
     async def _order(self, request: requests.Request) -> responses.Response:
--- a/laburnumpin/standins/faults.py
+++ b/laburnumpin/standins/faults.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import collections
-from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
 from typing import Any
@@ -21,6 +20,7 @@
 from laburnumpin.standins import serving
 
 MAX_LOG_ENTRIES = 100_000
+_LOG_ENTRY = "laburnumpin.log_entry"
 
 
 @dataclasses.dataclass(slots=True)
@@ -184,6 +184,7 @@
         self._chunks = 0
         self._lost = False
         self.entry = _log_entry(switches.clock.now_ms(), scope)
+        scope[_LOG_ENTRY] = self.entry
 
     async def run(self, app: types.ASGIApp) -> None:
         """Apply the faults that come before the call, then run it."""
@@ -274,7 +275,11 @@
     )
 
 
-Endpoint = Callable[[requests.Request], Awaitable[responses.Response]]
+def log_entry(request: requests.Request) -> LogEntry:
+    """Return the log entry of a call, to add what its body names."""
+    entry = request.scope[_LOG_ENTRY]
+    assert isinstance(entry, LogEntry)
+    return entry
 
 
 def admin_app(
--- a/laburnumpin/standins/platform.py
+++ b/laburnumpin/standins/platform.py
@@ -172,9 +172,8 @@
     async def _start_vm(self, request: requests.Request) -> responses.Response:
         self._admit(request)
         order = await documents.read(request, cloud.StartOrder)
-        vm_id = None
-        if not self.switches.faults.refuse_starts:
-            vm_id = self.cloud.start(order, self.clock.now_ms())
+        refuse = self.switches.faults.refuse_starts
+        vm_id = self.cloud.start(order, self.clock.now_ms(), refuse)
         if vm_id is None:
             raise documents.RefusedError(
                 409,
