Let engines load weights through the store; test the stand-ins' parts

An order for another model took a fixed time, so nothing in a deployment ever met the rate limit of the weight store. An engine with `weights_url` now asks the store first and repeats a rejected load; it computes nothing until the model is loaded.

Waits are for conditions with a timeout of 60 s; short read timeouts are used only for calls that never get an answer.

--- a/laburnumpin/standins/batching.py
+++ b/laburnumpin/standins/batching.py
@@ -81,7 +81,7 @@
     """Generations of one engine, its slots and its prefix cache."""
 
     __slots__ = (
-        "_loaded_ms",
+        "_is_loading",
         "_running",
         "_step",
         "_waiting",
@@ -99,7 +99,7 @@
         self._running: list[Generation] = []
         self._waiting: list[Generation] = []
         self._step: Step | None = None
-        self._loaded_ms = 0
+        self._is_loading = False
 
     @property
     def running_count(self) -> int:
@@ -199,10 +199,16 @@
             expired.append(generation)
         return expired
 
-    def load_model(self, now_ms: int, duration_ms: int) -> None:
-        """Drop the cache and compute nothing until the model is loaded."""
+    def begin_load(self, now_ms: int) -> None:
+        """Drop the cache and compute nothing until `end_load`."""
         self.cache.clear(now_ms)
-        self._loaded_ms = now_ms + duration_ms
+        self._is_loading = True
+
+    def end_load(self, now_ms: int) -> None:
+        """Continue with what has arrived since `begin_load`."""
+        self._is_loading = False
+        if self._step is None:
+            self._start_step(now_ms)
 
     def advance(self, now_ms: int) -> list[Generation]:
         """Finish the steps that are due; return what made progress."""
@@ -232,12 +238,14 @@
     def _enqueue(self, generation: Generation, now_ms: int) -> None:
         self._waiting.append(generation)
         if self._step is None:
-            self._start_step(max(now_ms, self._loaded_ms))
+            self._start_step(now_ms)
 
     def _start_step(self, start_ms: float) -> None:
+        self._step = None
+        if self._is_loading:
+            return
         self._admit()
         if not self._running:
-            self._step = None
             return
         decoding = [each for each in self._running if not each.prefill_left]
         prefill = self._plan_prefill(bounded=bool(decoding))
--- a/laburnumpin/standins/engine.py
+++ b/laburnumpin/standins/engine.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 import anyio
+import httpx
 from starlette import applications
 from starlette import middleware
 from starlette import requests
@@ -26,6 +27,7 @@
 from laburnumpin.standins import text
 
 EXPIRY_PERIOD_S = 0.2
+WEIGHTS_RETRY_S = 0.2
 
 
 class Engine:
@@ -47,6 +49,7 @@
         self._reports = lagged.Lagged(self.incarnation, self._report())
         self._progress: dict[str, anyio.Event] = {}
         self._work = anyio.Event()
+        self._loads_requested = 0
 
     def app(self) -> applications.Starlette:
         """Return the app that entries use."""
@@ -76,6 +79,7 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self._run_steps)
             group.start_soon(self._run_expiry)
+            group.start_soon(self._run_loads)
 
     def _routes(self) -> list[routing.Route]:
         route = routing.Route
@@ -117,6 +121,36 @@
             for generation in self.batch.expire(self.clock.now_ms()):
                 self._drop(generation)
 
+    async def _run_loads(self) -> None:
+        done = 0
+        async with httpx.AsyncClient() as client:
+            while True:
+                if done == self._loads_requested:
+                    await self._work.wait()
+                    continue
+                done = self._loads_requested
+                await self._fetch_weights(client)
+                await anyio.sleep(self.settings.model_load_ms / 1_000)
+                if done != self._loads_requested:
+                    continue
+                self.batch.end_load(self.clock.now_ms())
+                self._wake()
+
+    async def _fetch_weights(self, client: httpx.AsyncClient) -> None:
+        if not self.settings.weights_url:
+            return
+        url = f"{self.settings.weights_url}/weights/{self.orders.model}"
+        headers = {"Authorization": f"Bearer {self.settings.platform_token}"}
+        while True:
+            try:
+                response = await client.get(url, headers=headers)
+            except httpx.TransportError:
+                await anyio.sleep(WEIGHTS_RETRY_S)
+                continue
+            if response.status_code == 200:
+                return
+            await anyio.sleep(WEIGHTS_RETRY_S)
+
     async def _generate(self, request: requests.Request) -> responses.Response:
         body = await documents.read(request, engine_documents.GenerateRequest)
         entry = faults.log_entry(request)
@@ -288,7 +322,9 @@
                 409, answer.value, f"order {order.fencing_number} refused"
             )
         if loads:
-            batch.load_model(self.clock.now_ms(), self.settings.model_load_ms)
+            batch.begin_load(self.clock.now_ms())
+            self._loads_requested += 1
+            self._wake()
         self._record()
         return documents.respond(
             engine_documents.OrderAccepted(order.fencing_number)
--- a/laburnumpin/standins/engine_documents.py
+++ b/laburnumpin/standins/engine_documents.py
@@ -12,8 +12,9 @@
 class EngineSettings:
     """Settings of an engine; the batch has its own.
 
-    `model_load_ms` passes when an order changes the model. A KV cache moves
-    at `kv_bytes_per_s`; the import takes that time.
+    `model_load_ms` passes when an order changes the model, after the weight
+    store at `weights_url`, if one is given, has admitted the load. A KV
+    cache moves at `kv_bytes_per_s`; the import takes that time.
     """
 
     batch: batching.BatchSettings = dataclasses.field(
@@ -25,6 +26,8 @@
     model_version: str = ""
     role: str = ""
     model_load_ms: int = 500
+    weights_url: str = ""
+    platform_token: str = ""
     kv_bytes_per_token: int = 131_072
     kv_bytes_per_s: int = 4_000_000_000
 
--- a/laburnumpin/tests/test_standins_apps.py
+++ b/laburnumpin/tests/test_standins_apps.py
@@ -6,21 +6,33 @@
 import contextlib
 import dataclasses
 import json
+import signal
+import subprocess
+import sys
 from typing import Any
 
 import anyio
 import httpx
 import pytest
 
+from laburnumpin.core import events
 from laburnumpin.standins import batching
+from laburnumpin.standins import documents
 from laburnumpin.standins import engine_documents
+from laburnumpin.standins import platform_documents
 from laburnumpin.standins import running
+from laburnumpin.standins import serving
 from laburnumpin.standins import sse
 from laburnumpin.standins import text
 
 pytestmark = pytest.mark.anyio
+TIMEOUT_S = 60
+# Only for calls that never get an answer.
+SHORT_READ = httpx.Timeout(TIMEOUT_S, read=0.2)
 FAST = engine_documents.EngineSettings(
-    batching.BatchSettings(base_step_ms=1.0, stream_step_ms=0.0),
+    batching.BatchSettings(
+        base_step_ms=1.0, stream_step_ms=0.0, retention_ms=600_000
+    ),
     report_lag_ms=0,
 )
 
@@ -50,6 +62,10 @@
     }
 
 
+def _client(address: serving.Address) -> httpx.AsyncClient:
+    return httpx.AsyncClient(base_url=address.url, timeout=TIMEOUT_S)
+
+
 async def _read(
     client: httpx.AsyncClient, body: Any, stop_at: int | None = None
 ) -> Answer:
@@ -73,20 +89,20 @@
 ) -> AsyncIterator[tuple[httpx.AsyncClient, httpx.AsyncClient]]:
     async with (
         running.run_engine(settings) as engine,
-        httpx.AsyncClient(base_url=engine.address.url) as client,
-        httpx.AsyncClient(base_url=engine.admin_address.url) as admin,
+        _client(engine.address) as client,
+        _client(engine.admin_address) as admin,
     ):
         yield client, admin
 
 
 @contextlib.asynccontextmanager
-async def _platform() -> AsyncIterator[
-    tuple[httpx.AsyncClient, httpx.AsyncClient]
-]:
+async def _platform(
+    settings: platform_documents.PlatformSettings | None = None,
+) -> AsyncIterator[tuple[httpx.AsyncClient, httpx.AsyncClient]]:
     async with (
-        running.run_platform() as platform,
-        httpx.AsyncClient(base_url=platform.address.url) as client,
-        httpx.AsyncClient(base_url=platform.admin_address.url) as admin,
+        running.run_platform(settings) as platform,
+        _client(platform.address) as client,
+        _client(platform.admin_address) as admin,
     ):
         yield client, admin
 
@@ -97,8 +113,8 @@
 ]:
     async with (
         running.run_plain_service() as plain,
-        httpx.AsyncClient(base_url=plain.address.url) as client,
-        httpx.AsyncClient(base_url=plain.admin_address.url) as admin,
+        _client(plain.address) as client,
+        _client(plain.admin_address) as admin,
     ):
         yield client, admin
 
@@ -171,7 +187,159 @@
         await client.get("/v1/load")
         await admin.post("/admin/faults", json={"silence_connections": True})
         with pytest.raises(httpx.ReadTimeout):
-            await client.get("/v1/load", timeout=0.2)
-        with anyio.fail_after(30):
-            response = await client.get("/v1/load", timeout=30)
+            await client.get("/v1/load", timeout=SHORT_READ)
+        response = await client.get("/v1/load")
     assert response.status_code == 200
+
+
+async def test_moved_cache_resumes_at_another_engine() -> None:
+    """Guards against a moved stream that computes its prompt again."""
+    body = _body("a.1.1", 40)
+    async with _engine() as (source, _), _engine() as (target, _):
+        first = await _read(source, body, stop_at=5)
+        exported = await source.post(
+            "/v1/kv/export", json={"request_id": "a.1.1"}
+        )
+        imported = await target.post("/v1/kv/import", json=exported.json())
+        imported.raise_for_status()
+        rest = await _read(target, _body("a.1.1", 40, first.offset))
+    offset = exported.json()["offset"]
+    prompt = "draft the dossier"
+    assert first.text + rest.text == text.expected_text(prompt, 0, 40)
+    assert rest.end["computed_tokens"] == 40 - offset
+
+
+async def test_leaving_engine_rejects_new_work_but_resumes() -> None:
+    """Guards against a reclaim that loses the streams that are kept."""
+    async with _engine() as (client, admin):
+        first = await _read(client, _body("a.1.1", 30), stop_at=2)
+        await admin.post("/admin/faults", json={"leaving": True})
+        new = await client.post("/v1/generate", json=_body("a.1.2", 30))
+        rest = await _read(client, _body("a.1.1", 30, first.offset))
+        load = await client.get("/v1/load")
+        log = await admin.get("/admin/log")
+    assert (new.status_code, new.json()["error"]["code"]) == (409, "leaving")
+    assert rest.end["total_tokens"] == 30
+    assert load.json()["leaving"]
+    statuses = [
+        (entry["request_id"], entry["status"])
+        for entry in log.json()["entries"]
+        if entry["path"] == "/v1/generate"
+    ]
+    assert statuses == [("a.1.1", 200), ("a.1.2", 409), ("a.1.1", 200)]
+
+
+async def test_unknown_offset_is_an_unknown_generation() -> None:
+    """Guards against a resume that starts again under the old offsets."""
+    async with _engine() as (client, _):
+        response = await client.post(
+            "/v1/generate", json=_body("a.1.1", 30, offset=3)
+        )
+    assert response.status_code == 404
+    assert response.json()["error"]["code"] == "unknown_generation"
+
+
+async def test_cancelled_stream_ends_with_an_error() -> None:
+    """Guards against a cancelled stream that looks complete or hangs."""
+    received: list[sse.ServerEvent] = []
+    async with _engine() as (client, _):
+        body = _body("a.1.1", 100_000)
+        async with client.stream("POST", "/v1/generate", json=body) as response:
+            async for event in sse.read_events(response.aiter_lines()):
+                if not received:
+                    await client.delete("/v1/generate/a.1.1")
+                received.append(event)
+        load = await client.get("/v1/load")
+    assert received[-1].name == "error"
+    assert load.json()["running"] == 0
+
+
+async def test_frozen_platform_executes_after_the_client_gave_up() -> None:
+    """Guards against a frozen write that is taken for one not run."""
+    body = {"writes": [{"table": "t", "key": "a", "value": "1"}]}
+    async with _platform() as (client, admin):
+        await admin.post(
+            "/admin/faults", json={"freeze": True, "path": "/tables/transact"}
+        )
+        with pytest.raises(httpx.ReadTimeout):
+            await client.post("/tables/transact", json=body, timeout=SHORT_READ)
+        before = await client.get("/tables/t/a")
+        await admin.post("/admin/faults", json={"freeze": False})
+        row = before
+        with anyio.fail_after(TIMEOUT_S):
+            while row.json()["version"] == 0:
+                row = await client.get("/tables/t/a")
+    assert before.json()["version"] == 0
+    assert row.json()["value"] == "1"
+
+
+async def test_refused_transaction_has_no_effect() -> None:
+    """Guards against a refusal after the write took effect."""
+    body = {"writes": [{"table": "t", "key": "a", "value": "1"}]}
+    async with _platform() as (client, admin):
+        await admin.post("/admin/faults", json={"refuse": True})
+        refused = await client.post("/tables/transact", json=body)
+        await admin.post("/admin/faults", json={"refuse": False})
+        row = await client.get("/tables/t/a")
+    assert refused.status_code == 503
+    assert row.json()["version"] == 0
+
+
+async def test_writes_over_the_rate_are_rejected() -> None:
+    """Guards against a store that takes any number of writes."""
+    settings = platform_documents.PlatformSettings(writes_per_s=0.001)
+    body = {"writes": [{"table": "t", "key": "a", "value": "1"}]}
+    statuses = []
+    async with _platform(settings) as (client, _):
+        for _ in range(3):
+            response = await client.post("/tables/transact", json=body)
+            statuses.append(response.status_code)
+    assert statuses == [200, 429, 429]
+
+
+async def test_vm_rows_and_notices_keep_their_fields() -> None:
+    """Guards against documents that differ from the core's events."""
+    row = events.VmRow(
+        "e1", 7, events.VmRole.ENTRY, "Howrah", "small", True, False
+    )
+    document = documents.encode(row)
+    settings = platform_documents.PlatformSettings(vm_list_lag_ms=1)
+    async with _platform(settings) as (client, admin):
+        await admin.post("/admin/vms", json={"vms": [document]})
+        await admin.post(
+            "/admin/notices", json={"zone": "Howrah", "remaining_ms": 90_000}
+        )
+        notices = (await client.get("/notices")).json()["notices"]
+        listed: Any = []
+        with anyio.fail_after(TIMEOUT_S):
+            while not listed:
+                listed = (await client.get("/vms")).json()["vms"]
+    assert [(each["vm_id"], each["incarnation"]) for each in notices] == [
+        ("e1", 7)
+    ]
+    assert 0 < notices[0]["remaining_ms"] <= 90_000
+    assert listed[0] | {"leaving": False} == document
+
+
+async def test_process_prints_its_address_and_ends_on_sigterm() -> None:
+    """Guards against a stand-in that cannot be found or stopped."""
+    program = (
+        "from laburnumpin.commands import standin\n"
+        "from laburnumpin.standins import plain_service, running\n"
+        "standin.run_plain_service("
+        "plain_service.PlainSettings(), running.Binding())\n"
+    )
+    async with await anyio.open_process(
+        [sys.executable, "-c", program], stderr=subprocess.DEVNULL
+    ) as process:
+        assert process.stdout is not None
+        with anyio.fail_after(TIMEOUT_S):
+            ready = json.loads(await process.stdout.receive())
+            async with httpx.AsyncClient(timeout=TIMEOUT_S) as client:
+                response = await client.get(
+                    f"http://{ready['address']}/v1/load"
+                )
+            process.send_signal(signal.SIGTERM)
+            status = await process.wait()
+    assert response.json()["incarnation"] == ready["incarnation"]
+    assert status == 0
