Add membership, configuration spreading, placement lease and fleet plan

Cause: the core modules were stubs. An entry could not spread a configuration, and nobody planned VMs.

Ruled out: a directed push of digests alone. In a random graph of out-degree 8 an entry can have no incoming link; entries that are not neighbours therefore get a bounded reply. Ruled out: measuring the lease from the start of the read. The row may have been renewed between sending and answering.

Change: neighbours by rendezvous hashing (5 local, 3 remote), digests of bounded size, pull from a peer that is strictly ahead, 16 s contact rule with pause detection, lease with fencing number, plan with zone spread, fallback and hysteresis, weekly profile, paced model orders on drained engines.

Conclusion: the modules carry their share of the design; they have not yet run against the shell.

--- /dev/null
+++ b/laburnumpin/core/digests.py
@@ -0,0 +1,99 @@
+"""Digests: a bounded summary of an entry for its neighbours."""
+
+from __future__ import annotations
+
+import heapq
+from typing import TYPE_CHECKING
+from typing import TypeVar
+
+from laburnumpin.core import lifecycle
+from laburnumpin.core import messages
+
+if TYPE_CHECKING:
+    from laburnumpin.core import state as entry_state
+
+_Row = TypeVar("_Row")
+
+# Together these keep a digest below 1,024 bytes on the peer link.
+MAX_LOADS = 8
+MAX_LEAVING = 6
+MAX_DEPARTURES = 2
+MAX_DEMANDS = 3
+# Leaving marks are spread for this long after they were learned.
+LEAVING_SPREAD_MS = 60_000
+
+
+def build(state: entry_state.EntryState, now_ms: int) -> messages.Digest:
+    """Return the digest of an entry.
+
+    What does not fit takes turns with the sequence number.
+    """
+    current = state.configuration.current
+    turn = state.membership.digest_sequence
+    return messages.Digest(
+        entry=state.entry,
+        sequence=turn,
+        zone=state.zone,
+        peer_address=state.peer_address,
+        accepting=state.lifecycle.phase
+        in (lifecycle.Phase.STARTING, lifecycle.Phase.SERVING),
+        configuration_version=0 if current is None else current.version,
+        confirmed_age_ms=max(0, now_ms - state.configuration.confirmed_ms),
+        loads=_loads(state),
+        leaving=_leaving(state, turn, now_ms),
+        departures=_departures(state, turn),
+        demands=_demands(state, turn),
+    )
+
+
+def _loads(
+    state: entry_state.EntryState,
+) -> tuple[messages.UpstreamLoad, ...]:
+    counts = []
+    for upstream in state.upstreams.by_id.values():
+        if upstream.attempts:
+            counts.append((len(upstream.attempts), upstream.upstream_id))
+    result = []
+    for count, upstream_id in heapq.nlargest(MAX_LOADS, counts):
+        result.append(messages.UpstreamLoad(upstream_id, count))
+    return tuple(result)
+
+
+def _leaving(
+    state: entry_state.EntryState, turn: int, now_ms: int
+) -> tuple[messages.LeavingUpstream, ...]:
+    recent = []
+    for (upstream_id, incarnation), since_ms in state.upstreams.leaving.items():
+        if now_ms - since_ms > LEAVING_SPREAD_MS:
+            continue
+        recent.append(messages.LeavingUpstream(upstream_id, incarnation))
+    return tuple(_window(recent, turn, MAX_LEAVING))
+
+
+def _departures(
+    state: entry_state.EntryState, turn: int
+) -> tuple[messages.Departure, ...]:
+    rows = list(state.handover.departures.values())
+    return tuple(_window(rows, turn, MAX_DEPARTURES))
+
+
+def _demands(
+    state: entry_state.EntryState, turn: int
+) -> tuple[messages.ServiceDemand, ...]:
+    queued: dict[str, int] = {}
+    for request in state.limits.queue.values():
+        tokens = request.prompt_tokens + request.max_tokens
+        name = request.service.name
+        queued[name] = queued.get(name, 0) + tokens
+    rows = []
+    for name in sorted(queued):
+        rows.append(messages.ServiceDemand(name, 0, queued[name]))
+    return tuple(_window(rows, turn, MAX_DEMANDS))
+
+
+def _window(rows: list[_Row], turn: int, size: int) -> list[_Row]:
+    if len(rows) <= size:
+        return rows
+    start = turn * size % len(rows)
+    doubled = rows + rows
+    return doubled[start : start + size]
--- a/laburnumpin/core/fleet.py
+++ b/laburnumpin/core/fleet.py
@@ -1,41 +1,145 @@
-"""The placement lease, the plan of VMs and orders to engines."""
+"""Fleet decisions of the lease holder: starts, stops and engine orders."""
 
 from __future__ import annotations
 
+import dataclasses
 from typing import TYPE_CHECKING
 
+from laburnumpin.core import deployment
 from laburnumpin.core import effects
 from laburnumpin.core import events
+from laburnumpin.core import lease
+from laburnumpin.core import lifecycle
 from laburnumpin.core import messages
+from laburnumpin.core import planning
+from laburnumpin.core import profiles
+from laburnumpin.core import store
+from laburnumpin.core import upstreams
 
 if TYPE_CHECKING:
     from laburnumpin.core import state as entry_state
 
+PLAN_PERIOD_MS = 2_000
+PRICE_PERIOD_MS = 60_000
+PROFILE_PERIOD_MS = 60_000
+# Demand must stay below the plan for this long before a VM is stopped.
+SCALE_DOWN_DELAY_MS = 600_000
+# A started VM that the list does not show by then counts as lost.
+START_TIMEOUT_MS = 120_000
+MAX_STARTS_PER_PASS = 4
+# Weight loads in flight at a time, for the weight store's rate limit.
+MAX_LOADS_IN_FLIGHT = 2
+LOAD_TIMEOUT_MS = 60_000
+# The plan waits for a list of VMs that is no older than this.
+LIST_MAX_AGE_MS = 30_000
+PEER_DEMAND_MAX_AGE_MS = 10_000
+
+
+@dataclasses.dataclass(slots=True)
+class Start:
+    """A start that was ordered; `vm_id` is known once it was accepted."""
+
+    service: str
+    option: planning.Option
+    ordered_ms: int
+    vm_id: str | None = None
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class PeerDemand:
+    """Queued tokens at a peer for a service, from its digest."""
+
+    queued_tokens: int
+    received_ms: int
+
 
 class FleetState:
-    """The lease and the plan."""
+    """The lease, what was ordered, prices and demand."""
+
+    __slots__ = (
+        "excess_since_ms",
+        "lease",
+        "listed",
+        "listed_ms",
+        "loads",
+        "next_order",
+        "next_plan_ms",
+        "next_price_ms",
+        "next_profile_ms",
+        "peer_demand",
+        "prices_per_hour",
+        "profile_reads",
+        "profiles",
+        "refusals",
+        "starts",
+    )
 
-    __slots__ = ()
+    def __init__(self) -> None:
+        self.lease = lease.LeaseState()
+        self.listed: dict[str, events.VmRow] = {}
+        self.listed_ms: int | None = None
+        self.starts: dict[str, Start] = {}
+        self.loads: dict[str, int] = {}
+        self.refusals: dict[planning.Option, planning.Refusals] = {}
+        self.prices_per_hour: dict[str, float] = {}
+        self.profiles: dict[str, profiles.Profile] = {}
+        self.profile_reads: dict[store.OperationId, str] = {}
+        self.peer_demand: dict[tuple[str, str], PeerDemand] = {}
+        self.excess_since_ms: dict[str, int] = {}
+        self.next_order = 1
+        self.next_plan_ms = 0
+        self.next_price_ms = 0
+        self.next_profile_ms = 0
 
 
 def on_vms_listed(
     state: entry_state.EntryState, event: events.VmsListed
 ) -> list[effects.Effect]:
-    """Compare the list with the plan."""
+    """Take over the upstream VMs of the list."""
+    own = state.fleet
+    own.listed = {}
+    own.listed_ms = event.now_ms
+    for row in event.vms:
+        if row.role is events.VmRole.UPSTREAM:
+            own.listed[row.vm_id] = row
+    for order_id, start in list(own.starts.items()):
+        if start.vm_id in own.listed:
+            del own.starts[order_id]
     return []
 
 
 def on_notices(
     state: entry_state.EntryState, event: events.NoticesListed
 ) -> list[effects.Effect]:
-    """Replace VMs that are reclaimed."""
+    """Plan at once when VMs are reclaimed, to replace them."""
+    for notice in event.notices:
+        row = state.fleet.listed.get(notice.vm_id)
+        if row is None or row.leaving:
+            continue
+        state.fleet.listed[notice.vm_id] = dataclasses.replace(
+            row, leaving=True
+        )
+        state.fleet.next_plan_ms = event.now_ms
     return []
 
 
 def on_vm_start_answered(
     state: entry_state.EntryState, event: events.VmStartAnswered
 ) -> list[effects.Effect]:
-    """Note a started VM, or fall back after a refusal."""
+    """Note a started VM, or fall back to another option after a refusal."""
+    own = state.fleet
+    start = own.starts.get(event.order_id)
+    if start is None:
+        return []
+    if event.vm_id is not None:
+        start.vm_id = event.vm_id
+        planning.note_start(own.refusals, start.option)
+        state.counters.increment("vm_starts", "accepted")
+        return []
+    del own.starts[event.order_id]
+    planning.note_refusal(own.refusals, start.option, event.now_ms)
+    state.counters.increment("vm_starts", "refused")
+    own.next_plan_ms = event.now_ms
     return []
 
 
@@ -43,6 +147,7 @@
     state: entry_state.EntryState, event: events.PricesListed
 ) -> list[effects.Effect]:
     """Take over the current prices."""
+    state.fleet.prices_per_hour = dict(event.prices_per_hour)
     return []
 
 
@@ -50,6 +155,10 @@
     state: entry_state.EntryState, event: events.OrderAnswered
 ) -> list[effects.Effect]:
     """Note how an engine answered an order."""
+    upstream_id = event.order_id.partition("/")[0]
+    state.counters.increment("engine_orders", event.result.value)
+    if event.result is not events.OrderResult.ACCEPTED:
+        state.fleet.loads.pop(upstream_id, None)
     return []
 
 
@@ -59,18 +168,295 @@
     message: messages.Digest,
 ) -> list[effects.Effect]:
     """Take over the demand that a peer sees."""
+    for demand in message.demands:
+        key = (message.entry.vm_id, demand.service)
+        state.fleet.peer_demand[key] = PeerDemand(
+            demand.queued_tokens, event.now_ms
+        )
     return []
 
 
 def on_store_event(
     state: entry_state.EntryState, event: events.StoreEvent
 ) -> list[effects.Effect]:
-    """Continue with the lease and the demand profile."""
+    """Continue with the lease or with the demand profiles."""
+    result = lease.on_store_event(state, event)
+    if result is not None:
+        return result
+    service = state.fleet.profile_reads.pop(event.operation_id, None)
+    if service is None or not isinstance(event, events.ObjectRead):
+        return []
+    profile = None if event.body is None else profiles.decode(event.body)
+    state.fleet.profiles.setdefault(service, profile or profiles.Profile())
     return []
 
 
 def on_tick(
     state: entry_state.EntryState, event: events.Tick
 ) -> list[effects.Effect]:
-    """Renew the lease and plan when due."""
-    return []
+    """Keep the lease; as its holder, plan and give orders when due."""
+    own = state.fleet
+    now_ms = event.now_ms
+    eligible = state.lifecycle.phase is lifecycle.Phase.SERVING
+    result = lease.on_tick(state, now_ms, eligible=eligible)
+    if lease.fencing_number(state, now_ms) is None:
+        return result
+    if now_ms >= own.next_price_ms:
+        own.next_price_ms = now_ms + PRICE_PERIOD_MS
+        result.append(effects.ListPrices())
+    if now_ms >= own.next_profile_ms:
+        own.next_profile_ms = now_ms + PROFILE_PERIOD_MS
+        result.extend(_read_profiles(state))
+    if now_ms < own.next_plan_ms:
+        return result
+    own.next_plan_ms = now_ms + PLAN_PERIOD_MS
+    result.extend(_plan(state, now_ms))
+    return result
+
+
+def concurrent_streams(
+    state: entry_state.EntryState, service: str, now_ms: int
+) -> float:
+    """Estimate the streams that a service needs: running and waiting.
+
+    Waiting work is counted as the streams that finish it within the target
+    for the first token, but at most one stream for each queued request.
+    """
+    streams = 0.0
+    for upstream in upstreams.of_service(state, service):
+        if upstream.report is not None:
+            streams += upstream.report.running + upstream.report.waiting
+    queued = 0
+    queued_tokens = 0
+    for request in state.limits.queue.values():
+        if request.service.name == service:
+            queued += 1
+            queued_tokens += request.prompt_tokens + request.max_tokens
+    peer_tokens = 0
+    for (_, name), demand in state.fleet.peer_demand.items():
+        if name != service:
+            continue
+        if now_ms - demand.received_ms <= PEER_DEMAND_MAX_AGE_MS:
+            peer_tokens += demand.queued_tokens
+    streams += queued
+    if queued > 0 and peer_tokens > 0:
+        streams += queued * peer_tokens / queued_tokens
+    elif peer_tokens > 0:
+        streams += peer_tokens / _TYPICAL_REQUEST_TOKENS
+    return streams
+
+
+_TYPICAL_REQUEST_TOKENS = 1_000
+
+
+def _plan(state: entry_state.EntryState, now_ms: int) -> list[effects.Effect]:
+    own = state.fleet
+    current = state.configuration.current
+    if current is None or own.listed_ms is None:
+        return []
+    if now_ms - own.listed_ms > LIST_MAX_AGE_MS:
+        state.counters.increment("plans_skipped", "list_too_old")
+        return []
+    _expire(own, now_ms)
+    result: list[effects.Effect] = []
+    by_service: dict[str, list[deployment.Placement]] = {}
+    for placement in current.deployment.placements:
+        by_service.setdefault(placement.service, []).append(placement)
+    for service, placements in by_service.items():
+        result.extend(_plan_service(state, service, placements, now_ms))
+    result.extend(_order_models(state, current.deployment, now_ms))
+    return result
+
+
+def _plan_service(
+    state: entry_state.EntryState,
+    service: str,
+    placements: list[deployment.Placement],
+    now_ms: int,
+) -> list[effects.Effect]:
+    own = state.fleet
+    streams = concurrent_streams(state, service, now_ms)
+    result: list[effects.Effect] = []
+    profile = own.profiles.get(service)
+    if profile is not None:
+        if profile.observe(streams, now_ms):
+            result.append(
+                effects.PutObject(
+                    state.new_operation(store.StoreModule.FLEET),
+                    f"profile/{service}",
+                    profile.encode(),
+                )
+            )
+        streams = max(streams, profile.expected(now_ms))
+    desired = planning.desired_vms(streams, placements)
+    vms = _vms(state, service)
+    for _ in range(MAX_STARTS_PER_PASS):
+        option = planning.next_start(
+            desired,
+            vms,
+            placements,
+            own.prices_per_hour,
+            own.refusals,
+            now_ms,
+        )
+        if option is None:
+            break
+        result.append(_start(state, service, option, now_ms))
+        vms.append(planning.Vm("", option, 1))
+    result.extend(_scale_down(state, service, desired, vms, placements, now_ms))
+    return result
+
+
+def _scale_down(
+    state: entry_state.EntryState,
+    service: str,
+    desired: int,
+    vms: list[planning.Vm],
+    placements: list[deployment.Placement],
+    now_ms: int,
+) -> list[effects.Effect]:
+    own = state.fleet
+    if len(vms) <= desired:
+        own.excess_since_ms.pop(service, None)
+        return []
+    since_ms = own.excess_since_ms.setdefault(service, now_ms)
+    if now_ms < since_ms + SCALE_DOWN_DELAY_MS:
+        return []
+    vm = planning.next_stop(vms, placements, own.prices_per_hour)
+    if vm is None:
+        return []
+    state.counters.increment("vm_stops")
+    own.listed[vm.vm_id] = dataclasses.replace(
+        own.listed[vm.vm_id], leaving=True
+    )
+    return [
+        effects.StopVm(
+            _order_id(state, vm.vm_id), vm.vm_id, lease.valid_until_ms(state)
+        )
+    ]
+
+
+def _start(
+    state: entry_state.EntryState,
+    service: str,
+    option: planning.Option,
+    now_ms: int,
+) -> effects.Effect:
+    order_id = _order_id(state, "start")
+    state.fleet.starts[order_id] = Start(service, option, now_ms)
+    return effects.StartVm(
+        order_id,
+        service,
+        option.zone,
+        option.vm_class,
+        option.reclaimable,
+        lease.valid_until_ms(state),
+    )
+
+
+def _order_models(
+    state: entry_state.EntryState,
+    configured: deployment.Deployment,
+    now_ms: int,
+) -> list[effects.Effect]:
+    own = state.fleet
+    result: list[effects.Effect] = []
+    for upstream in state.upstreams.by_id.values():
+        service = configured.services.get(upstream.service)
+        report = upstream.report
+        if service is None or report is None or upstream.leaving:
+            continue
+        if service.kind is not deployment.ServiceKind.MODEL:
+            continue
+        wanted = (service.model, service.model_version)
+        if (report.model, report.model_version) == wanted:
+            own.loads.pop(upstream.upstream_id, None)
+            continue
+        # An order destroys no running work, so a busy engine waits.
+        if report.running + report.waiting + len(upstream.attempts) > 0:
+            continue
+        if upstream.upstream_id in own.loads:
+            continue
+        if len(own.loads) >= MAX_LOADS_IN_FLIGHT:
+            break
+        own.loads[upstream.upstream_id] = now_ms
+        result.append(_order_model(state, upstream, service, now_ms))
+    return result
+
+
+def _order_model(
+    state: entry_state.EntryState,
+    upstream: upstreams.Upstream,
+    service: deployment.Service,
+    now_ms: int,
+) -> effects.Effect:
+    fencing = lease.fencing_number(state, now_ms)
+    assert fencing is not None
+    return effects.SendOrder(
+        _order_id(state, upstream.upstream_id),
+        upstream.upstream_id,
+        upstream.address,
+        fencing,
+        lease.valid_until_ms(state),
+        service.model,
+        service.model_version,
+        service.adapters,
+        "",
+    )
+
+
+def _vms(state: entry_state.EntryState, service: str) -> list[planning.Vm]:
+    own = state.fleet
+    result = []
+    for row in own.listed.values():
+        if row.service != service or row.leaving:
+            continue
+        if (row.vm_id, row.incarnation) in state.upstreams.leaving:
+            continue
+        option = planning.Option(row.zone, row.vm_class, row.reclaimable)
+        result.append(planning.Vm(row.vm_id, option, _busy(state, row.vm_id)))
+    for start in own.starts.values():
+        if start.service == service:
+            result.append(planning.Vm(start.vm_id or "", start.option, 1))
+    return result
+
+
+def _busy(state: entry_state.EntryState, vm_id: str) -> int:
+    upstream = state.upstreams.by_id.get(vm_id)
+    # A VM without a report may have work of other entries.
+    if upstream is None or upstream.report is None:
+        return 1
+    report = upstream.report
+    return report.running + report.waiting + len(upstream.attempts)
+
+
+def _expire(own: FleetState, now_ms: int) -> None:
+    for order_id, start in list(own.starts.items()):
+        if now_ms >= start.ordered_ms + START_TIMEOUT_MS:
+            del own.starts[order_id]
+    for upstream_id, since_ms in list(own.loads.items()):
+        if now_ms >= since_ms + LOAD_TIMEOUT_MS:
+            del own.loads[upstream_id]
+
+
+def _read_profiles(state: entry_state.EntryState) -> list[effects.Effect]:
+    own = state.fleet
+    current = state.configuration.current
+    result: list[effects.Effect] = []
+    if current is None:
+        return result
+    for service in current.deployment.services:
+        if service in own.profiles:
+            continue
+        operation_id = state.new_operation(store.StoreModule.FLEET)
+        own.profile_reads[operation_id] = service
+        result.append(effects.GetObject(operation_id, f"profile/{service}"))
+    return result
+
+
+def _order_id(state: entry_state.EntryState, subject: str) -> str:
+    holding = state.fleet.lease.holding
+    assert holding is not None
+    number = state.fleet.next_order
+    state.fleet.next_order += 1
+    return f"{subject}/{holding.fencing_number}/{number}"
--- a/laburnumpin/core/membership.py
+++ b/laburnumpin/core/membership.py
@@ -1,58 +1,87 @@
-"""The other entries, from the lagging list and from digests."""
+"""The other entries, from the platform's lagging list and from digests."""
 
 from __future__ import annotations
 
 import dataclasses
+import hashlib
 from typing import TYPE_CHECKING
 
+from laburnumpin.core import digests
 from laburnumpin.core import effects
 from laburnumpin.core import events
 from laburnumpin.core import ids
-from laburnumpin.core import lifecycle
 from laburnumpin.core import messages
 
 if TYPE_CHECKING:
     from laburnumpin.core import state as entry_state
 
 LIST_PERIOD_MS = 5_000
+# The list grows with the deployment. Reading it less often keeps a node's
+# control traffic below its limit; joins are then learned from digests.
+LIST_BUDGET_BYTES_PER_S = 8_000
+LIST_ROW_BYTES = 200
 DIGEST_PERIOD_MS = 1_000
-# An entry without a digest or list row for this long counts as gone.
+LOCAL_NEIGHBOURS = 5
+REMOTE_NEIGHBOURS = 3
+# Replies to entries that are not neighbours, for each period. Without replies
+# an entry that nobody chose as neighbour would hear of nothing.
+MAX_REPLIES = 8
+# A member whose link failed is not chosen as neighbour for this long.
+SUSPICION_MS = 5_000
+# A member that the list does not show is forgotten this long after its last
+# digest.
 MEMBER_TIMEOUT_MS = 30_000
 
 
 @dataclasses.dataclass(slots=True)
 class Member:
-    """Another entry."""
+    """Another entry.
+
+    `rank` orders the members for the choice of neighbours; it differs from
+    entry to entry, so that the choices spread over all members.
+    """
 
     entry: ids.EntryId
     zone: str
     peer_address: str
+    rank: bytes
     leaving: bool = False
-    listed_ms: int = 0
+    listed: bool = False
     digest_ms: int = 0
     digest_sequence: int = 0
     configuration_version: int = 0
+    suspect_until_ms: int = 0
+    replied_ms: int = -DIGEST_PERIOD_MS
 
 
 class MembershipState:
-    """Members by VM id."""
-
-    __slots__ = ("by_vm", "digest_sequence", "next_digest_ms", "next_list_ms")
+    """Members by VM id and the neighbours chosen among them."""
+
+    __slots__ = (
+        "by_vm",
+        "digest_sequence",
+        "neighbour_ids",
+        "neighbours_stale",
+        "next_digest_ms",
+        "next_list_ms",
+        "replies",
+    )
 
     def __init__(self) -> None:
         self.by_vm: dict[str, Member] = {}
         self.digest_sequence = 0
+        self.neighbour_ids: tuple[str, ...] = ()
+        self.neighbours_stale = True
         self.next_digest_ms = 0
         self.next_list_ms = 0
+        self.replies = 0
 
 
 def send(
     state: entry_state.EntryState, to: ids.EntryId, message: messages.Message
 ) -> list[effects.Effect]:
     """Send a message to an entry; fails like a lost link when unknown."""
-    member = state.membership.by_vm.get(to.vm_id)
-    address = "" if member is None else member.peer_address
-    return [effects.SendPeer(to.vm_id, address, message)]
+    return reply(state, to.vm_id, message)
 
 
 def reply(
@@ -65,40 +94,63 @@
 
 
 def neighbours(state: entry_state.EntryState, now_ms: int) -> list[Member]:
-    """Return the members that get this entry's digests."""
-    del now_ms
+    """Return the members that get this entry's digests.
+
+    The choice is by rendezvous hashing: five in the own data centre, three
+    elsewhere, and others in place of those that are missing.
+    """
+    own = state.membership
+    if own.neighbours_stale:
+        own.neighbour_ids = _choose_neighbours(state, now_ms)
+        own.neighbours_stale = False
     result = []
-    for member in state.membership.by_vm.values():
-        if not member.leaving:
-            result.append(member)
+    for vm_id in own.neighbour_ids:
+        result.append(own.by_vm[vm_id])
     return result
 
 
 def entry_count(state: entry_state.EntryState) -> int:
-    """Return how many entries share limits and store reads."""
-    return len(state.membership.by_vm) + 1
+    """Return how many entries share limits and store reads.
+
+    The larger of the configured and the observed count, so that a partial
+    view never raises an entry's share of a limit.
+    """
+    count = 1
+    for member in state.membership.by_vm.values():
+        if not member.leaving:
+            count += 1
+    current = state.configuration.current
+    if current is None:
+        return count
+    return max(count, current.deployment.entry_count)
 
 
 def on_vms_listed(
     state: entry_state.EntryState, event: events.VmsListed
 ) -> list[effects.Effect]:
-    """Add new entries and mark those that are leaving."""
+    """Add new entries, mark those that are leaving, forget those gone."""
     own = state.membership
+    for member in own.by_vm.values():
+        member.listed = False
     for row in event.vms:
         if row.role is not events.VmRole.ENTRY:
             continue
         if row.vm_id == state.entry.vm_id:
             continue
-        known = own.by_vm.get(row.vm_id)
-        if known is None or known.entry.incarnation < row.incarnation:
-            known = Member(
-                ids.EntryId(row.vm_id, row.incarnation),
-                row.zone,
-                row.peer_address,
-            )
-            own.by_vm[row.vm_id] = known
-        known.listed_ms = event.now_ms
+        entry = ids.EntryId(row.vm_id, row.incarnation)
+        known = _learn(state, entry, row.zone, row.peer_address)
+        if known.entry != entry:
+            continue
+        known.listed = True
         known.leaving = known.leaving or row.leaving
+    _forget(state, event.now_ms)
+    own.neighbours_stale = True
+    size_bytes = len(event.vms) * LIST_ROW_BYTES
+    period_ms = max(
+        LIST_PERIOD_MS, size_bytes * 1_000 // LIST_BUDGET_BYTES_PER_S
+    )
+    jitter_ms = state.random.randint(0, period_ms // 5)
+    own.next_list_ms = event.now_ms + period_ms - jitter_ms
     return []
 
 
@@ -116,38 +168,41 @@
     event: events.PeerReceived,
     message: messages.Digest,
 ) -> list[effects.Effect]:
-    """Learn of a member from its digest."""
-    own = state.membership
-    known = own.by_vm.get(message.entry.vm_id)
-    if known is None or known.entry.incarnation < message.entry.incarnation:
-        known = Member(message.entry, message.zone, message.peer_address)
-        own.by_vm[message.entry.vm_id] = known
+    """Learn of a member from its digest; reply when it is no neighbour."""
+    if message.entry.vm_id == state.entry.vm_id:
+        return []
+    known = _learn(state, message.entry, message.zone, message.peer_address)
     if known.entry != message.entry:
+        state.counters.increment("digests_ignored", "old_incarnation")
         return []
     if message.sequence <= known.digest_sequence:
+        state.counters.increment("digests_ignored", "old_sequence")
         return []
     known.digest_sequence = message.sequence
     known.digest_ms = event.now_ms
-    known.leaving = known.leaving or not message.accepting
+    known.suspect_until_ms = 0
+    if not message.accepting and not known.leaving:
+        known.leaving = True
+        state.membership.neighbours_stale = True
     known.configuration_version = message.configuration_version
-    return []
+    return _reply_digest(state, known, event.now_ms)
 
 
 def on_peer_disconnected(
     state: entry_state.EntryState, event: events.PeerDisconnected
 ) -> list[effects.Effect]:
-    """Count a lost link."""
-    del event
+    """Choose other neighbours for a while after a lost link."""
     state.counters.increment("peer_links_lost")
+    _suspect(state, event.peer_id, event.now_ms)
     return []
 
 
 def on_peer_send_failed(
     state: entry_state.EntryState, event: events.PeerSendFailed
 ) -> list[effects.Effect]:
-    """Count a message that was not sent."""
-    del event
+    """Choose other neighbours for a while when a message was not sent."""
     state.counters.increment("peer_sends_failed")
+    _suspect(state, event.peer_id, event.now_ms)
     return []
 
 
@@ -163,37 +218,95 @@
     if event.now_ms < own.next_digest_ms:
         return result
     own.next_digest_ms = event.now_ms + DIGEST_PERIOD_MS
+    own.replies = 0
+    own.neighbours_stale = True
     own.digest_sequence += 1
-    digest = _digest(state)
+    digest = digests.build(state, event.now_ms)
     for member in neighbours(state, event.now_ms):
         result.extend(send(state, member.entry, digest))
     return result
 
 
-def _digest(state: entry_state.EntryState) -> messages.Digest:
+def _learn(
+    state: entry_state.EntryState,
+    entry: ids.EntryId,
+    zone: str,
+    peer_address: str,
+) -> Member:
+    own = state.membership
+    known = own.by_vm.get(entry.vm_id)
+    if known is not None and known.entry.incarnation >= entry.incarnation:
+        return known
+    pair = f"{state.entry.vm_id}/{entry.vm_id}".encode()
+    rank = hashlib.blake2b(pair, digest_size=8).digest()
+    member = Member(entry, zone, peer_address, rank)
+    own.by_vm[entry.vm_id] = member
+    own.neighbours_stale = True
+    return member
+
+
+def _forget(state: entry_state.EntryState, now_ms: int) -> None:
+    own = state.membership
+    for vm_id, member in list(own.by_vm.items()):
+        if member.listed or now_ms < member.digest_ms + MEMBER_TIMEOUT_MS:
+            continue
+        del own.by_vm[vm_id]
+
+
+def _suspect(state: entry_state.EntryState, peer_id: str, now_ms: int) -> None:
+    member = state.membership.by_vm.get(peer_id)
+    if member is None:
+        return
+    member.suspect_until_ms = now_ms + SUSPICION_MS
+    state.membership.neighbours_stale = True
+
+
+def _reply_digest(
+    state: entry_state.EntryState, member: Member, now_ms: int
+) -> list[effects.Effect]:
+    own = state.membership
+    if own.replies >= MAX_REPLIES:
+        return []
+    # Two entries with different views could otherwise answer each other's
+    # replies without end.
+    if now_ms < member.replied_ms + DIGEST_PERIOD_MS:
+        return []
+    neighbours(state, now_ms)
+    if member.entry.vm_id in own.neighbour_ids:
+        return []
+    own.replies += 1
+    member.replied_ms = now_ms
+    own.digest_sequence += 1
+    return send(state, member.entry, digests.build(state, now_ms))
+
+
+def _choose_neighbours(
+    state: entry_state.EntryState, now_ms: int
+) -> tuple[str, ...]:
+    own_data_center = _data_center(state, state.zone)
+    local: list[tuple[bytes, str]] = []
+    remote: list[tuple[bytes, str]] = []
+    for vm_id, member in state.membership.by_vm.items():
+        if member.leaving or now_ms < member.suspect_until_ms:
+            continue
+        if _data_center(state, member.zone) == own_data_center:
+            local.append((member.rank, vm_id))
+            continue
+        remote.append((member.rank, vm_id))
+    local.sort()
+    remote.sort()
+    total = LOCAL_NEIGHBOURS + REMOTE_NEIGHBOURS
+    remote_count = max(REMOTE_NEIGHBOURS, total - len(local))
+    local_count = max(LOCAL_NEIGHBOURS, total - len(remote))
+    chosen = []
+    for _, vm_id in local[:local_count] + remote[:remote_count]:
+        chosen.append(vm_id)
+    return tuple(chosen)
+
+
+def _data_center(state: entry_state.EntryState, zone: str) -> str:
     current = state.configuration.current
-    loads = []
-    for upstream in state.upstreams.by_id.values():
-        if upstream.attempts:
-            loads.append(
-                messages.UpstreamLoad(
-                    upstream.upstream_id, len(upstream.attempts)
-                )
-            )
-    leaving = []
-    for upstream_id, incarnation in state.upstreams.leaving:
-        leaving.append(messages.LeavingUpstream(upstream_id, incarnation))
-    phase = state.lifecycle.phase
-    return messages.Digest(
-        entry=state.entry,
-        sequence=state.membership.digest_sequence,
-        zone=state.zone,
-        peer_address=state.peer_address,
-        accepting=phase in (lifecycle.Phase.STARTING, lifecycle.Phase.SERVING),
-        configuration_version=0 if current is None else current.version,
-        confirmed_age_ms=0,
-        loads=tuple(loads),
-        leaving=tuple(leaving),
-        departures=tuple(state.handover.departures.values()),
-        demands=(),
-    )
+    if current is None:
+        return zone
+    known = current.deployment.zones.get(zone)
+    return zone if known is None else known.data_center
--- /dev/null
+++ b/laburnumpin/core/profiles.py
@@ -0,0 +1,73 @@
+"""Weekly demand profiles, kept in the object store."""
+
+from __future__ import annotations
+
+import json
+
+SLOT_MS = 15 * 60 * 1_000
+SLOTS_PER_WEEK = 7 * 24 * 4
+# Weight of the newest week, so that one unusual week does not set the plan.
+NEW_WEEK_WEIGHT = 0.5
+
+
+class Profile:
+    """Peak concurrent streams of a service by quarter of an hour.
+
+    The week starts with Monday 00:00 UTC.
+    """
+
+    __slots__ = ("peak", "slot", "streams")
+
+    def __init__(self) -> None:
+        self.streams = [0.0] * SLOTS_PER_WEEK
+        self.slot: int | None = None
+        self.peak = 0.0
+
+    def observe(self, streams: float, now_ms: int) -> bool:
+        """Note the present demand; return whether a quarter was closed."""
+        slot = slot_of(now_ms)
+        if self.slot == slot:
+            self.peak = max(self.peak, streams)
+            return False
+        closed = self.slot is not None
+        if self.slot is not None:
+            old = self.streams[self.slot]
+            weight = NEW_WEEK_WEIGHT if old > 0 else 1.0
+            self.streams[self.slot] = old + (self.peak - old) * weight
+        self.slot = slot
+        self.peak = streams
+        return closed
+
+    def expected(self, now_ms: int) -> float:
+        """Return the demand expected now or a quarter of an hour ahead."""
+        slot = slot_of(now_ms)
+        ahead = (slot + 1) % SLOTS_PER_WEEK
+        return max(self.streams[slot], self.streams[ahead])
+
+    def encode(self) -> bytes:
+        """Return the profile as a JSON document."""
+        rounded = []
+        for value in self.streams:
+            rounded.append(round(value, 2))
+        return json.dumps({"streams": rounded}).encode()
+
+
+def decode(body: bytes) -> Profile | None:
+    """Return the profile of a JSON document, or None when it is malformed."""
+    try:
+        streams = json.loads(body)["streams"]
+        values = [float(value) for value in streams]
+    except (ValueError, KeyError, TypeError):
+        return None
+    if len(values) != SLOTS_PER_WEEK:
+        return None
+    profile = Profile()
+    profile.streams = values
+    return profile
+
+
+def slot_of(now_ms: int) -> int:
+    """Return the quarter of the week of a Unix time in milliseconds."""
+    # The epoch was a Thursday, four days before a Monday.
+    since_monday_ms = now_ms - 4 * 24 * 3_600 * 1_000
+    return since_monday_ms // SLOT_MS % SLOTS_PER_WEEK
--- a/laburnumpin/core/upstreams.py
+++ b/laburnumpin/core/upstreams.py
@@ -74,6 +74,15 @@
     return result
 
 
+def of_service(state: entry_state.EntryState, service: str) -> list[Upstream]:
+    """Return the known upstreams of a service, leaving ones included."""
+    result = []
+    for upstream in state.upstreams.by_id.values():
+        if upstream.service == service:
+            result.append(upstream)
+    return result
+
+
 def mark_leaving(
     state: entry_state.EntryState,
     upstream_id: str,
--- /dev/null
+++ b/laburnumpin/tests/test_configuration.py
@@ -0,0 +1,186 @@
+"""Tests of the configuration in force."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from laburnumpin import exceptions
+from laburnumpin.config import loading
+from laburnumpin.core import configuration
+from laburnumpin.core import deployment
+from laburnumpin.core import effects
+from laburnumpin.core import events
+from laburnumpin.core import lifecycle
+from laburnumpin.core import messages
+from laburnumpin.core import reducer
+from laburnumpin.core import state
+from laburnumpin.core import store
+from laburnumpin.tests import builders
+from laburnumpin.tests import test_membership
+
+
+@pytest.fixture(autouse=True)
+def _accept_any_document(monkeypatch: pytest.MonkeyPatch) -> None:
+    def load(document: str) -> deployment.Deployment:
+        del document
+        return builders.make_deployment()
+
+    monkeypatch.setattr(loading, "load_document", load)
+
+
+def make_row(version: int) -> store.Row:
+    value = {"version": version, "change_id": f"c{version}", "document": "{}"}
+    return store.Row("configuration", "current", version, json.dumps(value))
+
+
+def poll(entry: state.EntryState, now_ms: int) -> store.OperationId:
+    for effect in reducer.reduce(entry, events.Tick(now_ms)):
+        if isinstance(effect, effects.ReadRows):
+            if effect.operation_id.module is store.StoreModule.CONFIGURATION:
+                return effect.operation_id
+    raise AssertionError("no read of the configuration is due")
+
+
+def read(entry: state.EntryState, now_ms: int, version: int) -> None:
+    operation_id = poll(entry, now_ms)
+    rows = (make_row(version),)
+    reducer.reduce(entry, events.RowsRead(now_ms, operation_id, rows))
+
+
+def test_version_never_goes_back() -> None:
+    """Guards against a lagging store reader that undoes a change."""
+    entry = builders.make_state(configured=False)
+    read(entry, 0, 5)
+    read(entry, 10_000, 4)
+    assert configuration.version(entry) == 5
+    assert entry.counters.value("configuration_older_ignored") == 1
+
+
+def test_lagging_reader_is_no_contact() -> None:
+    """Guards against an entry that trusts an old version for hours."""
+    entry = builders.make_state(configured=False)
+    read(entry, 0, 5)
+    for now_ms in range(3_000, 20_000, 3_000):
+        read(entry, now_ms, 4)
+    assert not configuration.is_confirmed(entry, 16_001)
+
+
+def test_entry_without_store_and_peers_stops_accepting() -> None:
+    """Guards against old configuration in force past the 16 s bound."""
+    entry = builders.make_state(configured=False)
+    assert lifecycle.refusal_reason(entry, 0) == "entry_not_ready"
+    read(entry, 0, 1)
+    assert lifecycle.refusal_reason(entry, 16_000) is None
+    reason = lifecycle.refusal_reason(entry, 16_001)
+    assert reason == "configuration_unconfirmed"
+
+
+def test_entry_pulls_from_a_peer_that_is_ahead_while_the_store_is_down() -> (
+    None
+):
+    """Guards against an entry that starts in an outage and stays empty."""
+    entry = builders.make_state("e0", configured=False)
+    ahead = builders.make_state("e1")
+    ahead.configuration.current = builders.make_configuration(3)
+    digest = test_membership.make_digest("e1", 1)
+    sent = test_membership.receive(entry, 1_000, digest)
+    pulls = [
+        effect.message
+        for effect in sent
+        if isinstance(effect, effects.SendPeer)
+        and isinstance(effect.message, messages.ConfigurationPull)
+    ]
+    assert pulls == [messages.ConfigurationPull(0)]
+    answers = reducer.reduce(ahead, events.PeerReceived(1_001, "e0", pulls[0]))
+    assert isinstance(answers[0], effects.SendPeer)
+    reducer.reduce(entry, events.PeerReceived(1_002, "e1", answers[0].message))
+    assert configuration.version(entry) == 3
+    assert lifecycle.refusal_reason(entry, 1_002) is None
+
+
+def test_buffered_digest_after_a_pause_is_no_contact() -> None:
+    """Guards against a woken entry that trusts messages from before."""
+    entry = builders.make_state("e0")
+    reducer.reduce(entry, events.Tick(0))
+    digest = test_membership.make_digest("e1", 1)
+    test_membership.receive(entry, 3_600_000, digest)
+    assert not configuration.is_confirmed(entry, 3_600_000)
+    later = test_membership.make_digest("e1", 2)
+    later_ms = 3_600_000 + configuration.DISTRUST_MS
+    test_membership.receive(entry, later_ms, later)
+    assert configuration.is_confirmed(entry, later_ms)
+
+
+def test_polling_stays_within_the_share_of_the_store() -> None:
+    """Guards against 2,600 entries that exhaust the store's reads."""
+    entry = builders.make_state(configured=False)
+    entry.configuration.current = builders.make_configuration(1, 2_600)
+    first_ms = 0
+    poll(entry, first_ms)
+    period_ms = entry.configuration.next_poll_ms - first_ms
+    reads_per_s = 2_600 * 1_000 / period_ms
+    assert reads_per_s <= 1.25 * configuration.POLL_READS_PER_S
+    assert period_ms < configuration.CONTACT_MAX_AGE_MS
+
+
+def test_invalid_document_is_reported_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a log line for each poll of a bad row."""
+    entry = builders.make_state()
+
+    def fail(document: str) -> deployment.Deployment:
+        raise exceptions.ConfigurationError([])
+
+    monkeypatch.setattr(loading, "load_document", fail)
+    first = configuration.adopt(entry, 2, "c2", "{}")
+    second = configuration.adopt(entry, 2, "c2", "{}")
+    assert len(first) == 1
+    assert second == []
+    assert configuration.version(entry) == 1
+
+
+def test_change_reaches_every_entry_within_the_bound() -> None:
+    """Guards against spreading that only the store's poll carries.
+
+    One entry reads the new version; the store is down for all others. Links
+    take 50 ms. The bound of 16 s is the users'.
+    """
+    rows = test_membership.make_many(200)
+    entries = {}
+    for row in rows:
+        entry = builders.make_state(row.vm_id, row.zone)
+        reducer.reduce(entry, events.VmsListed(0, rows))
+        entries[row.vm_id] = entry
+    entries["e0"].configuration.current = builders.make_configuration(2)
+    in_flight: list[tuple[int, str, str, messages.Message]] = []
+    now_ms = 0
+    while now_ms < 16_000:
+        now_ms += 50
+        due = [item for item in in_flight if item[0] <= now_ms]
+        in_flight = [item for item in in_flight if item[0] > now_ms]
+        produced: list[tuple[str, effects.Effect]] = []
+        for _, sender, receiver, message in due:
+            received = events.PeerReceived(now_ms, sender, message)
+            for effect in reducer.reduce(entries[receiver], received):
+                produced.append((receiver, effect))
+        for vm_id, entry in entries.items():
+            for effect in membership_tick(entry, now_ms):
+                produced.append((vm_id, effect))
+        for vm_id, effect in produced:
+            if isinstance(effect, effects.SendPeer):
+                in_flight.append(
+                    (now_ms + 50, vm_id, effect.peer_id, effect.message)
+                )
+        versions = {configuration.version(e) for e in entries.values()}
+        if versions == {2}:
+            return
+    raise AssertionError("an entry still has the old version after 16 s")
+
+
+def membership_tick(
+    entry: state.EntryState, now_ms: int
+) -> list[effects.Effect]:
+    return reducer.reduce(entry, events.Tick(now_ms))
--- /dev/null
+++ b/laburnumpin/tests/test_fleet.py
@@ -0,0 +1,215 @@
+"""Tests of the plan of VMs and of orders to engines."""
+
+from __future__ import annotations
+
+import hypothesis
+from hypothesis import strategies
+
+from laburnumpin.core import effects
+from laburnumpin.core import events
+from laburnumpin.core import fleet
+from laburnumpin.core import lease
+from laburnumpin.core import lifecycle
+from laburnumpin.core import planning
+from laburnumpin.core import profiles
+from laburnumpin.core import state
+from laburnumpin.core import upstreams
+from laburnumpin.tests import builders
+
+HOUR_MS = 3_600_000
+
+
+def make_holder(now_ms: int) -> state.EntryState:
+    """Return an entry that holds the lease for an hour."""
+    entry = builders.make_state()
+    entry.lifecycle.phase = lifecycle.Phase.SERVING
+    entry.fleet.lease.holding = lease.Holding(4, 1, now_ms + HOUR_MS)
+    entry.fleet.lease.next_action_ms = now_ms + HOUR_MS
+    return entry
+
+
+def make_row(
+    vm_id: str, zone: str = "north", leaving: bool = False
+) -> events.VmRow:
+    return events.VmRow(
+        vm_id,
+        1,
+        events.VmRole.UPSTREAM,
+        zone,
+        "gpu",
+        True,
+        leaving,
+        service="draft",
+        address=f"{vm_id}:1",
+    )
+
+
+def make_report(
+    running: int = 0, model: str = "draft-model"
+) -> events.LoadReport:
+    return events.LoadReport(
+        1, 0, running, 0, 8, 0, 10.0, False, model=model, model_version="1"
+    )
+
+
+def plan(
+    entry: state.EntryState, now_ms: int, rows: tuple[events.VmRow, ...]
+) -> list[effects.Effect]:
+    fleet.on_vms_listed(entry, events.VmsListed(now_ms, rows))
+    upstreams.on_vms_listed(entry, events.VmsListed(now_ms, rows))
+    entry.fleet.next_plan_ms = now_ms
+    return fleet.on_tick(entry, events.Tick(now_ms))
+
+
+def starts(produced: list[effects.Effect]) -> list[effects.StartVm]:
+    return [e for e in produced if isinstance(e, effects.StartVm)]
+
+
+def load(entry: state.EntryState, vm_id: str, running: int) -> None:
+    upstream = entry.upstreams.by_id[vm_id]
+    upstream.report = make_report(running)
+    upstream.reported_ms = 0
+
+
+@hypothesis.given(streams=strategies.floats(0.1, 120))
+def test_losing_any_zone_leaves_room_for_all_streams(streams: float) -> None:
+    """Guards against a plan that one zone's reclaim takes below demand."""
+    placements = list(builders.make_deployment().placements)
+    vms: list[planning.Vm] = []
+    desired = planning.desired_vms(streams, placements)
+    while True:
+        option = planning.next_start(desired, vms, placements, {}, {}, 0)
+        if option is None:
+            break
+        vms.append(planning.Vm("", option, 0))
+    assert len(vms) == desired
+    for zone in builders.ZONES:
+        left = sum(8 for vm in vms if vm.option.zone != zone)
+        assert left >= streams
+
+
+def test_cheapest_options_come_first() -> None:
+    """Guards against on-demand prices while reclaimable VMs are to be had."""
+    placements = list(builders.make_deployment().placements)
+    option = planning.next_start(1, [], placements, {}, {}, 0)
+    assert option is not None
+    assert option.reclaimable
+    cheap = {"south/gpu/on-demand": 0.1}
+    chosen = planning.next_start(1, [], placements, cheap, {}, 0)
+    assert chosen == planning.Option("south", "gpu", False)
+
+
+def test_refused_starts_fall_back_to_other_zones_and_on_demand() -> None:
+    """Guards against repeating a refused start while the surge waits."""
+    entry = make_holder(0)
+    now_ms = 0
+    plan(entry, now_ms, (make_row("u1"),))
+    load(entry, "u1", 60)
+    ordered: list[effects.StartVm] = []
+    for _ in range(12):
+        now_ms += 2_000
+        for order in starts(plan(entry, now_ms, (make_row("u1"),))):
+            ordered.append(order)
+            answer = None if order.reclaimable else f"vm-{order.order_id}"
+            fleet.on_vm_start_answered(
+                entry, events.VmStartAnswered(now_ms, order.order_id, answer)
+            )
+    refused = [order for order in ordered if order.reclaimable]
+    started = [order for order in ordered if not order.reclaimable]
+    assert {order.zone for order in started} == set(builders.ZONES)
+    assert len(refused) <= 3 * 2
+
+
+def test_reclaimed_vms_are_replaced_before_they_are_gone() -> None:
+    """Guards against waiting for the list while a wave takes capacity."""
+    entry = make_holder(0)
+    rows = tuple(make_row(f"u{n}", builders.ZONES[n % 3]) for n in range(6))
+    plan(entry, 0, rows)
+    for row in rows:
+        load(entry, row.vm_id, 5)
+    assert starts(plan(entry, 2_000, rows)) == []
+    notice = events.Notice("u0", 1, 20_000)
+    upstreams.on_notices(entry, events.NoticesListed(2_500, (notice,)))
+    fleet.on_notices(entry, events.NoticesListed(2_500, (notice,)))
+    assert len(starts(fleet.on_tick(entry, events.Tick(2_500)))) == 1
+
+
+def test_scale_down_waits_and_spares_busy_vms() -> None:
+    """Guards against stops in a short lull and against cutting work."""
+    entry = make_holder(0)
+    rows = tuple(make_row(f"u{n}", builders.ZONES[n % 3]) for n in range(6))
+    plan(entry, 0, rows)
+    for row in rows:
+        load(entry, row.vm_id, 1 if row.vm_id == "u5" else 0)
+    now_ms = 0
+    stopped: list[str] = []
+    while now_ms < 2 * fleet.SCALE_DOWN_DELAY_MS:
+        for effect in plan(entry, now_ms, rows):
+            if isinstance(effect, effects.StopVm):
+                assert now_ms >= fleet.SCALE_DOWN_DELAY_MS
+                stopped.append(effect.vm_id)
+        rows = tuple(row for row in rows if row.vm_id not in stopped)
+        now_ms += 20_000
+    assert len(stopped) >= 3
+    assert "u5" not in stopped
+
+
+def test_no_order_without_a_lease_margin() -> None:
+    """Guards against a holder that acts after its lease lapsed."""
+    entry = make_holder(0)
+    entry.fleet.lease.holding = lease.Holding(4, 1, 10_000)
+    row = make_row("u1")
+    plan(entry, 0, (row,))
+    load(entry, "u1", 80)
+    assert starts(plan(entry, 7_000, (row,)))
+    assert not starts(plan(entry, 8_001, (row,)))
+
+
+def test_model_orders_go_only_to_drained_engines_and_are_paced() -> None:
+    """Guards against orders that stop work or flood the weight store."""
+    entry = make_holder(0)
+    rows = tuple(make_row(f"u{n}", builders.ZONES[n % 3]) for n in range(6))
+    plan(entry, 0, rows)
+    for row in rows:
+        upstream = entry.upstreams.by_id[row.vm_id]
+        upstream.report = make_report(0, model="")
+    entry.upstreams.by_id["u0"].report = make_report(1, model="")
+    produced = plan(entry, 2_000, rows)
+    orders = [e for e in produced if isinstance(e, effects.SendOrder)]
+    assert len(orders) == fleet.MAX_LOADS_IN_FLIGHT
+    assert "u0" not in [order.upstream_id for order in orders]
+    assert {order.fencing_number for order in orders} == {4}
+
+
+def test_plan_waits_for_a_fresh_list() -> None:
+    """Guards against starting a second fleet when the list is unreadable."""
+    entry = make_holder(0)
+    plan(entry, 0, (make_row("u1"),))
+    load(entry, "u1", 60)
+    stale_ms = fleet.LIST_MAX_AGE_MS + 1
+    assert not starts(fleet.on_tick(entry, events.Tick(stale_ms)))
+    assert entry.counters.value("plans_skipped", "list_too_old") == 1
+
+
+def test_profile_loads_monday_capacity_ahead() -> None:
+    """Guards against a surge that meets the capacity of the weekend."""
+    monday_ms = 4 * 24 * HOUR_MS
+    surge_ms = monday_ms + 8 * HOUR_MS
+    profile = profiles.Profile()
+    profile.observe(40.0, surge_ms)
+    profile.observe(2.0, surge_ms + profiles.SLOT_MS)
+    week_ms = 7 * 24 * HOUR_MS
+    ahead_ms = surge_ms + week_ms - profiles.SLOT_MS
+    assert profile.expected(ahead_ms) == 40.0
+    restored = profiles.decode(profile.encode())
+    assert restored is not None
+    assert restored.expected(ahead_ms) == 40.0
+    entry = make_holder(ahead_ms)
+    entry.fleet.profiles["draft"] = restored
+    assert len(starts(plan(entry, ahead_ms, ()))) > 0
+
+
+@hypothesis.given(strategies.binary(max_size=200))
+def test_malformed_profile_is_ignored(body: bytes) -> None:
+    """Guards against a damaged object that stops the planner."""
+    assert profiles.decode(body) is None
