Load configuration documents through typed options

Cause: load_document was a stub, so no entry could adopt a configuration.

Change: options check one value each and record a coded error with the path of the field; sections declare the deployment as options and check relations between fields; loading bounds size and nesting, rejects duplicate JSON keys and reports every problem together. A list or mapping with an invalid item counts as invalid, since wrong indices or missing names would give misleading errors in later checks.

--- /dev/null
+++ b/laburnumpin/config/schema.py
@@ -0,0 +1,374 @@
+"""The deployment document, declared as sections of options."""
+
+from __future__ import annotations
+
+from laburnumpin.config import options
+from laburnumpin.core import deployment
+
+
+class Zone(options.Section):
+    """A zone in which VMs run."""
+
+    __slots__ = ()
+
+    data_center = options.Name("Data centre that contains the zone.")
+    region = options.Name("Region that contains the data centre.")
+
+
+class Operation(options.Section):
+    """An operation of a service."""
+
+    __slots__ = ()
+
+    idempotent = options.Flag(
+        "Whether a request may run more than once. A non-idempotent request "
+        "is claimed in the table service before it is sent, and runs at most "
+        "once.",
+        default=True,
+    )
+    priority = options.Choice(
+        tuple(priority.value for priority in deployment.Priority),
+        "Scheduling class of requests without `X-Priority` header.",
+        default=deployment.Priority.BULK.value,
+    )
+
+
+class Service(options.Section):
+    """A service that upstreams offer."""
+
+    __slots__ = ()
+
+    kind = options.Choice(
+        tuple(kind.value for kind in deployment.ServiceKind),
+        "Whether model engines or plain services serve it.",
+    )
+    operations = options.MappingOf(
+        options.Nested(Operation), "Operations by name.", min_items=1
+    )
+    model = options.Text(
+        "Model that the engines load; required for model services.",
+        default="",
+    )
+    model_version = options.Text("Version of the model.", default="")
+    adapters = options.ListOf(
+        options.Text(min_length=1),
+        "Adapters that the engines load beside the model.",
+        default=[],
+        unique=True,
+    )
+    checks_fencing = options.Flag(
+        "Whether the engines reject orders with a stale fencing token.",
+        default=False,
+    )
+
+    def check_fields(self, path: str, errors: options.Errors) -> None:
+        """Record model fields that are missing or have no meaning."""
+        if not self.has("kind"):
+            return
+        if self.kind == deployment.ServiceKind.MODEL.value:
+            self._check_model(path, errors)
+            return
+        for name in ("model", "model_version", "adapters", "checks_fencing"):
+            if not self.has(name) or not self.value(name):
+                continue
+            options.add_error(
+                errors,
+                options.field_path(path, name),
+                options.Code.NOT_APPLICABLE,
+                "applies to model services only",
+            )
+
+    def _check_model(self, path: str, errors: options.Errors) -> None:
+        if self.has("model") and not self.model:
+            options.add_error(
+                errors,
+                options.field_path(path, "model"),
+                options.Code.REQUIRED,
+                "a model service needs a model",
+            )
+
+
+class Customer(options.Section):
+    """A customer, with keys, weight and limits."""
+
+    __slots__ = ()
+
+    key_hashes = options.ListOf(
+        options.KeyHash(),
+        "SHA-256 digests of the keys; several while a key is replaced.",
+        min_items=1,
+    )
+    weight = options.Number(
+        "Share of the capacity under contention, relative to the other "
+        "customers.",
+        default=1.0,
+        minimum=0.001,
+        maximum=1_000.0,
+    )
+    rate_tokens_per_s = options.Integer(
+        "Highest token rate over all entries, prompts and outputs.",
+        default=1_000_000,
+        minimum=1,
+    )
+    max_queued_requests = options.Integer(
+        "Most requests that wait at one entry.",
+        default=1_000,
+        minimum=1,
+        maximum=1_000_000,
+    )
+
+
+class Placement(options.Section):
+    """Where VMs for a service may run, and what they cost and deliver."""
+
+    __slots__ = ()
+
+    service = options.Name("Service that the VMs offer.")
+    zone = options.Name("Zone of the VMs.")
+    vm_class = options.Name("VM class of the platform.", dotted=True)
+    reclaimable = options.Flag("Whether the platform may reclaim the VMs.")
+    min_vms = options.Integer(
+        "VMs that run without any demand.", maximum=100_000
+    )
+    max_vms = options.Integer(
+        "VMs that run at most.", minimum=1, maximum=100_000
+    )
+    price_per_hour = options.Number(
+        "Price of one VM until the platform gives its own.",
+        maximum=1_000_000.0,
+    )
+    slots = options.Integer(
+        "Requests that one VM runs concurrently.", minimum=1, maximum=100_000
+    )
+    prefill_tokens_per_s = options.Integer(
+        "Prompt tokens that one VM computes per second.",
+        default=8_000,
+        minimum=1,
+    )
+    decode_tokens_per_s = options.Integer(
+        "Output tokens that one VM computes per second, over all requests.",
+        default=2_000,
+        minimum=1,
+    )
+
+    def check_fields(self, path: str, errors: options.Errors) -> None:
+        """Record a minimum above the maximum."""
+        if not self.has("min_vms", "max_vms"):
+            return
+        if self.min_vms <= self.max_vms:
+            return
+        options.add_error(
+            errors,
+            options.field_path(path, "min_vms"),
+            options.Code.INCONSISTENT,
+            f"{self.min_vms} exceeds max_vms, which is {self.max_vms}",
+        )
+
+
+class Policy(options.Section):
+    """Targets and weights of the decisions."""
+
+    __slots__ = ()
+
+    first_token_target_ms = options.Integer(
+        "Target for the time to first token, 95th percentile.",
+        default=1_200,
+        minimum=1,
+        maximum=3_600_000,
+    )
+    inter_token_target_ms = options.Integer(
+        "Target for the inter-token latency, 95th percentile.",
+        default=36,
+        minimum=1,
+        maximum=3_600_000,
+    )
+    cost_weight = options.Number(
+        "Weight of cost at the latency target.",
+        default=1.0,
+        maximum=1_000.0,
+    )
+    recompute_weight = options.Number(
+        "Weight of recomputed tokens, in milliseconds per token.",
+        default=1.0,
+        maximum=1_000.0,
+    )
+    bulk_share = options.Number(
+        "Share of the dispatched tokens that is reserved for bulk requests "
+        "while any waits.",
+        default=0.2,
+        maximum=0.9,
+    )
+    retry_share = options.Number(
+        "Retries permitted per first attempt.", default=0.1, maximum=1.0
+    )
+
+    def check_fields(self, path: str, errors: options.Errors) -> None:
+        """Record weights that leave nothing to optimize."""
+        if not self.has("cost_weight", "recompute_weight"):
+            return
+        if self.cost_weight or self.recompute_weight:
+            return
+        options.add_error(
+            errors,
+            options.field_path(path, "cost_weight"),
+            options.Code.INCONSISTENT,
+            "cost_weight and recompute_weight must not both be 0",
+        )
+
+
+_DEFAULT_POLICY = options.check_section(Policy, {}, "policy", [])
+
+
+class Deployment(options.Section):
+    """Everything that an operator configures."""
+
+    __slots__ = ()
+
+    name = options.Name("Name of the deployment.")
+    entry_count = options.Integer(
+        "Entries over which customer limits are split until the VM list is "
+        "known.",
+        default=1,
+        minimum=1,
+        maximum=100_000,
+    )
+    zones = options.MappingOf(
+        options.Nested(Zone), "Zones by name.", min_items=1
+    )
+    services = options.MappingOf(
+        options.Nested(Service), "Services by name.", min_items=1
+    )
+    customers = options.MappingOf(
+        options.Nested(Customer), "Customers by name.", default={}
+    )
+    placements = options.ListOf(
+        options.Nested(Placement), "Placements; each service needs one."
+    )
+    policy = options.Nested(
+        Policy, "Targets and weights.", default=_DEFAULT_POLICY
+    )
+
+    def check_fields(self, path: str, errors: options.Errors) -> None:
+        """Record problems between sections."""
+        self._check_data_centers(path, errors)
+        self._check_references(path, errors)
+        self._check_placements(path, errors)
+        self._check_keys(path, errors)
+        self._check_rates(path, errors)
+
+    def _check_data_centers(self, path: str, errors: options.Errors) -> None:
+        if not self.has("zones"):
+            return
+        regions: dict[str, str] = {}
+        for name, zone in self.zones.items():
+            if not zone.has("data_center", "region"):
+                continue
+            region = regions.setdefault(zone.data_center, zone.region)
+            if region == zone.region:
+                continue
+            options.add_error(
+                errors,
+                f"{options.field_path(path, 'zones')}.{name}.region",
+                options.Code.INCONSISTENT,
+                f"data centre {zone.data_center!r} is in region {region!r} "
+                "by an earlier zone",
+            )
+
+    def _check_references(self, path: str, errors: options.Errors) -> None:
+        if not self.has("placements"):
+            return
+        for field, section in (("service", "services"), ("zone", "zones")):
+            if not self.has(section):
+                continue
+            known = self.services if section == "services" else self.zones
+            self._check_reference(path, field, list(known), errors)
+
+    def _check_reference(
+        self, path: str, field: str, known: list[str], errors: options.Errors
+    ) -> None:
+        for index, placement in enumerate(self.placements):
+            if not placement.has(field):
+                continue
+            name = str(placement.value(field))
+            if name in known:
+                continue
+            hint = options.suggestion(name, known)
+            options.add_error(
+                errors,
+                f"{options.field_path(path, 'placements')}[{index}].{field}",
+                options.Code.UNKNOWN_REFERENCE,
+                f"there is no {field} {name!r}{hint}",
+            )
+
+    def _check_placements(self, path: str, errors: options.Errors) -> None:
+        if not self.has("placements"):
+            return
+        key = ("service", "zone", "vm_class", "reclaimable")
+        seen: set[tuple[object, ...]] = set()
+        placed: set[str] = set()
+        for index, placement in enumerate(self.placements):
+            if placement.has("service"):
+                placed.add(placement.service)
+            if not placement.has(*key):
+                continue
+            values = tuple(placement.value(name) for name in key)
+            if values in seen:
+                options.add_error(
+                    errors,
+                    f"{options.field_path(path, 'placements')}[{index}]",
+                    options.Code.DUPLICATE,
+                    "an earlier placement has the same service, zone, VM "
+                    "class and reclaimability",
+                )
+            seen.add(values)
+        self._check_placed(path, placed, errors)
+
+    def _check_placed(
+        self, path: str, placed: set[str], errors: options.Errors
+    ) -> None:
+        if not self.has("services"):
+            return
+        for name in self.services:
+            if name in placed:
+                continue
+            options.add_error(
+                errors,
+                f"{options.field_path(path, 'services')}.{name}",
+                options.Code.NO_PLACEMENT,
+                "no placement names this service",
+            )
+
+    def _check_keys(self, path: str, errors: options.Errors) -> None:
+        if not self.has("customers"):
+            return
+        owners: dict[str, str] = {}
+        section = options.field_path(path, "customers")
+        for name, customer in self.customers.items():
+            if not customer.has("key_hashes"):
+                continue
+            for index, key_hash in enumerate(customer.key_hashes):
+                if key_hash in owners:
+                    options.add_error(
+                        errors,
+                        f"{section}.{name}.key_hashes[{index}]",
+                        options.Code.DUPLICATE,
+                        f"the same key belongs to {owners[key_hash]!r}",
+                    )
+                owners.setdefault(key_hash, name)
+
+    def _check_rates(self, path: str, errors: options.Errors) -> None:
+        if not self.has("customers", "entry_count"):
+            return
+        for name, customer in self.customers.items():
+            if not customer.has("rate_tokens_per_s"):
+                continue
+            if customer.rate_tokens_per_s >= self.entry_count:
+                continue
+            section = options.field_path(path, "customers")
+            options.add_error(
+                errors,
+                f"{section}.{name}.rate_tokens_per_s",
+                options.Code.INCONSISTENT,
+                f"leaves no whole token per second to each of the "
+                f"{self.entry_count} entries",
+            )
