Add settings of an entry

Cause: an entry reads its addresses, zone and credentials from flags and environment variables.

Change: the settings are declared as a section of options, so that all problems are reported together before the entry starts. Secrets come from the environment only, because the command line of a process is visible to other users of the VM, and print as redacted. Unknown LABURNUMPIN_ variables are errors, since a misspelled optional setting would otherwise be ignored.

Conclusion: entry run and the shell can take settings.Settings.

--- /dev/null
+++ b/laburnumpin/config/settings.py
@@ -0,0 +1,292 @@
+"""Settings of an entry process, from flags and environment variables."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+import dataclasses
+
+from laburnumpin import exceptions
+from laburnumpin.config import options
+
+ENVIRONMENT_PREFIX = "LABURNUMPIN_"
+# Variables of the command-line client, which an entry ignores.
+CLIENT_VARIABLES = ("LABURNUMPIN_URL",)
+MIN_SECRET_CHARACTERS = 16
+UNSPECIFIED_HOSTS = ("0.0.0.0", "::")
+LOG_LEVELS = ("debug", "info", "warning", "error")
+
+
+class EntrySettings(options.Section):
+    """Settings of `laburnumpin entry run`."""
+
+    __slots__ = ()
+
+    vm_id = options.Name("Platform id of the VM that runs the entry.")
+    zone = options.Name("Zone of the VM, as named in the configuration.")
+    caller_host = options.IpAddress(
+        "IP address at which the caller API listens.", default="127.0.0.1"
+    )
+    caller_port = options.Integer(
+        "Port of the caller API; 0 chooses a free port.",
+        default=7001,
+        maximum=65_535,
+    )
+    operator_host = options.IpAddress(
+        "IP address at which the operator API listens.", default="127.0.0.1"
+    )
+    operator_port = options.Integer(
+        "Port of the operator API; 0 chooses a free port.",
+        default=7002,
+        maximum=65_535,
+    )
+    peer_host = options.IpAddress(
+        "IP address at which the peer link listens.", default="127.0.0.1"
+    )
+    peer_port = options.Integer(
+        "Port of the peer link; 0 chooses a free port.",
+        default=7003,
+        maximum=65_535,
+    )
+    advertised_peer_address = options.Address(
+        "Address at which other entries reach the peer link; without it, "
+        "the address at which the peer link listens.",
+        default="",
+    )
+    platform_url = options.Url("Base URL of the platform.")
+    platform_token = options.SecretText("Bearer token for the platform.")
+    operator_key = options.SecretText(
+        "Bearer key that operators present to the operator API.",
+        min_length=MIN_SECRET_CHARACTERS,
+    )
+    peer_secret = options.SecretText(
+        "Secret that all entries share and present on the peer link.",
+        min_length=MIN_SECRET_CHARACTERS,
+    )
+    seed_peers = options.ListOf(
+        options.Address(),
+        "Peer addresses to contact until the VM list is known, separated by "
+        "commas.",
+        default=[],
+        unique=True,
+    )
+    log_level = options.Choice(
+        LOG_LEVELS, "Least severe messages to log.", default="info"
+    )
+    max_upstream_connections = options.Integer(
+        "Connections to all upstreams together.",
+        default=2_000,
+        minimum=1,
+        maximum=60_000,
+    )
+    max_connections_per_upstream = options.Integer(
+        "Connections to one upstream.",
+        default=256,
+        minimum=1,
+        maximum=60_000,
+    )
+    idle_connection_timeout_ms = options.Integer(
+        "Time after which an unused connection to an upstream is closed.",
+        default=30_000,
+        minimum=100,
+        maximum=3_600_000,
+    )
+    connect_timeout_ms = options.Integer(
+        "Time within which a connection to an upstream must be established.",
+        default=1_000,
+        minimum=10,
+        maximum=60_000,
+    )
+
+    def check_fields(self, path: str, errors: options.Errors) -> None:
+        """Record ports, secrets and limits that contradict each other."""
+        self._check_ports(path, errors)
+        self._check_advertised_address(path, errors)
+        self._check_secrets(path, errors)
+        self._check_connections(path, errors)
+
+    def _check_ports(self, path: str, errors: options.Errors) -> None:
+        owners: dict[tuple[str, int], str] = {}
+        for name in ("caller", "operator", "peer"):
+            host_name, port_name = f"{name}_host", f"{name}_port"
+            if not self.has(host_name, port_name):
+                continue
+            port = int(str(self.value(port_name)))
+            if port == 0:
+                continue
+            key = (str(self.value(host_name)), port)
+            if key in owners:
+                options.add_error(
+                    errors,
+                    options.field_path(path, port_name),
+                    options.Code.DUPLICATE,
+                    f"{owners[key]} has the same address and port",
+                )
+            owners.setdefault(key, port_name)
+
+    def _check_advertised_address(
+        self, path: str, errors: options.Errors
+    ) -> None:
+        if not self.has("peer_host", "advertised_peer_address"):
+            return
+        if self.peer_host not in UNSPECIFIED_HOSTS:
+            return
+        if self.advertised_peer_address:
+            return
+        options.add_error(
+            errors,
+            options.field_path(path, "advertised_peer_address"),
+            options.Code.REQUIRED,
+            f"is required when peer_host is {self.peer_host}",
+        )
+
+    def _check_secrets(self, path: str, errors: options.Errors) -> None:
+        names = ("platform_token", "operator_key", "peer_secret")
+        owners: dict[str, str] = {}
+        for name in names:
+            if not self.has(name):
+                continue
+            secret = self.value(name)
+            if not isinstance(secret, options.Secret):
+                continue
+            if secret.reveal() in owners:
+                options.add_error(
+                    errors,
+                    options.field_path(path, name),
+                    options.Code.DUPLICATE,
+                    f"must differ from {owners[secret.reveal()]}",
+                )
+            owners.setdefault(secret.reveal(), name)
+
+    def _check_connections(self, path: str, errors: options.Errors) -> None:
+        names = ("max_connections_per_upstream", "max_upstream_connections")
+        if not self.has(*names):
+            return
+        if self.max_connections_per_upstream <= self.max_upstream_connections:
+            return
+        options.add_error(
+            errors,
+            options.field_path(path, "max_connections_per_upstream"),
+            options.Code.INCONSISTENT,
+            f"exceeds max_upstream_connections, which is "
+            f"{self.max_upstream_connections}",
+        )
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Settings:
+    """Checked settings of an entry; its repr shows no secret."""
+
+    vm_id: str
+    zone: str
+    platform_url: str
+    platform_token: options.Secret
+    operator_key: options.Secret
+    peer_secret: options.Secret
+    caller_host: str = "127.0.0.1"
+    caller_port: int = 7001
+    operator_host: str = "127.0.0.1"
+    operator_port: int = 7002
+    peer_host: str = "127.0.0.1"
+    peer_port: int = 7003
+    advertised_peer_address: str = ""
+    seed_peers: tuple[str, ...] = ()
+    log_level: str = "info"
+    max_upstream_connections: int = 2_000
+    max_connections_per_upstream: int = 256
+    idle_connection_timeout_ms: int = 30_000
+    connect_timeout_ms: int = 1_000
+
+
+def variable_name(name: str) -> str:
+    """Return the environment variable of a setting."""
+    return ENVIRONMENT_PREFIX + name.upper()
+
+
+def flag_name(name: str) -> str:
+    """Return the command-line flag of a setting."""
+    return "--" + name.replace("_", "-")
+
+
+def is_secret(name: str) -> bool:
+    """Return whether a setting is read from the environment only.
+
+    The command line of a process is visible to other users of its VM.
+    """
+    option = EntrySettings.options()[name]
+    return isinstance(option, options.SecretText)
+
+
+def load(
+    flags: Mapping[str, str | None], environment: Mapping[str, str]
+) -> Settings:
+    """Return the checked settings; a flag precedes its variable.
+
+    `flags` maps names of settings to what was given on the command line.
+
+    Raises:
+        ConfigurationError: Settings are invalid; lists every problem.
+    """
+    errors: options.Errors = []
+    _check_variables(environment, errors)
+    raw: dict[str, object] = {}
+    for name, option in EntrySettings.options().items():
+        text = flags.get(name)
+        if text is None:
+            text = environment.get(variable_name(name))
+        if text is not None:
+            raw[name] = option.parse(text)
+    section = options.check_section(EntrySettings, raw, "", errors)
+    if errors:
+        raise exceptions.ConfigurationError(
+            [_with_variable(error) for error in errors]
+        )
+    return _to_settings(section)
+
+
+def _check_variables(
+    environment: Mapping[str, str], errors: options.Errors
+) -> None:
+    known = [variable_name(name) for name in EntrySettings.options()]
+    known.extend(CLIENT_VARIABLES)
+    for variable in environment:
+        if not variable.startswith(ENVIRONMENT_PREFIX) or variable in known:
+            continue
+        hint = options.suggestion(variable, known)
+        options.add_error(
+            errors,
+            variable,
+            options.Code.UNKNOWN_FIELD,
+            f"there is no such setting{hint}",
+        )
+
+
+def _with_variable(error: exceptions.FieldError) -> exceptions.FieldError:
+    if error.field.split("[")[0] not in EntrySettings.options():
+        return error
+    variable = variable_name(error.field.split("[")[0])
+    message = f"{error.message} (variable {variable})"
+    return exceptions.FieldError(error.field, error.code, message)
+
+
+def _to_settings(section: EntrySettings) -> Settings:
+    return Settings(
+        vm_id=section.vm_id,
+        zone=section.zone,
+        platform_url=section.platform_url,
+        platform_token=section.platform_token,
+        operator_key=section.operator_key,
+        peer_secret=section.peer_secret,
+        caller_host=section.caller_host,
+        caller_port=section.caller_port,
+        operator_host=section.operator_host,
+        operator_port=section.operator_port,
+        peer_host=section.peer_host,
+        peer_port=section.peer_port,
+        advertised_peer_address=section.advertised_peer_address,
+        seed_peers=tuple(section.seed_peers),
+        log_level=section.log_level,
+        max_upstream_connections=section.max_upstream_connections,
+        max_connections_per_upstream=section.max_connections_per_upstream,
+        idle_connection_timeout_ms=section.idle_connection_timeout_ms,
+        connect_timeout_ms=section.connect_timeout_ms,
+    )
