Claim non-idempotent calls before they are dispatched

Cause: `claims.py` was a stub, so that a non-idempotent call ended in `NotImplementedError`.

A claim is checked for its deadline after its commit. `requests.end` is idempotent.

`Request.claim_token` becomes `claim_tokens`: with a chain of entries that leave, the row may still carry the token of any of them.

--- a/laburnumpin/core/requests.py
+++ b/laburnumpin/core/requests.py
@@ -83,8 +83,9 @@
     chunks: list[messages.Chunk] = dataclasses.field(default_factory=list)
     outcome: messages.Outcome | None = None
     ended_ms: int = 0
-    claim_token: str | None = None
+    claim_tokens: tuple[str, ...] = ()
     claimed: bool = False
+    claim_version: int = 0
     handed_to: ids.EntryId | None = None
     last_upstream_id: str | None = None
 
@@ -187,6 +188,8 @@
 ) -> list[effects.Effect]:
     """Continue with a request whose claim is committed."""
     request.claimed = True
+    if now_ms >= request.deadline_ms:
+        return end(state, request, _deadline_passed(request), now_ms)
     return _start_attempt(state, request, now_ms)
 
 
@@ -198,6 +201,7 @@
 ) -> list[effects.Effect]:
     """End a request whose claim was not obtained."""
     request.verdict = verdict.combine(request.verdict, failure.verdict)
+    failure = dataclasses.replace(failure, verdict=request.verdict)
     return end(state, request, failure, now_ms)
 
 
@@ -209,6 +213,8 @@
     now_ms: int,
 ) -> list[effects.Effect]:
     """End a request with the outcome recorded for its idempotency key."""
+    if request.outcome is not None:
+        return []
     request.verdict = verdict.Verdict.RAN
     result: list[effects.Effect] = []
     for chunk in chunks:
@@ -311,11 +317,7 @@
     result: list[effects.Effect] = []
     for request in limits.expired(state, event.now_ms):
         limits.dequeue(state, request, event.now_ms)
-        failure = messages.Failure(
-            "deadline_passed",
-            "the deadline passed before an upstream had room",
-            request.verdict,
-        )
+        failure = _deadline_passed(request)
         result.extend(end(state, request, failure, event.now_ms))
     result.extend(dispatch_queued(state, event.now_ms))
     own = state.requests
@@ -354,7 +356,9 @@
     failure: messages.Failure,
     now_ms: int,
 ) -> list[effects.Effect]:
-    """End a request with a failure."""
+    """End a request with a failure; without effect once it has ended."""
+    if request.outcome is not None or request.phase is Phase.HANDED_OVER:
+        return []
     state.counters.increment("failures", failure.code)
     outcome = messages.Outcome(request.next_offset, failure)
     return _finish(state, request, outcome, now_ms)
@@ -479,6 +483,14 @@
     return state.requests.by_id[request_id]
 
 
+def _deadline_passed(request: Request) -> messages.Failure:
+    return messages.Failure(
+        "deadline_passed",
+        "the deadline passed before an upstream had room",
+        request.verdict,
+    )
+
+
 def _refuse(
     state: entry_state.EntryState,
     event: events.RequestArrived,
--- /dev/null
+++ b/laburnumpin/tests/simulation.py
@@ -0,0 +1,611 @@
+"""A small world in virtual time for tests of the reducer.
+
+It holds several `EntryState`, a table service, an object store and upstreams
+that log each execution. Faults are drawn from a seeded generator, at the
+rates that a test sets.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import dataclasses
+import heapq
+import random
+
+from laburnumpin import verdict
+from laburnumpin.core import deployment
+from laburnumpin.core import effects
+from laburnumpin.core import events
+from laburnumpin.core import ids
+from laburnumpin.core import messages
+from laburnumpin.core import reducer
+from laburnumpin.core import requests
+from laburnumpin.core import state as entry_state
+from laburnumpin.core import store
+
+START_MS = 1_000_000
+DRAFT_TOKENS = 4
+
+
+def make_configuration() -> deployment.Configuration:
+    """Return a deployment with a model and a plain service."""
+    draft = deployment.Operation("draft")
+    order = deployment.Operation("order", idempotent=False)
+    zones = {f"zone-{n}": deployment.Zone(f"zone-{n}", "", "") for n in "abc"}
+    kinds = deployment.ServiceKind
+    services = {
+        "model": deployment.Service("model", kinds.MODEL, {"draft": draft}),
+        "desk": deployment.Service("desk", kinds.PLAIN, {"order": order}),
+    }
+    customers = {"acme": deployment.Customer("acme", ())}
+    return deployment.Configuration(
+        1,
+        "change",
+        "",
+        deployment.Deployment(
+            "test", zones, services, customers, (), deployment.Policy()
+        ),
+    )
+
+
+class Tables:
+    """Rows with versions and conditional writes."""
+
+    def __init__(self) -> None:
+        self.rows: dict[tuple[str, str], tuple[int, str | None]] = {}
+
+    def row(self, table: str, key: str) -> store.Row:
+        version, value = self.rows.get((table, key), (0, None))
+        return store.Row(table, key, version, value)
+
+    def transact(
+        self, effect: effects.Transact
+    ) -> tuple[tuple[int, ...], tuple[store.Row, ...]]:
+        """Return the new versions, or else the rows in conflict."""
+        conflicts = []
+        for condition in effect.conditions:
+            row = self.row(condition.table, condition.key)
+            if row.version != condition.version:
+                conflicts.append(row)
+        if conflicts:
+            return (), tuple(conflicts)
+        versions = []
+        assert len({w.key for w in effect.writes}) == len(effect.writes)
+        for write in effect.writes:
+            version = self.row(write.table, write.key).version + 1
+            self.rows[write.table, write.key] = (version, write.value)
+            versions.append(version)
+        return tuple(versions), ()
+
+
+@dataclasses.dataclass(slots=True)
+class Faults:
+    """Rates of faults between 0 and 1."""
+
+    store_refused: float = 0.0
+    store_lost: float = 0.0
+    store_late: float = 0.0
+    objects_failed: float = 0.0
+    upstream_rejected: float = 0.0
+    upstream_lost: float = 0.0
+    upstream_late: float = 0.0
+    duplicated: float = 0.0
+    peer_delay_ms: int = 2
+    store_delay_ms: int = 5
+
+
+@dataclasses.dataclass(slots=True)
+class Upstream:
+    """A stand-in of an upstream VM."""
+
+    vm_id: str
+    service: str
+    zone: str
+    leaving_since_ms: int | None = None
+    alive: bool = True
+
+
+@dataclasses.dataclass(slots=True)
+class Reading:
+    """What one reader was sent."""
+
+    request_id: str
+    chunks: list[messages.Chunk] = dataclasses.field(default_factory=list)
+    outcomes: list[messages.Outcome] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Execution:
+    """One execution of a call at an upstream."""
+
+    at_ms: int
+    request_id: str
+    key: str
+    upstream_id: str
+
+
+class World:
+    """Entries and everything that they talk to."""
+
+    def __init__(
+        self, entry_count: int = 3, upstream_count: int = 2, seed: int = 0
+    ) -> None:
+        self.now_ms = START_MS
+        self.random = random.Random(seed)
+        self.faults = Faults()
+        self.tables = Tables()
+        self.objects: dict[str, bytes] = {}
+        self.entries: dict[str, entry_state.EntryState] = {}
+        self.gone: set[str] = set()
+        self.paused: dict[str, list[Callable[[], None]]] = {}
+        self.cut: set[frozenset[str]] = set()
+        self.upstreams: dict[str, Upstream] = {}
+        self.notices: dict[str, int] = {}
+        self.cancelled: set[str] = set()
+        self.executions: list[Execution] = []
+        self.dispatches: list[tuple[int, str, effects.Dispatch]] = []
+        self.accepted: dict[str, str] = {}
+        self.refused: dict[str, messages.Failure] = {}
+        self.statuses: dict[str, messages.RequestStatus] = {}
+        self.readings: dict[str, Reading] = {}
+        self.exits: list[str] = []
+        self.keys: dict[str, str] = {}
+        self._queue: list[tuple[int, int, Callable[[], None]]] = []
+        self._sequence = 0
+        for service in ("model", "desk"):
+            for number in range(upstream_count):
+                vm_id = f"{service}-{number}"
+                zone = f"zone-{'abc'[number % 3]}"
+                self.upstreams[vm_id] = Upstream(vm_id, service, zone)
+        for number in range(entry_count):
+            self._add_entry(f"entry-{number}", f"zone-{'abc'[number % 3]}")
+        self.run(100)
+
+    def _add_entry(self, vm_id: str, zone: str) -> None:
+        entry = ids.EntryId(vm_id, START_MS)
+        seed = len(self.entries)
+        state = entry_state.EntryState(entry, zone, vm_id, seed)
+        state.configuration.current = make_configuration()
+        state.configuration.confirmed_ms = self.now_ms
+        self.entries[vm_id] = state
+
+    # Time.
+
+    def at(self, delay_ms: int, action: Callable[[], None]) -> None:
+        self._sequence += 1
+        due_ms = self.now_ms + delay_ms
+        heapq.heappush(self._queue, (due_ms, self._sequence, action))
+
+    def run(self, duration_ms: int, tick_ms: int = events.TICK_MS) -> None:
+        """Let time pass, with ticks at the entries that run."""
+        end_ms = self.now_ms + duration_ms
+        while self.now_ms < end_ms:
+            next_ms = min(self.now_ms + tick_ms, end_ms)
+            while self._queue and self._queue[0][0] <= next_ms:
+                self.now_ms, _, action = heapq.heappop(self._queue)
+                action()
+            self.now_ms = next_ms
+            for vm_id in self.live():
+                if vm_id not in self.paused:
+                    self.entries[vm_id].configuration.confirmed_ms = next_ms
+                    self.deliver(vm_id, events.Tick(next_ms))
+
+    def live(self) -> list[str]:
+        return [vm_id for vm_id in self.entries if vm_id not in self.gone]
+
+    def deliver(self, vm_id: str, event: events.Event) -> None:
+        """Pass an event to an entry, or keep it until the entry wakes."""
+        if vm_id in self.gone:
+            return
+        if vm_id in self.paused:
+            stamped = dataclasses.replace
+            self.paused[vm_id].append(
+                lambda: self.deliver(vm_id, stamped(event, now_ms=self.now_ms))
+            )
+            return
+        event = dataclasses.replace(event, now_ms=self.now_ms)
+        for effect in reducer.reduce(self.entries[vm_id], event):
+            self._execute(vm_id, effect)
+
+    # Actions of tests.
+
+    def submit(
+        self,
+        vm_id: str,
+        exchange: str,
+        key: str | None = None,
+        service: str = "desk",
+        body: str = "{}",
+        deadline_ms: int = 20_000,
+    ) -> str | None:
+        """Submit a call and open its reader; return the request id."""
+        operation = "order" if service == "desk" else "draft"
+        self.deliver(
+            vm_id,
+            events.RequestArrived(
+                self.now_ms,
+                exchange,
+                "acme",
+                service,
+                operation,
+                body,
+                "" if service == "desk" else exchange,
+                DRAFT_TOKENS,
+                key,
+                self.now_ms + deadline_ms,
+                None,
+            ),
+        )
+        request_id = self.accepted.get(exchange)
+        if request_id is not None:
+            self.keys[request_id] = key or request_id
+            self.open(vm_id, exchange, request_id)
+        return request_id
+
+    def open(self, vm_id: str, reader_id: str, request_id: str) -> None:
+        self.readings[reader_id] = Reading(request_id)
+        self.deliver(
+            vm_id,
+            events.ReaderOpened(self.now_ms, reader_id, request_id, "acme", 0),
+        )
+
+    def pause(self, vm_id: str) -> None:
+        self.paused.setdefault(vm_id, [])
+
+    def wake(self, vm_id: str) -> None:
+        for action in self.paused.pop(vm_id, []):
+            action()
+
+    def kill(self, vm_id: str) -> None:
+        """Remove an entry; its peers notice within the link's timeout."""
+        self.paused.pop(vm_id, None)
+        self.gone.add(vm_id)
+        for peer in self.live():
+            self._disconnect(peer, vm_id, 3_000)
+
+    def notify(self, vm_id: str, remaining_ms: int) -> None:
+        """Announce the reclaim of an entry, and carry it out in time."""
+        if vm_id in self.notices:
+            return
+        self.notices[vm_id] = self.now_ms + remaining_ms
+        notice = events.ReclaimNotified(self.now_ms, remaining_ms)
+        self.deliver(vm_id, notice)
+        self.at(remaining_ms, lambda: self.kill(vm_id))
+
+    def reclaim_upstream(self, vm_id: str, remaining_ms: int) -> None:
+        upstream = self.upstreams[vm_id]
+        if upstream.leaving_since_ms is None:
+            upstream.leaving_since_ms = self.now_ms
+            self.at(remaining_ms, lambda: self._stop_upstream(upstream))
+
+    def _stop_upstream(self, upstream: Upstream) -> None:
+        upstream.alive = False
+
+    def cut_link(self, first: str, second: str) -> None:
+        """Break a link; messages in flight on it are lost."""
+        self.cut.add(frozenset((first, second)))
+        self._disconnect(first, second, 0)
+        self._disconnect(second, first, 0)
+
+    def heal_links(self) -> None:
+        self.cut.clear()
+
+    def _disconnect(self, vm_id: str, peer: str, delay_ms: int) -> None:
+        self.at(
+            delay_ms,
+            lambda: self.deliver(vm_id, events.PeerDisconnected(0, peer)),
+        )
+
+    # Effects.
+
+    def _execute(self, vm_id: str, effect: effects.Effect) -> None:
+        handler = _EFFECTS.get(type(effect))
+        if handler is not None:
+            handler(self, vm_id, effect)
+
+    def _accept(self, vm_id: str, effect: effects.Accept) -> None:
+        self.accepted[effect.exchange_id] = effect.request_id
+
+    def _refuse(self, vm_id: str, effect: effects.Refuse) -> None:
+        self.refused[effect.exchange_id] = effect.failure
+
+    def _status(self, vm_id: str, effect: effects.AnswerStatus) -> None:
+        self.statuses[effect.exchange_id] = effect.status
+
+    def _send_chunk(self, vm_id: str, effect: effects.SendChunk) -> None:
+        self.readings[effect.reader_id].chunks.append(effect.chunk)
+
+    def _end_reader(self, vm_id: str, effect: effects.EndReader) -> None:
+        self.readings[effect.reader_id].outcomes.append(effect.outcome)
+
+    def _exit(self, vm_id: str, effect: effects.Exit) -> None:
+        self.exits.append(vm_id)
+
+    def _list_vms(self, vm_id: str, effect: effects.ListVms) -> None:
+        rows = []
+        for state in self.entries.values():
+            entry = state.entry
+            if entry.vm_id in self.gone:
+                continue
+            rows.append(
+                events.VmRow(
+                    entry.vm_id,
+                    entry.incarnation,
+                    events.VmRole.ENTRY,
+                    state.zone,
+                    "small",
+                    True,
+                    False,
+                    peer_address=entry.vm_id,
+                )
+            )
+        for upstream in self.upstreams.values():
+            if upstream.alive:
+                rows.append(
+                    events.VmRow(
+                        upstream.vm_id,
+                        1,
+                        events.VmRole.UPSTREAM,
+                        upstream.zone,
+                        "large",
+                        True,
+                        False,
+                        upstream.service,
+                        upstream.vm_id,
+                    )
+                )
+        listed = events.VmsListed(0, tuple(rows))
+        self.at(2, lambda: self.deliver(vm_id, listed))
+
+    def _list_notices(self, vm_id: str, effect: effects.ListNotices) -> None:
+        notices = []
+        for upstream in self.upstreams.values():
+            if upstream.leaving_since_ms is not None:
+                notices.append(events.Notice(upstream.vm_id, 1, 10_000))
+        listed = events.NoticesListed(0, tuple(notices))
+        self.at(2, lambda: self.deliver(vm_id, listed))
+
+    def _poll(self, vm_id: str, effect: effects.PollLoad) -> None:
+        upstream = self.upstreams[effect.upstream_id]
+        event: events.Event
+        if upstream.alive:
+            report = events.LoadReport(1, 0, 0, 0, 64, 0, 10.0, False)
+            event = events.LoadReported(0, upstream.vm_id, report)
+        else:
+            event = events.LoadPollFailed(0, upstream.vm_id, False)
+        self.at(2, lambda: self.deliver(vm_id, event))
+
+    def _send_peer(self, vm_id: str, effect: effects.SendPeer) -> None:
+        link = frozenset((vm_id, effect.peer_id))
+        if link in self.cut or effect.peer_id in self.gone:
+            failed = events.PeerSendFailed(0, effect.peer_id, effect.message)
+            self.at(1, lambda: self.deliver(vm_id, failed))
+            return
+        received = events.PeerReceived(0, vm_id, effect.message)
+
+        def arrive() -> None:
+            if link not in self.cut and vm_id not in self.gone:
+                self.deliver(effect.peer_id, received)
+
+        self._later(self.faults.peer_delay_ms, arrive)
+        if self._happens(self.faults.duplicated):
+            self._later(self.faults.peer_delay_ms * 3, arrive)
+
+    def _transact(self, vm_id: str, effect: effects.Transact) -> None:
+        operation_id = effect.operation_id
+        event: events.Event
+
+        def apply() -> None:
+            self.tables.transact(effect)
+
+        if self._happens(self.faults.store_refused):
+            event = events.TransactRefused(0, operation_id)
+        elif self._happens(self.faults.store_late):
+            self.at(self.random.randint(0, 8_000), apply)
+            event = events.TransactUnknown(0, operation_id)
+        elif self._happens(self.faults.store_lost):
+            apply()
+            event = events.TransactUnknown(0, operation_id)
+        else:
+            versions, conflicts = self.tables.transact(effect)
+            event = events.TransactCommitted(0, operation_id, versions)
+            if conflicts:
+                event = events.TransactConflicted(0, operation_id, conflicts)
+        self._later(
+            self.faults.store_delay_ms, lambda: self.deliver(vm_id, event)
+        )
+
+    def _read(self, vm_id: str, effect: effects.ReadRows) -> None:
+        rows = [self.tables.row(effect.table, key) for key in effect.keys]
+        self._answer_read(vm_id, effect.operation_id, rows)
+
+    def _scan(self, vm_id: str, effect: effects.ScanRows) -> None:
+        rows = []
+        for table, key in sorted(self.tables.rows):
+            if table == effect.table and key.startswith(effect.prefix):
+                rows.append(self.tables.row(table, key))
+        self._answer_read(vm_id, effect.operation_id, rows[: effect.limit])
+
+    def _answer_read(
+        self, vm_id: str, operation_id: store.OperationId, rows: list[store.Row]
+    ) -> None:
+        event: events.Event = events.RowsRead(0, operation_id, tuple(rows))
+        failed = self.faults.store_refused + self.faults.store_lost
+        if operation_id.module is store.StoreModule.CONFIGURATION:
+            failed = 1.0
+        if self._happens(failed):
+            event = events.ReadFailed(0, operation_id)
+        self._later(
+            self.faults.store_delay_ms, lambda: self.deliver(vm_id, event)
+        )
+
+    def _object(
+        self,
+        vm_id: str,
+        effect: effects.PutObject
+        | effects.GetObject
+        | effects.DeleteObject
+        | effects.ListObjects,
+    ) -> None:
+        operation_id = effect.operation_id
+        event: events.Event = events.ObjectFailed(0, operation_id)
+        if not self._happens(self.faults.objects_failed):
+            event = self._apply_object(effect)
+        self._later(3, lambda: self.deliver(vm_id, event))
+
+    def _apply_object(
+        self,
+        effect: effects.PutObject
+        | effects.GetObject
+        | effects.DeleteObject
+        | effects.ListObjects,
+    ) -> events.Event:
+        operation_id = effect.operation_id
+        if isinstance(effect, effects.ListObjects):
+            keys = [k for k in self.objects if k.startswith(effect.prefix)]
+            return events.ObjectsListed(0, operation_id, tuple(sorted(keys)))
+        if isinstance(effect, effects.GetObject):
+            body = self.objects.get(effect.key)
+            return events.ObjectRead(0, operation_id, body)
+        if isinstance(effect, effects.PutObject):
+            self.objects[effect.key] = effect.body
+        else:
+            self.objects.pop(effect.key, None)
+        return events.ObjectStored(0, operation_id)
+
+    def _cancel(self, vm_id: str, effect: effects.CancelAttempt) -> None:
+        self.cancelled.add(effect.attempt_id)
+
+    def _dispatch(self, vm_id: str, effect: effects.Dispatch) -> None:
+        self.dispatches.append((self.now_ms, vm_id, effect))
+        # The shell picks the effect up a moment later; a pause in between
+        # is what `valid_until_ms` is for.
+        self.at(1, lambda: self._start_sending(vm_id, effect))
+
+    def _start_sending(self, vm_id: str, effect: effects.Dispatch) -> None:
+        if vm_id in self.gone:
+            return
+        if vm_id in self.paused:
+            self.paused[vm_id].append(
+                lambda: self._start_sending(vm_id, effect)
+            )
+            return
+        failures = events.AttemptFailure
+        not_run = verdict.Verdict.NOT_RUN
+        if self.now_ms > effect.valid_until_ms:
+            self._fail(vm_id, effect, not_run, failures.EXPIRED_BEFORE_SEND)
+            return
+        upstream = self.upstreams[effect.upstream_id]
+        if not upstream.alive:
+            self._fail(vm_id, effect, not_run, failures.CONNECT_FAILED)
+            return
+        if self._happens(self.faults.upstream_rejected):
+            self._fail(vm_id, effect, not_run, failures.UPSTREAM_OVERLOADED)
+            return
+        may = verdict.Verdict.MAY_HAVE_RUN
+        if self._happens(self.faults.upstream_late):
+            self.at(5_000, lambda: self._run(effect))
+            self._fail(vm_id, effect, may, failures.FIRST_BYTE_TIMEOUT)
+            return
+        self._run(effect)
+        if self._happens(self.faults.upstream_lost):
+            self._fail(vm_id, effect, may, failures.CONNECTION_LOST)
+            return
+        self._answer(vm_id, effect)
+
+    def _run(self, effect: effects.Dispatch) -> None:
+        self.executions.append(
+            Execution(
+                self.now_ms,
+                effect.request_id,
+                self.keys[effect.request_id],
+                effect.upstream_id,
+            )
+        )
+
+    def _answer(self, vm_id: str, effect: effects.Dispatch) -> None:
+        plain = effect.kind is deployment.ServiceKind.PLAIN
+        total = 1 if plain else DRAFT_TOKENS
+        delay_ms = 0
+        for offset in range(effect.offset, total):
+            chunk = messages.Chunk(
+                offset, offset + 1, text_of(effect.request_id, offset)
+            )
+            output = events.AttemptOutput(0, effect.attempt_id, chunk)
+            delay_ms += self.random.randint(1, 400)
+            self._at_upstream(vm_id, effect, delay_ms, output)
+            if self._happens(self.faults.duplicated):
+                self._at_upstream(vm_id, effect, delay_ms + 5, output)
+        completed = events.AttemptCompleted(0, effect.attempt_id, total, 0, 0)
+        self._at_upstream(vm_id, effect, delay_ms + 1, completed)
+
+    def _at_upstream(
+        self,
+        vm_id: str,
+        effect: effects.Dispatch,
+        delay_ms: int,
+        event: events.Event,
+    ) -> None:
+        def act() -> None:
+            if effect.attempt_id in self.cancelled:
+                return
+            if self.upstreams[effect.upstream_id].alive:
+                self.deliver(vm_id, event)
+            elif isinstance(event, events.AttemptCompleted):
+                lost = events.AttemptFailure.CONNECTION_LOST
+                may = verdict.Verdict.MAY_HAVE_RUN
+                self._fail(vm_id, effect, may, lost)
+
+        self.at(delay_ms, act)
+
+    def _fail(
+        self,
+        vm_id: str,
+        effect: effects.Dispatch,
+        known: verdict.Verdict,
+        failure: events.AttemptFailure,
+    ) -> None:
+        event = events.AttemptFailed(0, effect.attempt_id, known, failure)
+        self._later(5, lambda: self.deliver(vm_id, event))
+
+    def _later(self, delay_ms: int, action: Callable[[], None]) -> None:
+        self.at(self.random.randint(1, max(1, delay_ms)), action)
+
+    def _happens(self, rate: float) -> bool:
+        return rate > 0.0 and self.random.random() < rate
+
+    # Results.
+
+    def request(self, vm_id: str, request_id: str) -> requests.Request:
+        return self.entries[vm_id].requests.by_id[request_id]
+
+    def executions_of(self, key: str) -> int:
+        return sum(execution.key == key for execution in self.executions)
+
+
+def text_of(request_id: str, offset: int) -> str:
+    """Return what an upstream generates for a request at an offset."""
+    return f"{request_id}:{offset};"
+
+
+_EFFECTS: dict[type, Callable[..., None]] = {
+    effects.Accept: World._accept,
+    effects.Refuse: World._refuse,
+    effects.AnswerStatus: World._status,
+    effects.SendChunk: World._send_chunk,
+    effects.EndReader: World._end_reader,
+    effects.Exit: World._exit,
+    effects.ListVms: World._list_vms,
+    effects.ListNotices: World._list_notices,
+    effects.PollLoad: World._poll,
+    effects.SendPeer: World._send_peer,
+    effects.Transact: World._transact,
+    effects.ReadRows: World._read,
+    effects.ScanRows: World._scan,
+    effects.PutObject: World._object,
+    effects.GetObject: World._object,
+    effects.DeleteObject: World._object,
+    effects.ListObjects: World._object,
+    effects.CancelAttempt: World._cancel,
+    effects.Dispatch: World._dispatch,
+}
