--- a/laburnumpin/tests/simulation.py
+++ b/laburnumpin/tests/simulation.py
@@ -166,7 +166,7 @@
         seed = len(self.entries)
         state = entry_state.EntryState(entry, zone, vm_id, seed)
         state.configuration.current = make_configuration()
-        state.configuration.confirmed_ms = self.now_ms
+        state.configuration.contact_ms = self.now_ms
         self.entries[vm_id] = state
 
     # Time.
@@ -187,7 +187,7 @@
             self.now_ms = next_ms
             for vm_id in self.live():
                 if vm_id not in self.paused:
-                    self.entries[vm_id].configuration.confirmed_ms = next_ms
+                    self.entries[vm_id].configuration.contact_ms = next_ms
                     self.deliver(vm_id, events.Tick(next_ms))
 
     def live(self) -> list[str]:
