Serve callers through the core: loop, caller API, upstreams, platform

The core had no shell, so no request could reach it. This adds the thinnest whole path:

- `entry.py`: one loop over a bounded queue of events.
- `caller_api.py`: streamed, whole and 202 answers, resume, status, cancel.
- `upstream_client.py`: verdicts follow from whether the first byte was sent, which a trace hook of httpcore observes.
Each dispatch has its own connection, because a reused one may be stale or silent.
- `platform_client.py`: distinguishes refused from unknown in the same way.

Not part of this change: peer link, operator API, signals under test.

--- a/laburnumpin/exceptions.py
+++ b/laburnumpin/exceptions.py
@@ -63,6 +63,12 @@
     code = "platform_answer_lost"
 
 
+class DocumentError(LaburnumpinError):
+    """A document of the platform or an upstream is malformed."""
+
+    code = "document_invalid"
+
+
 class MessageError(LaburnumpinError):
     """A message from a peer could not be decoded or has a wrong version."""
 
--- /dev/null
+++ b/laburnumpin/server/authentication.py
@@ -0,0 +1,46 @@
+"""Bearer credentials, compared in constant time."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+
+from starlette import requests
+
+from laburnumpin.core import deployment
+
+
+def bearer_key(request: requests.Request) -> str:
+    """Return the key of the `Authorization` header, or ""."""
+    scheme, _, key = request.headers.get("authorization", "").partition(" ")
+    return key.strip() if scheme.lower() == "bearer" else ""
+
+
+def matches(given: str, expected: str) -> bool:
+    """Return whether a key is the expected one; an empty one never is."""
+    if not given or not expected:
+        return False
+    return hmac.compare_digest(_digest(given), _digest(expected))
+
+
+def find_customer(
+    current: deployment.Deployment, key: str
+) -> deployment.Customer | None:
+    """Return the customer that a key belongs to.
+
+    All hashes are compared, so that the time does not tell which customer
+    matched.
+    """
+    if not key:
+        return None
+    digest = _digest(key)
+    found = None
+    for customer in current.customers.values():
+        for key_hash in customer.key_hashes:
+            if hmac.compare_digest(digest, key_hash.lower().encode()):
+                found = customer
+    return found
+
+
+def _digest(key: str) -> bytes:
+    return hashlib.sha256(key.encode()).hexdigest().encode()
--- /dev/null
+++ b/laburnumpin/server/bridge.py
@@ -0,0 +1,142 @@
+"""The bridge between concurrent I/O and the sequential reducer."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+import contextlib
+import math
+
+import anyio
+from anyio.streams import memory
+
+from laburnumpin import clock as clocks
+from laburnumpin.core import effects
+from laburnumpin.core import events
+from laburnumpin.core import state as entry_state
+
+# A full queue makes I/O tasks wait, which slows down their sockets.
+QUEUE_EVENTS = 4_096
+
+Answer = effects.Accept | effects.Refuse | effects.AnswerStatus
+Output = effects.SendChunk | effects.EndReader
+
+
+class _Exchange:
+    """An HTTP exchange that waits for the reducer's answer."""
+
+    __slots__ = ("answer", "answered")
+
+    def __init__(self) -> None:
+        self.answer: Answer | None = None
+        self.answered = anyio.Event()
+
+
+class Bridge:
+    """Queues events and routes answers back to the tasks that wait.
+
+    Only the loop of `entry.py` changes `state`; others may read it.
+    """
+
+    __slots__ = (
+        "_exchanges",
+        "_next_number",
+        "_readers",
+        "_receive",
+        "_send",
+        "clock",
+        "readiness",
+        "ready",
+        "state",
+    )
+
+    def __init__(
+        self, state: entry_state.EntryState, clock: clocks.Clock
+    ) -> None:
+        self.state = state
+        self.clock = clock
+        self.ready = False
+        self.readiness = "entry_not_ready"
+        self._exchanges: dict[str, _Exchange] = {}
+        self._readers: dict[str, memory.MemoryObjectSendStream[Output]] = {}
+        self._next_number = 1
+        self._send, self._receive = anyio.create_memory_object_stream[
+            events.Event
+        ](QUEUE_EVENTS)
+
+    async def put(self, event: events.Event) -> None:
+        """Queue an event; waits while the queue is full."""
+        await self._send.send(event)
+
+    async def take(self) -> events.Event:
+        """Return the next event."""
+        return await self._receive.receive()
+
+    def new_id(self) -> str:
+        """Return an id for an exchange or reader.
+
+        Reader ids name subscriptions at other entries, so they include the
+        entry and its incarnation.
+        """
+        entry = self.state.entry
+        number = self._next_number
+        self._next_number += 1
+        return f"{entry.vm_id}.{entry.incarnation}.r{number}"
+
+    async def ask(self, exchange_id: str, event: events.Event) -> Answer:
+        """Queue an event and return the reducer's answer to its exchange."""
+        exchange = _Exchange()
+        self._exchanges[exchange_id] = exchange
+        try:
+            await self.put(event)
+            await exchange.answered.wait()
+        finally:
+            del self._exchanges[exchange_id]
+        assert exchange.answer is not None
+        return exchange.answer
+
+    def answer(self, answer: Answer) -> None:
+        """Complete an exchange; its caller may have gone away."""
+        exchange = self._exchanges.get(answer.exchange_id)
+        if exchange is None or exchange.answer is not None:
+            return
+        exchange.answer = answer
+        exchange.answered.set()
+
+    @contextlib.asynccontextmanager
+    async def open_reader(
+        self, request_id: str, customer: str, offset: int
+    ) -> AsyncIterator[memory.MemoryObjectReceiveStream[Output]]:
+        """Read the output of a request from `offset` on.
+
+        The buffer is unbounded, but holds only references to chunks that
+        the request keeps anyway.
+        """
+        reader_id = self.new_id()
+        send, receive = anyio.create_memory_object_stream[Output](math.inf)
+        self._readers[reader_id] = send
+        try:
+            await self.put(
+                events.ReaderOpened(
+                    self.clock.now_ms(), reader_id, request_id, customer, offset
+                )
+            )
+            yield receive
+        finally:
+            receive.close()
+            if self._readers.pop(reader_id, None) is not None:
+                send.close()
+                with anyio.CancelScope(shield=True):
+                    await self.put(
+                        events.ReaderClosed(self.clock.now_ms(), reader_id)
+                    )
+
+    def deliver(self, output: Output) -> None:
+        """Pass output on to a reader; drops it when the reader is gone."""
+        send = self._readers.get(output.reader_id)
+        if send is None:
+            return
+        with contextlib.suppress(anyio.BrokenResourceError):
+            send.send_nowait(output)
+        if isinstance(output, effects.EndReader):
+            del self._readers[output.reader_id]
+            send.close()
--- /dev/null
+++ b/laburnumpin/server/caller_errors.py
@@ -0,0 +1,120 @@
+"""Errors of the caller API as JSON documents with stable codes."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Any
+
+from starlette import responses
+
+from laburnumpin import exceptions
+from laburnumpin import verdict
+from laburnumpin.core import messages
+
+# HTTP status by code. A code that is missing here is answered with 503 when
+# waiting helps and with 500 otherwise.
+STATUS_BY_CODE = {
+    "body_too_large": 413,
+    "cancelled": 409,
+    "configuration_unconfirmed": 503,
+    "connect_failed": 502,
+    "connection_lost": 502,
+    "deadline_passed": 504,
+    "deadline_unreachable": 503,
+    "entry_leaving": 503,
+    "entry_not_ready": 503,
+    "expired_before_send": 503,
+    "first_byte_timeout": 504,
+    "idempotency_key_reused": 422,
+    "inter_token_timeout": 504,
+    "internal_error": 500,
+    "invalid_request": 400,
+    "method_not_allowed": 405,
+    "not_found": 404,
+    "owner_unreachable": 503,
+    "platform_unavailable": 503,
+    "protocol_error": 502,
+    "queue_full": 429,
+    "rate_limited": 429,
+    "rejected": 422,
+    "truncated": 502,
+    "unauthorized": 401,
+    "unknown_generation": 502,
+    "unknown_operation": 404,
+    "unknown_request": 404,
+    "unknown_service": 404,
+    "upstream_error": 502,
+    "upstream_leaving": 503,
+    "upstream_overloaded": 503,
+}
+
+
+class CallerError(Exception):
+    """A request of a caller cannot be served."""
+
+    def __init__(
+        self,
+        failure: messages.Failure,
+        fields: Sequence[exceptions.FieldError] = (),
+        request_id: str | None = None,
+    ) -> None:
+        super().__init__(failure.code)
+        self.failure = failure
+        self.fields = fields
+        self.request_id = request_id
+
+
+def refuse(
+    code: str,
+    message: str,
+    fields: Sequence[exceptions.FieldError] = (),
+    retry_after_ms: int | None = None,
+) -> CallerError:
+    """Return the error for a request that the reducer has not seen."""
+    failure = messages.Failure(
+        code, message, verdict.Verdict.NOT_RUN, retry_after_ms
+    )
+    return CallerError(failure, fields)
+
+
+def body(
+    failure: messages.Failure,
+    request_id: str | None = None,
+    fields: Sequence[exceptions.FieldError] = (),
+) -> dict[str, Any]:
+    """Return the JSON document of an error."""
+    rows = []
+    for row in fields:
+        rows.append(
+            {"field": row.field, "code": row.code, "message": row.message}
+        )
+    return {
+        "error": {
+            "code": failure.code,
+            "message": failure.message,
+            "verdict": failure.verdict.value,
+            "request_id": request_id,
+            "fields": rows,
+        }
+    }
+
+
+def response(error: CallerError) -> responses.JSONResponse:
+    """Return the HTTP response for an error."""
+    failure = error.failure
+    headers = {}
+    fallback = 500
+    if failure.retry_after_ms is not None:
+        fallback = 503
+        # Retry-After has whole seconds; rounding down would invite a retry
+        # that is refused again.
+        headers["Retry-After"] = str(-(-failure.retry_after_ms // 1_000))
+    if failure.code == "unauthorized":
+        headers["WWW-Authenticate"] = "Bearer"
+    if error.request_id is not None:
+        headers["X-Request-Id"] = error.request_id
+    return responses.JSONResponse(
+        body(failure, error.request_id, error.fields),
+        STATUS_BY_CODE.get(failure.code, fallback),
+        headers,
+    )
--- /dev/null
+++ b/laburnumpin/server/http_calls.py
@@ -0,0 +1,88 @@
+"""HTTP calls that know whether a first byte may have been sent."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import httpx
+
+from laburnumpin import clock as clocks
+
+# A connection that was idle for longer may have been cut or gone silent.
+KEEPALIVE_MS = 2_000
+CONNECT_TIMEOUT_MS = 1_000
+
+
+class ExpiredError(Exception):
+    """The time until which the call could be sent has passed."""
+
+
+class SendGuard:
+    """Watches one call; refuses its first byte after `valid_until_ms`.
+
+    `sent` is set before the first byte is written, so that while it is false
+    the call has certainly not reached the other side.
+    """
+
+    __slots__ = ("_clock", "_valid_until_ms", "sent")
+
+    def __init__(
+        self, clock: clocks.Clock, valid_until_ms: int | None = None
+    ) -> None:
+        self._clock = clock
+        self._valid_until_ms = valid_until_ms
+        self.sent = False
+
+    async def trace(self, name: str, info: dict[str, Any]) -> None:
+        """Observe the call; used as the `trace` extension of `httpx`.
+
+        Raises:
+            ExpiredError: The call is about to be sent too late.
+        """
+        del info
+        if not name.endswith(".send_request_headers.started"):
+            return
+        if self._valid_until_ms is not None:
+            if self._clock.now_ms() > self._valid_until_ms:
+                raise ExpiredError
+        self.sent = True
+
+    def extensions(self) -> dict[str, Any]:
+        """Return the `extensions` argument for `httpx`."""
+        return {"trace": self.trace}
+
+
+def new_client(reuse: bool, base_url: str = "") -> httpx.AsyncClient:
+    """Return a client without retries, redirects, proxies or read timeouts.
+
+    Callers bound the duration of each call with a cancel scope. Without
+    `reuse` every call opens a new connection.
+    """
+    return httpx.AsyncClient(
+        base_url=base_url,
+        trust_env=False,
+        follow_redirects=False,
+        timeout=httpx.Timeout(None, connect=CONNECT_TIMEOUT_MS / 1_000),
+        limits=httpx.Limits(
+            max_connections=None,
+            max_keepalive_connections=None if reuse else 0,
+            keepalive_expiry=KEEPALIVE_MS / 1_000,
+        ),
+    )
+
+
+def url(address: str, path: str) -> str:
+    """Return the URL of a path at a `host:port` address or base URL."""
+    if "://" in address:
+        return address.rstrip("/") + path
+    return f"http://{address}{path}"
+
+
+async def read_body(response: httpx.Response, max_bytes: int) -> bytes | None:
+    """Return the body of a streamed response, or None when it is too long."""
+    body = bytearray()
+    async for part in response.aiter_bytes():
+        body += part
+        if len(body) > max_bytes:
+            return None
+    return bytes(body)
--- /dev/null
+++ b/laburnumpin/server/metrics.py
@@ -0,0 +1,84 @@
+"""Counters and latencies in the text exposition format."""
+
+from __future__ import annotations
+
+import re
+
+from hdrh import histogram
+
+from laburnumpin.core import counters
+from laburnumpin.core import effects
+
+MEDIA_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+# Longer than any deadline; longer durations count as this one.
+MAX_DURATION_MS = 2 * 3_600_000
+PERCENTILES = (50.0, 90.0, 95.0, 99.0)
+
+_SIGNIFICANT_FIGURES = 2
+_NOT_IN_NAME = re.compile(r"[^a-zA-Z0-9_]")
+
+
+class Metrics:
+    """Latency histograms by name."""
+
+    __slots__ = ("_by_name", "_sums")
+
+    def __init__(self) -> None:
+        self._by_name: dict[str, histogram.HdrHistogram] = {}
+        self._sums: dict[str, int] = {}
+
+    def observe(self, effect: effects.ObserveLatency) -> None:
+        """Record a duration."""
+        recorded = self._by_name.get(effect.name)
+        if recorded is None:
+            recorded = histogram.HdrHistogram(
+                1, MAX_DURATION_MS, _SIGNIFICANT_FIGURES
+            )
+            self._by_name[effect.name] = recorded
+        duration_ms = min(max(effect.duration_ms, 1), MAX_DURATION_MS)
+        recorded.record_value(duration_ms)
+        total_ms = self._sums.get(effect.name, 0) + duration_ms
+        self._sums[effect.name] = total_ms
+
+    def render(self, counted: counters.Counters, ready: bool) -> str:
+        """Return all metrics as text."""
+        lines = ["# TYPE laburnumpin_ready gauge"]
+        lines.append(f"laburnumpin_ready {int(ready)}")
+        lines.extend(_counter_lines(counted))
+        for name in sorted(self._by_name):
+            lines.extend(self._latency_lines(name))
+        return "\n".join(lines) + "\n"
+
+    def _latency_lines(self, name: str) -> list[str]:
+        recorded = self._by_name[name]
+        metric = f"laburnumpin_{_metric_name(name)}_milliseconds"
+        lines = [f"# TYPE {metric} summary"]
+        for percentile in PERCENTILES:
+            value = recorded.get_value_at_percentile(percentile)
+            quantile = percentile / 100
+            lines.append(f'{metric}{{quantile="{quantile:g}"}} {value}')
+        lines.append(f"{metric}_sum {self._sums[name]}")
+        lines.append(f"{metric}_count {recorded.get_total_count()}")
+        return lines
+
+
+def _counter_lines(counted: counters.Counters) -> list[str]:
+    lines = []
+    previous = ""
+    for name, label, value in counted.items():
+        metric = f"laburnumpin_{_metric_name(name)}_total"
+        if metric != previous:
+            lines.append(f"# TYPE {metric} counter")
+            previous = metric
+        labels = f'{{label="{_escape(label)}"}}' if label else ""
+        lines.append(f"{metric}{labels} {value}")
+    return lines
+
+
+def _metric_name(name: str) -> str:
+    return _NOT_IN_NAME.sub("_", name)
+
+
+def _escape(label: str) -> str:
+    escaped = label.replace("\\", "\\\\").replace('"', '\\"')
+    return escaped.replace("\n", "\\n")
--- /dev/null
+++ b/laburnumpin/server/sse.py
@@ -0,0 +1,76 @@
+"""Server-sent events: writing them to callers, reading them from engines."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from laburnumpin import exceptions
+
+MEDIA_TYPE = "text/event-stream"
+# A longer event is malformed: engines send one token or a few at a time.
+MAX_EVENT_BYTES = 256 * 1024
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class SseEvent:
+    """One server-sent event."""
+
+    name: str
+    event_id: str
+    data: str
+
+
+def encode(event: SseEvent) -> bytes:
+    """Return an event whose data is a single line."""
+    lines = []
+    if event.event_id:
+        lines.append(f"id: {event.event_id}")
+    if event.name:
+        lines.append(f"event: {event.name}")
+    lines.append(f"data: {event.data}")
+    return ("\n".join(lines) + "\n\n").encode()
+
+
+class Decoder:
+    """Splits a byte stream into events."""
+
+    __slots__ = ("_buffer",)
+
+    def __init__(self) -> None:
+        self._buffer = b""
+
+    def feed(self, data: bytes) -> list[SseEvent]:
+        """Add bytes and return the events that they complete.
+
+        Raises:
+            DocumentError: An event is too long or not UTF-8.
+        """
+        self._buffer += data.replace(b"\r", b"")
+        *blocks, self._buffer = self._buffer.split(b"\n\n")
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            raise exceptions.DocumentError("a server-sent event is too long")
+        result = []
+        for block in blocks:
+            event = _parse(block)
+            if event is not None:
+                result.append(event)
+        return result
+
+
+def _parse(block: bytes) -> SseEvent | None:
+    try:
+        text = block.decode()
+    except UnicodeDecodeError as error:
+        raise exceptions.DocumentError("an event is not UTF-8") from error
+    fields = {"event": "", "id": ""}
+    data: list[str] = []
+    for line in text.split("\n"):
+        name, _, value = line.partition(":")
+        value = value.removeprefix(" ")
+        if name == "data":
+            data.append(value)
+        elif name in fields:
+            fields[name] = value
+    if not data:
+        return None
+    return SseEvent(fields["event"], fields["id"], "\n".join(data))
--- /dev/null
+++ b/laburnumpin/server/tasks.py
@@ -0,0 +1,44 @@
+"""Background tasks whose failure does not end the process."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import TypeVarTuple
+from typing import Unpack
+
+from anyio import abc
+
+from laburnumpin.server import logs
+
+_Arguments = TypeVarTuple("_Arguments")
+
+
+class TaskRunner:
+    """Starts tasks in a task group and logs the exceptions they raise.
+
+    An exception that reaches the task group would cancel all other tasks.
+    """
+
+    __slots__ = ("_task_group",)
+
+    def __init__(self, task_group: abc.TaskGroup) -> None:
+        self._task_group = task_group
+
+    def start(
+        self,
+        function: Callable[[Unpack[_Arguments]], Awaitable[None]],
+        *arguments: *_Arguments,
+    ) -> None:
+        """Start a task."""
+        self._task_group.start_soon(self._run, function, arguments)
+
+    async def _run(
+        self,
+        function: Callable[[Unpack[_Arguments]], Awaitable[None]],
+        arguments: tuple[*_Arguments],
+    ) -> None:
+        try:
+            await function(*arguments)
+        except Exception:
+            logs.write_exception("task_error", {"task": function.__qualname__})
--- /dev/null
+++ b/laburnumpin/tests/test_server_caller_api.py
@@ -0,0 +1,194 @@
+"""Tests of the caller API together with the daemon's loop."""
+
+from __future__ import annotations
+
+import json
+
+import anyio
+import pytest
+from starlette import requests
+from starlette import responses
+
+from laburnumpin.tests import server_fakes as fakes
+
+pytestmark = pytest.mark.anyio
+SUBMIT = "/v1/services/draft/write"
+BODY = {"prompt": "Write a draft.", "max_tokens": 8}
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
+
+
+async def _engine(request: requests.Request) -> responses.Response:
+    if request.url.path == "/v1/generate":
+        return responses.Response(
+            fakes.generation(["one ", "two"]), media_type="text/event-stream"
+        )
+    return responses.JSONResponse(fakes.load_report())
+
+
+async def _desk(request: requests.Request) -> responses.Response:
+    if request.url.path == "/v1/call/write":
+        return responses.JSONResponse({"order": 7})
+    return responses.JSONResponse(fakes.load_report())
+
+
+async def test_streamed_answer_has_ids_and_an_end_marker() -> None:
+    """Guards against streams that a caller cannot resume or trust."""
+    async with fakes.serve_http(_engine) as engine, fakes.run_entry() as entry:
+        fakes.configure(entry)
+        await fakes.add_upstream(entry.bridge, "draft", engine.address)
+        async with fakes.caller(entry) as client:
+            answer = await client.post(
+                SUBMIT, json=BODY, headers={"Accept": "text/event-stream"}
+            )
+            request_id = answer.headers["x-request-id"]
+            resumed = await client.get(
+                f"/v1/requests/{request_id}/output",
+                headers={
+                    "Accept": "text/event-stream",
+                    "Last-Event-ID": "1",
+                },
+            )
+    assert answer.text == (
+        'id: 1\ndata: {"text":"one "}\n\n'
+        'id: 2\ndata: {"text":"two"}\n\n'
+        'id: 2\nevent: end\ndata: {"total_offset":2}\n\n'
+    )
+    assert resumed.text == (
+        'id: 2\ndata: {"text":"two"}\n\n'
+        'id: 2\nevent: end\ndata: {"total_offset":2}\n\n'
+    )
+
+
+async def test_whole_and_async_answers_of_a_plain_service() -> None:
+    """Guards against answers that are cut or lost when read later."""
+    async with fakes.serve_http(_desk) as desk, fakes.run_entry() as entry:
+        fakes.configure(entry)
+        await fakes.add_upstream(entry.bridge, "desk", desk.address)
+        async with fakes.caller(entry) as client:
+            path = "/v1/services/desk/write"
+            whole = await client.post(path, json={"item": 1})
+            accepted = await client.post(
+                path, json={"item": 2}, headers={"Prefer": "respond-async"}
+            )
+            location = accepted.headers["location"]
+            later = await client.get(f"{location}/output")
+            status = await client.get(location)
+    assert json.loads(whole.json()["text"]) == {"order": 7}
+    assert whole.json()["total_offset"] == 1
+    assert accepted.status_code == 202
+    assert json.loads(later.json()["text"]) == {"order": 7}
+    assert status.json()["phase"] == "ended"
+    assert status.json()["verdict"] == "ran"
+
+
+async def test_refusals_have_codes_and_verdicts() -> None:
+    """Guards against refusals that leave the caller in doubt."""
+    async with fakes.run_entry() as entry, fakes.caller(entry) as client:
+        early = await client.post(SUBMIT, json=BODY)
+        fakes.configure(entry)
+        stranger = await client.post(
+            SUBMIT, json=BODY, headers={"Authorization": "Bearer other"}
+        )
+        invalid = await client.post(
+            SUBMIT,
+            json={"prompt": "", "max_tokens": 0},
+            headers={
+                "X-Deadline-Ms": "3600001",
+                "X-Priority": "soon",
+                "Idempotency-Key": "a b",
+            },
+        )
+        surrogate = await client.post(
+            SUBMIT, content=b'{"prompt": "\\ud800", "max_tokens": 1}'
+        )
+        long = await client.post(SUBMIT, content=b" " * (1024 * 1024 + 1))
+        service = await client.post("/v1/services/none/write", json={})
+        request = await client.get("/v1/requests/entry-1.1.1/output")
+        path = await client.get("/v1/none")
+    answers = [early, stranger, invalid, long, service, path]
+    assert [answer.status_code for answer in answers] == [
+        503,
+        401,
+        400,
+        413,
+        404,
+        404,
+    ]
+    for answer in answers:
+        assert answer.json()["error"]["verdict"] == "not_run"
+    assert early.headers["retry-after"] == "1"
+    assert [row["field"] for row in invalid.json()["error"]["fields"]] == [
+        "prompt",
+        "max_tokens",
+        "Idempotency-Key",
+        "X-Deadline-Ms",
+        "X-Priority",
+    ]
+    assert surrogate.json()["error"]["fields"][0]["field"] == "prompt"
+    assert service.json()["error"]["code"] == "unknown_service"
+    # An id that is unknown here may have run at an entry that failed.
+    assert request.status_code == 404 or request.status_code == 503
+    assert request.json()["error"]["verdict"] == "may_have_run"
+
+
+async def test_request_goes_on_when_its_caller_goes_away() -> None:
+    """Guards against accepted work that ends with the connection."""
+    proceed = anyio.Event()
+
+    async def answer(request: requests.Request) -> responses.Response:
+        if request.url.path == "/v1/generate":
+            await proceed.wait()
+        return await _engine(request)
+
+    async with fakes.serve_http(answer) as engine, fakes.run_entry() as entry:
+        fakes.configure(entry)
+        await fakes.add_upstream(entry.bridge, "draft", engine.address)
+        async with fakes.caller(entry) as client:
+            async with client.stream(
+                "POST",
+                SUBMIT,
+                json=BODY,
+                headers={"Accept": "text/event-stream"},
+            ) as stream:
+                request_id = stream.headers["x-request-id"]
+                readers = entry.bridge.state.subscriptions.by_id
+                await fakes.wait_until(lambda: len(readers) == 1)
+            await fakes.wait_until(lambda: not readers)
+            proceed.set()
+            output = await client.get(f"/v1/requests/{request_id}/output")
+    assert output.json()["text"] == "one two"
+
+
+async def test_caller_can_cancel() -> None:
+    """Guards against generations that go on after a cancellation."""
+
+    async def answer(request: requests.Request) -> responses.Response:
+        if request.url.path == "/v1/generate":
+            await anyio.sleep_forever()
+        return responses.JSONResponse(fakes.load_report())
+
+    async with fakes.serve_http(answer) as engine, fakes.run_entry() as entry:
+        fakes.configure(entry)
+        await fakes.add_upstream(entry.bridge, "draft", engine.address)
+        async with fakes.caller(entry) as client:
+            accepted = await client.post(
+                SUBMIT, json=BODY, headers={"Prefer": "respond-async"}
+            )
+            location = accepted.headers["location"]
+            await fakes.wait_until(
+                lambda: engine.count("POST", "/v1/generate") == 1
+            )
+            cancelled = await client.delete(location)
+            output = await client.get(f"{location}/output")
+            request_id = accepted.json()["request_id"]
+            await fakes.wait_until(
+                lambda: (
+                    engine.count("DELETE", f"/v1/generate/{request_id}") == 1
+                )
+            )
+    assert cancelled.json()["outcome"]["error"]["code"] == "cancelled"
+    assert output.status_code == 409
