Apply configurations with optimistic concurrency

Cause: concurrent operators must get a conflict, and a lost answer of the table service must neither lose a change nor apply it twice.

Once an answer was lost, an unavailable store no longer means that nothing was done, and the error says so. The change row also keeps a digest of the document, so that a change id reused for another document is an error instead of a false success.

Ruled out: a blind second write, which could follow another operator's change.

--- a/laburnumpin/exceptions.py
+++ b/laburnumpin/exceptions.py
@@ -76,3 +76,21 @@
         super().__init__(message)
         self.code = code
         self.status = status
+
+
+class InputError(LaburnumpinError):
+    """A file that the user named can't be read."""
+
+    code = "input_unreadable"
+
+
+class ChangeIdReusedError(LaburnumpinError):
+    """The change id belongs to a change with another document."""
+
+    code = "change_id_reused"
+
+
+class StoredRowError(LaburnumpinError):
+    """A row of the table service doesn't have the documented form."""
+
+    code = "stored_row_malformed"
--- /dev/null
+++ b/laburnumpin/server/applying.py
@@ -0,0 +1,157 @@
+"""Apply a configuration through the platform's table service."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Sequence
+import dataclasses
+from typing import Protocol
+
+import anyio
+
+from laburnumpin import exceptions
+from laburnumpin.core import applying
+from laburnumpin.core import store
+
+# Together with the pauses below, 3.1 s: shorter than the client's timeout of
+# 10 s, so that operators learn what the entry knows.
+ATTEMPTS = 6
+FIRST_PAUSE_S = 0.1
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class TransactionResult:
+    """New row versions if committed, else the rows that conflicted."""
+
+    versions: tuple[int, ...]
+    conflicts: tuple[store.Row, ...]
+
+
+class TableService(Protocol):
+    """The calls to the table service that applying needs.
+
+    Both raise `PlatformUnavailableError` if nothing was done, and
+    `PlatformAnswerLostError` if the call may have taken effect.
+    """
+
+    async def transact(
+        self,
+        conditions: Sequence[store.Condition],
+        writes: Sequence[store.Write],
+    ) -> TransactionResult:
+        """Write the rows if all conditions hold."""
+
+    async def read_rows(
+        self, table: str, keys: Sequence[str]
+    ) -> Sequence[store.Row]:
+        """Return the rows at one point in time; absent ones have version 0."""
+
+
+async def apply(
+    tables: TableService,
+    base_version: int,
+    change_id: str,
+    document: str,
+    sleep: Callable[[float], Awaitable[None]] = anyio.sleep,
+) -> int:
+    """Apply a change and return its version; repeatable with its id.
+
+    Raises:
+        ConfigurationError: The change is invalid.
+        ConfigurationConflictError: Another change was applied first.
+        ChangeIdReusedError: The change id belongs to another document.
+        PlatformUnavailableError: The change was not applied.
+        PlatformAnswerLostError: The change may have been or may still be
+            applied; a repetition with the same change id resolves it.
+        StoredRowError: A stored row doesn't have the documented form.
+    """
+    applying.check(base_version, change_id, document)
+    attempt = _Attempt(tables, base_version, change_id, document)
+    for number in range(ATTEMPTS):
+        if number:
+            await sleep(FIRST_PAUSE_S * 2 ** (number - 1))
+        version = await attempt.run()
+        if version is not None:
+            return version
+    raise attempt.failure()
+
+
+class _Attempt:
+    """Attempts at one change, with what earlier ones leave open."""
+
+    __slots__ = ("_arguments", "_tables", "_unresolved")
+
+    def __init__(
+        self,
+        tables: TableService,
+        base_version: int,
+        change_id: str,
+        document: str,
+    ) -> None:
+        self._tables = tables
+        self._arguments = (base_version, change_id, document)
+        # Whether a transaction with a lost answer may still take effect.
+        self._unresolved = False
+
+    async def run(self) -> int | None:
+        """Return the version once the change is known to be applied."""
+        base_version, change_id, document = self._arguments
+        try:
+            rows = await self._tables.read_rows(
+                applying.TABLE, applying.keys(change_id)
+            )
+        except (
+            exceptions.PlatformUnavailableError,
+            exceptions.PlatformAnswerLostError,
+        ) as error:
+            self._raise_if_resolved(error)
+            return None
+        planned = applying.plan(base_version, change_id, document, rows)
+        if isinstance(planned, applying.Transaction):
+            return await self._transact(planned)
+        return _result(planned, change_id)
+
+    async def _transact(self, planned: applying.Transaction) -> int | None:
+        try:
+            result = await self._tables.transact(
+                planned.conditions, planned.writes
+            )
+        except exceptions.PlatformAnswerLostError:
+            self._unresolved = True
+            return None
+        except exceptions.PlatformUnavailableError as error:
+            self._raise_if_resolved(error)
+            return None
+        # A conflict stems from another operator, or from an own earlier
+        # transaction that landed late; the next read tells which.
+        return None if result.conflicts else planned.version
+
+    def _raise_if_resolved(self, error: exceptions.LaburnumpinError) -> None:
+        if not self._unresolved:
+            raise exceptions.PlatformUnavailableError(error.message) from error
+
+    def failure(self) -> exceptions.LaburnumpinError:
+        """Return the error after the last attempt."""
+        if self._unresolved:
+            message = "the platform's answer to the change was lost"
+            return exceptions.PlatformAnswerLostError(message)
+        message = "the table service reported conflicts but shows none"
+        return exceptions.PlatformUnavailableError(message)
+
+
+def _result(
+    planned: applying.Applied | applying.Conflict | applying.ChangeIdReused,
+    change_id: str,
+) -> int:
+    if isinstance(planned, applying.Applied):
+        return planned.version
+    if isinstance(planned, applying.Conflict):
+        raise exceptions.ConfigurationConflictError(
+            planned.base_version, planned.current_version
+        )
+    message = (
+        f"change id {change_id} was used for version {planned.version} with "
+        "another document"
+    )
+    raise exceptions.ChangeIdReusedError(message)
