Add the command line and the reference pages

Cause: operators need to check, apply and inspect configurations, and to inspect and drain entries.

Change: typer commands in __main__.py call plain functions in commands/. A client of the operator API maps answers to coded errors; each kind has an exit code. config apply repeats a lost answer with the same change id and reports an unknown outcome with the arguments to repeat it.

--- /dev/null
+++ b/laburnumpin/__main__.py
@@ -0,0 +1,250 @@
+"""The command line."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+import sys
+import time
+from typing import Annotated
+
+import typer
+
+from laburnumpin import exceptions
+from laburnumpin.commands import client
+from laburnumpin.commands import configuration
+from laburnumpin.commands import entry
+from laburnumpin.commands import exits
+from laburnumpin.commands import output
+from laburnumpin.commands import reference
+from laburnumpin.config import options
+from laburnumpin.config import settings
+
+PROGRAM = "laburnumpin"
+URL_VARIABLE = "LABURNUMPIN_URL"
+KEY_VARIABLE = "LABURNUMPIN_OPERATOR_KEY"
+DEFAULT_URL = "http://127.0.0.1:7002"
+
+app = typer.Typer(
+    no_args_is_help=True,
+    pretty_exceptions_enable=False,
+    help="Serve model and application requests from reclaimable VMs.",
+)
+entry_app = typer.Typer(no_args_is_help=True, help="Run an entry.")
+config_app = typer.Typer(
+    no_args_is_help=True, help="Check, apply and inspect configurations."
+)
+request_app = typer.Typer(no_args_is_help=True, help="Inspect requests.")
+docs_app = typer.Typer(no_args_is_help=True, help="Maintain the pages.")
+app.add_typer(entry_app, name="entry")
+app.add_typer(config_app, name="config")
+app.add_typer(request_app, name="request")
+app.add_typer(docs_app, name="docs", hidden=True)
+
+
+def _setting(name: str) -> typer.models.OptionInfo:
+    option = settings.EntrySettings.options()[name]
+    info: typer.models.OptionInfo = typer.Option(
+        settings.flag_name(name),
+        help=f"{option.summary} Variable: {settings.variable_name(name)}.",
+        show_default=False,
+    )
+    return info
+
+
+Json = Annotated[bool, typer.Option("--json", help="Print JSON.")]
+Url = Annotated[
+    str,
+    typer.Option(
+        "--url",
+        envvar=URL_VARIABLE,
+        help=f"Operator API of an entry; the key is read from {KEY_VARIABLE}.",
+    ),
+]
+Timeout = Annotated[
+    float,
+    typer.Option(
+        "--timeout-s", min=0.1, max=600.0, help="Timeout of one call."
+    ),
+]
+File = Annotated[str, typer.Argument(help="Document; `-` is standard input.")]
+
+
+@entry_app.command("run")
+def entry_run(
+    context: typer.Context,
+    vm_id: Annotated[str | None, _setting("vm_id")] = None,
+    zone: Annotated[str | None, _setting("zone")] = None,
+    caller_host: Annotated[str | None, _setting("caller_host")] = None,
+    caller_port: Annotated[str | None, _setting("caller_port")] = None,
+    operator_host: Annotated[str | None, _setting("operator_host")] = None,
+    operator_port: Annotated[str | None, _setting("operator_port")] = None,
+    peer_host: Annotated[str | None, _setting("peer_host")] = None,
+    peer_port: Annotated[str | None, _setting("peer_port")] = None,
+    advertised_peer_address: Annotated[
+        str | None, _setting("advertised_peer_address")
+    ] = None,
+    platform_url: Annotated[str | None, _setting("platform_url")] = None,
+    seed_peers: Annotated[str | None, _setting("seed_peers")] = None,
+    log_level: Annotated[str | None, _setting("log_level")] = None,
+    max_upstream_connections: Annotated[
+        str | None, _setting("max_upstream_connections")
+    ] = None,
+    max_connections_per_upstream: Annotated[
+        str | None, _setting("max_connections_per_upstream")
+    ] = None,
+    idle_connection_timeout_ms: Annotated[
+        str | None, _setting("idle_connection_timeout_ms")
+    ] = None,
+    connect_timeout_ms: Annotated[
+        str | None, _setting("connect_timeout_ms")
+    ] = None,
+) -> None:
+    """Run an entry until it is drained or stopped."""
+    entry.run(context.params, os.environ)
+
+
+@config_app.command("check")
+def config_check(file: File, as_json: Json = False) -> None:
+    """Check a document without an entry."""
+    raise typer.Exit(configuration.check(file, as_json))
+
+
+@config_app.command("apply")
+def config_apply(
+    file: File,
+    base_version: Annotated[
+        int | None,
+        typer.Option(
+            min=0, help="Version that the document was made from; else current."
+        ),
+    ] = None,
+    change_id: Annotated[
+        str | None,
+        typer.Option(help="Id of an earlier attempt with unknown outcome."),
+    ] = None,
+    as_json: Json = False,
+    url: Url = DEFAULT_URL,
+    timeout_s: Timeout = client.DEFAULT_TIMEOUT_S,
+) -> None:
+    """Make a document the current configuration."""
+    with _client(url, timeout_s) as api:
+        configuration.apply(
+            api, file, base_version, change_id, as_json, time.sleep
+        )
+
+
+@config_app.command("show")
+def config_show(
+    version: Annotated[
+        int | None, typer.Option(min=1, help="Earlier version.")
+    ] = None,
+    raw: Annotated[
+        bool, typer.Option("--document", help="Print the document only.")
+    ] = False,
+    as_json: Json = False,
+    url: Url = DEFAULT_URL,
+    timeout_s: Timeout = client.DEFAULT_TIMEOUT_S,
+) -> None:
+    """Print the current or an earlier configuration."""
+    with _client(url, timeout_s) as api:
+        configuration.show(api, version, as_json, raw)
+
+
+@config_app.command("history")
+def config_history(
+    as_json: Json = False,
+    url: Url = DEFAULT_URL,
+    timeout_s: Timeout = client.DEFAULT_TIMEOUT_S,
+) -> None:
+    """Print the versions and the changes that made them."""
+    with _client(url, timeout_s) as api:
+        configuration.history(api, as_json)
+
+
+@config_app.command("diff")
+def config_diff(
+    file: Annotated[
+        str | None, typer.Argument(help="Document; `-` is standard input.")
+    ] = None,
+    from_version: Annotated[
+        int | None, typer.Option("--from", min=1, help="Default: current.")
+    ] = None,
+    to_version: Annotated[
+        int | None, typer.Option("--to", min=1, help="Default: current.")
+    ] = None,
+    as_json: Json = False,
+    url: Url = DEFAULT_URL,
+    timeout_s: Timeout = client.DEFAULT_TIMEOUT_S,
+) -> None:
+    """Print the fields that differ between versions, or from a document."""
+    with _client(url, timeout_s) as api:
+        configuration.diff(api, file, from_version, to_version, as_json)
+
+
+@app.command("status")
+def status(
+    as_json: Json = False,
+    url: Url = DEFAULT_URL,
+    timeout_s: Timeout = client.DEFAULT_TIMEOUT_S,
+) -> None:
+    """Print the status of an entry."""
+    with _client(url, timeout_s) as api:
+        entry.status(api, as_json)
+
+
+@app.command("drain")
+def drain(
+    as_json: Json = False,
+    url: Url = DEFAULT_URL,
+    timeout_s: Timeout = client.DEFAULT_TIMEOUT_S,
+) -> None:
+    """Ask an entry to complete its work and exit."""
+    with _client(url, timeout_s) as api:
+        entry.drain(api, as_json)
+
+
+@request_app.command("show")
+def request_show(
+    request_id: str,
+    as_json: Json = False,
+    url: Url = DEFAULT_URL,
+    timeout_s: Timeout = client.DEFAULT_TIMEOUT_S,
+) -> None:
+    """Print what an entry knows about a request."""
+    with _client(url, timeout_s) as api:
+        entry.show_request(api, request_id, as_json)
+
+
+@docs_app.command("reference")
+def docs_reference(
+    directory: Annotated[
+        pathlib.Path, typer.Argument(help="Where to write the pages.")
+    ] = pathlib.Path("docs"),
+) -> None:
+    """Write the reference pages from the declared options."""
+    reference.write(directory)
+
+
+def _client(url: str, timeout_s: float) -> client.Client:
+    errors: options.Errors = []
+    checked = options.Url().check(url, URL_VARIABLE, errors)
+    key = options.SecretText().check(
+        os.environ.get(KEY_VARIABLE, ""), KEY_VARIABLE, errors
+    )
+    if checked is None or key is None:
+        raise exceptions.ConfigurationError(errors)
+    return client.Client(checked, key, timeout_s)
+
+
+def main(arguments: list[str] | None = None) -> None:
+    """Run a command and exit with a code of `commands.exits`."""
+    try:
+        app(args=arguments, prog_name=PROGRAM)
+    except exceptions.LaburnumpinError as error:
+        output.print_failure(error)
+        sys.exit(exits.code_for(error))
+
+
+if __name__ == "__main__":
+    main()
--- a/laburnumpin/operator.py
+++ b/laburnumpin/operator.py
@@ -19,6 +19,7 @@
 import sys
 
 from laburnumpin import exceptions
+from laburnumpin.commands import exits
 from laburnumpin.config import loading
 from laburnumpin.config import options
 from laburnumpin.core import deployment
@@ -27,8 +28,6 @@
 BULK = deployment.Priority.BULK
 
 MIN_KEY_CHARACTERS = 16
-# Exit code of a program whose deployment is invalid.
-EXIT_INVALID = 2
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -201,7 +200,7 @@
         except exceptions.ConfigurationError as error:
             for problem in error.errors:
                 print(problem, file=sys.stderr)
-            raise SystemExit(EXIT_INVALID) from None
+            raise SystemExit(exits.Exit.INVALID) from None
         print(text)
 
     def _add(self, section: str, name: str, fields: dict[str, object]) -> None:
--- a/laburnumpin/tests/test_operator.py
+++ b/laburnumpin/tests/test_operator.py
@@ -9,6 +9,7 @@
 
 from laburnumpin import exceptions
 from laburnumpin import operator
+from laburnumpin.commands import exits
 from laburnumpin.config import loading
 from laburnumpin.core import deployment
 
@@ -32,7 +33,7 @@
     """Guards against a builder that stops at the first problem."""
     with pytest.raises(SystemExit) as caught:
         invalid().print_document()
-    assert caught.value.code == operator.EXIT_INVALID
+    assert caught.value.code == exits.Exit.INVALID
     captured = capsys.readouterr()
     assert captured.out == ""
     fields = [line.split(":")[0] for line in captured.err.splitlines()]
