Add the peer link and its codec; take the settings from config

Entries could not exchange digests, subscriptions or handovers.

- `codec.py` encodes messages as CBOR in an envelope with type and protocol version.
The converter coerces no types: by default cattrs turns "5" into 5 and the text "ab" into the tuple ("a", "b").
- `peer_link.py` keeps one link per pair and sends on the oldest open one, so that messages keep their order.
Every lost link is reported, since either side may have lost messages with it.
- A peer that the VM list did not name becomes a member through a digest with sequence 0 made from its handshake; without it two seeds would never send each other a digest.
- The shell uses `config.settings.Settings` and its three hosts.

--- a/laburnumpin/server/bridge.py
+++ b/laburnumpin/server/bridge.py
@@ -67,6 +67,15 @@
         """Queue an event; waits while the queue is full."""
         await self._send.send(event)
 
+    async def put_last(self, event: events.Event) -> None:
+        """Queue an event even if the current task is being cancelled.
+
+        Gives up after a second, since during a cancellation of the whole
+        daemon nobody takes events any more.
+        """
+        with anyio.move_on_after(1, shield=True):
+            await self.put(event)
+
     async def take(self) -> events.Event:
         """Return the next event."""
         return await self._receive.receive()
@@ -125,10 +134,9 @@
             receive.close()
             if self._readers.pop(reader_id, None) is not None:
                 send.close()
-                with anyio.CancelScope(shield=True):
-                    await self.put(
-                        events.ReaderClosed(self.clock.now_ms(), reader_id)
-                    )
+                await self.put_last(
+                    events.ReaderClosed(self.clock.now_ms(), reader_id)
+                )
 
     def deliver(self, output: Output) -> None:
         """Pass output on to a reader; drops it when the reader is gone."""
--- a/laburnumpin/server/documents.py
+++ b/laburnumpin/server/documents.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections.abc import Mapping
 import json
 from typing import Any
+from typing import get_args
+from typing import get_origin
 from typing import TypeVar
 
 import cattrs
@@ -29,6 +32,9 @@
     converter.register_structure_hook(str, _structure_str)
     converter.register_structure_hook(bool, _structure_bool)
     converter.register_structure_hook(bytes, _structure_bytes)
+    converter.register_structure_hook_factory(
+        _is_tuple, lambda target: _tuple_hook(converter, target)
+    )
     return converter
 
 
@@ -109,4 +115,22 @@
     return value
 
 
+def _is_tuple(target: Any) -> bool:
+    return get_origin(target) is tuple
+
+
+def _tuple_hook(
+    converter: cattrs.Converter, target: Any
+) -> Callable[[Any, Any], tuple[Any, ...]]:
+    # The hook of `cattrs` takes any iterable, so that "ab" becomes ("a", "b").
+    element = get_args(target)[0]
+
+    def structure(value: Any, _: Any) -> tuple[Any, ...]:
+        if not isinstance(value, list | tuple):
+            raise TypeError("not an array")
+        return tuple(converter.structure(item, element) for item in value)
+
+    return structure
+
+
 _converter = new_converter()
--- a/laburnumpin/server/entry.py
+++ b/laburnumpin/server/entry.py
@@ -10,7 +10,6 @@
 import signal
 import socket
 from typing import Any
-from typing import Protocol
 
 import anyio
 from anyio import abc
@@ -21,6 +20,7 @@
 
 from laburnumpin import clock as clocks
 from laburnumpin import verdict
+from laburnumpin.config import settings as settings_module
 from laburnumpin.core import effects
 from laburnumpin.core import events
 from laburnumpin.core import ids
@@ -32,6 +32,7 @@
 from laburnumpin.server import caller_input
 from laburnumpin.server import logs
 from laburnumpin.server import metrics
+from laburnumpin.server import peer_link
 from laburnumpin.server import platform_client
 from laburnumpin.server import tasks
 from laburnumpin.server import upstream_client
@@ -42,62 +43,6 @@
 LISTEN_BACKLOG = 1_024
 
 
-class Settings(Protocol):
-    """The process settings that the daemon uses."""
-
-    @property
-    def vm_id(self) -> str:
-        """Id of the VM on which this process runs."""
-
-    @property
-    def zone(self) -> str:
-        """Zone of the VM."""
-
-    @property
-    def host(self) -> str:
-        """Address to listen on."""
-
-    @property
-    def caller_port(self) -> int:
-        """Port of the caller API; 0 chooses a free one."""
-
-    @property
-    def operator_port(self) -> int:
-        """Port of the operator API; 0 chooses a free one."""
-
-    @property
-    def peer_port(self) -> int:
-        """Port of the peer link; 0 chooses a free one."""
-
-    @property
-    def peer_address(self) -> str:
-        """Address for peers; empty means the address that is bound."""
-
-    @property
-    def platform_url(self) -> str:
-        """Base URL of the platform."""
-
-    @property
-    def platform_token(self) -> str:
-        """Bearer token for the platform."""
-
-    @property
-    def operator_key(self) -> str:
-        """Bearer key of the operators."""
-
-    @property
-    def peer_secret(self) -> str:
-        """Secret that all entries share."""
-
-    @property
-    def seed_peers(self) -> tuple[str, ...]:
-        """Addresses of peers to connect to at the start."""
-
-    @property
-    def log_level(self) -> str:
-        """Lowest level that is logged."""
-
-
 @dataclasses.dataclass(slots=True, frozen=True)
 class RunningEntry:
     """An entry that is serving; addresses are `host:port`."""
@@ -187,14 +132,14 @@
         self.exited.set()
 
 
-def run(settings: Settings) -> None:
+def run(settings: settings_module.Settings) -> None:
     """Run the daemon until it has drained after SIGTERM."""
     logs.set_up(settings.log_level, settings.vm_id)
     anyio.run(_run_with_signals, settings)
 
 
 async def serve(
-    settings: Settings,
+    settings: settings_module.Settings,
     *,
     clock: clocks.Clock | None = None,
     task_status: abc.TaskStatus[RunningEntry] = anyio.TASK_STATUS_IGNORED,
@@ -204,45 +149,127 @@
     Reports a `RunningEntry` as soon as all ports are bound.
     """
     clock = clock or clocks.SystemClock()
-    with contextlib.ExitStack() as sockets:
-        caller_socket = sockets.enter_context(
-            _listen(settings.host, settings.caller_port)
-        )
-        state = entry_state.EntryState(
-            ids.EntryId(settings.vm_id, clock.now_ms()),
-            settings.zone,
-            settings.peer_address,
-            secrets.randbits(64),
-        )
-        bridge = bridges.Bridge(state, clock)
-        loop = _Loop(bridge)
-        recorded = metrics.Metrics()
-        loop.register({effects.ObserveLatency: recorded.observe})
-        running = RunningEntry(_address(caller_socket), "", "", bridge)
+    with contextlib.ExitStack() as stack:
+        sockets = _open_sockets(settings, stack)
+        bridge = _new_bridge(settings, sockets, clock)
         async with anyio.create_task_group() as task_group:
-            runner = tasks.TaskRunner(task_group)
-            upstreams = upstream_client.UpstreamClient(bridge, runner)
-            platform = platform_client.PlatformClient(
-                bridge, runner, settings.platform_url, settings.platform_token
-            )
-            loop.register(_client_executors(upstreams, platform))
-            task_group.start_soon(loop.run)
-            task_group.start_soon(loop.tick)
-            task_status.started(running)
+            daemon = _Daemon(settings, bridge, sockets, task_group)
+            task_group.start_soon(daemon.loop.run)
+            task_group.start_soon(daemon.loop.tick)
+            task_status.started(daemon.running())
             try:
-                await _serve_http(
-                    caller_api.CallerApi(bridge, recorded).application(),
-                    caller_socket,
-                    loop.exited,
-                )
+                await daemon.serve()
             finally:
-                with anyio.CancelScope(shield=True):
-                    await upstreams.close()
-                    await platform.close()
+                await daemon.close()
             task_group.cancel_scope.cancel()
 
 
-async def _run_with_signals(settings: Settings) -> None:
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Sockets:
+    """The listening sockets."""
+
+    caller: socket.socket
+    operator: socket.socket
+    peer: socket.socket
+
+
+class _Daemon:
+    """The parts of a serving entry."""
+
+    __slots__ = (
+        "_bridge",
+        "_metrics",
+        "_peers",
+        "_platform",
+        "_settings",
+        "_sockets",
+        "_upstreams",
+        "loop",
+    )
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        bridge: bridges.Bridge,
+        sockets: _Sockets,
+        task_group: abc.TaskGroup,
+    ) -> None:
+        self._settings = settings
+        self._bridge = bridge
+        self._sockets = sockets
+        self._metrics = metrics.Metrics()
+        runner = tasks.TaskRunner(task_group)
+        self._upstreams = upstream_client.UpstreamClient(
+            bridge, runner, settings
+        )
+        self._platform = platform_client.PlatformClient(
+            bridge, runner, settings
+        )
+        self._peers = peer_link.PeerLink(
+            bridge, runner, settings.peer_secret.reveal()
+        )
+        self.loop = _Loop(bridge)
+        self.loop.register(self._executors())
+
+    def running(self) -> RunningEntry:
+        """Return the addresses that are bound."""
+        return RunningEntry(
+            _address(self._sockets.caller),
+            _address(self._sockets.operator),
+            _address(self._sockets.peer),
+            self._bridge,
+        )
+
+    async def serve(self) -> None:
+        """Serve all ports until the core says to exit.
+
+        Peer links stay open until the callers' connections are finished.
+        """
+        callers = caller_api.CallerApi(self._bridge, self._metrics)
+        finished = anyio.Event()
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(
+                self._peers.serve, self._sockets.peer, finished
+            )
+            self._peers.start_seeds(self._settings.seed_peers)
+            await _serve_http(
+                callers.application(), self._sockets.caller, self.loop.exited
+            )
+            finished.set()
+
+    async def close(self) -> None:
+        """Close the connections to upstreams and the platform."""
+        with anyio.CancelScope(shield=True):
+            await self._upstreams.close()
+            await self._platform.close()
+
+    def _executors(self) -> dict[type, Callable[[Any], None]]:
+        upstreams = self._upstreams
+        platform = self._platform
+        return {
+            effects.Dispatch: upstreams.dispatch,
+            effects.CancelAttempt: upstreams.cancel,
+            effects.ImportCache: upstreams.import_cache,
+            effects.PollLoad: upstreams.poll_load,
+            effects.SendOrder: upstreams.send_order,
+            effects.ListVms: platform.start_list_vms,
+            effects.ListNotices: platform.start_list_notices,
+            effects.ListPrices: platform.start_list_prices,
+            effects.Transact: platform.start_transact,
+            effects.ReadRows: platform.start_read,
+            effects.ScanRows: platform.start_scan,
+            effects.PutObject: platform.start_put_object,
+            effects.GetObject: platform.start_get_object,
+            effects.DeleteObject: platform.start_delete_object,
+            effects.ListObjects: platform.start_list_objects,
+            effects.StartVm: platform.start_start_vm,
+            effects.StopVm: platform.start_stop_vm,
+            effects.SendPeer: self._peers.send,
+            effects.ObserveLatency: self._metrics.observe,
+        }
+
+
+async def _run_with_signals(settings: settings_module.Settings) -> None:
     # The receiver is in place before the ports are, so that no signal meets
     # the default action, which would cut requests.
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
@@ -256,7 +283,7 @@
 
 
 async def _serve_entry(
-    settings: Settings,
+    settings: settings_module.Settings,
     scope: anyio.CancelScope,
     *,
     task_status: abc.TaskStatus[RunningEntry],
@@ -265,29 +292,31 @@
     scope.cancel()
 
 
-def _client_executors(
-    upstreams: upstream_client.UpstreamClient,
-    platform: platform_client.PlatformClient,
-) -> dict[type, Callable[[Any], None]]:
-    return {
-        effects.Dispatch: upstreams.dispatch,
-        effects.CancelAttempt: upstreams.cancel,
-        effects.ImportCache: upstreams.import_cache,
-        effects.PollLoad: upstreams.poll_load,
-        effects.SendOrder: upstreams.send_order,
-        effects.ListVms: platform.start_list_vms,
-        effects.ListNotices: platform.start_list_notices,
-        effects.ListPrices: platform.start_list_prices,
-        effects.Transact: platform.start_transact,
-        effects.ReadRows: platform.start_read,
-        effects.ScanRows: platform.start_scan,
-        effects.PutObject: platform.start_put_object,
-        effects.GetObject: platform.start_get_object,
-        effects.DeleteObject: platform.start_delete_object,
-        effects.ListObjects: platform.start_list_objects,
-        effects.StartVm: platform.start_start_vm,
-        effects.StopVm: platform.start_stop_vm,
-    }
+def _open_sockets(
+    settings: settings_module.Settings, stack: contextlib.ExitStack
+) -> _Sockets:
+    return _Sockets(
+        stack.enter_context(
+            _listen(settings.caller_host, settings.caller_port)
+        ),
+        stack.enter_context(
+            _listen(settings.operator_host, settings.operator_port)
+        ),
+        stack.enter_context(_listen(settings.peer_host, settings.peer_port)),
+    )
+
+
+def _new_bridge(
+    settings: settings_module.Settings, sockets: _Sockets, clock: clocks.Clock
+) -> bridges.Bridge:
+    peer_address = settings.advertised_peer_address
+    state = entry_state.EntryState(
+        ids.EntryId(settings.vm_id, clock.now_ms()),
+        settings.zone,
+        peer_address or _address(sockets.peer),
+        secrets.randbits(64),
+    )
+    return bridges.Bridge(state, clock)
 
 
 def _listen(host: str, port: int) -> socket.socket:
--- a/laburnumpin/server/http_calls.py
+++ b/laburnumpin/server/http_calls.py
@@ -52,19 +52,28 @@
         return {"trace": self.trace}
 
 
-def new_client(reuse: bool, base_url: str = "") -> httpx.AsyncClient:
+def new_client(
+    reuse: bool,
+    connect_timeout_ms: int = CONNECT_TIMEOUT_MS,
+    max_connections: int | None = None,
+    base_url: str = "",
+) -> httpx.AsyncClient:
     """Return a client without retries, redirects, proxies or read timeouts.
 
     Callers bound the duration of each call with a cancel scope. Without
-    `reuse` every call opens a new connection.
+    `reuse` every call opens a new connection. A call that gets no connection
+    in time has certainly not been sent.
     """
+    connect_timeout_s = connect_timeout_ms / 1_000
     return httpx.AsyncClient(
         base_url=base_url,
         trust_env=False,
         follow_redirects=False,
-        timeout=httpx.Timeout(None, connect=CONNECT_TIMEOUT_MS / 1_000),
+        timeout=httpx.Timeout(
+            None, connect=connect_timeout_s, pool=connect_timeout_s
+        ),
         limits=httpx.Limits(
-            max_connections=None,
+            max_connections=max_connections,
             max_keepalive_connections=None if reuse else 0,
             keepalive_expiry=KEEPALIVE_MS / 1_000,
         ),
--- /dev/null
+++ b/laburnumpin/server/peer_link.py
@@ -0,0 +1,447 @@
+"""Links to the other entries, over websockets.
+
+Both sides of a pair may open a link. Messages go out on the oldest link that
+is open, so that their order is kept. Since the loss of any link may lose
+messages of either side, each loss is reported to the core.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import http
+import socket
+
+import anyio
+from anyio.streams import memory
+from websockets import exceptions as websocket_exceptions
+from websockets import http11
+from websockets.asyncio import client
+from websockets.asyncio import connection as connections
+from websockets.asyncio import server
+
+from laburnumpin import exceptions
+from laburnumpin.core import effects
+from laburnumpin.core import events
+from laburnumpin.core import messages
+from laburnumpin.server import authentication
+from laburnumpin.server import bridge as bridges
+from laburnumpin.server import codec
+from laburnumpin.server import handshake
+from laburnumpin.server import logs
+from laburnumpin.server import tasks
+
+HEARTBEAT_MS = 1_000
+SILENCE_MS = 3_000
+QUEUE_MESSAGES = 256
+CONNECT_TIMEOUT_MS = 2_000
+CLOSE_TIMEOUT_MS = 1_000
+SEED_PERIOD_MS = 2_000
+# A heartbeat is an empty frame, which no encoded message is.
+HEARTBEAT = b""
+# For messages to peers that have not introduced themselves yet.
+UNKNOWN_AGE_MS = 2**31
+
+_CLOSED = (websocket_exceptions.WebSocketException, OSError, TimeoutError)
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Link:
+    """An open link, or one that is being opened."""
+
+    peer_id: str
+    incarnation: int
+    send: memory.MemoryObjectSendStream[messages.Message]
+    receive: memory.MemoryObjectReceiveStream[messages.Message]
+    scope: anyio.CancelScope
+    ended: anyio.Event
+
+
+class PeerLink:
+    """The links of this entry."""
+
+    __slots__ = (
+        "_bridge",
+        "_introduction",
+        "_links",
+        "_secret",
+        "_stopping",
+        "_tasks",
+    )
+
+    def __init__(
+        self,
+        bridge: bridges.Bridge,
+        task_runner: tasks.TaskRunner,
+        secret: str,
+    ) -> None:
+        self._bridge = bridge
+        self._tasks = task_runner
+        self._secret = secret
+        state = bridge.state
+        self._introduction = handshake.Introduction(
+            state.entry, state.zone, state.peer_address
+        )
+        self._links: dict[str, list[_Link]] = {}
+        self._stopping = False
+
+    async def serve(self, listener: socket.socket, stop: anyio.Event) -> None:
+        """Serve links until `stop`, then send what is queued and close."""
+        served = await server.serve(
+            self._accept,
+            sock=listener,
+            process_request=self._check_request,
+            process_response=self._add_headers,
+            compression=None,
+            open_timeout=CONNECT_TIMEOUT_MS / 1_000,
+            ping_interval=None,
+            close_timeout=CLOSE_TIMEOUT_MS / 1_000,
+            max_size=codec.MAX_MESSAGE_BYTES,
+        )
+        try:
+            await stop.wait()
+            await self._drain()
+        finally:
+            served.close()
+            with anyio.move_on_after(CLOSE_TIMEOUT_MS / 1_000, shield=True):
+                await served.wait_closed()
+
+    def start_seeds(self, addresses: tuple[str, ...]) -> None:
+        """Keep a link to the entries at these addresses."""
+        for address in addresses:
+            self._tasks.start(self._keep_seed, address)
+
+    def send(self, effect: effects.SendPeer) -> None:
+        """Queue a message; opens a link when there is none."""
+        links = self._links.get(effect.peer_id)
+        if links:
+            link = links[0]
+        elif effect.address == "" or self._stopping:
+            self._tasks.start(self._fail, effect.peer_id, [effect.message])
+            return
+        else:
+            link = self._new_link(effect.peer_id)
+            self._tasks.start(self._open, link, effect.address)
+        try:
+            link.send.send_nowait(effect.message)
+        except (anyio.WouldBlock, anyio.ClosedResourceError):
+            self._tasks.start(self._fail, effect.peer_id, [effect.message])
+
+    def _new_link(self, peer_id: str, incarnation: int = 0) -> _Link:
+        send, receive = anyio.create_memory_object_stream[messages.Message](
+            QUEUE_MESSAGES
+        )
+        link = _Link(
+            peer_id,
+            incarnation,
+            send,
+            receive,
+            anyio.CancelScope(),
+            anyio.Event(),
+        )
+        self._links.setdefault(peer_id, []).append(link)
+        return link
+
+    async def _open(self, link: _Link, address: str) -> None:
+        try:
+            with link.scope:
+                await self._connect(link, address)
+        finally:
+            await self._end(link)
+
+    async def _connect(self, link: _Link, address: str) -> None:
+        try:
+            connection = await self._dial(address)
+        except _CLOSED as error:
+            _log_failure("peer_connect_failed", address, error)
+            return
+        try:
+            introduction = _introduction_of(connection)
+            if introduction.entry.vm_id != link.peer_id:
+                # The VM that had this address is gone.
+                raise exceptions.MessageError("another VM has this address")
+            link.incarnation = introduction.entry.incarnation
+            await self._run(link, connection)
+        except exceptions.MessageError as error:
+            _log_failure("peer_refused", address, error)
+        finally:
+            await _close(connection)
+
+    async def _dial(self, address: str) -> client.ClientConnection:
+        headers = handshake.headers(self._introduction)
+        headers[handshake.SECRET] = self._secret
+        return await client.connect(
+            f"ws://{address}/",
+            additional_headers=headers,
+            compression=None,
+            proxy=None,
+            open_timeout=CONNECT_TIMEOUT_MS / 1_000,
+            ping_interval=None,
+            close_timeout=CLOSE_TIMEOUT_MS / 1_000,
+            max_size=codec.MAX_MESSAGE_BYTES,
+        )
+
+    async def _keep_seed(self, address: str) -> None:
+        peer_id = ""
+        while not self._stopping:
+            if not self._links.get(peer_id):
+                peer_id = await self._open_seed(address) or peer_id
+            if peer_id == self._introduction.entry.vm_id:
+                return  # The address is this entry's own.
+            await anyio.sleep(SEED_PERIOD_MS / 1_000)
+
+    async def _open_seed(self, address: str) -> str | None:
+        try:
+            connection = await self._dial(address)
+            introduction = _introduction_of(connection)
+        except (*_CLOSED, exceptions.MessageError) as error:
+            _log_failure("peer_connect_failed", address, error)
+            return None
+        entry = introduction.entry
+        if entry.vm_id == self._introduction.entry.vm_id:
+            await _close(connection)
+            return entry.vm_id
+        link = self._new_link(entry.vm_id, entry.incarnation)
+        self._tasks.start(self._run_seed, link, connection, introduction)
+        return entry.vm_id
+
+    async def _run_seed(
+        self,
+        link: _Link,
+        connection: client.ClientConnection,
+        introduction: handshake.Introduction,
+    ) -> None:
+        try:
+            with link.scope:
+                await self._introduce(introduction)
+                await self._run(link, connection)
+        finally:
+            await _close(connection)
+            await self._end(link)
+
+    def _check_request(
+        self, connection: server.ServerConnection, request: http11.Request
+    ) -> http11.Response | None:
+        given = request.headers.get(handshake.SECRET, "")
+        if not authentication.matches(given, self._secret):
+            return connection.respond(http.HTTPStatus.UNAUTHORIZED, "")
+        try:
+            introduction = handshake.parse(request.headers)
+        except exceptions.MessageError as error:
+            return connection.respond(
+                http.HTTPStatus.BAD_REQUEST, error.message
+            )
+        if self._stopping or self._is_old(introduction):
+            return connection.respond(http.HTTPStatus.CONFLICT, "")
+        return None
+
+    def _is_old(self, introduction: handshake.Introduction) -> bool:
+        entry = introduction.entry
+        for link in self._links.get(entry.vm_id, []):
+            if link.incarnation > entry.incarnation:
+                return True
+        return False
+
+    def _add_headers(
+        self,
+        connection: server.ServerConnection,
+        request: http11.Request,
+        response: http11.Response,
+    ) -> None:
+        del connection, request
+        if response.status_code == http.HTTPStatus.SWITCHING_PROTOCOLS:
+            response.headers.update(handshake.headers(self._introduction))
+
+    async def _accept(self, connection: server.ServerConnection) -> None:
+        assert connection.request is not None
+        introduction = handshake.parse(connection.request.headers)
+        entry = introduction.entry
+        if entry.vm_id == self._introduction.entry.vm_id:
+            logs.write("peer_same_vm_id", "error", {"peer": entry.vm_id})
+            return
+        for older in self._links.get(entry.vm_id, []):
+            if 0 < older.incarnation < entry.incarnation:
+                older.scope.cancel()
+        link = self._new_link(entry.vm_id, entry.incarnation)
+        self._take_over(link)
+        try:
+            with link.scope:
+                await self._introduce(introduction)
+                await self._run(link, connection)
+        except Exception:
+            logs.write_exception("peer_link_error", {"peer": link.peer_id})
+        finally:
+            await self._end(link)
+
+    def _take_over(self, link: _Link) -> None:
+        """Send over an open link what waits for one that is not open yet."""
+        links = self._links[link.peer_id]
+        if links[0].incarnation:
+            return
+        links.remove(link)
+        links.insert(0, link)
+        waiting = links[1].receive
+        with contextlib.suppress(anyio.WouldBlock, anyio.EndOfStream):
+            while True:
+                link.send.send_nowait(waiting.receive_nowait())
+
+    async def _introduce(self, introduction: handshake.Introduction) -> None:
+        """Make a peer a member when the VM list did not name it.
+
+        Sequence 0 precedes all digests of the peer itself.
+        """
+        known = self._bridge.state.membership.by_vm.get(
+            introduction.entry.vm_id
+        )
+        if known is not None or introduction.peer_address == "":
+            return
+        digest = messages.Digest(
+            entry=introduction.entry,
+            sequence=0,
+            zone=introduction.zone,
+            peer_address=introduction.peer_address,
+            accepting=True,
+            configuration_version=0,
+            confirmed_age_ms=UNKNOWN_AGE_MS,
+            loads=(),
+            leaving=(),
+            departures=(),
+            demands=(),
+        )
+        await self._receive(introduction.entry.vm_id, digest)
+
+    async def _run(
+        self, link: _Link, connection: connections.Connection
+    ) -> None:
+        logs.write("peer_connected", "info", {"peer": link.peer_id})
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(self._read, link, connection)
+            task_group.start_soon(self._write, link, connection)
+            task_group.start_soon(_send_heartbeats, link, connection)
+
+    async def _read(
+        self, link: _Link, connection: connections.Connection
+    ) -> None:
+        try:
+            while True:
+                with anyio.fail_after(SILENCE_MS / 1_000):
+                    data = await connection.recv(decode=False)
+                if data != HEARTBEAT:
+                    await self._receive(link.peer_id, codec.decode(data))
+        except _CLOSED as error:
+            _log_failure("peer_disconnected", link.peer_id, error)
+        except exceptions.MessageError as error:
+            logs.write(
+                "peer_message_invalid",
+                "error",
+                {
+                    "peer": link.peer_id,
+                    "code": error.code,
+                    "reason": error.message,
+                },
+            )
+        link.scope.cancel()
+
+    async def _write(
+        self, link: _Link, connection: connections.Connection
+    ) -> None:
+        try:
+            async for message in link.receive:
+                await self._write_message(link, connection, message)
+        except _CLOSED:
+            return  # The reader notices the end too and reports it.
+        await _close(connection)
+
+    async def _write_message(
+        self,
+        link: _Link,
+        connection: connections.Connection,
+        message: messages.Message,
+    ) -> None:
+        try:
+            data = codec.encode(message)
+        except exceptions.MessageError as error:
+            _log_failure("peer_message_not_sent", link.peer_id, error)
+            await self._fail(link.peer_id, [message])
+            return
+        await connection.send(data)
+
+    async def _receive(self, peer_id: str, message: messages.Message) -> None:
+        await self._bridge.put(
+            events.PeerReceived(self._bridge.clock.now_ms(), peer_id, message)
+        )
+
+    async def _end(self, link: _Link) -> None:
+        links = self._links[link.peer_id]
+        links.remove(link)
+        if not links:
+            del self._links[link.peer_id]
+        unsent = _take_queued(link)
+        link.ended.set()
+        await self._fail(link.peer_id, unsent)
+        if link.incarnation:
+            await self._bridge.put_last(
+                events.PeerDisconnected(
+                    self._bridge.clock.now_ms(), link.peer_id
+                )
+            )
+
+    async def _fail(self, peer_id: str, unsent: list[messages.Message]) -> None:
+        for message in unsent:
+            await self._bridge.put_last(
+                events.PeerSendFailed(
+                    self._bridge.clock.now_ms(), peer_id, message
+                )
+            )
+
+    async def _drain(self) -> None:
+        self._stopping = True
+        links = [link for row in self._links.values() for link in row]
+        for link in links:
+            link.send.close()
+        with anyio.move_on_after(CLOSE_TIMEOUT_MS * 2 / 1_000):
+            for link in links:
+                await link.ended.wait()
+        for link in links:
+            link.scope.cancel()
+
+
+async def _send_heartbeats(
+    link: _Link, connection: connections.Connection
+) -> None:
+    del link
+    try:
+        while True:
+            await connection.send(HEARTBEAT)
+            await anyio.sleep(HEARTBEAT_MS / 1_000)
+    except _CLOSED:
+        return  # The reader notices the end too and reports it.
+
+
+async def _close(connection: connections.Connection) -> None:
+    with anyio.move_on_after(CLOSE_TIMEOUT_MS / 1_000, shield=True):
+        await connection.close()
+
+
+def _introduction_of(
+    connection: client.ClientConnection,
+) -> handshake.Introduction:
+    assert connection.response is not None
+    return handshake.parse(connection.response.headers)
+
+
+def _take_queued(link: _Link) -> list[messages.Message]:
+    link.send.close()
+    queued: list[messages.Message] = []
+    while True:
+        try:
+            queued.append(link.receive.receive_nowait())
+        except (anyio.WouldBlock, anyio.EndOfStream):
+            break
+    link.receive.close()
+    return queued
+
+
+def _log_failure(message_type: str, peer: str, error: Exception) -> None:
+    reason = f"{type(error).__name__}: {error}"
+    logs.write(message_type, "info", {"peer": peer, "reason": reason})
--- a/laburnumpin/server/platform_client.py
+++ b/laburnumpin/server/platform_client.py
@@ -13,6 +13,7 @@
 import httpx
 
 from laburnumpin import exceptions
+from laburnumpin.config import settings as settings_module
 from laburnumpin.core import effects
 from laburnumpin.core import events
 from laburnumpin.core import store
@@ -69,13 +70,14 @@
         self,
         bridge: bridges.Bridge,
         task_runner: tasks.TaskRunner,
-        platform_url: str,
-        token: str,
+        settings: settings_module.Settings,
     ) -> None:
         self._bridge = bridge
         self._tasks = task_runner
-        self._token = token
-        self._client = http_calls.new_client(True, platform_url.rstrip("/"))
+        self._token = settings.platform_token
+        self._client = http_calls.new_client(
+            True, base_url=settings.platform_url.rstrip("/")
+        )
 
     async def close(self) -> None:
         """Close all connections."""
@@ -351,7 +353,7 @@
         timeout_ms: int = STORE_TIMEOUT_MS,
     ) -> _Response:
         guard = http_calls.SendGuard(self._bridge.clock, valid_until_ms)
-        headers = {"Authorization": f"Bearer {self._token}"}
+        headers = {"Authorization": f"Bearer {self._token.reveal()}"}
         if body is not None:
             content = json.dumps(body).encode()
             headers["Content-Type"] = "application/json"
--- a/laburnumpin/server/upstream_client.py
+++ b/laburnumpin/server/upstream_client.py
@@ -13,6 +13,7 @@
 
 from laburnumpin import exceptions
 from laburnumpin import verdict
+from laburnumpin.config import settings as settings_module
 from laburnumpin.core import deployment
 from laburnumpin.core import effects
 from laburnumpin.core import events
@@ -86,12 +87,23 @@
     )
 
     def __init__(
-        self, bridge: bridges.Bridge, task_runner: tasks.TaskRunner
+        self,
+        bridge: bridges.Bridge,
+        task_runner: tasks.TaskRunner,
+        settings: settings_module.Settings,
     ) -> None:
         self._bridge = bridge
         self._tasks = task_runner
-        self._fresh = http_calls.new_client(reuse=False)
-        self._pooled = http_calls.new_client(reuse=True)
+        self._fresh = http_calls.new_client(
+            False,
+            settings.connect_timeout_ms,
+            settings.max_upstream_connections,
+        )
+        self._pooled = http_calls.new_client(
+            True,
+            settings.connect_timeout_ms,
+            settings.max_upstream_connections,
+        )
         self._attempts: dict[str, _Attempt] = {}
         self._deletes: dict[tuple[str, str], anyio.Event] = {}
 
--- a/laburnumpin/tests/server_fakes.py
+++ b/laburnumpin/tests/server_fakes.py
@@ -6,7 +6,6 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
-import dataclasses
 import hashlib
 import json
 import socket
@@ -21,6 +20,8 @@
 from starlette import responses
 from starlette import routing
 
+from laburnumpin.config import options
+from laburnumpin.config import settings as settings_module
 from laburnumpin.core import deployment
 from laburnumpin.core import events
 from laburnumpin.server import bridge as bridges
@@ -29,29 +30,31 @@
 # Bounds a wait for a condition; no test depends on its length.
 WAIT_S = 60
 CUSTOMER_KEY = "key-of-acme"
-OPERATOR_KEY = "key-of-operators"
+OPERATOR_KEY = "key-of-the-operators"
 HEADERS = {"Authorization": f"Bearer {CUSTOMER_KEY}"}
 
 Answer = Callable[[requests.Request], Awaitable[responses.Response]]
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Settings:
-    """Process settings for a test."""
-
-    vm_id: str = "entry-1"
-    zone: str = "zone-1"
-    host: str = "127.0.0.1"
-    caller_port: int = 0
-    operator_port: int = 0
-    peer_port: int = 0
-    peer_address: str = ""
-    platform_url: str = "http://127.0.0.1:9"
-    platform_token: str = "platform-token"
-    operator_key: str = OPERATOR_KEY
-    peer_secret: str = "peer-secret"
-    seed_peers: tuple[str, ...] = ()
-    log_level: str = "error"
+def new_settings(
+    vm_id: str = "entry-1",
+    platform_url: str = "http://127.0.0.1:9",
+    seed_peers: tuple[str, ...] = (),
+    peer_secret: str = "peer-secret-of-the-test",
+) -> settings_module.Settings:
+    """Return settings with free ports."""
+    return settings_module.Settings(
+        vm_id=vm_id,
+        zone="zone-1",
+        platform_url=platform_url,
+        platform_token=options.Secret("platform-token-of-the-test"),
+        operator_key=options.Secret(OPERATOR_KEY),
+        peer_secret=options.Secret(peer_secret),
+        caller_port=0,
+        operator_port=0,
+        peer_port=0,
+        seed_peers=seed_peers,
+    )
 
 
 class Recorder:
@@ -101,11 +104,13 @@
 
 @contextlib.asynccontextmanager
 async def run_entry(
-    settings: Settings | None = None,
+    settings: settings_module.Settings | None = None,
 ) -> AsyncIterator[entry.RunningEntry]:
     """Run an entry and cancel it at the end."""
     async with anyio.create_task_group() as task_group:
-        running = await task_group.start(entry.serve, settings or Settings())
+        running = await task_group.start(
+            entry.serve, settings or new_settings()
+        )
         try:
             yield running
         finally:
@@ -136,7 +141,7 @@
         1, "change-1", "{}", current
     )
     # A test may take longer than the 16 s for which a confirmation holds.
-    state.configuration.confirmed_ms = running.bridge.clock.now_ms() + 10**9
+    state.configuration.contact_ms = running.bridge.clock.now_ms() + 10**9
 
 
 async def add_upstream(
--- /dev/null
+++ b/laburnumpin/tests/test_server_codec.py
@@ -0,0 +1,118 @@
+"""Tests of the codec of the peer link."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import types
+from typing import Any
+from typing import get_args
+from typing import get_origin
+from typing import get_type_hints
+
+import cbor2
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from laburnumpin import exceptions
+from laburnumpin.core import messages
+from laburnumpin.server import codec
+
+MESSAGE_TYPES = get_args(messages.Message)
+PLAIN_VALUES: dict[type, Any] = {int: 7, str: "ä", bool: True, float: 0.5}
+
+_values = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.text(max_size=4)
+    | strategies.binary(max_size=4)
+    | strategies.floats(),
+    lambda inner: (
+        strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(
+            strategies.text(max_size=4), inner, max_size=3
+        )
+    ),
+    max_leaves=8,
+)
+
+
+def _example(target: Any) -> Any:
+    """Return a value of a type, with every optional part present."""
+    if isinstance(target, type) and dataclasses.is_dataclass(target):
+        hints = get_type_hints(target)
+        return target(**{name: _example(hints[name]) for name in hints})
+    if isinstance(target, type) and issubclass(target, enum.Enum):
+        return next(iter(target))
+    if get_origin(target) is tuple:
+        return (_example(get_args(target)[0]),) * 2
+    if isinstance(target, types.UnionType):
+        return _example(get_args(target)[0])
+    return PLAIN_VALUES[target]
+
+
+@pytest.mark.parametrize("message_type", MESSAGE_TYPES)
+def test_every_message_survives_the_round_trip(message_type: type) -> None:
+    """Guards against message types that the codec does not know."""
+    message = _example(message_type)
+    assert codec.decode(codec.encode(message)) == message
+
+
+@hypothesis.given(strategies.binary(max_size=64))
+def test_any_bytes_are_rejected_with_a_code(data: bytes) -> None:
+    """Guards against a peer that ends the process with random bytes."""
+    with pytest.raises(exceptions.MessageError):
+        codec.decode(data)
+
+
+@hypothesis.given(
+    strategies.sampled_from(MESSAGE_TYPES),
+    strategies.integers(min_value=0, max_value=255),
+    strategies.data(),
+)
+def test_damaged_messages_are_rejected_or_whole(
+    message_type: type, byte: int, data: strategies.DataObject
+) -> None:
+    """Guards against errors other than `MessageError` on damaged messages."""
+    encoded = bytearray(codec.encode(_example(message_type)))
+    position = data.draw(strategies.integers(0, len(encoded) - 1))
+    encoded[position] = byte
+    end = data.draw(strategies.integers(position + 1, len(encoded)))
+    try:
+        decoded = codec.decode(bytes(encoded[:end]))
+    except exceptions.MessageError:
+        return
+    # What was accepted must be a message that can be passed on.
+    assert codec.decode(codec.encode(decoded)) == decoded
+
+
+@hypothesis.given(
+    strategies.sampled_from(MESSAGE_TYPES), strategies.data(), _values
+)
+def test_fields_of_wrong_types_are_rejected(
+    message_type: type, data: strategies.DataObject, value: Any
+) -> None:
+    """Guards against values that the core does not expect."""
+    envelope = cbor2.loads(codec.encode(_example(message_type)))
+    name = data.draw(strategies.sampled_from(sorted(envelope["message"])))
+    envelope["message"][name] = value
+    try:
+        decoded = codec.decode(cbor2.dumps(envelope))
+    except exceptions.MessageError:
+        return
+    assert codec.decode(codec.encode(decoded)) == decoded
+
+
+def test_other_versions_and_long_messages_are_rejected() -> None:
+    """Guards against misread messages after an upgrade, and memory use."""
+    message = messages.Unsubscribe("reader")
+    envelope = cbor2.loads(codec.encode(message))
+    envelope["version"] += 1
+    with pytest.raises(exceptions.MessageError, match="version"):
+        codec.decode(cbor2.dumps(envelope))
+    with pytest.raises(exceptions.MessageError, match="long"):
+        codec.decode(b" " * (codec.MAX_MESSAGE_BYTES + 1))
+    with pytest.raises(exceptions.MessageError, match="long"):
+        codec.encode(messages.Unsubscribe("x" * codec.MAX_MESSAGE_BYTES))
