Add the operator API

Operators could neither see an entry's view nor change the configuration.

Every route goes through one wrapper that compares the operator key.

--- a/laburnumpin/server/caller_errors.py
+++ b/laburnumpin/server/caller_errors.py
@@ -83,22 +83,29 @@
     fields: Sequence[exceptions.FieldError] = (),
 ) -> dict[str, Any]:
     """Return the JSON document of an error."""
-    rows = []
-    for row in fields:
-        rows.append(
-            {"field": row.field, "code": row.code, "message": row.message}
-        )
     return {
         "error": {
             "code": failure.code,
             "message": failure.message,
             "verdict": failure.verdict.value,
             "request_id": request_id,
-            "fields": rows,
+            "fields": field_rows(fields),
         }
     }
 
 
+def field_rows(
+    fields: Sequence[exceptions.FieldError],
+) -> list[dict[str, str]]:
+    """Return the JSON rows for problems with fields."""
+    rows = []
+    for row in fields:
+        rows.append(
+            {"field": row.field, "code": row.code, "message": row.message}
+        )
+    return rows
+
+
 def response(error: CallerError) -> responses.JSONResponse:
     """Return the HTTP response for an error."""
     failure = error.failure
--- a/laburnumpin/server/entry.py
+++ b/laburnumpin/server/entry.py
@@ -32,6 +32,7 @@
 from laburnumpin.server import caller_input
 from laburnumpin.server import logs
 from laburnumpin.server import metrics
+from laburnumpin.server import operator_api
 from laburnumpin.server import peer_link
 from laburnumpin.server import platform_client
 from laburnumpin.server import tasks
@@ -226,15 +227,25 @@
         Peer links stay open until the callers' connections are finished.
         """
         callers = caller_api.CallerApi(self._bridge, self._metrics)
+        operators = operator_api.OperatorApi(
+            self._bridge,
+            self._platform,
+            self._settings.operator_key.reveal(),
+        )
         finished = anyio.Event()
         async with anyio.create_task_group() as task_group:
             task_group.start_soon(
                 self._peers.serve, self._sockets.peer, finished
             )
             self._peers.start_seeds(self._settings.seed_peers)
-            await _serve_http(
-                callers.application(), self._sockets.caller, self.loop.exited
-            )
+            async with anyio.create_task_group() as http_group:
+                for application, listener in (
+                    (callers.application(), self._sockets.caller),
+                    (operators.application(), self._sockets.operator),
+                ):
+                    http_group.start_soon(
+                        _serve_http, application, listener, self.loop.exited
+                    )
             finished.set()
 
     async def close(self) -> None:
