Bound retries by a budget and resume streams from their offset

Cause: a running request had no deadline; a resumed stream went to any upstream and had no way to ask for a recomputation; refusals to retry were not counted; a permanent rejection was retried.

Change: every request has one item in a heap of deadlines, whatever its phase. A stream past its deadline is cancelled; a sent non-idempotent call is awaited until its attempt ends, since its late answer is worth more than "may have run". A broken stream prefers the engine that keeps its generation. When that engine is leaving and still answers, its KV cache is imported at the new one. A truncated answer with an end marker counts as `RAN`.

Budget: starts empty, 0.1 per first attempt, cap 32 (about the streams of one engine). Moves away from a leaving upstream are charged but not refused: with a cap alone, 40 streams on one announced reclaim would lose those beyond the budget. An attempt that expired in this process is not charged.

--- a/laburnumpin/core/claims.py
+++ b/laburnumpin/core/claims.py
@@ -60,7 +60,6 @@
     body_hash: str
     goal: Goal
     request_id: str
-    deadline_ms: int
     version: int = 0
     written: Goal = Goal.HELD
     may_exist: bool = False
@@ -145,7 +144,6 @@
         body_hash(request),
         Goal.HELD,
         request.request_id,
-        request.deadline_ms,
         prior_tokens=request.claim_tokens,
     )
     request.claim_tokens = (*request.claim_tokens, token)
@@ -182,7 +180,6 @@
         body_hash(request),
         Goal.HELD,
         request.request_id,
-        request.deadline_ms,
         version=request.claim_version,
         may_exist=True,
         prior_tokens=request.claim_tokens[:-1],
@@ -229,9 +226,9 @@
 def on_tick(
     state: entry_state.EntryState, event: events.Tick
 ) -> list[effects.Effect]:
-    """Expire claims and send the jobs that wait, in groups."""
+    """Send the jobs that wait, in groups."""
     own = state.claims
-    result = _expire(state, event.now_ms)
+    result: list[effects.Effect] = []
     if event.now_ms < own.not_before_ms:
         return result
     while own.doubtful and len(own.operations) < MAX_OPERATIONS:
@@ -245,21 +242,6 @@
     return result
 
 
-def _expire(state: entry_state.EntryState, now_ms: int) -> list[effects.Effect]:
-    result: list[effects.Effect] = []
-    for job in list(state.claims.by_request.values()):
-        if now_ms < job.deadline_ms:
-            continue
-        request = state.requests.by_id[job.request_id]
-        failure = messages.Failure(
-            "deadline_passed",
-            "the deadline passed before the call could be claimed",
-            verdict.Verdict.NOT_RUN,
-        )
-        result.extend(requests.on_claim_failed(state, request, failure, now_ms))
-    return result
-
-
 def _take_group(
     state: entry_state.EntryState, jobs: list[Job]
 ) -> tuple[Job, ...]:
--- a/laburnumpin/core/effects.py
+++ b/laburnumpin/core/effects.py
@@ -54,7 +54,9 @@
     """Send a request to an upstream.
 
     The first byte must not go out after `valid_until_ms`; the shell then
-    reports `EXPIRED_BEFORE_SEND` with verdict `NOT_RUN`.
+    reports `EXPIRED_BEFORE_SEND` with verdict `NOT_RUN`. With `recompute`
+    the engine has no generation for the request: it computes the answer from
+    the start and streams from `offset` on.
     """
 
     attempt_id: str
@@ -68,6 +70,7 @@
     max_tokens: int
     priority: deployment.Priority
     offset: int
+    recompute: bool
     idempotency_key: str | None
     valid_until_ms: int
     first_byte_timeout_ms: int
--- a/laburnumpin/core/requests.py
+++ b/laburnumpin/core/requests.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import enum
+import heapq
 from typing import TYPE_CHECKING
 
 from laburnumpin import verdict
@@ -30,6 +32,17 @@
 DISPATCH_VALID_MS = 1_000
 FIRST_BYTE_TIMEOUT_MS = 10_000
 INTER_TOKEN_TIMEOUT_MS = 5_000
+# A KV cache moves within seconds; beyond it, computing anew is as fast.
+IMPORT_TIMEOUT_MS = 3_000
+
+
+# After these the engine has no generation that could be resumed, or it
+# cannot be reached to resume it.
+_GENERATION_LOST = (
+    events.AttemptFailure.UNKNOWN_GENERATION,
+    events.AttemptFailure.CONNECT_FAILED,
+    events.AttemptFailure.PROTOCOL_ERROR,
+)
 
 
 class Phase(enum.Enum):
@@ -38,6 +51,7 @@
     QUEUED = "queued"
     CLAIMING = "claiming"
     RUNNING = "running"
+    OFFERED = "offered"
     ENDED = "ended"
     HANDED_OVER = "handed_over"
 
@@ -57,7 +71,9 @@
     """A request that this entry owns or owned.
 
     `configuration` is the version that was in force at the arrival; it
-    applies until the end. `not_before_ms` delays a retry.
+    applies until the end. `not_before_ms` delays a retry. The engine
+    `generation_upstream_id` keeps the generation from which a stream can be
+    resumed; `importing_to` is the engine to which it is being copied.
     """
 
     request_id: str
@@ -88,6 +104,8 @@
     claim_version: int = 0
     handed_to: ids.EntryId | None = None
     last_upstream_id: str | None = None
+    generation_upstream_id: str | None = None
+    importing_to: str | None = None
 
     @property
     def next_offset(self) -> int:
@@ -96,14 +114,26 @@
 
 
 class RequestsState:
-    """The requests of this entry, by id, and the attempts in flight."""
+    """The requests of this entry, by id, and the attempts in flight.
 
-    __slots__ = ("by_attempt", "by_id", "ended", "next_counter", "unfinished")
+    `deadlines` is a heap of (deadline, request id) with one item for each
+    request, whatever its phase.
+    """
+
+    __slots__ = (
+        "by_attempt",
+        "by_id",
+        "deadlines",
+        "ended",
+        "next_counter",
+        "unfinished",
+    )
 
     def __init__(self) -> None:
         self.by_id: dict[str, Request] = {}
         self.by_attempt: dict[str, str] = {}
-        self.ended: list[str] = []
+        self.deadlines: list[tuple[int, str]] = []
+        self.ended: collections.deque[str] = collections.deque()
         self.next_counter = 1
         self.unfinished = 0
 
@@ -153,8 +183,7 @@
         state.counters.increment("refusals", failure.code)
         return [effects.Refuse(event.exchange_id, failure)]
     state.requests.next_counter += 1
-    state.requests.by_id[request.request_id] = request
-    state.requests.unfinished += 1
+    add(state, request)
     state.counters.increment("accepted", service.name)
     result: list[effects.Effect] = [
         effects.Accept(event.exchange_id, request.request_id)
@@ -164,6 +193,14 @@
     return result
 
 
+def add(state: entry_state.EntryState, request: Request) -> None:
+    """Make this entry the owner of a request that has not ended."""
+    own = state.requests
+    own.by_id[request.request_id] = request
+    own.unfinished += 1
+    heapq.heappush(own.deadlines, (request.deadline_ms, request.request_id))
+
+
 def dispatch_queued(
     state: entry_state.EntryState, now_ms: int
 ) -> list[effects.Effect]:
@@ -172,7 +209,7 @@
     for request in limits.candidates(state, now_ms):
         if request.not_before_ms > now_ms:
             continue
-        if routing.choose(state, request, now_ms) is None:
+        if _choose(state, request, now_ms) is None:
             continue
         limits.dequeue(state, request, now_ms)
         if request.operation.idempotent or request.claimed:
@@ -278,7 +315,7 @@
         return _attempt_failed(
             state,
             request,
-            verdict.Verdict.MAY_HAVE_RUN,
+            verdict.Verdict.RAN,
             events.AttemptFailure.TRUNCATED,
             event.now_ms,
         )
@@ -304,50 +341,47 @@
 def on_cache_imported(
     state: entry_state.EntryState, event: events.CacheImported
 ) -> list[effects.Effect]:
-    """Count the import; the next attempt finds the cache at its engine."""
+    """Resume the stream where its KV cache now is, or compute it anew."""
     label = "succeeded" if event.succeeded else "failed"
     state.counters.increment("cache_imports", label)
-    return []
+    request = state.requests.by_id.get(event.request_id)
+    if request is None or request.importing_to != event.upstream_id:
+        state.counters.increment("dropped_answers", "unknown_import")
+        return []
+    request.importing_to = None
+    request.generation_upstream_id = None
+    if event.succeeded:
+        request.generation_upstream_id = event.upstream_id
+    return _start_attempt(state, request, event.now_ms)
 
 
 def on_tick(
     state: entry_state.EntryState, event: events.Tick
 ) -> list[effects.Effect]:
     """Expire deadlines, dispatch what waits, forget ended requests."""
-    result: list[effects.Effect] = []
-    for request in limits.expired(state, event.now_ms):
-        limits.dequeue(state, request, event.now_ms)
-        failure = _deadline_passed(request)
-        result.extend(end(state, request, failure, event.now_ms))
+    result = _expire(state, event.now_ms)
     result.extend(dispatch_queued(state, event.now_ms))
     own = state.requests
     while own.ended:
         oldest = own.by_id[own.ended[0]]
         if event.now_ms < oldest.ended_ms + RETENTION_MS:
             break
-        del own.by_id[own.ended.pop(0)]
+        del own.by_id[own.ended.popleft()]
     return result
 
 
 def cancel(
     state: entry_state.EntryState, request: Request, now_ms: int
 ) -> list[effects.Effect]:
-    """End a request on its caller's wish."""
-    if request.outcome is not None or request.phase is Phase.HANDED_OVER:
+    """End a request on its caller's wish.
+
+    A request that is being offered to a successor is not cancelled.
+    """
+    if request.phase in (Phase.ENDED, Phase.OFFERED, Phase.HANDED_OVER):
         return []
-    result: list[effects.Effect] = []
-    if request.phase is Phase.QUEUED:
-        limits.dequeue(state, request, now_ms)
-    if request.attempt is not None:
-        result.append(effects.CancelAttempt(request.attempt.attempt_id))
-        request.verdict = verdict.combine(
-            request.verdict, verdict.Verdict.MAY_HAVE_RUN
-        )
-    failure = messages.Failure(
-        "cancelled", "the caller cancelled the request", request.verdict
+    return _abort(
+        state, request, "cancelled", "the caller cancelled the request", now_ms
     )
-    result.extend(end(state, request, failure, now_ms))
-    return result
 
 
 def end(
@@ -359,6 +393,8 @@
     """End a request with a failure; without effect once it has ended."""
     if request.outcome is not None or request.phase is Phase.HANDED_OVER:
         return []
+    if request.phase is Phase.QUEUED:
+        limits.dequeue(state, request, now_ms)
     state.counters.increment("failures", failure.code)
     outcome = messages.Outcome(request.next_offset, failure)
     return _finish(state, request, outcome, now_ms)
@@ -378,14 +414,99 @@
     )
 
 
+def _expire(state: entry_state.EntryState, now_ms: int) -> list[effects.Effect]:
+    result: list[effects.Effect] = []
+    deadlines = state.requests.deadlines
+    while deadlines and deadlines[0][0] <= now_ms:
+        request = state.requests.by_id.get(heapq.heappop(deadlines)[1])
+        if request is None:
+            continue
+        if request.phase in (Phase.ENDED, Phase.OFFERED, Phase.HANDED_OVER):
+            continue
+        # An attempt at a non-idempotent call is bounded by its timeouts. Its
+        # late answer is worth more to the caller than "may have run".
+        if request.attempt is not None and not request.operation.idempotent:
+            continue
+        result.extend(
+            _abort(
+                state,
+                request,
+                "deadline_passed",
+                "the deadline passed before the request ended",
+                now_ms,
+            )
+        )
+    return result
+
+
+def _abort(
+    state: entry_state.EntryState,
+    request: Request,
+    code: str,
+    message: str,
+    now_ms: int,
+) -> list[effects.Effect]:
+    result: list[effects.Effect] = []
+    if request.attempt is not None:
+        result.append(effects.CancelAttempt(request.attempt.attempt_id))
+        request.verdict = verdict.combine(
+            request.verdict, verdict.Verdict.MAY_HAVE_RUN
+        )
+    failure = messages.Failure(code, message, request.verdict)
+    result.extend(end(state, request, failure, now_ms))
+    return result
+
+
+def _choose(
+    state: entry_state.EntryState, request: Request, now_ms: int
+) -> upstreams.Upstream | None:
+    """Prefer the engine that keeps the generation; it holds a slot there."""
+    kept = request.generation_upstream_id
+    if kept is not None:
+        for upstream in upstreams.eligible(state, request.service.name, now_ms):
+            if upstream.upstream_id == kept:
+                return upstream
+    return routing.choose(state, request, now_ms)
+
+
+def _start_import(
+    state: entry_state.EntryState,
+    request: Request,
+    target: upstreams.Upstream,
+    now_ms: int,
+) -> effects.Effect | None:
+    """Copy the KV cache of a broken stream, if its engine still answers."""
+    kept = request.generation_upstream_id
+    if kept is None or kept == target.upstream_id or not request.chunks:
+        return None
+    source = state.upstreams.by_id.get(kept)
+    if source is None or source.report is None or source.poll_failed:
+        return None
+    if now_ms - source.reported_ms > upstreams.REPORT_MAX_AGE_MS:
+        return None
+    request.phase = Phase.RUNNING
+    request.importing_to = target.upstream_id
+    return effects.ImportCache(
+        request.request_id,
+        source.address,
+        target.upstream_id,
+        target.address,
+        IMPORT_TIMEOUT_MS,
+    )
+
+
 def _start_attempt(
     state: entry_state.EntryState, request: Request, now_ms: int
 ) -> list[effects.Effect]:
-    upstream = routing.choose(state, request, now_ms)
+    upstream = _choose(state, request, now_ms)
     if upstream is None:
         request.phase = Phase.QUEUED
         limits.enqueue(state, request, now_ms)
         return []
+    copying = _start_import(state, request, upstream, now_ms)
+    if copying is not None:
+        return [copying]
+    kept = request.generation_upstream_id == upstream.upstream_id
     request.attempt_count += 1
     if request.attempt_count == 1:
         retries.on_first_attempt(state, request)
@@ -398,6 +519,8 @@
     )
     request.attempt = attempt
     request.last_upstream_id = upstream.upstream_id
+    if request.service.kind is deployment.ServiceKind.MODEL:
+        request.generation_upstream_id = upstream.upstream_id
     state.requests.by_attempt[attempt.attempt_id] = request.request_id
     upstreams.on_dispatched(state, upstream, request, now_ms)
     return [
@@ -413,6 +536,7 @@
             max_tokens=request.max_tokens,
             priority=request.priority,
             offset=request.next_offset,
+            recompute=bool(request.chunks) and not kept,
             idempotency_key=request.idempotency_key,
             valid_until_ms=min(now_ms + DISPATCH_VALID_MS, request.deadline_ms),
             first_byte_timeout_ms=FIRST_BYTE_TIMEOUT_MS,
@@ -428,9 +552,17 @@
     failure: events.AttemptFailure,
     now_ms: int,
 ) -> list[effects.Effect]:
+    attempt = request.attempt
+    assert attempt is not None
     _close_attempt(state, request, now_ms, failure)
     request.verdict = verdict.combine(request.verdict, attempt_verdict)
-    decision = retries.decide(state, request, attempt_verdict, failure, now_ms)
+    if failure in _GENERATION_LOST:
+        request.generation_upstream_id = None
+    upstream = state.upstreams.by_id.get(attempt.upstream_id)
+    leaving = upstream is not None and upstream.leaving
+    decision = retries.decide(
+        state, request, attempt_verdict, failure, leaving, now_ms
+    )
     if decision.failure is not None:
         return end(state, request, decision.failure, now_ms)
     request.phase = Phase.QUEUED
@@ -460,6 +592,7 @@
     now_ms: int,
 ) -> list[effects.Effect]:
     _close_attempt(state, request, now_ms, None)
+    request.importing_to = None
     request.phase = Phase.ENDED
     request.outcome = outcome
     request.ended_ms = now_ms
--- a/laburnumpin/core/retries.py
+++ b/laburnumpin/core/retries.py
@@ -15,7 +15,9 @@
 
 BACKOFF_BASE_MS = 50
 BACKOFF_CAP_MS = 2_000
-BUDGET_CAP = 10.0
+# About the streams of one engine, so that they can be resumed when it fails.
+BUDGET_CAP = 32.0
+OVERLOADED_RETRY_AFTER_MS = 1_000
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -27,7 +29,7 @@
 
 
 class RetriesState:
-    """The retry budget, in attempts."""
+    """The retry budget, in attempts; negative when moves overdrew it."""
 
     __slots__ = ("budget",)
 
@@ -48,31 +50,60 @@
     request: requests.Request,
     attempt_verdict: verdict.Verdict,
     failure: events.AttemptFailure,
+    upstream_leaving: bool,
     now_ms: int,
 ) -> Decision:
-    """Decide on a retry after an attempt failed."""
-    safe = (
-        request.operation.idempotent
-        or attempt_verdict is verdict.Verdict.NOT_RUN
+    """Decide on a retry after an attempt failed.
+
+    A move away from a leaving upstream is charged to the budget, but is not
+    refused when the budget is empty, since accepted work survives an
+    announced reclaim. There is at most one such move per request and leaving
+    upstream. An attempt that expired in this process is not charged, since
+    the upstream saw nothing of it.
+    """
+    not_run = attempt_verdict is verdict.Verdict.NOT_RUN
+    if not (request.operation.idempotent or not_run):
+        return _give_up(state, request, failure, "not_repeatable")
+    if failure is events.AttemptFailure.REJECTED:
+        return _give_up(state, request, failure, "rejected")
+    moves = (
+        upstream_leaving or failure is events.AttemptFailure.UPSTREAM_LEAVING
     )
-    if not safe:
-        return _give_up(request, failure, "not_repeatable")
-    if state.retries.budget < 1.0:
-        return _give_up(request, failure, "retry_budget_exhausted")
-    ceiling_ms = BACKOFF_BASE_MS * 2 ** min(request.attempt_count, 10)
-    delay_ms = state.random.randint(0, min(ceiling_ms, BACKOFF_CAP_MS))
+    expired = failure is events.AttemptFailure.EXPIRED_BEFORE_SEND
+    budget = state.retries.budget
+    if budget < 1.0 and not moves and not expired:
+        return _give_up(state, request, failure, "budget_exhausted")
+    delay_ms = 0 if moves or expired else _backoff_ms(state, request)
     if now_ms + delay_ms >= request.deadline_ms:
-        return _give_up(request, failure, "deadline_passed")
-    state.retries.budget -= 1.0
+        return _give_up(state, request, failure, "deadline_passed")
+    if not expired:
+        state.retries.budget = max(budget - 1.0, -BUDGET_CAP)
     state.counters.increment("retries", failure.value)
     return Decision(not_before_ms=now_ms + delay_ms)
 
 
+def _backoff_ms(
+    state: entry_state.EntryState, request: requests.Request
+) -> int:
+    ceiling_ms = BACKOFF_BASE_MS * 2 ** min(request.attempt_count - 1, 10)
+    return state.random.randint(0, min(ceiling_ms, BACKOFF_CAP_MS))
+
+
 def _give_up(
-    request: requests.Request, failure: events.AttemptFailure, why: str
+    state: entry_state.EntryState,
+    request: requests.Request,
+    failure: events.AttemptFailure,
+    reason: str,
 ) -> Decision:
+    state.counters.increment("retries_refused", reason)
+    retry_after_ms = None
+    if failure is events.AttemptFailure.UPSTREAM_OVERLOADED:
+        retry_after_ms = OVERLOADED_RETRY_AFTER_MS
     return Decision(
         failure=messages.Failure(
-            failure.value, f"the attempt failed ({why})", request.verdict
+            failure.value,
+            f"the attempt failed ({reason})",
+            request.verdict,
+            retry_after_ms,
         )
     )
--- a/laburnumpin/tests/simulation.py
+++ b/laburnumpin/tests/simulation.py
@@ -90,6 +90,7 @@
     upstream_lost: float = 0.0
     upstream_late: float = 0.0
     duplicated: float = 0.0
+    upstreams_silent: bool = False
     peer_delay_ms: int = 2
     store_delay_ms: int = 5
 
@@ -143,6 +144,7 @@
         self.notices: dict[str, int] = {}
         self.cancelled: set[str] = set()
         self.executions: list[Execution] = []
+        self.imports: list[effects.ImportCache] = []
         self.dispatches: list[tuple[int, str, effects.Dispatch]] = []
         self.accepted: dict[str, str] = {}
         self.refused: dict[str, messages.Failure] = {}
@@ -476,6 +478,13 @@
     def _cancel(self, vm_id: str, effect: effects.CancelAttempt) -> None:
         self.cancelled.add(effect.attempt_id)
 
+    def _import(self, vm_id: str, effect: effects.ImportCache) -> None:
+        self.imports.append(effect)
+        imported = events.CacheImported(
+            0, effect.request_id, effect.target_upstream_id, True
+        )
+        self.at(20, lambda: self.deliver(vm_id, imported))
+
     def _dispatch(self, vm_id: str, effect: effects.Dispatch) -> None:
         self.dispatches.append((self.now_ms, vm_id, effect))
         # The shell picks the effect up a moment later; a pause in between
@@ -508,6 +517,8 @@
             self._fail(vm_id, effect, may, failures.FIRST_BYTE_TIMEOUT)
             return
         self._run(effect)
+        if self.faults.upstreams_silent:
+            return
         if self._happens(self.faults.upstream_lost):
             self._fail(vm_id, effect, may, failures.CONNECTION_LOST)
             return
@@ -608,4 +619,5 @@
     effects.ListObjects: World._object,
     effects.CancelAttempt: World._cancel,
     effects.Dispatch: World._dispatch,
+    effects.ImportCache: World._import,
 }
