Add the demonstration, stand-in commands and slope measurements

Cause: the parts had run only in their own tests; nothing showed the whole path, and the capacity page needs measured slopes.

Change: a demonstration with the platform, engines, services and three entries in one process; the stand-in, demo and capacity commands; an entry prints its bound addresses as one JSON line.

--- a/laburnumpin/__main__.py
+++ b/laburnumpin/__main__.py
@@ -11,18 +11,27 @@
 import typer
 
 from laburnumpin import exceptions
+from laburnumpin.commands import capacity
 from laburnumpin.commands import client
 from laburnumpin.commands import configuration
+from laburnumpin.commands import demo
 from laburnumpin.commands import entry
 from laburnumpin.commands import exits
 from laburnumpin.commands import output
 from laburnumpin.commands import reference
+from laburnumpin.commands import standin
 from laburnumpin.config import options
 from laburnumpin.config import settings
+from laburnumpin.standins import batching
+from laburnumpin.standins import engine_documents
+from laburnumpin.standins import plain_service
+from laburnumpin.standins import platform_documents
+from laburnumpin.standins import running
 
 PROGRAM = "laburnumpin"
 URL_VARIABLE = "LABURNUMPIN_URL"
 KEY_VARIABLE = "LABURNUMPIN_OPERATOR_KEY"
+LOOPBACK = running.LOOPBACK
 DEFAULT_URL = "http://127.0.0.1:7002"
 
 app = typer.Typer(
@@ -35,10 +44,12 @@
     no_args_is_help=True, help="Check, apply and inspect configurations."
 )
 request_app = typer.Typer(no_args_is_help=True, help="Inspect requests.")
+standin_app = typer.Typer(no_args_is_help=True, help="Run a stand-in.")
 docs_app = typer.Typer(no_args_is_help=True, help="Maintain the pages.")
 app.add_typer(entry_app, name="entry")
 app.add_typer(config_app, name="config")
 app.add_typer(request_app, name="request")
+app.add_typer(standin_app, name="stand-in")
 app.add_typer(docs_app, name="docs", hidden=True)
 
 
@@ -67,6 +78,13 @@
         "--timeout-s", min=0.1, max=600.0, help="Timeout of one call."
     ),
 ]
+StandinHost = Annotated[str, typer.Option(help="Address to listen on.")]
+StandinPort = Annotated[
+    int, typer.Option(min=0, max=65_535, help="Port; 0 chooses a free one.")
+]
+AdminPort = Annotated[
+    int, typer.Option(min=0, max=65_535, help="Port for fault switches.")
+]
 File = Annotated[str, typer.Argument(help="Document; `-` is standard input.")]
 
 
@@ -226,6 +244,83 @@
     reference.write(directory)
 
 
+@standin_app.command("platform")
+def standin_platform(
+    host: StandinHost = LOOPBACK,
+    port: StandinPort = 0,
+    admin_port: AdminPort = 0,
+    token: Annotated[
+        str, typer.Option(envvar="LABURNUMPIN_PLATFORM_TOKEN")
+    ] = "",
+    vm_list_lag_ms: Annotated[int, typer.Option(min=0)] = 2_000,
+) -> None:
+    """Run the platform stand-in."""
+    standin.run_platform(
+        platform_documents.PlatformSettings(
+            token=token, vm_list_lag_ms=vm_list_lag_ms
+        ),
+        running.Binding(host, port, admin_port),
+    )
+
+
+@standin_app.command("engine")
+def standin_engine(
+    host: StandinHost = LOOPBACK,
+    port: StandinPort = 0,
+    admin_port: AdminPort = 0,
+    model: Annotated[str, typer.Option(help="Model that is loaded.")] = "",
+    model_version: Annotated[str, typer.Option()] = "",
+    checks_fencing: Annotated[
+        bool, typer.Option(help="Refuse orders with a stale fencing token.")
+    ] = True,
+    base_step_ms: Annotated[
+        int, typer.Option(min=1, help="Length of a step without streams.")
+    ] = 8,
+) -> None:
+    """Run the model engine stand-in."""
+    standin.run_engine(
+        engine_documents.EngineSettings(
+            batch=batching.BatchSettings(base_step_ms=base_step_ms),
+            model=model,
+            model_version=model_version,
+            checks_fencing=checks_fencing,
+        ),
+        running.Binding(host, port, admin_port),
+    )
+
+
+@standin_app.command("plain")
+def standin_plain(
+    host: StandinHost = LOOPBACK,
+    port: StandinPort = 0,
+    admin_port: AdminPort = 0,
+) -> None:
+    """Run the plain service stand-in."""
+    standin.run_plain_service(
+        plain_service.PlainSettings(),
+        running.Binding(host, port, admin_port),
+    )
+
+
+@app.command("demo")
+def run_demo() -> None:
+    """Demonstrate requests and a reclaim in one process on loopback."""
+    raise typer.Exit(0 if demo.run_demo(typer.echo) else exits.Exit.FAILED)
+
+
+@app.command("capacity")
+def measure_capacity(
+    repetitions: Annotated[int, typer.Option(min=1, max=20)] = 5,
+    as_json: Json = False,
+) -> None:
+    """Measure the slopes on which the capacity page stands."""
+    measured = capacity.measure_slopes(repetitions)
+    if as_json:
+        typer.echo(capacity.format_json(measured))
+        return
+    typer.echo(capacity.format_slopes(measured))
+
+
 def _client(url: str, timeout_s: float) -> client.Client:
     errors: options.Errors = []
     checked = options.Url().check(url, URL_VARIABLE, errors)
--- /dev/null
+++ b/laburnumpin/bench/slopes.py
@@ -0,0 +1,345 @@
+"""Measured slopes of the control work of one entry.
+
+Every measurement drives the real reducer with events at several sizes and
+returns the processor time, the memory and the bytes of each size. The fit is
+a least-squares line; its spread is the largest relative deviation of a
+repetition from the line.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import dataclasses
+import gc
+import statistics
+import time
+import tracemalloc
+from typing import Protocol
+
+from laburnumpin.core import deployment
+from laburnumpin.core import effects
+from laburnumpin.core import events
+from laburnumpin.core import ids
+from laburnumpin.core import messages
+from laburnumpin.core import reducer
+from laburnumpin.core import state
+
+UPSTREAM_SIZES = (10, 100, 1_000, 10_000)
+MEMBER_SIZES = (9, 90, 900, 2_600)
+REPETITIONS = 5
+TICKS_PER_S = 1_000 // events.TICK_MS
+ZONE_COUNT = 15
+
+
+class Encoder(Protocol):
+    """Encodes a peer message as it goes over the link."""
+
+    def __call__(self, message: messages.Message) -> bytes:
+        """Return the encoded message."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Sample:
+    """One repetition at one size; `value` is in the unit of its slope."""
+
+    size: int
+    value: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Slope:
+    """A fitted line over sizes.
+
+    `spread` is the largest deviation of a sample from the line, relative to
+    the line's value at the largest size.
+    """
+
+    name: str
+    unit: str
+    per: str
+    base: float
+    per_item: float
+    spread: float
+    samples: tuple[Sample, ...]
+
+    def at(self, size: int) -> float:
+        """Return the value of the line at a size."""
+        return self.base + self.per_item * size
+
+
+def fit(name: str, unit: str, per: str, samples: list[Sample]) -> Slope:
+    """Fit a line by least squares."""
+    sizes = [float(sample.size) for sample in samples]
+    values = [sample.value for sample in samples]
+    line = statistics.linear_regression(sizes, values)
+    scale = max(abs(line.intercept + line.slope * max(sizes)), 1e-12)
+    spread = 0.0
+    for sample in samples:
+        expected = line.intercept + line.slope * sample.size
+        spread = max(spread, abs(sample.value - expected) / scale)
+    return Slope(
+        name, unit, per, line.intercept, line.slope, spread, tuple(samples)
+    )
+
+
+def make_deployment(services: int = 4) -> deployment.Deployment:
+    """Return a deployment of the design size: 15 zones in 5 regions."""
+    zones = {}
+    placements = []
+    built = {}
+    for number in range(ZONE_COUNT):
+        name = f"zone-{number}"
+        zones[name] = deployment.Zone(name, name, f"region-{number // 3}")
+    for number in range(services):
+        service = f"service-{number}"
+        operation = deployment.Operation("run")
+        built[service] = deployment.Service(
+            service, deployment.ServiceKind.MODEL, {"run": operation}, "m", "1"
+        )
+        for zone in zones:
+            placements.append(
+                deployment.Placement(
+                    service, zone, "gpu", True, 0, 1_000, 1.0, 64
+                )
+            )
+    return deployment.Deployment(
+        "capacity",
+        zones,
+        built,
+        {"customer": deployment.Customer("customer", ())},
+        tuple(placements),
+        deployment.Policy(),
+        2_600,
+    )
+
+
+def make_entry() -> state.EntryState:
+    """Return an entry in service with the deployment of the design size."""
+    entry = state.EntryState(ids.EntryId("entry-0", 1), "zone-0", "a:1", 1)
+    entry.configuration.current = deployment.Configuration(
+        1, "c", "", make_deployment()
+    )
+    reducer.reduce(entry, events.Tick(0))
+    return entry
+
+
+def upstream_rows(count: int) -> tuple[events.VmRow, ...]:
+    """Return list rows of upstreams over all zones and services."""
+    rows = []
+    for number in range(count):
+        rows.append(
+            events.VmRow(
+                f"upstream-{number}",
+                1,
+                events.VmRole.UPSTREAM,
+                f"zone-{number % ZONE_COUNT}",
+                "gpu",
+                True,
+                False,
+                service=f"service-{number % 4}",
+                address=f"10.0.{number // 250}.{number % 250}:8000",
+            )
+        )
+    return tuple(rows)
+
+
+def entry_rows(count: int) -> tuple[events.VmRow, ...]:
+    """Return list rows of other entries over all zones."""
+    rows = []
+    for number in range(1, count + 1):
+        rows.append(
+            events.VmRow(
+                f"entry-{number}",
+                1,
+                events.VmRole.ENTRY,
+                f"zone-{number % ZONE_COUNT}",
+                "small",
+                True,
+                False,
+                peer_address=f"10.1.{number // 250}.{number % 250}:9000",
+            )
+        )
+    return tuple(rows)
+
+
+def tick_time(repetitions: int = REPETITIONS) -> Slope:
+    """Measure the processor time of a second of ticks against upstreams.
+
+    Each load poll is answered within the second, so polls and reports are
+    part of the time.
+    """
+
+    def measure(size: int) -> float:
+        entry = make_entry()
+        rows = upstream_rows(size)
+        reducer.reduce(entry, events.VmsListed(0, rows))
+        return _cpu_time(lambda: _second_of_ticks(entry, 1_000))
+
+    return _sweep(
+        "tick_time", "s/s", "upstream", UPSTREAM_SIZES, measure, repetitions
+    )
+
+
+def upstream_memory(repetitions: int = REPETITIONS) -> Slope:
+    """Measure the state that upstreams take, without their reports."""
+
+    def measure(size: int) -> float:
+        entry = make_entry()
+        rows = upstream_rows(size)
+
+        def fill() -> None:
+            reducer.reduce(entry, events.VmsListed(0, rows))
+            _second_of_ticks(entry, 1_000)
+
+        return _memory_bytes(fill)
+
+    return _sweep(
+        "upstream_memory", "B", "upstream", UPSTREAM_SIZES, measure, repetitions
+    )
+
+
+def member_memory(repetitions: int = REPETITIONS) -> Slope:
+    """Measure the state that members take."""
+
+    def measure(size: int) -> float:
+        entry = make_entry()
+        rows = entry_rows(size)
+        return _memory_bytes(
+            lambda: reducer.reduce(entry, events.VmsListed(0, rows))
+        )
+
+    return _sweep(
+        "member_memory", "B", "member", MEMBER_SIZES, measure, repetitions
+    )
+
+
+def digest_time(encode: Encoder, repetitions: int = REPETITIONS) -> Slope:
+    """Measure a second of digests, sent and received, against members."""
+
+    def measure(size: int) -> float:
+        entry = make_entry()
+        reducer.reduce(entry, events.VmsListed(0, entry_rows(size)))
+        return _cpu_time(lambda: _second_of_digests(entry, encode))
+
+    return _sweep(
+        "digest_time", "s/s", "member", MEMBER_SIZES, measure, repetitions
+    )
+
+
+def digest_bytes(encode: Encoder, repetitions: int = 1) -> Slope:
+    """Measure the bytes of a second of digests against members."""
+
+    def measure(size: int) -> float:
+        entry = make_entry()
+        reducer.reduce(entry, events.VmsListed(0, entry_rows(size)))
+        return float(_second_of_digests(entry, encode))
+
+    return _sweep(
+        "digest_bytes", "B/s", "member", MEMBER_SIZES, measure, repetitions
+    )
+
+
+def list_time(repetitions: int = REPETITIONS) -> Slope:
+    """Measure the processor time of taking over a list of VMs."""
+
+    def measure(size: int) -> float:
+        entry = make_entry()
+        rows = upstream_rows(size) + entry_rows(size // 4)
+        return _cpu_time(
+            lambda: reducer.reduce(entry, events.VmsListed(0, rows))
+        )
+
+    return _sweep(
+        "list_time", "s", "upstream", UPSTREAM_SIZES, measure, repetitions
+    )
+
+
+def _second_of_ticks(entry: state.EntryState, start_ms: int) -> None:
+    for number in range(TICKS_PER_S):
+        now_ms = start_ms + number * events.TICK_MS
+        for effect in reducer.reduce(entry, events.Tick(now_ms)):
+            if isinstance(effect, effects.PollLoad):
+                reducer.reduce(
+                    entry,
+                    events.LoadReported(
+                        now_ms, effect.upstream_id, _report(now_ms)
+                    ),
+                )
+
+
+def _report(now_ms: int) -> events.LoadReport:
+    return events.LoadReport(
+        1, 100, now_ms % 50, 0, 64, 0, 20.0, False, "", "m", "1"
+    )
+
+
+def _second_of_digests(entry: state.EntryState, encode: Encoder) -> int:
+    entry.membership.next_digest_ms = 0
+    sent_bytes = 0
+    sent = 0
+    for effect in reducer.reduce(entry, events.Tick(1_000)):
+        if not isinstance(effect, effects.SendPeer):
+            continue
+        sent_bytes += len(encode(effect.message))
+        sent += 1
+    members = list(entry.membership.by_vm.values())
+    for member in members[: 2 * max(sent, 1)]:
+        digest = messages.Digest(
+            member.entry,
+            member.digest_sequence + 1,
+            member.zone,
+            member.peer_address,
+            True,
+            1,
+            0,
+            _loads(),
+            (),
+            (),
+            (),
+        )
+        received = events.PeerReceived(1_000, member.entry.vm_id, digest)
+        sent_bytes += len(encode(digest))
+        for effect in reducer.reduce(entry, received):
+            if isinstance(effect, effects.SendPeer):
+                sent_bytes += len(encode(effect.message))
+    return sent_bytes
+
+
+def _loads() -> tuple[messages.UpstreamLoad, ...]:
+    rows = []
+    for number in range(8):
+        rows.append(messages.UpstreamLoad(f"upstream-{number}", number))
+    return tuple(rows)
+
+
+def _sweep(
+    name: str,
+    unit: str,
+    per: str,
+    sizes: tuple[int, ...],
+    measure: Callable[[int], float],
+    repetitions: int,
+) -> Slope:
+    samples = []
+    for size in sizes:
+        for _ in range(repetitions):
+            samples.append(Sample(size, measure(size)))
+    return fit(name, unit, per, samples)
+
+
+def _cpu_time(work: Callable[[], object]) -> float:
+    gc.collect()
+    start = time.process_time()
+    work()
+    return time.process_time() - start
+
+
+def _memory_bytes(work: Callable[[], object]) -> float:
+    gc.collect()
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    work()
+    gc.collect()
+    after, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return float(after - before)
--- /dev/null
+++ b/laburnumpin/commands/demo.py
@@ -0,0 +1,359 @@
+"""Demonstrate a deployment in one process on loopback."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import contextlib
+import dataclasses
+import json
+from typing import Any
+
+import anyio
+from anyio import abc
+import httpx
+
+from laburnumpin import operator
+from laburnumpin.config import options
+from laburnumpin.config import settings as entry_settings
+from laburnumpin.core import events
+from laburnumpin.server import entry as entries
+from laburnumpin.server import sse
+from laburnumpin.standins import cloud
+from laburnumpin.standins import engine
+from laburnumpin.standins import engine_documents
+from laburnumpin.standins import plain_service
+from laburnumpin.standins import platform
+from laburnumpin.standins import platform_documents
+from laburnumpin.standins import running
+from laburnumpin.standins import text
+
+ZONES = ("kolkata", "howrah", "siliguri")
+MODEL = "dossier-drafter"
+CUSTOMER_KEY = "demonstration-customer-key"
+OPERATOR_KEY = "demonstration-operator-key"
+PEER_SECRET = "demonstration-peer-secret"
+PLATFORM_TOKEN = "demonstration-platform-token"
+ENTRY_COUNT = 3
+READY_TIMEOUT_S = 30
+REQUEST_TIMEOUT_S = 60
+PROMPT = "Draft the compliance dossier for the main hall truss. " * 20
+STREAM_TOKENS = 120
+RECLAIM_AFTER_TOKENS = 30
+NOTICE_MS = 10_000
+
+Report = Callable[[str], None]
+
+
+class DemoError(Exception):
+    """A step of the demonstration did not do what it shows."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Stage:
+    """What is running; upstreams by VM id."""
+
+    platform: running.Running[platform.Platform]
+    engines: dict[str, running.Running[engine.Engine]]
+    services: list[running.Running[plain_service.PlainService]]
+    entries: list[entries.RunningEntry]
+    http: httpx.AsyncClient
+
+    def url(self, number: int) -> str:
+        """Return the base URL of an entry's caller API."""
+        return f"http://{self.entries[number].caller_address}"
+
+
+def run_demo(report: Report) -> bool:
+    """Run the demonstration; return whether every step succeeded."""
+    return anyio.run(_run, report)
+
+
+def build_deployment() -> operator.Deployment:
+    """Return the configuration of the demonstration."""
+    built = operator.Deployment("demonstration", entry_count=ENTRY_COUNT)
+    for zone in ZONES:
+        built.add_zone(zone, data_center=zone, region="bengal")
+    built.add_model_service(
+        "dossier",
+        model=MODEL,
+        model_version="1",
+        operations=(operator.Operation("draft", priority=operator.BULK),),
+    )
+    built.add_plain_service(
+        "certdesk",
+        operations=(
+            operator.Operation(
+                "issue_certificate",
+                idempotent=False,
+                priority=operator.INTERACTIVE,
+            ),
+        ),
+    )
+    built.add_customer("rigsafe", keys=(CUSTOMER_KEY,))
+    for zone in ZONES:
+        for service, vm_class in (("dossier", "gpu"), ("certdesk", "cpu")):
+            built.add_placement(
+                service=service,
+                zone=zone,
+                vm_class=vm_class,
+                reclaimable=True,
+                min_vms=0,
+                max_vms=1,
+                price_per_hour=1.0,
+                slots=16,
+            )
+    return built
+
+
+async def _run(report: Report) -> bool:
+    async with contextlib.AsyncExitStack() as stack:
+        stage = await _start(stack)
+        report(
+            f"running: {len(stage.engines)} engines, "
+            f"{len(stage.services)} services, {len(stage.entries)} entries"
+        )
+        steps = (
+            ("configuration", _apply),
+            ("whole answer", _show_whole),
+            ("non-idempotent call with a retry", _show_at_most_once),
+            ("stream across a reclaim", _show_reclaim),
+        )
+        for name, step in steps:
+            try:
+                detail = await step(stage)
+            except (DemoError, TimeoutError, httpx.HTTPError) as error:
+                report(f"{name}: FAILED, {type(error).__name__}: {error}")
+                return False
+            report(f"{name}: ok, {detail}")
+        return True
+
+
+async def _start(stack: contextlib.AsyncExitStack) -> Stage:
+    started_platform = await stack.enter_async_context(
+        running.run_platform(
+            platform_documents.PlatformSettings(token=PLATFORM_TOKEN)
+        )
+    )
+    engines: dict[str, running.Running[engine.Engine]] = {}
+    services = []
+    for number, zone in enumerate(ZONES):
+        started_engine = await stack.enter_async_context(
+            running.run_engine(
+                engine_documents.EngineSettings(model=MODEL, model_version="1")
+            )
+        )
+        service = await stack.enter_async_context(running.run_plain_service())
+        engines[f"engine-{number}"] = started_engine
+        services.append(service)
+        vms = started_platform.standin.cloud
+        now_ms = started_platform.standin.clock.now_ms()
+        vms.add(
+            _upstream_row(f"engine-{number}", zone, "dossier", started_engine),
+            now_ms,
+        )
+        vms.add(
+            _upstream_row(f"service-{number}", zone, "certdesk", service),
+            now_ms,
+        )
+    tasks = await stack.enter_async_context(anyio.create_task_group())
+    stack.callback(tasks.cancel_scope.cancel)
+    started_entries: list[entries.RunningEntry] = []
+    for number in range(ENTRY_COUNT):
+        seeds = tuple(entry.peer_address for entry in started_entries)
+        started_entries.append(
+            await _start_entry(tasks, number, started_platform, seeds)
+        )
+    http = await stack.enter_async_context(
+        httpx.AsyncClient(timeout=REQUEST_TIMEOUT_S)
+    )
+    return Stage(started_platform, engines, services, started_entries, http)
+
+
+async def _start_entry(
+    tasks: abc.TaskGroup,
+    number: int,
+    started_platform: running.Running[platform.Platform],
+    seeds: tuple[str, ...],
+) -> entries.RunningEntry:
+    settings = entry_settings.Settings(
+        vm_id=f"entry-{number}",
+        zone=ZONES[number % len(ZONES)],
+        platform_url=started_platform.address.url,
+        platform_token=options.Secret(PLATFORM_TOKEN),
+        operator_key=options.Secret(OPERATOR_KEY),
+        peer_secret=options.Secret(PEER_SECRET),
+        caller_port=0,
+        operator_port=0,
+        peer_port=0,
+        seed_peers=seeds,
+        log_level="error",
+    )
+    started: entries.RunningEntry = await tasks.start(entries.serve, settings)
+    entry = started.bridge.state.entry
+    row = events.VmRow(
+        entry.vm_id,
+        entry.incarnation,
+        events.VmRole.ENTRY,
+        settings.zone,
+        "small",
+        True,
+        False,
+        peer_address=started.peer_address,
+    )
+    started_platform.standin.cloud.add(
+        row, started_platform.standin.clock.now_ms()
+    )
+    return started
+
+
+def _upstream_row(
+    vm_id: str, zone: str, service: str, started: running.Running[Any]
+) -> events.VmRow:
+    return events.VmRow(
+        vm_id,
+        started.standin.incarnation,
+        events.VmRole.UPSTREAM,
+        zone,
+        "gpu" if service == "dossier" else "cpu",
+        True,
+        False,
+        service,
+        str(started.address),
+    )
+
+
+async def _apply(stage: Stage) -> str:
+    response = await stage.http.post(
+        f"http://{stage.entries[0].operator_address}/operator/configuration",
+        headers={"Authorization": f"Bearer {OPERATOR_KEY}"},
+        json={
+            "base_version": 0,
+            "change_id": "demonstration",
+            "document": build_deployment().document(),
+        },
+    )
+    if response.status_code != 200:
+        raise DemoError(response.text)
+    with anyio.fail_after(READY_TIMEOUT_S):
+        for number in range(ENTRY_COUNT):
+            while not await _is_ready(stage, number):
+                await anyio.sleep(0.05)
+    return f"version 1 is in force at {ENTRY_COUNT} entries"
+
+
+async def _is_ready(stage: Stage, number: int) -> bool:
+    response = await stage.http.get(stage.url(number) + "/readyz")
+    return response.status_code == 200
+
+
+async def _show_whole(stage: Stage) -> str:
+    response = await stage.http.post(
+        stage.url(0) + "/v1/services/dossier/draft",
+        headers=_headers(),
+        json={"prompt": PROMPT, "max_tokens": 20},
+    )
+    expected = text.expected_text(PROMPT, 0, 20)
+    if response.status_code != 200 or response.json()["text"] != expected:
+        raise DemoError(response.text)
+    request_id = response.headers["X-Request-Id"]
+    again = await stage.http.get(
+        stage.url(1) + f"/v1/requests/{request_id}/output", headers=_headers()
+    )
+    if again.json().get("text") != expected:
+        raise DemoError(f"read at another entry: {again.text}")
+    return "20 tokens, read again at another entry"
+
+
+async def _show_at_most_once(stage: Stage) -> str:
+    texts = set()
+    for number in range(2):
+        response = await stage.http.post(
+            stage.url(number) + "/v1/services/certdesk/issue_certificate",
+            headers=_headers() | {"Idempotency-Key": "certificate-1"},
+            json={"hall": "main"},
+        )
+        if response.status_code != 200:
+            raise DemoError(response.text)
+        texts.add(response.json()["text"])
+    executions = 0
+    for service in stage.services:
+        executions += len(service.standin.executions.calls)
+    if executions != 1 or len(texts) != 1:
+        raise DemoError(f"{executions} executions, {len(texts)} outcomes")
+    return "two calls at two entries, one execution, one outcome"
+
+
+async def _show_reclaim(stage: Stage) -> str:
+    request_id, first = await _read_until_reclaim(stage)
+    rest = await _read_rest(stage, request_id)
+    if first + rest != text.expected_text(PROMPT, 0, STREAM_TOKENS):
+        raise DemoError("the answer is not whole")
+    totals = [
+        started.standin.batch.generations.get(request_id)
+        for started in stage.engines.values()
+    ]
+    used = sum(1 for generation in totals if generation is not None)
+    return f"{STREAM_TOKENS} tokens whole, from {used} engines and 2 entries"
+
+
+async def _read_until_reclaim(stage: Stage) -> tuple[str, str]:
+    """Read a stream, and reclaim its engine and entry while it runs."""
+    received = ""
+    decoder = sse.Decoder()
+    async with stage.http.stream(
+        "POST",
+        stage.url(0) + "/v1/services/dossier/draft",
+        headers=_headers() | {"Accept": sse.MEDIA_TYPE},
+        json={"prompt": PROMPT, "max_tokens": STREAM_TOKENS},
+    ) as response:
+        request_id = response.headers["X-Request-Id"]
+        async for data in response.aiter_bytes():
+            for event in decoder.feed(data):
+                received += str(json.loads(event.data)["text"])
+                if int(event.event_id) == RECLAIM_AFTER_TOKENS:
+                    _reclaim(stage, request_id)
+                    return request_id, received
+    raise DemoError("the stream ended too early")
+
+
+def _reclaim(stage: Stage, request_id: str) -> None:
+    vms = stage.platform.standin.cloud
+    now_ms = stage.platform.standin.clock.now_ms()
+    for vm_id, started in stage.engines.items():
+        if request_id not in started.standin.batch.generations:
+            continue
+        started.standin.switches.update(leaving=True)
+        vms.reclaim(_notice(vm_id), now_ms)
+    vms.reclaim(_notice("entry-0"), now_ms)
+
+
+def _notice(vm_id: str) -> cloud.Reclaim:
+    return cloud.Reclaim(NOTICE_MS, vm_id=vm_id)
+
+
+async def _read_rest(stage: Stage, request_id: str) -> str:
+    """Resume the stream at another entry from the last offset."""
+    received = ""
+    decoder = sse.Decoder()
+    async with stage.http.stream(
+        "GET",
+        stage.url(1) + f"/v1/requests/{request_id}/output",
+        headers=_headers()
+        | {
+            "Accept": sse.MEDIA_TYPE,
+            "Last-Event-ID": str(RECLAIM_AFTER_TOKENS),
+        },
+    ) as response:
+        async for data in response.aiter_bytes():
+            for event in decoder.feed(data):
+                document = json.loads(event.data)
+                if event.name == "end":
+                    return received
+                if event.name == "error":
+                    raise DemoError(event.data)
+                received += str(document["text"])
+    raise DemoError("the stream has no end marker")
+
+
+def _headers() -> dict[str, str]:
+    return {"Authorization": f"Bearer {CUSTOMER_KEY}"}
--- a/laburnumpin/server/entry.py
+++ b/laburnumpin/server/entry.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 import contextlib
 import dataclasses
+import json
 import secrets
 import signal
 import socket
@@ -288,11 +289,26 @@
             running = await task_group.start(
                 _serve_entry, settings, task_group.cancel_scope
             )
+            _print_addresses(running)
             async for _ in signals:
                 now_ms = running.bridge.clock.now_ms()
                 await running.bridge.put(events.ShutdownRequested(now_ms))
 
 
+def _print_addresses(running: RunningEntry) -> None:
+    """Print one JSON line, from which a supervisor learns chosen ports."""
+    entry = running.bridge.state.entry
+    addresses = {
+        "kind": "entry",
+        "vm_id": entry.vm_id,
+        "incarnation": entry.incarnation,
+        "caller_address": running.caller_address,
+        "operator_address": running.operator_address,
+        "peer_address": running.peer_address,
+    }
+    print(json.dumps(addresses), flush=True)
+
+
 async def _serve_entry(
     settings: settings_module.Settings,
     scope: anyio.CancelScope,
