Name the code of input errors for all their causes

Cause: config diff with a file and --to reported input_unreadable, though the file is not the problem.

Change: the code is input_invalid.

Conclusion: no other caller depends on the code.

--- a/laburnumpin/exceptions.py
+++ b/laburnumpin/exceptions.py
@@ -79,9 +79,9 @@
 
 
 class InputError(LaburnumpinError):
-    """A file that the user named can't be read."""
+    """A file can't be read or written, or arguments contradict each other."""
 
-    code = "input_unreadable"
+    code = "input_invalid"
 
 
 class ChangeIdReusedError(LaburnumpinError):
