Continue streams that progressed; join applying and operator API

Cause: a stream whose connection broke ended with budget_exhausted on a fresh entry, although its engine still had the generation. Applying a configuration failed with internal_error, because the operator API returned another type than the applying loop expected.

Ruled out: a budget that starts above zero or refills with time; both exceed 1.1 attempts per request in an outage of few requests.

Change: the continuation of a stream whose last attempt produced output is charged to the budget but not refused. It cannot become a storm, since each needs output of the one before. The applying loop takes the platform client's result types.

--- a/laburnumpin/commands/demo.py
+++ b/laburnumpin/commands/demo.py
@@ -35,9 +35,11 @@
 PLATFORM_TOKEN = "demonstration-platform-token"
 ENTRY_COUNT = 3
 READY_TIMEOUT_S = 30
+SHUTDOWN_TIMEOUT_S = 60
+CLAIM_TRIES = 5
 REQUEST_TIMEOUT_S = 60
 PROMPT = "Draft the compliance dossier for the main hall truss. " * 20
-STREAM_TOKENS = 120
+STREAM_TOKENS = 400
 RECLAIM_AFTER_TOKENS = 30
 NOTICE_MS = 10_000
 
@@ -56,6 +58,7 @@
     engines: dict[str, running.Running[engine.Engine]]
     services: list[running.Running[plain_service.PlainService]]
     entries: list[entries.RunningEntry]
+    exited: list[anyio.Event]
     http: httpx.AsyncClient
 
     def url(self, number: int) -> str:
@@ -117,6 +120,7 @@
             ("whole answer", _show_whole),
             ("non-idempotent call with a retry", _show_at_most_once),
             ("stream across a reclaim", _show_reclaim),
+            ("graceful shutdown", _show_shutdown),
         )
         for name, step in steps:
             try:
@@ -158,24 +162,37 @@
     tasks = await stack.enter_async_context(anyio.create_task_group())
     stack.callback(tasks.cancel_scope.cancel)
     started_entries: list[entries.RunningEntry] = []
+    exited = [anyio.Event() for _ in range(ENTRY_COUNT)]
     for number in range(ENTRY_COUNT):
         seeds = tuple(entry.peer_address for entry in started_entries)
-        started_entries.append(
-            await _start_entry(tasks, number, started_platform, seeds)
-        )
+        settings = _entry_settings(number, started_platform, seeds)
+        started = await tasks.start(_run_entry, settings, exited[number])
+        _list_entry(started_platform, started)
+        started_entries.append(started)
     http = await stack.enter_async_context(
         httpx.AsyncClient(timeout=REQUEST_TIMEOUT_S)
     )
-    return Stage(started_platform, engines, services, started_entries, http)
+    return Stage(
+        started_platform, engines, services, started_entries, exited, http
+    )
+
+
+async def _run_entry(
+    settings: entry_settings.Settings,
+    exited: anyio.Event,
+    *,
+    task_status: abc.TaskStatus[entries.RunningEntry],
+) -> None:
+    await entries.serve(settings, task_status=task_status)
+    exited.set()
 
 
-async def _start_entry(
-    tasks: abc.TaskGroup,
+def _entry_settings(
     number: int,
     started_platform: running.Running[platform.Platform],
     seeds: tuple[str, ...],
-) -> entries.RunningEntry:
-    settings = entry_settings.Settings(
+) -> entry_settings.Settings:
+    return entry_settings.Settings(
         vm_id=f"entry-{number}",
         zone=ZONES[number % len(ZONES)],
         platform_url=started_platform.address.url,
@@ -188,22 +205,25 @@
         seed_peers=seeds,
         log_level="error",
     )
-    started: entries.RunningEntry = await tasks.start(entries.serve, settings)
-    entry = started.bridge.state.entry
+
+
+def _list_entry(
+    started_platform: running.Running[platform.Platform],
+    started: entries.RunningEntry,
+) -> None:
+    state = started.bridge.state
     row = events.VmRow(
-        entry.vm_id,
-        entry.incarnation,
+        state.entry.vm_id,
+        state.entry.incarnation,
         events.VmRole.ENTRY,
-        settings.zone,
+        state.zone,
         "small",
         True,
         False,
         peer_address=started.peer_address,
     )
-    started_platform.standin.cloud.add(
-        row, started_platform.standin.clock.now_ms()
-    )
-    return started
+    standin = started_platform.standin
+    standin.cloud.add(row, standin.clock.now_ms())
 
 
 def _upstream_row(
@@ -267,22 +287,32 @@
 async def _show_at_most_once(stage: Stage) -> str:
     texts = set()
     for number in range(2):
-        response = await stage.http.post(
-            stage.url(number) + "/v1/services/certdesk/issue_certificate",
-            headers=_headers() | {"Idempotency-Key": "certificate-1"},
-            json={"hall": "main"},
-        )
-        if response.status_code != 200:
-            raise DemoError(response.text)
-        texts.add(response.json()["text"])
+        texts.add(await _issue_certificate(stage, number))
     executions = 0
     for service in stage.services:
-        executions += len(service.standin.executions.calls)
+        executions += service.standin.executions.total
     if executions != 1 or len(texts) != 1:
         raise DemoError(f"{executions} executions, {len(texts)} outcomes")
     return "two calls at two entries, one execution, one outcome"
 
 
+async def _issue_certificate(stage: Stage, number: int) -> str:
+    """Repeat the call while an earlier one with its key has not ended."""
+    for _ in range(CLAIM_TRIES):
+        response = await stage.http.post(
+            stage.url(number) + "/v1/services/certdesk/issue_certificate",
+            headers=_headers() | {"Idempotency-Key": "certificate-1"},
+            json={"hall": "main"},
+        )
+        document = response.json()
+        if response.status_code == 200:
+            return str(document["text"])
+        if document["error"]["code"] != "claim_held":
+            break
+        await anyio.sleep(int(response.headers["Retry-After"]))
+    raise DemoError(response.text)
+
+
 async def _show_reclaim(stage: Stage) -> str:
     request_id, first = await _read_until_reclaim(stage)
     rest = await _read_rest(stage, request_id)
@@ -296,6 +326,16 @@
     return f"{STREAM_TOKENS} tokens whole, from {used} engines and 2 entries"
 
 
+async def _show_shutdown(stage: Stage) -> str:
+    for started in stage.entries:
+        now_ms = started.bridge.clock.now_ms()
+        await started.bridge.put(events.ShutdownRequested(now_ms))
+    with anyio.fail_after(SHUTDOWN_TIMEOUT_S):
+        for exited in stage.exited:
+            await exited.wait()
+    return f"{len(stage.entries)} entries finished their work and exited"
+
+
 async def _read_until_reclaim(stage: Stage) -> tuple[str, str]:
     """Read a stream, and reclaim its engine and entry while it runs."""
     received = ""
@@ -311,20 +351,31 @@
             for event in decoder.feed(data):
                 received += str(json.loads(event.data)["text"])
                 if int(event.event_id) == RECLAIM_AFTER_TOKENS:
-                    _reclaim(stage, request_id)
+                    await _reclaim(stage, request_id)
                     return request_id, received
     raise DemoError("the stream ended too early")
 
 
-def _reclaim(stage: Stage, request_id: str) -> None:
+async def _reclaim(stage: Stage, request_id: str) -> None:
+    """Reclaim the engine and the entry that serve a request.
+
+    The engine's connections break once the entry knows of the notice, which
+    is what the end of a VM does to them.
+    """
     vms = stage.platform.standin.cloud
     now_ms = stage.platform.standin.clock.now_ms()
+    vms.reclaim(_notice("entry-0"), now_ms)
+    leaving = stage.entries[0].bridge.state.upstreams.leaving
     for vm_id, started in stage.engines.items():
         if request_id not in started.standin.batch.generations:
             continue
-        started.standin.switches.update(leaving=True)
         vms.reclaim(_notice(vm_id), now_ms)
-    vms.reclaim(_notice("entry-0"), now_ms)
+        mark = (vm_id, started.standin.incarnation)
+        with anyio.fail_after(READY_TIMEOUT_S):
+            while mark not in leaving:
+                await anyio.sleep(0.05)
+        started.standin.switches.update(leaving=True, cut_streams=1)
+        return
 
 
 def _notice(vm_id: str) -> cloud.Reclaim:
--- a/laburnumpin/core/requests.py
+++ b/laburnumpin/core/requests.py
@@ -561,7 +561,13 @@
     upstream = state.upstreams.by_id.get(attempt.upstream_id)
     leaving = upstream is not None and upstream.leaving
     decision = retries.decide(
-        state, request, attempt_verdict, failure, leaving, now_ms
+        state,
+        request,
+        attempt_verdict,
+        failure,
+        upstream_leaving=leaving,
+        progressed=request.next_offset > attempt.start_offset,
+        now_ms=now_ms,
     )
     if decision.failure is not None:
         return end(state, request, decision.failure, now_ms)
--- a/laburnumpin/core/retries.py
+++ b/laburnumpin/core/retries.py
@@ -19,6 +19,13 @@
 BUDGET_CAP = 32.0
 OVERLOADED_RETRY_AFTER_MS = 1_000
 
+# The stream ended although the engine did nothing wrong that is known.
+_BROKEN_STREAM = (
+    events.AttemptFailure.CONNECTION_LOST,
+    events.AttemptFailure.INTER_TOKEN_TIMEOUT,
+    events.AttemptFailure.TRUNCATED,
+)
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Decision:
@@ -51,15 +58,18 @@
     attempt_verdict: verdict.Verdict,
     failure: events.AttemptFailure,
     upstream_leaving: bool,
+    progressed: bool,
     now_ms: int,
 ) -> Decision:
     """Decide on a retry after an attempt failed.
 
-    A move away from a leaving upstream is charged to the budget, but is not
-    refused when the budget is empty, since accepted work survives an
-    announced reclaim. There is at most one such move per request and leaving
-    upstream. An attempt that expired in this process is not charged, since
-    the upstream saw nothing of it.
+    Two kinds are charged to the budget, but not refused when it is empty. A
+    move away from a leaving upstream, since accepted work survives an
+    announced reclaim; there is at most one per request and leaving upstream.
+    The continuation of a stream whose attempt `progressed`, which cannot
+    become a storm, since every one needs output of the one before. An
+    attempt that expired in this process is not charged, since the upstream
+    saw nothing of it.
     """
     not_run = attempt_verdict is verdict.Verdict.NOT_RUN
     if not (request.operation.idempotent or not_run):
@@ -71,7 +81,12 @@
     )
     expired = failure is events.AttemptFailure.EXPIRED_BEFORE_SEND
     budget = state.retries.budget
-    if budget < 1.0 and not moves and not expired:
+    continues = (
+        progressed
+        and failure in _BROKEN_STREAM
+        and attempt_verdict is verdict.Verdict.MAY_HAVE_RUN
+    )
+    if budget < 1.0 and not (moves or continues or expired):
         return _give_up(state, request, failure, "budget_exhausted")
     delay_ms = 0 if moves or expired else _backoff_ms(state, request)
     if now_ms + delay_ms >= request.deadline_ms:
--- a/laburnumpin/server/applying.py
+++ b/laburnumpin/server/applying.py
@@ -4,8 +4,6 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
-from collections.abc import Sequence
-import dataclasses
 from typing import Protocol
 
 import anyio
@@ -13,6 +11,7 @@
 from laburnumpin import exceptions
 from laburnumpin.core import applying
 from laburnumpin.core import store
+from laburnumpin.server import platform_client
 
 # Together with the pauses below, 3.1 s: shorter than the client's timeout of
 # 10 s, so that operators learn what the entry knows.
@@ -20,14 +19,6 @@
 FIRST_PAUSE_S = 0.1
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class TransactionResult:
-    """New row versions if committed, else the rows that conflicted."""
-
-    versions: tuple[int, ...]
-    conflicts: tuple[store.Row, ...]
-
-
 class TableService(Protocol):
     """The calls to the table service that applying needs.
 
@@ -37,14 +28,14 @@
 
     async def transact(
         self,
-        conditions: Sequence[store.Condition],
-        writes: Sequence[store.Write],
-    ) -> TransactionResult:
+        conditions: tuple[store.Condition, ...],
+        writes: tuple[store.Write, ...],
+    ) -> platform_client.Committed | platform_client.Conflicted:
         """Write the rows if all conditions hold."""
 
     async def read_rows(
-        self, table: str, keys: Sequence[str]
-    ) -> Sequence[store.Row]:
+        self, table: str, keys: tuple[str, ...]
+    ) -> tuple[store.Row, ...]:
         """Return the rows at one point in time; absent ones have version 0."""
 
 
@@ -125,7 +116,9 @@
             return None
         # A conflict stems from another operator, or from an own earlier
         # transaction that landed late; the next read tells which.
-        return None if result.conflicts else planned.version
+        if isinstance(result, platform_client.Conflicted):
+            return None
+        return planned.version
 
     def _raise_if_resolved(self, error: exceptions.LaburnumpinError) -> None:
         if not self._unresolved:
--- a/laburnumpin/server/operator_api.py
+++ b/laburnumpin/server/operator_api.py
@@ -4,10 +4,8 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
-import importlib
 import json
 from typing import Any
-from typing import Protocol
 
 from starlette import applications
 from starlette import exceptions as http_exceptions
@@ -19,6 +17,7 @@
 from laburnumpin.core import effects
 from laburnumpin.core import events
 from laburnumpin.core import store
+from laburnumpin.server import applying
 from laburnumpin.server import authentication
 from laburnumpin.server import bridge as bridges
 from laburnumpin.server import caller_api
@@ -37,38 +36,6 @@
 _Endpoint = Callable[[requests.Request], Awaitable[responses.Response]]
 
 
-class Store(Protocol):
-    """The calls to the table service that applying a change needs."""
-
-    async def transact(
-        self,
-        conditions: tuple[store.Condition, ...],
-        writes: tuple[store.Write, ...],
-    ) -> platform_client.Committed | platform_client.Conflicted:
-        """Write rows if all conditions hold."""
-
-    async def read_rows(
-        self, table: str, keys: tuple[str, ...]
-    ) -> tuple[store.Row, ...]:
-        """Return rows in the order of `keys`."""
-
-
-class Apply(Protocol):
-    """Applies a configuration change and returns its version."""
-
-    async def __call__(
-        self, store: Store, base_version: int, change_id: str, document: str
-    ) -> int:
-        """Apply a change.
-
-        Raises:
-            ConfigurationError: The document is invalid.
-            ConfigurationConflictError: Another change came first.
-            PlatformUnavailableError: Nothing was changed.
-            PlatformAnswerLostError: The change may have taken effect.
-        """
-
-
 class _OperatorError(Exception):
     """A request of an operator cannot be served."""
 
@@ -83,19 +50,17 @@
 class OperatorApi:
     """Endpoints of the operator API."""
 
-    __slots__ = ("_apply", "_bridge", "_key", "_platform")
+    __slots__ = ("_bridge", "_key", "_platform")
 
     def __init__(
         self,
         bridge: bridges.Bridge,
         platform: platform_client.PlatformClient,
         key: str,
-        apply: Apply | None = None,
     ) -> None:
         self._bridge = bridge
         self._platform = platform
         self._key = key
-        self._apply = apply
 
     def application(self) -> applications.Starlette:
         """Return the ASGI application."""
@@ -173,8 +138,9 @@
         """Apply a configuration change."""
         body = await caller_input.read_body(request)
         base_version, change_id, document = _parse_change(body)
-        apply = self._apply or _load_apply()
-        version = await apply(self._platform, base_version, change_id, document)
+        version = await applying.apply(
+            self._platform, base_version, change_id, document
+        )
         logs.write(
             "configuration_applied",
             "info",
@@ -227,12 +193,6 @@
         return rows[0]
 
 
-def _load_apply() -> Apply:
-    module = importlib.import_module("laburnumpin.server.applying")
-    apply: Apply = module.apply
-    return apply
-
-
 def _version_key(version: int) -> str:
     return f"version/{version:012d}"
 
@@ -321,6 +281,8 @@
         status = 409
         body["base_version"] = error.base_version
         body["current_version"] = error.current_version
+    elif isinstance(error, exceptions.ChangeIdReusedError):
+        status = 409
     elif isinstance(error, exceptions.ConfigurationError):
         status = 422
         body["fields"] = caller_errors.field_rows(error.errors)
--- a/laburnumpin/tests/test_retries.py
+++ b/laburnumpin/tests/test_retries.py
@@ -101,6 +101,27 @@
     assert (second.offset, second.recompute) == (2, False)
 
 
+def test_stream_that_progressed_continues_with_an_empty_budget() -> None:
+    """Guards against an accepted stream that one lost connection ends."""
+    world = simulation.World(1)
+    first = _stream(world, 2)
+    entry = world.entries["entry-0"]
+    entry.retries.budget = 0.0
+    lost = events.AttemptFailure.CONNECTION_LOST
+    world.deliver(
+        "entry-0", events.AttemptFailed(0, first.attempt_id, _MAY, lost)
+    )
+    world.run(300)
+    second = world.dispatches[-1][2]
+    assert (second.offset, second.recompute) == (2, False)
+    world.deliver(
+        "entry-0", events.AttemptFailed(0, second.attempt_id, _MAY, lost)
+    )
+    world.run(300)
+    assert world.dispatches[-1][2] is second
+    assert entry.counters.value("retries_refused", "budget_exhausted") == 1
+
+
 def test_unknown_generation_recomputes_and_keeps_the_output() -> None:
     """Guards against text that is sent twice after an engine forgot it."""
     world = simulation.World(1)
