--- a/laburnumpin/server/http_calls.py
+++ b/laburnumpin/server/http_calls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 import httpx
@@ -21,16 +22,21 @@
     """Watches one call; refuses its first byte after `valid_until_ms`.
 
     `sent` is set before the first byte is written, so that while it is false
-    the call has certainly not reached the other side.
+    the call has certainly not reached the other side. `on_sent` is called at
+    the same time.
     """
 
-    __slots__ = ("_clock", "_valid_until_ms", "sent")
+    __slots__ = ("_clock", "_on_sent", "_valid_until_ms", "sent")
 
     def __init__(
-        self, clock: clocks.Clock, valid_until_ms: int | None = None
+        self,
+        clock: clocks.Clock,
+        valid_until_ms: int | None = None,
+        on_sent: Callable[[], None] | None = None,
     ) -> None:
         self._clock = clock
         self._valid_until_ms = valid_until_ms
+        self._on_sent = on_sent
         self.sent = False
 
     async def trace(self, name: str, info: dict[str, Any]) -> None:
@@ -46,6 +52,8 @@
             if self._clock.now_ms() > self._valid_until_ms:
                 raise ExpiredError
         self.sent = True
+        if self._on_sent is not None:
+            self._on_sent()
 
     def extensions(self) -> dict[str, Any]:
         """Return the `extensions` argument for `httpx`."""
--- a/laburnumpin/server/platform_client.py
+++ b/laburnumpin/server/platform_client.py
@@ -350,28 +350,34 @@
         *,
         content: bytes | None = None,
         valid_until_ms: int | None = None,
-        timeout_ms: int = STORE_TIMEOUT_MS,
+        timeout_ms: int | None = None,
     ) -> _Response:
-        guard = http_calls.SendGuard(self._bridge.clock, valid_until_ms)
+        scope = anyio.CancelScope()
+
+        def start_timer() -> None:
+            seconds = (timeout_ms or STORE_TIMEOUT_MS) / 1_000
+            scope.deadline = anyio.current_time() + seconds
+
+        # The time until the first byte is bounded by the time-outs of the
+        # connection, so that a time-out of the scope means "sent".
+        guard = http_calls.SendGuard(
+            self._bridge.clock, valid_until_ms, start_timer
+        )
         headers = {"Authorization": f"Bearer {self._token.reveal()}"}
         if body is not None:
             content = json.dumps(body).encode()
             headers["Content-Type"] = "application/json"
         try:
-            with anyio.fail_after(timeout_ms / 1_000):
+            with scope:
                 return await self._exchange(
                     method, path, content, headers, guard
                 )
-        except (
-            TimeoutError,
-            httpx.HTTPError,
-            httpx.InvalidURL,
-            OSError,
-        ) as error:
+        except (httpx.HTTPError, httpx.InvalidURL, OSError) as error:
             message = f"{method} {path}: {type(error).__name__}"
             if guard.sent:
                 raise exceptions.PlatformAnswerLostError(message) from error
             raise exceptions.PlatformUnavailableError(message) from error
+        raise exceptions.PlatformAnswerLostError(f"{method} {path}: time-out")
 
     async def _exchange(
         self,
--- a/laburnumpin/server/upstream_client.py
+++ b/laburnumpin/server/upstream_client.py
@@ -61,7 +61,11 @@
 
 @dataclasses.dataclass(slots=True)
 class _Attempt:
-    """An attempt in flight; `scope` also carries its current time-out."""
+    """An attempt in flight.
+
+    `scope` carries the current time-out, which starts with the first byte;
+    the time until then is bounded by the time-outs of the connection.
+    """
 
     dispatch: effects.Dispatch
     scope: anyio.CancelScope
@@ -114,8 +118,15 @@
 
     def dispatch(self, effect: effects.Dispatch) -> None:
         """Start an attempt."""
-        guard = http_calls.SendGuard(self._bridge.clock, effect.valid_until_ms)
-        attempt = _Attempt(effect, anyio.CancelScope(), guard)
+        scope = anyio.CancelScope()
+
+        def start_timer() -> None:
+            _set_timer(scope, effect.first_byte_timeout_ms)
+
+        guard = http_calls.SendGuard(
+            self._bridge.clock, effect.valid_until_ms, start_timer
+        )
+        attempt = _Attempt(effect, scope, guard)
         self._attempts[effect.attempt_id] = attempt
         self._tasks.start(self._run_attempt, attempt)
 
@@ -212,7 +223,7 @@
             http_calls.url(dispatch.address, "/v1/generate"),
             json=body,
             headers={"Accept": sse.MEDIA_TYPE},
-            extensions=self._start_timer(attempt),
+            extensions=attempt.guard.extensions(),
         ) as response:
             if response.status_code != 200:
                 await _raise_rejection(response, _MAY_HAVE_RUN)
@@ -272,7 +283,7 @@
             http_calls.url(dispatch.address, f"/v1/call/{operation}"),
             content=dispatch.body.encode(),
             headers=headers,
-            extensions=self._start_timer(attempt),
+            extensions=attempt.guard.extensions(),
         ) as response:
             if not 200 <= response.status_code < 300:
                 # Another 4xx answer is the service's own result.
@@ -302,25 +313,15 @@
         )
         return events.AttemptCompleted(now_ms, dispatch.attempt_id, 1, 0, 0)
 
-    def _start_timer(self, attempt: _Attempt) -> dict[str, Any]:
-        # The first-byte time-out also covers the connection's start, which
-        # `valid_until_ms` and the connect time-out bound more tightly.
-        _set_timer(attempt, attempt.dispatch.first_byte_timeout_ms)
-        return attempt.guard.extensions()
-
     def _restart_timer(self, attempt: _Attempt) -> None:
         attempt.output_started = True
-        _set_timer(attempt, attempt.dispatch.inter_token_timeout_ms)
+        _set_timer(attempt.scope, attempt.dispatch.inter_token_timeout_ms)
 
     def _timed_out(self, attempt: _Attempt) -> events.AttemptFailed:
         failure = events.AttemptFailure.FIRST_BYTE_TIMEOUT
         if attempt.output_started:
             failure = events.AttemptFailure.INTER_TOKEN_TIMEOUT
-        if attempt.guard.sent:
-            return self._failed(attempt.dispatch, _MAY_HAVE_RUN, failure)
-        return self._failed(
-            attempt.dispatch, _NOT_RUN, events.AttemptFailure.CONNECT_FAILED
-        )
+        return self._failed(attempt.dispatch, _MAY_HAVE_RUN, failure)
 
     def _disconnected(
         self, attempt: _Attempt, error: Exception
@@ -507,8 +508,8 @@
             return events.OrderResult.UNKNOWN
 
 
-def _set_timer(attempt: _Attempt, timeout_ms: int) -> None:
-    attempt.scope.deadline = anyio.current_time() + timeout_ms / 1_000
+def _set_timer(scope: anyio.CancelScope, timeout_ms: int) -> None:
+    scope.deadline = anyio.current_time() + timeout_ms / 1_000
 
 
 def _parse_chunk(
