Log documented message types from a thread

Writing to standard error from the event loop would let a log reader that stopped reading freeze the entry. A thread writes the lines now; those that do not fit into its queue are dropped and counted in the next line.

Warnings of libraries become `library_log` lines instead of plain text. Each exchange for an accepted request is an eliot action with its id.

--- a/laburnumpin/server/caller_api.py
+++ b/laburnumpin/server/caller_api.py
@@ -52,18 +52,32 @@
         self, scope: types.Scope, receive: types.Receive, send: types.Send
     ) -> None:
         """Send the response, until the caller goes away."""
-        async with anyio.create_task_group() as task_group:
-            task_group.start_soon(
-                _cancel_on_disconnect, receive, task_group.cancel_scope
-            )
-            if self._streamed:
-                await self._send_stream(send)
-            else:
-                response = await self._collect()
-                await response(scope, receive, send)
-            task_group.cancel_scope.cancel()
-
-    async def _send_stream(self, send: types.Send) -> None:
+        fields: logs.Fields = {
+            "request_id": self._request_id,
+            "customer": self._customer,
+            "offset": self._offset,
+            "streamed": self._streamed,
+        }
+        with logs.request_action(fields) as result:
+            result["outcome"] = "caller_gone"
+            async with anyio.create_task_group() as task_group:
+                task_group.start_soon(
+                    _cancel_on_disconnect, receive, task_group.cancel_scope
+                )
+                result["outcome"] = await self._send(scope, receive, send)
+                task_group.cancel_scope.cancel()
+
+    async def _send(
+        self, scope: types.Scope, receive: types.Receive, send: types.Send
+    ) -> str:
+        """Send the response and return its outcome for the log."""
+        if self._streamed:
+            return await self._send_stream(send)
+        response = await self._collect()
+        await response(scope, receive, send)
+        return f"http_{response.status_code}"
+
+    async def _send_stream(self, send: types.Send) -> str:
         headers = responses.Response(
             headers={
                 "X-Request-Id": self._request_id,
@@ -80,13 +94,17 @@
         ) as reader:
             async for output in reader:
                 last = isinstance(output, effects.EndReader)
+                event = self._sse_event(output)
                 await send(
                     {
                         "type": "http.response.body",
-                        "body": sse.encode(self._sse_event(output)),
+                        "body": sse.encode(event),
                         "more_body": not last,
                     }
                 )
+                if last:
+                    return event.name
+        return "reader_closed"
 
     def _sse_event(self, output: bridges.Output) -> sse.SseEvent:
         if isinstance(output, effects.SendChunk):
@@ -204,6 +222,16 @@
         if isinstance(answer, effects.Refuse):
             raise caller_errors.CallerError(answer.failure)
         assert isinstance(answer, effects.Accept)
+        logs.write(
+            "request_accepted",
+            "info",
+            {
+                "request_id": answer.request_id,
+                "customer": customer,
+                "service": service,
+                "operation": request.path_params["operation"],
+            },
+        )
         if caller_input.wants_async(request):
             return _accepted(answer.request_id)
         return OutputResponse(
--- a/laburnumpin/server/entry.py
+++ b/laburnumpin/server/entry.py
@@ -135,8 +135,9 @@
 
 def run(settings: settings_module.Settings) -> None:
     """Run the daemon until it has drained after SIGTERM."""
-    logs.set_up(settings.log_level, settings.vm_id)
-    anyio.run(_run_with_signals, settings)
+    with logs.set_up(settings.log_level, settings.vm_id):
+        anyio.run(_run_with_signals, settings)
+        logs.write("entry_exited", "info")
 
 
 async def serve(
@@ -157,7 +158,9 @@
             daemon = _Daemon(settings, bridge, sockets, task_group)
             task_group.start_soon(daemon.loop.run)
             task_group.start_soon(daemon.loop.tick)
-            task_status.started(daemon.running())
+            running = daemon.running()
+            _log_started(running)
+            task_status.started(running)
             try:
                 await daemon.serve()
             finally:
@@ -288,7 +291,8 @@
             running = await task_group.start(
                 _serve_entry, settings, task_group.cancel_scope
             )
-            async for _ in signals:
+            async for number in signals:
+                logs.write("signal_received", "info", {"signal": number.name})
                 now_ms = running.bridge.clock.now_ms()
                 await running.bridge.put(events.ShutdownRequested(now_ms))
 
@@ -365,6 +369,19 @@
         await lowlevel.checkpoint()
 
 
+def _log_started(running: RunningEntry) -> None:
+    logs.write(
+        "entry_started",
+        "info",
+        {
+            "caller_address": running.caller_address,
+            "operator_address": running.operator_address,
+            "peer_address": running.peer_address,
+            "incarnation": running.bridge.state.entry.incarnation,
+        },
+    )
+
+
 def _write_log(effect: effects.Log) -> None:
     logs.write(effect.message_type, effect.level, effect.fields)
 
--- a/laburnumpin/server/logs.py
+++ b/laburnumpin/server/logs.py
@@ -1,10 +1,19 @@
-"""Structured logs: JSON lines of documented types on standard error."""
+"""Structured logs: JSON lines of documented types on standard error.
+
+`docs/logs.md` lists the types. Fields never contain keys, secrets, prompts or
+answers.
+"""
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from collections.abc import Mapping
+import contextlib
 import json
+import logging
+import queue
 import sys
+import threading
 import traceback
 from typing import Any
 from typing import TextIO
@@ -13,32 +22,92 @@
 
 Fields = Mapping[str, str | int | float | bool | None]
 
+# Lines that wait for a reader of standard error that is slow.
+QUEUE_LINES = 10_000
+FLUSH_TIMEOUT_S = 2.0
+
 _RANKS = {"debug": 10, "info": 20, "warning": 30, "error": 40}
 
 
 class Destination:
-    """Writes messages of at least one level as JSON lines."""
+    """Writes messages of at least one level as JSON lines.
+
+    A thread writes them, so that a reader that stopped reading cannot block
+    the event loop; lines that do not fit into the queue are dropped, and the
+    next line that does names their number.
+    """
 
-    __slots__ = ("_rank", "_stream")
+    __slots__ = ("_dropped", "_lines", "_rank", "_stream", "_thread")
 
     def __init__(self, level: str, stream: TextIO) -> None:
         self._rank = _RANKS[level]
         self._stream = stream
+        self._dropped = 0
+        self._lines: queue.Queue[str | None] = queue.Queue(QUEUE_LINES)
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
 
     def __call__(self, message: Mapping[str, Any]) -> None:
-        """Write a message; `eliot` calls this for each."""
+        """Queue a message; `eliot` calls this for each."""
         level = str(message.get("level", _default_level(message)))
         if _RANKS.get(level, _RANKS["error"]) < self._rank:
             return
-        line = json.dumps({"level": level, **message}, default=repr)
-        self._stream.write(line + "\n")
-        self._stream.flush()
-
-
-def set_up(level: str, entry: str) -> None:
+        line = {**message, "level": level}
+        if self._dropped:
+            line["dropped_lines"] = self._dropped
+        try:
+            self._lines.put_nowait(json.dumps(line, default=repr) + "\n")
+        except queue.Full:
+            self._dropped += 1
+            return
+        self._dropped = 0
+
+    def is_idle(self) -> bool:
+        """Return whether no line waits."""
+        return self._lines.empty()
+
+    def close(self) -> None:
+        """Write what is queued, within a bounded time."""
+        with contextlib.suppress(queue.Full):
+            self._lines.put_nowait(None)
+        self._thread.join(FLUSH_TIMEOUT_S)
+
+    def _run(self) -> None:
+        while True:
+            line = self._lines.get()
+            if line is None:
+                return
+            try:
+                self._stream.write(line)
+                self._stream.flush()
+            except (OSError, ValueError):
+                return  # Standard error is closed.
+
+
+class _LibraryHandler(logging.Handler):
+    """Passes on warnings and errors of libraries."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write a record."""
+        level = "error" if record.levelno >= logging.ERROR else "warning"
+        text = self.format(record)
+        write("library_log", level, {"logger": record.name, "text": text})
+
+
+@contextlib.contextmanager
+def set_up(level: str, entry: str) -> Iterator[None]:
     """Write messages of `level` and above to standard error."""
+    destination = Destination(level, sys.stderr)
+    handler = _LibraryHandler(logging.WARNING)
     eliot.add_global_fields(entry=entry)
-    eliot.add_destinations(Destination(level, sys.stderr))
+    eliot.add_destinations(destination)
+    logging.getLogger().addHandler(handler)
+    try:
+        yield
+    finally:
+        logging.getLogger().removeHandler(handler)
+        eliot.remove_destination(destination)
+        destination.close()
 
 
 def write(message_type: str, level: str, fields: Fields | None = None) -> None:
@@ -60,6 +129,18 @@
     write(message_type, "error", details)
 
 
+@contextlib.contextmanager
+def request_action(fields: Fields) -> Iterator[dict[str, Any]]:
+    """Write the start and the end of the service to a caller's request.
+
+    What the block puts into the dictionary becomes fields of the end.
+    """
+    result: dict[str, Any] = {}
+    with eliot.start_task(action_type="request", **dict(fields)) as action:
+        yield result
+        action.add_success_fields(**result)
+
+
 def _default_level(message: Mapping[str, Any]) -> str:
     # Messages without a level come from actions and from `eliot` itself.
     return "error" if message.get("action_status") == "failed" else "info"
