Add a replay of decisions in virtual time with baselines

Cause: changes to routing and limits need figures from identical traces before and after.

Ruled out: a cluster simulator; a replay through the shell, whose wall clock would make figures differ between runs.

Change: `bench/` replays the real reducers of six entries against small fakes of engines, plain services and the platform. Baselines replace the choice and the queue; "earlier" is the present version of `core/routing.py` and `core/limits.py`.

--- /dev/null
+++ b/laburnumpin/bench/fakes.py
@@ -0,0 +1,365 @@
+"""Small fakes of engines and plain services in virtual time."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Callable
+import dataclasses
+import random
+from typing import Protocol
+
+from laburnumpin.bench import traces
+from laburnumpin.core import effects
+from laburnumpin.core import events
+from laburnumpin.core import prefixes
+
+# An idle engine's step, what each running stream adds, and prefill. With 48
+# streams a step takes 29 ms, with 66 it takes 36 ms.
+STEP_BASE_MS = 10.0
+STEP_PER_STREAM_MS = 0.4
+PREFILL_MS_PER_TOKEN = 0.125
+PREFILL_CHUNK_TOKENS = 256
+CACHE_BLOCKS = 1_200
+MAX_WAITING = 32
+# Output is delivered in chunks of this many tokens, to save events.
+CHUNK_TOKENS = 16
+_STEP_AVERAGE = 0.2
+
+
+class Timeline(Protocol):
+    """Schedules calls in virtual time."""
+
+    now_ms: float
+
+    def call_after(self, delay_ms: float, function: Callable[[], None]) -> None:
+        """Call `function` after `delay_ms`."""
+
+
+class Listener(Protocol):
+    """Receives what happens to an attempt."""
+
+    def output(self, attempt_id: str, offset: int, next_offset: int) -> None:
+        """Report generated tokens."""
+
+    def completed(
+        self, attempt_id: str, total: int, cached: int, computed: int
+    ) -> None:
+        """Report the end marker."""
+
+    def failed(
+        self, attempt_id: str, failure: events.AttemptFailure, sent: bool
+    ) -> None:
+        """Report a failure; `sent` when the attempt may have run."""
+
+
+@dataclasses.dataclass(slots=True)
+class Recomputed:
+    """Tokens computed, and those of them that had been computed before."""
+
+    prompt_tokens: int = 0
+    prompt_recomputed: int = 0
+    generated_tokens: int = 0
+    generated_recomputed: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Stream:
+    """A generation at an engine."""
+
+    attempt_id: str
+    blocks: tuple[str, ...]
+    offset: int
+    total: int
+    expected: int
+    interactive: bool
+    prefill_left: int = 0
+    cached: int = 0
+    sent: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class _CacheEvent:
+    time_ms: float
+    added: bool
+    block: str
+
+
+class Engine:
+    """An engine with continuous batching and a limited prefix cache."""
+
+    def __init__(
+        self,
+        spec: traces.UpstreamSpec,
+        timeline: Timeline,
+        listener: Listener,
+        tokens: Recomputed,
+        computed_blocks: set[str],
+    ) -> None:
+        self.spec = spec
+        self.leaving = False
+        self._timeline = timeline
+        self._listener = listener
+        self._tokens = tokens
+        self._computed_blocks = computed_blocks
+        self._waiting: list[Stream] = []
+        self._running: dict[str, Stream] = {}
+        self._cache: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
+        self._cache_events: list[_CacheEvent] = []
+        self._step_ms = STEP_BASE_MS
+        self._stepping = False
+
+    def start(
+        self, dispatch: effects.Dispatch, arrival: traces.Arrival
+    ) -> events.AttemptFailure | None:
+        """Queue a generation, or return why it is rejected."""
+        if self.leaving:
+            return events.AttemptFailure.UPSTREAM_LEAVING
+        if len(self._waiting) >= MAX_WAITING:
+            return events.AttemptFailure.UPSTREAM_OVERLOADED
+        stream = Stream(
+            dispatch.attempt_id,
+            prefixes.block_hashes(dispatch.prompt),
+            dispatch.offset,
+            arrival.output_tokens,
+            dispatch.max_tokens,
+            dispatch.priority.value == "interactive",
+            prefixes.count_tokens(dispatch.prompt),
+            sent=dispatch.offset,
+        )
+        position = len(self._waiting)
+        if stream.interactive:
+            position = 0
+            while position < len(self._waiting):
+                if not self._waiting[position].interactive:
+                    break
+                position += 1
+        self._waiting.insert(position, stream)
+        if not self._stepping:
+            self._begin_step()
+        return None
+
+    def cancel(self, attempt_id: str) -> None:
+        """Stop a generation."""
+        self._running.pop(attempt_id, None)
+        self._waiting = [s for s in self._waiting if s.attempt_id != attempt_id]
+
+    def stop(self) -> None:
+        """Lose everything, as when the VM is gone."""
+        for stream in self._running.values():
+            self._flush(stream)
+        lost = list(self._running) + [s.attempt_id for s in self._waiting]
+        self._running.clear()
+        self._waiting.clear()
+        for attempt_id in lost:
+            self._listener.failed(
+                attempt_id, events.AttemptFailure.CONNECTION_LOST, True
+            )
+
+    def report(self) -> events.LoadReport:
+        """Return the present load."""
+        backlog = 0
+        for stream in self._running.values():
+            backlog += stream.prefill_left + stream.expected - stream.offset
+        for stream in self._waiting:
+            backlog += stream.prefill_left + stream.expected - stream.offset
+        return events.LoadReport(
+            incarnation=1,
+            age_ms=0,
+            running=len(self._running),
+            waiting=len(self._waiting),
+            slots=self.spec.slots,
+            backlog_tokens=backlog,
+            step_ms=self._step_ms,
+            leaving=self.leaving,
+        )
+
+    def cache_events(
+        self, after: int, until_ms: float, gap: int
+    ) -> tuple[int, int, tuple[str, ...], tuple[str, ...]]:
+        """Return the cache events after a sequence number, less a gap."""
+        added: dict[str, None] = {}
+        removed: dict[str, None] = {}
+        first = min(after + gap, len(self._cache_events))
+        end = first
+        for event in self._cache_events[first : first + 2_000]:
+            if event.time_ms > until_ms:
+                break
+            end += 1
+            source, target = removed, added
+            if not event.added:
+                source, target = added, removed
+            source.pop(event.block, None)
+            target[event.block] = None
+        return first, end, tuple(added), tuple(removed)
+
+    def _begin_step(self) -> None:
+        while self._waiting and len(self._running) < self.spec.slots:
+            self._admit(self._waiting.pop(0))
+        if not self._running:
+            self._stepping = False
+            return
+        self._stepping = True
+        budget = PREFILL_CHUNK_TOKENS
+        decoding = []
+        for stream in self._running.values():
+            if stream.prefill_left == 0:
+                decoding.append(stream)
+                continue
+            part = min(budget, stream.prefill_left)
+            stream.prefill_left -= part
+            budget -= part
+        prefilled = PREFILL_CHUNK_TOKENS - budget
+        duration_ms = (
+            STEP_BASE_MS
+            + STEP_PER_STREAM_MS * len(self._running)
+            + PREFILL_MS_PER_TOKEN * prefilled
+        )
+        self._step_ms += _STEP_AVERAGE * (duration_ms - self._step_ms)
+        self._timeline.call_after(duration_ms, lambda: self._end_step(decoding))
+
+    def _end_step(self, decoding: list[Stream]) -> None:
+        for stream in decoding:
+            if stream.attempt_id not in self._running:
+                continue
+            stream.offset += 1
+            self._tokens.generated_tokens += 1
+            if stream.offset >= stream.total:
+                self._finish(stream)
+                continue
+            if stream.sent == 0 or stream.offset - stream.sent >= CHUNK_TOKENS:
+                self._flush(stream)
+        self._begin_step()
+
+    def _finish(self, stream: Stream) -> None:
+        self._flush(stream)
+        del self._running[stream.attempt_id]
+        self._listener.completed(
+            stream.attempt_id, stream.total, stream.cached, stream.total
+        )
+
+    def _flush(self, stream: Stream) -> None:
+        if stream.offset > stream.sent:
+            self._listener.output(stream.attempt_id, stream.sent, stream.offset)
+            stream.sent = stream.offset
+
+    def _admit(self, stream: Stream) -> None:
+        self._running[stream.attempt_id] = stream
+        cached = 0
+        for block in stream.blocks:
+            if block not in self._cache:
+                break
+            cached += 1
+        stream.cached = min(
+            cached * prefixes.TOKENS_PER_BLOCK, stream.prefill_left
+        )
+        stream.prefill_left -= stream.cached
+        # An engine without the generation's KV cache computes the tokens
+        # that were already delivered a second time.
+        self._tokens.prompt_tokens += stream.prefill_left
+        self._tokens.generated_recomputed += stream.offset
+        stream.prefill_left += stream.offset
+        for block in stream.blocks[cached:]:
+            if block in self._computed_blocks:
+                self._tokens.prompt_recomputed += prefixes.TOKENS_PER_BLOCK
+            self._computed_blocks.add(block)
+        for block in stream.blocks:
+            self._cache_block(block)
+        stream.prefill_left = max(stream.prefill_left, 1)
+
+    def _cache_block(self, block: str) -> None:
+        now_ms = self._timeline.now_ms
+        if block in self._cache:
+            self._cache.move_to_end(block)
+            return
+        self._cache[block] = None
+        self._cache_events.append(_CacheEvent(now_ms, True, block))
+        if len(self._cache) > CACHE_BLOCKS:
+            old, _ = self._cache.popitem(last=False)
+            self._cache_events.append(_CacheEvent(now_ms, False, old))
+
+
+class PlainService:
+    """A plain service that runs calls in parallel in its slots."""
+
+    def __init__(
+        self,
+        spec: traces.UpstreamSpec,
+        timeline: Timeline,
+        listener: Listener,
+        rng: random.Random,
+    ) -> None:
+        self.spec = spec
+        self.leaving = False
+        self._timeline = timeline
+        self._listener = listener
+        # VMs of a class differ in speed; a policy has to notice.
+        self._slowness = rng.uniform(0.8, 1.3)
+        self._waiting: list[tuple[str, float]] = []
+        self._running: set[str] = set()
+
+    def start(
+        self, dispatch: effects.Dispatch, arrival: traces.Arrival
+    ) -> events.AttemptFailure | None:
+        """Run or queue a call, or return why it is rejected."""
+        if self.leaving:
+            return events.AttemptFailure.UPSTREAM_LEAVING
+        if len(self._waiting) >= MAX_WAITING:
+            return events.AttemptFailure.UPSTREAM_OVERLOADED
+        self._waiting.append((dispatch.attempt_id, arrival.service_ms))
+        self._fill()
+        return None
+
+    def cancel(self, attempt_id: str) -> None:
+        """Stop a call."""
+        self._running.discard(attempt_id)
+        self._waiting = [w for w in self._waiting if w[0] != attempt_id]
+        self._fill()
+
+    def stop(self) -> None:
+        """Lose everything, as when the VM is gone."""
+        lost = sorted(self._running) + [w[0] for w in self._waiting]
+        self._running.clear()
+        self._waiting.clear()
+        for attempt_id in lost:
+            self._listener.failed(
+                attempt_id, events.AttemptFailure.CONNECTION_LOST, True
+            )
+
+    def report(self) -> events.LoadReport:
+        """Return the present load."""
+        return events.LoadReport(
+            incarnation=1,
+            age_ms=0,
+            running=len(self._running),
+            waiting=len(self._waiting),
+            slots=self.spec.slots,
+            backlog_tokens=0,
+            step_ms=0.0,
+            leaving=self.leaving,
+        )
+
+    def cache_events(
+        self, after: int, until_ms: float, gap: int
+    ) -> tuple[int, int, tuple[str, ...], tuple[str, ...]]:
+        """Return no events; a plain service has no prefix cache."""
+        del until_ms, gap
+        return after, after, (), ()
+
+    def _fill(self) -> None:
+        while self._waiting and len(self._running) < self.spec.slots:
+            attempt_id, service_ms = self._waiting.pop(0)
+            self._running.add(attempt_id)
+            self._schedule_end(attempt_id, service_ms * self._slowness)
+
+    def _schedule_end(self, attempt_id: str, service_ms: float) -> None:
+        self._timeline.call_after(service_ms, lambda: self._end(attempt_id))
+
+    def _end(self, attempt_id: str) -> None:
+        if attempt_id not in self._running:
+            return
+        self._running.discard(attempt_id)
+        self._listener.output(attempt_id, 0, 1)
+        self._listener.completed(attempt_id, 1, 0, 0)
+        self._fill()
--- /dev/null
+++ b/laburnumpin/commands/bench.py
@@ -0,0 +1,92 @@
+"""The `bench` command: replays decisions and reports their figures."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+import concurrent.futures
+import pathlib
+
+from rich import console
+from rich import progress
+
+from laburnumpin.bench import policies
+from laburnumpin.bench import replay
+from laburnumpin.bench import report
+from laburnumpin.bench import traces
+
+DEFAULT_JOBS = 4
+_SITES = {"rigsafe": traces.rigsafe, "luvas": traces.luvas}
+_Job = tuple[str, traces.Day, traces.Fault, int, str]
+
+
+def run_bench(
+    policy_names: Sequence[str] = tuple(policies.POLICIES),
+    sites: Sequence[str] = tuple(_SITES),
+    hold_out: bool = False,
+    json_path: pathlib.Path | None = None,
+    plot_path: pathlib.Path | None = None,
+    jobs: int = DEFAULT_JOBS,
+) -> list[report.Figures]:
+    """Replay all traces under the policies, print a table, return figures."""
+    todo: list[_Job] = []
+    for site in sites:
+        for day, seed in _days(hold_out):
+            for fault in traces.Fault:
+                for name in policy_names:
+                    todo.append((site, day, fault, seed, name))
+    figures = _run_all(todo, jobs)
+    console.Console(width=200).print(report.table(group(figures)))
+    if json_path is not None:
+        json_path.write_text(report.to_json(figures), encoding="utf-8")
+    if plot_path is not None:
+        report.plot(group(figures), plot_path)
+    return figures
+
+
+def group(
+    figures: Sequence[report.Figures],
+) -> dict[str, list[report.Figures]]:
+    """Group figures by site, day and policy; the faults are averaged."""
+    groups: dict[str, list[report.Figures]] = {}
+    for one in figures:
+        site, day, _ = one.trace.split("/")
+        groups.setdefault(f"{site} {day} {one.policy}", []).append(one)
+    return groups
+
+
+def run_one(
+    site: str,
+    day: traces.Day,
+    fault: traces.Fault,
+    seed: int,
+    policy_name: str,
+    duration_ms: float = traces.DURATION_MS,
+) -> report.Figures:
+    """Replay one trace under one policy."""
+    trace = traces.build(_SITES[site](), day, fault, seed, duration_ms)
+    policy = policies.POLICIES[policy_name]()
+    return report.summarize(replay.Replay(trace, policy).run())
+
+
+def _days(hold_out: bool) -> list[tuple[traces.Day, int]]:
+    if hold_out:
+        return [(traces.Day.MIDWEEK, s) for s in traces.HOLD_OUT_SEEDS]
+    days = (traces.Day.ORDINARY, traces.Day.MONDAY)
+    return [(day, seed) for day in days for seed in traces.TUNING_SEEDS]
+
+
+def _run_all(todo: Sequence[_Job], jobs: int) -> list[report.Figures]:
+    figures = []
+    with (
+        concurrent.futures.ProcessPoolExecutor(jobs) as pool,
+        progress.Progress(console=console.Console(stderr=True)) as bar,
+    ):
+        task = bar.add_task("replay", total=len(todo))
+        for one in pool.map(_run_job, todo):
+            figures.append(one)
+            bar.advance(task)
+    return figures
+
+
+def _run_job(job: _Job) -> report.Figures:
+    return run_one(*job)
