Replay with the real claims against a small table

Change: the fake platform has rows with versions and conditional writes, and refuses them in an outage.

--- a/laburnumpin/bench/replay.py
+++ b/laburnumpin/bench/replay.py
@@ -2,7 +2,6 @@
 
 Left out: the shell, HTTP, entries that leave (`core/handover.py`) and the
 fleet plan (`core/fleet.py`); a reclaimed VM is replaced after a fixed time.
-Claims are replaced by their delay, see `_DelayedClaims`.
 """
 
 from __future__ import annotations
@@ -14,7 +13,6 @@
 import json
 import random
 from typing import Any
-from unittest import mock
 
 import cbor2
 
@@ -22,7 +20,6 @@
 from laburnumpin.bench import fakes
 from laburnumpin.bench import policies
 from laburnumpin.bench import traces
-from laburnumpin.core import claims
 from laburnumpin.core import configuration
 from laburnumpin.core import deployment
 from laburnumpin.core import effects
@@ -39,9 +36,6 @@
 PLATFORM_LATENCY_MS = 5.0
 # A replacement has to boot and load its weights.
 REPLACEMENT_START_MS = 20_000.0
-# Group commit waits 20 ms, then the write takes two ways.
-CLAIM_DELAY_MS = 30.0
-CLAIM_RETRY_MS = 500.0
 VM_LIST_LAG_MS = 3_000.0
 # Requests that have not ended this long after the last arrival count as lost.
 DRAIN_MS = 150_000.0
@@ -108,6 +102,7 @@
         self._entry_of_attempt: dict[str, int] = {}
         self._vm_of_attempt: dict[str, str] = {}
         self._vms: dict[str, Vm] = {}
+        self._rows: dict[tuple[str, str], tuple[int, str | None]] = {}
         self._peer_messages = 0
         self._peer_bytes = 0
         self._dispatches = 0
@@ -119,11 +114,7 @@
         """Run to the end of the last request and return the result."""
         self._start()
         last = self._trace.arrivals[-1].arrival_ms if self._records else 0.0
-        delayed = _DelayedClaims(self)
-        with (
-            policies.installed(self._policy),
-            mock.patch.object(claims, "claim", delayed.claim),
-        ):
+        with policies.installed(self._policy):
             while self._heap and self._open > 0:
                 self.now_ms, _, function = heapq.heappop(self._heap)
                 if self.now_ms > last + DRAIN_MS:
@@ -155,7 +146,7 @@
         """Return the time as events carry it."""
         return int(self.now_ms)
 
-    def table_is_down(self) -> bool:
+    def _table_is_down(self) -> bool:
         """Return whether the table service is unavailable now."""
         start_ms, end_ms = self._trace.table_down_ms
         return start_ms <= self.now_ms < end_ms
@@ -207,6 +198,11 @@
             )
             state.configuration.current = accepted
             self._states.append(state)
+        document = json.dumps(
+            {"version": 1, "change_id": "bench", "document": ""}
+        )
+        row = (configuration.TABLE, configuration.CURRENT_KEY)
+        self._rows[row] = (1, document)
         for spec in self._trace.upstreams:
             self._start_vm(spec)
         for number in range(traces.ENTRY_COUNT):
@@ -469,28 +465,62 @@
         self.call_after(PLATFORM_LATENCY_MS, answer)
 
     def _on_read_rows(self, entry: int, effect: effects.ReadRows) -> None:
-        def answer() -> None:
-            now_ms = self.clock()
-            if self.table_is_down():
-                self.deliver(
-                    entry, events.ReadFailed(now_ms, effect.operation_id)
-                )
-                return
+        def answer() -> events.Event:
+            if self._table_is_down():
+                return events.ReadFailed(self.clock(), effect.operation_id)
             rows = [self._row(effect.table, key) for key in effect.keys]
-            self.deliver(
-                entry,
-                events.RowsRead(now_ms, effect.operation_id, tuple(rows)),
+            return events.RowsRead(
+                self.clock(), effect.operation_id, tuple(rows)
             )
 
-        self.call_after(PLATFORM_LATENCY_MS, answer)
+        self._answer_platform(entry, answer)
 
-    def _row(self, table: str, key: str) -> Any:
-        value = None
-        if table == configuration.TABLE:
-            value = json.dumps(
-                {"version": 1, "change_id": "bench", "document": ""}
+    def _on_transact(self, entry: int, effect: effects.Transact) -> None:
+        def answer() -> events.Event:
+            now_ms = self.clock()
+            if self._table_is_down():
+                return events.TransactRefused(now_ms, effect.operation_id)
+            conflicts = []
+            for condition in effect.conditions:
+                row = self._row(condition.table, condition.key)
+                if row.version != condition.version:
+                    conflicts.append(row)
+            if conflicts:
+                return events.TransactConflicted(
+                    now_ms, effect.operation_id, tuple(conflicts)
+                )
+            versions = []
+            for write in effect.writes:
+                version = self._row(write.table, write.key).version + 1
+                self._rows[write.table, write.key] = (version, write.value)
+                versions.append(version)
+            return events.TransactCommitted(
+                now_ms, effect.operation_id, tuple(versions)
             )
-        return store.Row(table, key, 1 if value else 0, value)
+
+        self._answer_platform(entry, answer)
+
+    def _answer_platform(
+        self, entry: int, build: Callable[[], events.Event]
+    ) -> None:
+        self.call_after(
+            PLATFORM_LATENCY_MS, lambda: self.deliver(entry, build())
+        )
+
+    def _row(self, table: str, key: str) -> store.Row:
+        version, value = self._rows.get((table, key), (0, None))
+        return store.Row(table, key, version, value)
+
+    def _on_object(
+        self,
+        entry: int,
+        effect: effects.GetObject | effects.PutObject | effects.ListObjects,
+    ) -> None:
+        # The fleet's demand profile is not part of the replay.
+        self._answer_platform(
+            entry,
+            lambda: events.ObjectFailed(self.clock(), effect.operation_id),
+        )
 
     def _on_send_peer(self, entry: int, effect: effects.SendPeer) -> None:
         target = int(effect.peer_id.removeprefix("entry-"))
@@ -535,49 +565,6 @@
         )
 
 
-class _DelayedClaims:
-    """Stands in for `core/claims.py`: a delay, longer in an outage."""
-
-    def __init__(self, replay: Replay) -> None:
-        self._replay = replay
-
-    def claim(
-        self,
-        state: entry_state.EntryState,
-        request: requests.Request,
-        now_ms: int,
-    ) -> list[effects.Effect]:
-        del now_ms
-        self._replay.call_after(
-            CLAIM_DELAY_MS, lambda: self._commit(state, request)
-        )
-        return []
-
-    def _commit(
-        self, state: entry_state.EntryState, request: requests.Request
-    ) -> None:
-        if request.phase is not requests.Phase.CLAIMING:
-            return
-        now_ms = self._replay.clock()
-        entry = int(state.entry.vm_id.removeprefix("entry-"))
-        if now_ms >= request.deadline_ms:
-            failure = messages.Failure(
-                "claim_unavailable",
-                "the table service is unavailable",
-                verdict.Verdict.NOT_RUN,
-            )
-            self._replay.execute(
-                entry, requests.on_claim_failed(state, request, failure, now_ms)
-            )
-            return
-        if self._replay.table_is_down():
-            self._replay.call_after(
-                CLAIM_RETRY_MS, lambda: self._commit(state, request)
-            )
-            return
-        self._replay.execute(entry, requests.on_claimed(state, request, now_ms))
-
-
 _EFFECT_HANDLERS: dict[type, Callable[[Replay, int, Any], None]] = {
     effects.Accept: Replay._on_accept,
     effects.Refuse: Replay._on_refuse,
@@ -587,6 +574,10 @@
     effects.ListVms: Replay._on_list_vms,
     effects.ListNotices: Replay._on_notices,
     effects.ReadRows: Replay._on_read_rows,
+    effects.Transact: Replay._on_transact,
+    effects.GetObject: Replay._on_object,
+    effects.PutObject: Replay._on_object,
+    effects.ListObjects: Replay._on_object,
     effects.SendPeer: Replay._on_send_peer,
     effects.ObserveLatency: Replay._on_observe,
 }
