Bound the upstreams that an entry polls and index them by service

Cause: `eligible` scanned all upstreams of all services on each arrival and tick; every upstream was polled; leaving marks grew without bound; a late report replaced a newer one; all sends since the arrival of a report were counted again although a report with an age already includes some.

Ruled out: dropping marks by age alone, since a list that still shows a leaving VM would revive it. Marks go one hour after the list stopped showing the VM, or as the oldest of more than 20,000.

Change: subset of 32 per service by rendezvous hashing, own data centre first, with spare rows for members that leave between two lists; index by service; reports ordered by their own time; sends and ends counted after that time; peers' counts expire; a poll without any answer is repeated; an engine with another model than the service's gets no work; a failure of an attempt at an earlier incarnation no longer marks the present one.

--- a/laburnumpin/core/prefixes.py
+++ b/laburnumpin/core/prefixes.py
@@ -73,6 +73,11 @@
     return []
 
 
+def drop(state: entry_state.EntryState, upstream_id: str) -> None:
+    """Forget all blocks of an upstream, as for a new incarnation."""
+    state.prefixes.blocks.pop(upstream_id, None)
+
+
 def on_completed(
     state: entry_state.EntryState, request: requests.Request, now_ms: int
 ) -> None:
--- a/laburnumpin/core/upstreams.py
+++ b/laburnumpin/core/upstreams.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
+import hashlib
+import heapq
 from typing import TYPE_CHECKING
 
 from laburnumpin.core import deployment
 from laburnumpin.core import effects
 from laburnumpin.core import events
 from laburnumpin.core import messages
+from laburnumpin.core import prefixes
 
 if TYPE_CHECKING:
     from laburnumpin.core import requests
@@ -16,9 +20,25 @@
 
 POLL_PERIOD_MS = 1_000
 POLL_TIMEOUT_MS = 1_000
+# A poll without any answer from the shell for this long is repeated.
+POLL_LOST_MS = 3_000
 # No new work goes to an upstream that has not reported for this long.
 REPORT_MAX_AGE_MS = 4_000
 NOTICE_PERIOD_MS = 1_000
+# Upstreams of a service that one entry polls and sends work to.
+SUBSET_SIZE = 32
+# Rows kept to replace members of the subset that leave between two VM lists:
+# half of the own data centre, half of others, in case the whole one leaves.
+SPARE_ROWS = 32
+# An upstream that the VM list no longer shows is forgotten this long after
+# its last report, since the list can lag behind a new upstream.
+FORGET_MS = 30_000
+# Marks of upstreams that the VM list still shows are always kept. The others
+# are kept for an hour, by when no list or digest names them any more.
+MARK_RETENTION_MS = 3_600_000
+MAX_MARKS = 20_000
+# Counts of a peer whose digests stopped are ignored after this time.
+PEER_COUNT_MAX_AGE_MS = 4_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -26,7 +46,9 @@
     """One upstream VM in one incarnation.
 
     `attempts` maps the attempts in flight from this entry to the number of
-    tokens expected of them.
+    tokens expected of them. `sent` holds the times and prompt tokens of the
+    attempts that the last report cannot include. `peers_in_flight` maps an
+    entry's VM id to its count and the time of its digest.
     """
 
     upstream_id: str
@@ -36,26 +58,51 @@
     vm_class: str
     address: str
     leaving: bool = False
+    listed: bool = True
+    in_subset: bool = True
     report: events.LoadReport | None = None
     reported_ms: int = 0
     next_poll_ms: int = 0
+    polled_ms: int = 0
     poll_pending: bool = False
     poll_failed: bool = False
     cache_sequence: int = 0
     attempts: dict[str, int] = dataclasses.field(default_factory=dict)
-    sent_since_report: int = 0
-    peers_in_flight: dict[str, int] = dataclasses.field(default_factory=dict)
+    sent: collections.deque[tuple[int, int]] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    ended_ms: collections.deque[int] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    peers_in_flight: dict[str, tuple[int, int]] = dataclasses.field(
+        default_factory=dict
+    )
 
+    @property
+    def sent_since_report(self) -> int:
+        """Return how many attempts the last report cannot include."""
+        return len(self.sent)
 
-class UpstreamsState:
-    """Upstreams by id, and the leaving marks, which are never removed."""
 
-    __slots__ = ("by_id", "leaving", "next_notices_ms")
+class UpstreamsState:
+    """Upstreams by id and by service, spare rows, and leaving marks."""
+
+    __slots__ = (
+        "by_id",
+        "by_service",
+        "leaving",
+        "listed",
+        "next_notices_ms",
+        "spares",
+    )
 
     def __init__(self) -> None:
         self.by_id: dict[str, Upstream] = {}
+        self.by_service: dict[str, dict[str, Upstream]] = {}
         self.leaving: dict[tuple[str, int], int] = {}
+        self.listed: set[str] = set()
         self.next_notices_ms = 0
+        self.spares: dict[str, list[events.VmRow]] = {}
 
 
 def eligible(
@@ -63,24 +110,24 @@
 ) -> list[Upstream]:
     """Return the upstreams of a service that may get new work."""
     result = []
-    for upstream in state.upstreams.by_id.values():
-        if upstream.service != service or upstream.leaving:
+    model = _model(state, service)
+    for upstream in state.upstreams.by_service.get(service, {}).values():
+        if upstream.leaving or not upstream.in_subset:
             continue
         if upstream.report is None:
             continue
         if now_ms - upstream.reported_ms > REPORT_MAX_AGE_MS:
             continue
+        # An engine that has another model loaded waits for the fleet's order.
+        if model is not None and upstream.report.model != model:
+            continue
         result.append(upstream)
     return result
 
 
 def of_service(state: entry_state.EntryState, service: str) -> list[Upstream]:
     """Return the known upstreams of a service, leaving ones included."""
-    result = []
-    for upstream in state.upstreams.by_id.values():
-        if upstream.service == service:
-            result.append(upstream)
-    return result
+    return list(state.upstreams.by_service.get(service, {}).values())
 
 
 def mark_leaving(
@@ -90,24 +137,40 @@
     now_ms: int,
 ) -> None:
     """Mark an incarnation of an upstream as leaving, for good."""
-    state.upstreams.leaving.setdefault((upstream_id, incarnation), now_ms)
-    upstream = state.upstreams.by_id.get(upstream_id)
-    if upstream is not None and upstream.incarnation <= incarnation:
-        upstream.leaving = True
+    own = state.upstreams
+    if (upstream_id, incarnation) in own.leaving:
+        return
+    own.leaving[upstream_id, incarnation] = now_ms
+    _bound_marks(state, now_ms)
+    upstream = own.by_id.get(upstream_id)
+    if upstream is None or upstream.incarnation > incarnation:
+        return
+    if upstream.leaving:
+        return
+    upstream.leaving = True
+    if upstream.in_subset:
+        _promote_spare(state, upstream.service)
 
 
 def on_vms_listed(
     state: entry_state.EntryState, event: events.VmsListed
 ) -> list[effects.Effect]:
-    """Add new upstreams and mark those that are leaving."""
+    """Choose the subset of each service and forget upstreams that are gone."""
+    own = state.upstreams
+    own.listed = set()
+    by_service: dict[str, list[events.VmRow]] = {}
     for row in event.vms:
         if row.role is not events.VmRole.UPSTREAM:
             continue
-        known = state.upstreams.by_id.get(row.vm_id)
-        if known is None or known.incarnation < row.incarnation:
-            _add(state, row)
+        own.listed.add(row.vm_id)
         if row.leaving:
             mark_leaving(state, row.vm_id, row.incarnation, event.now_ms)
+        by_service.setdefault(row.service, []).append(row)
+    for upstream in own.by_id.values():
+        upstream.listed = upstream.upstream_id in own.listed
+    for service, rows in by_service.items():
+        _choose_subset(state, service, rows)
+    _forget(state, event.now_ms)
     return []
 
 
@@ -131,14 +194,15 @@
     for load in message.loads:
         upstream = state.upstreams.by_id.get(load.upstream_id)
         if upstream is not None:
-            upstream.peers_in_flight[message.entry.vm_id] = load.in_flight
+            count = (load.in_flight, event.now_ms)
+            upstream.peers_in_flight[message.entry.vm_id] = count
     return []
 
 
 def on_load_reported(
     state: entry_state.EntryState, event: events.LoadReported
 ) -> list[effects.Effect]:
-    """Take over a load report."""
+    """Take over a load report, unless a newer one is known."""
     upstream = state.upstreams.by_id.get(event.upstream_id)
     if upstream is None:
         return []
@@ -146,14 +210,17 @@
     upstream.poll_failed = False
     report = event.report
     if report.incarnation < upstream.incarnation:
+        state.counters.increment("load_reports_ignored", "old_incarnation")
         return []
+    reported_ms = event.now_ms - max(0, report.age_ms)
     if report.incarnation > upstream.incarnation:
-        upstream.incarnation = report.incarnation
-        upstream.leaving = False
-        upstream.cache_sequence = 0
+        _renew(state, upstream, report.incarnation)
+    elif upstream.report is not None and reported_ms < upstream.reported_ms:
+        state.counters.increment("load_reports_ignored", "crossed")
+        return []
     upstream.report = report
-    upstream.reported_ms = event.now_ms - report.age_ms
-    upstream.sent_since_report = 0
+    upstream.reported_ms = reported_ms
+    _drop_until(upstream, reported_ms)
     if report.leaving:
         mark_leaving(
             state, upstream.upstream_id, report.incarnation, event.now_ms
@@ -164,13 +231,18 @@
 def on_load_poll_failed(
     state: entry_state.EntryState, event: events.LoadPollFailed
 ) -> list[effects.Effect]:
-    """Ask again over a new connection at once after a timeout."""
+    """Ask again over a new connection at once after a timeout.
+
+    A connection can be silent while the upstream is well, so that the first
+    timeout says nothing about the upstream.
+    """
     upstream = state.upstreams.by_id.get(event.upstream_id)
     if upstream is None:
         return []
     upstream.poll_pending = False
     if event.timed_out and not upstream.poll_failed:
         upstream.next_poll_ms = event.now_ms
+        state.counters.increment("load_polls_failed", "timed_out")
     upstream.poll_failed = True
     return []
 
@@ -180,15 +252,19 @@
 ) -> list[effects.Effect]:
     """Poll the load reports that are due."""
     own = state.upstreams
+    now_ms = event.now_ms
     result: list[effects.Effect] = []
-    if event.now_ms >= own.next_notices_ms:
-        own.next_notices_ms = event.now_ms + NOTICE_PERIOD_MS
+    if now_ms >= own.next_notices_ms:
+        own.next_notices_ms = now_ms + NOTICE_PERIOD_MS
         result.append(effects.ListNotices())
     for upstream in own.by_id.values():
-        if upstream.poll_pending or event.now_ms < upstream.next_poll_ms:
+        if now_ms < upstream.next_poll_ms or not upstream.in_subset:
+            continue
+        if upstream.poll_pending and now_ms < upstream.polled_ms + POLL_LOST_MS:
             continue
         upstream.poll_pending = True
-        upstream.next_poll_ms = event.now_ms + POLL_PERIOD_MS
+        upstream.polled_ms = now_ms
+        upstream.next_poll_ms = now_ms + POLL_PERIOD_MS
         result.append(
             effects.PollLoad(
                 upstream.upstream_id,
@@ -209,11 +285,11 @@
     now_ms: int,
 ) -> None:
     """Count an attempt that is about to be sent."""
-    del state, now_ms
+    del state
     assert request.attempt is not None
     expected = request.prompt_tokens + request.max_tokens
     upstream.attempts[request.attempt.attempt_id] = expected
-    upstream.sent_since_report += 1
+    upstream.sent.append((now_ms, request.prompt_tokens))
 
 
 def on_attempt_ended(
@@ -228,12 +304,118 @@
     upstream = state.upstreams.by_id.get(attempt.upstream_id)
     if upstream is None:
         return
-    upstream.attempts.pop(attempt.attempt_id, None)
+    if upstream.attempts.pop(attempt.attempt_id, None) is None:
+        # Sent to an earlier incarnation; says nothing about this one.
+        return
+    upstream.ended_ms.append(now_ms)
     if failure is events.AttemptFailure.UPSTREAM_LEAVING:
         mark_leaving(state, upstream.upstream_id, upstream.incarnation, now_ms)
 
 
-def _add(state: entry_state.EntryState, row: events.VmRow) -> None:
+def streams(upstream: Upstream, now_ms: int) -> int:
+    """Estimate the streams at an upstream now, running and waiting.
+
+    The report is corrected by what this entry sent and ended since, and is
+    never below what this entry and its peers have in flight.
+    """
+    assert upstream.report is not None
+    reported = upstream.report.running + upstream.report.waiting
+    known = len(upstream.attempts)
+    for count, digest_ms in upstream.peers_in_flight.values():
+        if now_ms - digest_ms <= PEER_COUNT_MAX_AGE_MS:
+            known += count
+    corrected = reported + len(upstream.sent) - len(upstream.ended_ms)
+    return max(corrected, known)
+
+
+def _drop_until(upstream: Upstream, reported_ms: int) -> None:
+    while upstream.sent and upstream.sent[0][0] <= reported_ms:
+        upstream.sent.popleft()
+    while upstream.ended_ms and upstream.ended_ms[0] <= reported_ms:
+        upstream.ended_ms.popleft()
+
+
+def _renew(
+    state: entry_state.EntryState, upstream: Upstream, incarnation: int
+) -> None:
+    """Start over with a new process on the same VM."""
+    upstream.incarnation = incarnation
+    marks = state.upstreams.leaving
+    upstream.leaving = (upstream.upstream_id, incarnation) in marks
+    upstream.report = None
+    upstream.cache_sequence = 0
+    upstream.attempts.clear()
+    upstream.sent.clear()
+    upstream.ended_ms.clear()
+    upstream.peers_in_flight.clear()
+    prefixes.drop(state, upstream.upstream_id)
+
+
+def _choose_subset(
+    state: entry_state.EntryState, service: str, rows: list[events.VmRow]
+) -> None:
+    own = state.upstreams
+    near: list[tuple[bytes, events.VmRow]] = []
+    far: list[tuple[bytes, events.VmRow]] = []
+    data_center = _data_center(state, state.zone)
+    for row in rows:
+        if (row.vm_id, row.incarnation) in own.leaving:
+            known = own.by_id.get(row.vm_id)
+            if known is not None and known.incarnation <= row.incarnation:
+                known.leaving = True
+            continue
+        same = _data_center(state, row.zone) == data_center
+        (near if same else far).append((_rank(state, row), row))
+    near = heapq.nsmallest(SUBSET_SIZE + SPARE_ROWS, near, key=_first)
+    far = heapq.nsmallest(SUBSET_SIZE + SPARE_ROWS, far, key=_first)
+    ordered = near + far
+    chosen = [row for _, row in ordered[:SUBSET_SIZE]]
+    rest_near = near[SUBSET_SIZE:]
+    rest_far = far[max(0, SUBSET_SIZE - len(near)) :]
+    half = SPARE_ROWS // 2
+    spares = rest_near[:half] + rest_far[:half]
+    own.spares[service] = [row for _, row in spares]
+    members = {row.vm_id for row in chosen}
+    for upstream in own.by_service.get(service, {}).values():
+        # The list may not show a new upstream yet, and the KV cache of a
+        # leaving one is exported as long as it reports.
+        upstream.in_subset = (
+            upstream.upstream_id in members
+            or upstream.leaving
+            or not upstream.listed
+        )
+    for row in chosen:
+        _learn(state, row)
+
+
+def _first(ranked: tuple[bytes, events.VmRow]) -> bytes:
+    return ranked[0]
+
+
+def _rank(state: entry_state.EntryState, row: events.VmRow) -> bytes:
+    pair = f"{state.entry.vm_id}/{row.vm_id}".encode()
+    return hashlib.blake2b(pair, digest_size=8).digest()
+
+
+def _promote_spare(state: entry_state.EntryState, service: str) -> None:
+    own = state.upstreams
+    spares = own.spares.get(service, [])
+    while spares:
+        row = spares.pop(0)
+        if (row.vm_id, row.incarnation) not in own.leaving:
+            _learn(state, row)
+            return
+
+
+def _learn(state: entry_state.EntryState, row: events.VmRow) -> None:
+    own = state.upstreams
+    known = own.by_id.get(row.vm_id)
+    if known is not None and known.incarnation >= row.incarnation:
+        known.in_subset = True
+        return
+    if known is not None:
+        prefixes.drop(state, row.vm_id)
+        own.by_service[known.service].pop(row.vm_id, None)
     upstream = Upstream(
         row.vm_id,
         row.incarnation,
@@ -242,9 +424,65 @@
         row.vm_class,
         row.address,
     )
-    marks = state.upstreams.leaving
-    upstream.leaving = (row.vm_id, row.incarnation) in marks
-    state.upstreams.by_id[row.vm_id] = upstream
+    upstream.leaving = (row.vm_id, row.incarnation) in own.leaving
+    own.by_id[row.vm_id] = upstream
+    own.by_service.setdefault(row.service, {})[row.vm_id] = upstream
+
+
+def _forget(state: entry_state.EntryState, now_ms: int) -> None:
+    own = state.upstreams
+    for upstream in list(own.by_id.values()):
+        if upstream.attempts:
+            continue
+        if upstream.listed and upstream.in_subset and not upstream.leaving:
+            continue
+        if now_ms - upstream.reported_ms < FORGET_MS:
+            continue
+        del own.by_id[upstream.upstream_id]
+        own.by_service[upstream.service].pop(upstream.upstream_id, None)
+        prefixes.drop(state, upstream.upstream_id)
+
+
+def _bound_marks(state: entry_state.EntryState, now_ms: int) -> None:
+    """Drop the oldest marks that no VM list shows any more.
+
+    Marks are in the order in which they were learned. Each call looks at two
+    of them, so that marks go as fast as they come.
+    """
+    own = state.upstreams
+    for _ in range(2):
+        oldest = next(iter(own.leaving))
+        since_ms = own.leaving[oldest]
+        needed = oldest[0] in own.listed or oldest[0] in own.by_id
+        if not needed and now_ms - since_ms > MARK_RETENTION_MS:
+            del own.leaving[oldest]
+            continue
+        if len(own.leaving) <= MAX_MARKS:
+            return
+        del own.leaving[oldest]
+        if needed:
+            own.leaving[oldest] = since_ms
+            continue
+        state.counters.increment("leaving_marks_dropped")
+
+
+def _data_center(state: entry_state.EntryState, zone: str) -> str:
+    current = state.configuration.current
+    if current is None:
+        return zone
+    known = current.deployment.zones.get(zone)
+    return zone if known is None else known.data_center
+
+
+def _model(state: entry_state.EntryState, service_name: str) -> str | None:
+    """Return the model that engines of a service must have loaded."""
+    current = state.configuration.current
+    if current is None:
+        return None
+    service = current.deployment.services.get(service_name)
+    if service is None or service.kind is deployment.ServiceKind.PLAIN:
+        return None
+    return service.model
 
 
 def _kind(
--- /dev/null
+++ b/laburnumpin/tests/test_upstreams.py
@@ -0,0 +1,261 @@
+"""Tests of what an entry knows of upstreams."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from laburnumpin.core import deployment
+from laburnumpin.core import effects
+from laburnumpin.core import events
+from laburnumpin.core import ids
+from laburnumpin.core import messages
+from laburnumpin.core import state as entry_state
+from laburnumpin.core import upstreams
+from laburnumpin.tests import builders
+
+
+def make_state() -> entry_state.EntryState:
+    state = entry_state.EntryState(ids.EntryId("e0", 1), "north", "e0:1", 7)
+    state.configuration.current = deployment.Configuration(
+        1, "change", "", builders.make_deployment()
+    )
+    return state
+
+
+def make_row(
+    vm_id: str,
+    zone: str = "north",
+    service: str = "desk",
+    leaving: bool = False,
+) -> events.VmRow:
+    role = events.VmRole.UPSTREAM
+    return events.VmRow(
+        vm_id, 1, role, zone, "gpu", True, leaving, service, f"{vm_id}:1"
+    )
+
+
+def make_report(
+    running: int = 0,
+    age_ms: int = 0,
+    incarnation: int = 1,
+    slots: int = 8,
+    step_ms: float = 10.0,
+    leaving: bool = False,
+    model: str = "draft-model",
+) -> events.LoadReport:
+    return events.LoadReport(
+        incarnation, age_ms, running, 0, slots, 0, step_ms, leaving, model=model
+    )
+
+
+def listed(
+    state: entry_state.EntryState, now_ms: int, *rows: events.VmRow
+) -> None:
+    upstreams.on_vms_listed(state, events.VmsListed(now_ms, rows))
+
+
+def reported(
+    state: entry_state.EntryState,
+    now_ms: int,
+    vm_id: str,
+    report: events.LoadReport | None = None,
+) -> None:
+    event = events.LoadReported(now_ms, vm_id, report or make_report())
+    upstreams.on_load_reported(state, event)
+
+
+def eligible(
+    state: entry_state.EntryState, now_ms: int, service: str = "desk"
+) -> list[str]:
+    found = upstreams.eligible(state, service, now_ms)
+    return sorted(upstream.upstream_id for upstream in found)
+
+
+def test_subset_is_bounded_and_prefers_the_own_data_center() -> None:
+    """Guards against polls that grow with the number of upstreams."""
+    state = make_state()
+    near = [make_row(f"n{number}") for number in range(100)]
+    far = [make_row(f"s{number}", "south") for number in range(100)]
+    listed(state, 0, *near, *far)
+    polls = upstreams.on_tick(state, events.Tick(0))
+    polled = [p.upstream_id for p in polls if isinstance(p, effects.PollLoad)]
+    assert len(polled) == upstreams.SUBSET_SIZE
+    assert {name[0] for name in polled} == {"n"}
+
+
+def test_small_service_is_used_in_every_zone() -> None:
+    """Guards against a zone whose upstreams get no work at today's sizes."""
+    state = make_state()
+    for number, zone in enumerate(builders.ZONES):
+        listed(state, 0, make_row(f"u{number}", zone))
+    listed(
+        state, 0, *[make_row(f"u{n}", z) for n, z in enumerate(builders.ZONES)]
+    )
+    for number in range(3):
+        reported(state, 1, f"u{number}")
+    assert eligible(state, 2) == ["u0", "u1", "u2"]
+
+
+def test_spares_replace_a_lost_data_center_before_the_next_list() -> None:
+    """Guards against an entry without upstreams until the next VM list."""
+    state = make_state()
+    near = [make_row(f"n{number}") for number in range(100)]
+    far = [make_row(f"s{number}", "south") for number in range(100)]
+    listed(state, 0, *near, *far)
+    for row in near:
+        upstreams.mark_leaving(state, row.vm_id, 1, 10)
+    subset = upstreams.of_service(state, "desk")
+    usable = [u for u in subset if u.in_subset and not u.leaving]
+    assert len(usable) >= upstreams.SPARE_ROWS // 2
+
+
+def test_subsets_spread_over_all_upstreams() -> None:
+    """Guards against upstreams that no entry would ever use."""
+    rows = [make_row(f"n{number}") for number in range(200)]
+    used: set[str] = set()
+    for number in range(40):
+        state = make_state()
+        state.entry = ids.EntryId(f"e{number}", 1)
+        listed(state, 0, *rows)
+        used.update(state.upstreams.by_id)
+    assert len(used) == 200
+
+
+def test_leaving_mark_outlives_lagging_lists_and_reports() -> None:
+    """Guards against new work for an upstream that a late source revives."""
+    state = make_state()
+    listed(state, 0, make_row("u0"))
+    reported(state, 1, "u0")
+    upstreams.mark_leaving(state, "u0", 1, 2)
+    listed(state, 5_000, make_row("u0"))
+    reported(state, 5_001, "u0")
+    assert eligible(state, 5_002) == []
+    listed(state, upstreams.MARK_RETENTION_MS * 2, make_row("u0"))
+    for number in range(10):
+        upstreams.mark_leaving(state, f"x{number}", 1, 10_000_000)
+    assert ("u0", 1) in state.upstreams.leaving
+    renewed = dataclasses.replace(make_row("u0"), incarnation=2)
+    listed(state, 10_000_000, renewed)
+    reported(state, 10_000_000, "u0", make_report(incarnation=2))
+    assert eligible(state, 10_000_001) == ["u0"]
+
+
+def test_mark_precedes_the_first_sight_of_an_upstream() -> None:
+    """Guards against a mark from a digest that comes before the VM list."""
+    state = make_state()
+    upstreams.mark_leaving(state, "u0", 1, 0)
+    listed(state, 1, make_row("u0"))
+    reported(state, 2, "u0")
+    assert eligible(state, 3) == []
+
+
+def test_marks_are_bounded() -> None:
+    """Guards against memory that grows with every VM ever reclaimed."""
+    state = make_state()
+    listed(state, 0, make_row("kept"))
+    upstreams.mark_leaving(state, "kept", 1, 0)
+    for number in range(upstreams.MAX_MARKS + 500):
+        upstreams.mark_leaving(state, f"u{number}", 1, number)
+    assert len(state.upstreams.leaving) <= upstreams.MAX_MARKS + 1
+    assert ("kept", 1) in state.upstreams.leaving
+    for number in range(upstreams.MAX_MARKS + 500):
+        upstreams.mark_leaving(state, f"v{number}", 1, 10**8 + number)
+    assert ("u9999", 1) not in state.upstreams.leaving
+
+
+def test_old_report_stops_new_work_until_the_next() -> None:
+    """Guards against new work from an entry that is cut off."""
+    state = make_state()
+    listed(state, 0, make_row("u0"))
+    reported(state, 1_000, "u0", make_report(age_ms=500))
+    assert eligible(state, 500 + upstreams.REPORT_MAX_AGE_MS) == ["u0"]
+    assert eligible(state, 501 + upstreams.REPORT_MAX_AGE_MS) == []
+    reported(state, 9_000, "u0")
+    assert eligible(state, 9_001) == ["u0"]
+
+
+def test_crossed_reports_do_not_replace_newer_ones() -> None:
+    """Guards against a late answer that shows an upstream idle again."""
+    state = make_state()
+    listed(state, 0, make_row("u0"))
+    reported(state, 2_000, "u0", make_report(running=7))
+    reported(state, 2_100, "u0", make_report(running=0, age_ms=900))
+    upstream = state.upstreams.by_id["u0"]
+    assert upstreams.streams(upstream, 2_200) == 7
+    reported(state, 2_200, "u0", make_report(incarnation=0))
+    assert upstream.incarnation == 1
+
+
+def test_silent_connection_is_polled_anew_at_once() -> None:
+    """Guards against a silent connection taken for a slow upstream."""
+    state = make_state()
+    listed(state, 0, make_row("u0"))
+    reported(state, 0, "u0")
+    upstreams.on_tick(state, events.Tick(1_000))
+    failed = events.LoadPollFailed(2_000, "u0", timed_out=True)
+    upstreams.on_load_poll_failed(state, failed)
+    effect = upstreams.on_tick(state, events.Tick(2_000))[-1]
+    assert isinstance(effect, effects.PollLoad)
+    assert effect.new_connection
+    assert eligible(state, 2_001) == ["u0"]
+    upstreams.on_load_poll_failed(state, failed)
+    assert upstreams.on_tick(state, events.Tick(2_020)) == []
+
+
+def test_poll_without_any_answer_is_repeated() -> None:
+    """Guards against an upstream that is never polled again."""
+    state = make_state()
+    listed(state, 0, make_row("u0"))
+    upstreams.on_tick(state, events.Tick(0))
+    lost_ms = upstreams.POLL_LOST_MS
+    effect = upstreams.on_tick(state, events.Tick(lost_ms))[-1]
+    assert isinstance(effect, effects.PollLoad)
+
+
+def test_engine_with_another_model_gets_no_work() -> None:
+    """Guards against answers from the wrong model."""
+    state = make_state()
+    listed(state, 0, make_row("u0", service="draft"))
+    reported(state, 1, "u0", make_report(model="other"))
+    assert eligible(state, 2, "draft") == []
+    reported(state, 3, "u0")
+    assert eligible(state, 4, "draft") == ["u0"]
+
+
+def test_upstream_that_the_list_lost_is_kept_while_it_reports() -> None:
+    """Guards against a lagging list that stops work, and against leaks."""
+    state = make_state()
+    listed(state, 0, make_row("u0"), make_row("u1"))
+    reported(state, 1, "u0")
+    listed(state, 2, make_row("u1"))
+    assert eligible(state, 3) == ["u0"]
+    listed(state, 2 + upstreams.FORGET_MS, make_row("u1"))
+    assert "u0" not in state.upstreams.by_id
+    assert "u0" not in state.upstreams.by_service["desk"]
+
+
+def test_peers_counts_correct_a_lagging_report() -> None:
+    """Guards against entries that all send to the same idle upstream."""
+    state = make_state()
+    listed(state, 0, make_row("u0"))
+    reported(state, 1, "u0")
+    digest = messages.Digest(
+        ids.EntryId("e1", 1),
+        1,
+        "north",
+        "e1:1",
+        True,
+        1,
+        0,
+        (messages.UpstreamLoad("u0", 5),),
+        (messages.LeavingUpstream("u9", 1),),
+        (),
+        (),
+    )
+    event = events.PeerReceived(100, "e1", digest)
+    upstreams.on_digest(state, event, digest)
+    upstream = state.upstreams.by_id["u0"]
+    assert upstreams.streams(upstream, 200) == 5
+    late_ms = 101 + upstreams.PEER_COUNT_MAX_AGE_MS
+    assert upstreams.streams(upstream, late_ms) == 0
+    assert ("u9", 1) in state.upstreams.leaving
