Queue fairly by customer with a cost that does not grow with the queue

Cause: `candidates` listed every queued request on each tick and arrival, and the first-in queue let one customer's backlog delay all others.

Ruled out: a change of the interface to `requests`: the iterator sees from `limits.queue` whether the caller started the request it was given, and stops for a class and a service that has no room. Deficit round robin: it needs a quantum of the largest request, and requests differ by a factor of 100.

Change: `core/queues.py`, start-time fair queueing by customer in tokens per weight; interactive before bulk, with `bulk_share` of the tokens for bulk while both wait; delayed retries in a heap; retries before their customer's other requests; a bound on the queued requests of a customer.

Fairness has little effect yet, since engines accept up to 64 streams and the work waits in their queues.

--- a/laburnumpin/bench/fakes.py
+++ b/laburnumpin/bench/fakes.py
@@ -67,6 +67,7 @@
     """A generation at an engine."""
 
     attempt_id: str
+    request_id: str
     blocks: tuple[str, ...]
     offset: int
     total: int
@@ -75,6 +76,7 @@
     prefill_left: int = 0
     cached: int = 0
     sent: int = 0
+    resumes: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -109,6 +111,8 @@
         self._cache_events: list[_CacheEvent] = []
         self._step_ms = STEP_BASE_MS
         self._stepping = False
+        # Tokens of the generations that can be resumed here.
+        self._kept: dict[str, int] = {}
 
     def start(
         self, dispatch: effects.Dispatch, arrival: traces.Arrival
@@ -118,8 +122,13 @@
             return events.AttemptFailure.UPSTREAM_LEAVING
         if len(self._waiting) >= MAX_WAITING:
             return events.AttemptFailure.UPSTREAM_OVERLOADED
+        resumes = dispatch.offset > 0 and not dispatch.recompute
+        kept = self._kept.pop(dispatch.request_id, None)
+        if resumes and kept is None:
+            return events.AttemptFailure.UNKNOWN_GENERATION
         stream = Stream(
             dispatch.attempt_id,
+            dispatch.request_id,
             prefixes.block_hashes(dispatch.prompt),
             dispatch.offset,
             arrival.output_tokens,
@@ -127,6 +136,7 @@
             dispatch.priority.value == "interactive",
             prefixes.count_tokens(dispatch.prompt),
             sent=dispatch.offset,
+            resumes=resumes,
         )
         position = len(self._waiting)
         if stream.interactive:
@@ -141,8 +151,10 @@
         return None
 
     def cancel(self, attempt_id: str) -> None:
-        """Stop a generation."""
-        self._running.pop(attempt_id, None)
+        """Stop a generation and keep what it has generated."""
+        stream = self._running.pop(attempt_id, None)
+        if stream is not None and stream.offset > 0:
+            self._kept[stream.request_id] = stream.offset
         self._waiting = [s for s in self._waiting if s.attempt_id != attempt_id]
 
     def stop(self) -> None:
@@ -157,6 +169,14 @@
                 attempt_id, events.AttemptFailure.CONNECTION_LOST, True
             )
 
+    def export(self, request_id: str) -> int | None:
+        """Return the tokens of a kept generation."""
+        return self._kept.pop(request_id, None)
+
+    def import_cache(self, request_id: str, tokens: int) -> None:
+        """Take over a generation from another engine."""
+        self._kept[request_id] = tokens
+
     def report(self) -> events.LoadReport:
         """Return the present load."""
         backlog = 0
@@ -246,6 +266,9 @@
 
     def _admit(self, stream: Stream) -> None:
         self._running[stream.attempt_id] = stream
+        if stream.resumes:
+            stream.prefill_left = 1
+            return
         cached = 0
         for block in stream.blocks:
             if block not in self._cache:
@@ -327,6 +350,14 @@
                 attempt_id, events.AttemptFailure.CONNECTION_LOST, True
             )
 
+    def export(self, request_id: str) -> int | None:
+        """Return nothing; a plain service keeps no generation."""
+        del request_id
+        return None
+
+    def import_cache(self, request_id: str, tokens: int) -> None:
+        """Ignore a generation; a plain service has none."""
+
     def report(self) -> events.LoadReport:
         """Return the present load."""
         return events.LoadReport(
--- a/laburnumpin/bench/replay.py
+++ b/laburnumpin/bench/replay.py
@@ -36,6 +36,7 @@
 PLATFORM_LATENCY_MS = 5.0
 # A replacement has to boot and load its weights.
 REPLACEMENT_START_MS = 20_000.0
+IMPORT_MS = 200.0
 VM_LIST_LAG_MS = 3_000.0
 # Requests that have not ended this long after the last arrival count as lost.
 DRAIN_MS = 150_000.0
@@ -394,6 +395,29 @@
         vm = self._vms[self._vm_of_attempt[effect.attempt_id]]
         vm.fake.cancel(effect.attempt_id)
 
+    def _on_import(self, entry: int, effect: effects.ImportCache) -> None:
+        source = self._vms[effect.source_address]
+        target = self._vms[effect.target_upstream_id]
+
+        def answer() -> None:
+            request_id = effect.request_id
+            kept = None
+            if source.stopped_ms is None and target.stopped_ms is None:
+                kept = source.fake.export(request_id)
+            if kept is not None:
+                target.fake.import_cache(request_id, kept)
+            self.deliver(
+                entry,
+                events.CacheImported(
+                    self.clock(),
+                    request_id,
+                    effect.target_upstream_id,
+                    kept is not None,
+                ),
+            )
+
+        self.call_after(IMPORT_MS, answer)
+
     def _on_poll(self, entry: int, effect: effects.PollLoad) -> None:
         vm = self._vms[effect.upstream_id]
         delay_ms = self._latency_ms(self._states[entry].zone, vm.spec.zone)
@@ -570,6 +594,7 @@
     effects.Refuse: Replay._on_refuse,
     effects.Dispatch: Replay._on_dispatch,
     effects.CancelAttempt: Replay._on_cancel,
+    effects.ImportCache: Replay._on_import,
     effects.PollLoad: Replay._on_poll,
     effects.ListVms: Replay._on_list_vms,
     effects.ListNotices: Replay._on_notices,
--- a/laburnumpin/core/limits.py
+++ b/laburnumpin/core/limits.py
@@ -2,47 +2,73 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+import heapq
 from typing import TYPE_CHECKING
 
 from laburnumpin import verdict
 from laburnumpin.core import effects
 from laburnumpin.core import events
 from laburnumpin.core import messages
+from laburnumpin.core import queues
 
 if TYPE_CHECKING:
     from laburnumpin.core import requests
     from laburnumpin.core import state as entry_state
 
 MAX_QUEUED_REQUESTS = 2_000
+QUEUE_FULL_RETRY_AFTER_MS = 1_000
 
 
 class LimitsState:
-    """The queue of requests that wait for an upstream."""
+    """The requests that wait for an upstream.
 
-    __slots__ = ("queue",)
+    `queue` holds all of them by id, `services` those that may start now, and
+    `delayed` is a heap of (earliest start, request id) of the others.
+    """
+
+    __slots__ = ("by_customer", "delayed", "queue", "services")
 
     def __init__(self) -> None:
         self.queue: dict[str, requests.Request] = {}
+        self.services: dict[str, queues.ServiceQueue] = {}
+        self.delayed: list[tuple[int, str]] = []
+        self.by_customer: dict[str, int] = {}
 
 
 def admit(
     state: entry_state.EntryState, request: requests.Request, now_ms: int
 ) -> messages.Failure | None:
     """Return why a new request is refused, or None to accept it."""
-    del request, now_ms
-    if len(state.limits.queue) < MAX_QUEUED_REQUESTS:
-        return None
-    return messages.Failure(
-        "queue_full", "too many requests wait", verdict.Verdict.NOT_RUN, 1_000
-    )
+    del now_ms
+    own = state.limits
+    if len(own.queue) >= MAX_QUEUED_REQUESTS:
+        return _refusal("queue_full", "too many requests wait")
+    customers = request.configuration.deployment.customers
+    customer = customers.get(request.customer)
+    waiting = own.by_customer.get(request.customer, 0)
+    if customer is not None and waiting >= customer.max_queued_requests:
+        return _refusal(
+            "customer_queue_full", "too many requests of this customer wait"
+        )
+    return None
 
 
 def enqueue(
     state: entry_state.EntryState, request: requests.Request, now_ms: int
 ) -> None:
     """Put an accepted request, or one that is retried, into the queue."""
-    del now_ms
-    state.limits.queue[request.request_id] = request
+    own = state.limits
+    if request.request_id in own.queue:
+        return
+    own.queue[request.request_id] = request
+    waiting = own.by_customer.get(request.customer, 0)
+    own.by_customer[request.customer] = waiting + 1
+    if request.not_before_ms > now_ms:
+        item = (request.not_before_ms, request.request_id)
+        heapq.heappush(own.delayed, item)
+        return
+    _push(state, request)
 
 
 def dequeue(
@@ -50,26 +76,37 @@
 ) -> None:
     """Take a request out of the queue."""
     del now_ms
-    state.limits.queue.pop(request.request_id, None)
+    own = state.limits
+    if own.queue.pop(request.request_id, None) is None:
+        return
+    own.by_customer[request.customer] -= 1
+    if own.by_customer[request.customer] == 0:
+        del own.by_customer[request.customer]
+    service = own.services.get(request.service.name)
+    if service is None:
+        return
+    lane = service.lane(request.priority)
+    queue = lane.by_customer.get(request.customer)
+    if queue is not None and request.request_id in queue.requests:
+        lane.remove(request)
 
 
 def candidates(
     state: entry_state.EntryState, now_ms: int
-) -> list[requests.Request]:
-    """Return queued requests in the order in which they should start."""
-    del now_ms
-    return list(state.limits.queue.values())
-
-
-def expired(
-    state: entry_state.EntryState, now_ms: int
-) -> list[requests.Request]:
-    """Return the queued requests whose deadline passed."""
-    result = []
-    for request in state.limits.queue.values():
-        if now_ms >= request.deadline_ms:
-            result.append(request)
-    return result
+) -> Iterator[requests.Request]:
+    """Yield queued requests in the order in which they should start.
+
+    The caller dequeues each request that it starts. When it leaves one in the
+    queue, its service has no room for its class, and the iterator goes on to
+    the next class or service. The cost is that of the requests that start,
+    plus two for each service that has waiting requests.
+    """
+    own = state.limits
+    _release_delayed(state, now_ms)
+    for name, service in list(own.services.items()):
+        yield from _service_candidates(state, service)
+        if not service.heads():
+            del own.services[name]
 
 
 def on_ended(
@@ -94,3 +131,58 @@
 ) -> list[effects.Effect]:
     """Add a loan to a customer's share."""
     return []
+
+
+def _refusal(
+    code: str, message: str, retry_after_ms: int = QUEUE_FULL_RETRY_AFTER_MS
+) -> messages.Failure:
+    return messages.Failure(
+        code, message, verdict.Verdict.NOT_RUN, retry_after_ms
+    )
+
+
+def _push(state: entry_state.EntryState, request: requests.Request) -> None:
+    own = state.limits
+    name = request.service.name
+    service = own.services.get(name)
+    if service is None:
+        service = queues.ServiceQueue()
+        own.services[name] = service
+    customers = request.configuration.deployment.customers
+    customer = customers.get(request.customer)
+    weight = 1.0 if customer is None else customer.weight
+    lane = service.lane(request.priority)
+    # A request that had its turn goes before the others of its customer.
+    lane.push(request, weight, first=_had_turn(request))
+
+
+def _had_turn(request: requests.Request) -> bool:
+    return request.attempt_count > 0 or request.claimed
+
+
+def _release_delayed(state: entry_state.EntryState, now_ms: int) -> None:
+    own = state.limits
+    while own.delayed and own.delayed[0][0] <= now_ms:
+        not_before_ms, request_id = heapq.heappop(own.delayed)
+        request = own.queue.get(request_id)
+        if request is None or request.not_before_ms != not_before_ms:
+            continue
+        _push(state, request)
+
+
+def _service_candidates(
+    state: entry_state.EntryState, service: queues.ServiceQueue
+) -> Iterator[requests.Request]:
+    waiting = state.limits.queue
+    started = True
+    while started:
+        started = False
+        for request in service.heads():
+            tokens = 0 if _had_turn(request) else queues.cost(request)
+            yield request
+            if request.request_id in waiting:
+                continue
+            policy = request.configuration.deployment.policy
+            service.charge(request, tokens, policy.bulk_share)
+            started = True
+            break
--- /dev/null
+++ b/laburnumpin/core/queues.py
@@ -0,0 +1,150 @@
+"""Fair queues: start-time fair queueing by customer, in two classes."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import heapq
+import itertools
+from typing import TYPE_CHECKING
+
+from laburnumpin.core import deployment
+
+if TYPE_CHECKING:
+    from laburnumpin.core import requests
+
+
+@dataclasses.dataclass(slots=True)
+class CustomerQueue:
+    """A customer's requests in order, and the virtual start of the first."""
+
+    customer: str
+    weight: float
+    start: float
+    in_heap: bool = False
+    tokens: int = 0
+    requests: collections.OrderedDict[str, requests.Request] = (
+        dataclasses.field(default_factory=collections.OrderedDict)
+    )
+
+
+class FairQueue:
+    """Requests of one service and class, shared fairly between customers.
+
+    Start-time fair queueing: a request starts at the larger of the virtual
+    time and its predecessor's finish, which is its start plus its tokens
+    divided by the customer's weight. The smallest start goes first.
+    """
+
+    __slots__ = ("_heap", "_numbers", "_virtual", "by_customer", "tokens")
+
+    def __init__(self) -> None:
+        self.by_customer: dict[str, CustomerQueue] = {}
+        self.tokens = 0
+        self._virtual = 0.0
+        # Starts only grow, so an outdated item is a lower bound and is
+        # corrected when it reaches the top.
+        self._heap: list[tuple[float, int, CustomerQueue]] = []
+        self._numbers = itertools.count()
+
+    def push(
+        self, request: requests.Request, weight: float, first: bool
+    ) -> None:
+        """Add a request behind, or before, the others of its customer."""
+        queue = self.by_customer.get(request.customer)
+        if queue is None:
+            queue = CustomerQueue(request.customer, weight, self._virtual)
+            self.by_customer[request.customer] = queue
+        if request.request_id in queue.requests:
+            return
+        if not queue.requests:
+            queue.start = max(queue.start, self._virtual)
+        if not queue.in_heap:
+            self._push_heap(queue)
+        queue.weight = weight
+        queue.requests[request.request_id] = request
+        if first:
+            queue.requests.move_to_end(request.request_id, last=False)
+        tokens = cost(request)
+        queue.tokens += tokens
+        self.tokens += tokens
+
+    def remove(self, request: requests.Request) -> None:
+        """Take a request out; the order of the others does not change."""
+        queue = self.by_customer[request.customer]
+        del queue.requests[request.request_id]
+        tokens = cost(request)
+        queue.tokens -= tokens
+        self.tokens -= tokens
+
+    def head(self) -> requests.Request | None:
+        """Return the request that should start next."""
+        while self._heap:
+            start, _, queue = self._heap[0]
+            if queue.requests and start == queue.start:
+                return next(iter(queue.requests.values()))
+            heapq.heappop(self._heap)
+            queue.in_heap = False
+            if queue.requests:
+                self._push_heap(queue)
+        return None
+
+    def charge(self, customer: str, tokens: int) -> None:
+        """Advance a customer's start by tokens that it has been given."""
+        queue = self.by_customer[customer]
+        self._virtual = max(self._virtual, queue.start)
+        queue.start += tokens / queue.weight
+
+    def _push_heap(self, queue: CustomerQueue) -> None:
+        queue.in_heap = True
+        item = (queue.start, next(self._numbers), queue)
+        heapq.heappush(self._heap, item)
+
+
+class ServiceQueue:
+    """The queued requests of one service: interactive before bulk.
+
+    `bulk_credit` is the tokens that bulk is owed of its reserved share while
+    interactive requests are served before it.
+    """
+
+    __slots__ = ("bulk", "bulk_credit", "interactive")
+
+    def __init__(self) -> None:
+        self.interactive = FairQueue()
+        self.bulk = FairQueue()
+        self.bulk_credit = 0.0
+
+    def lane(self, priority: deployment.Priority) -> FairQueue:
+        """Return the queue of a class."""
+        if priority is deployment.Priority.INTERACTIVE:
+            return self.interactive
+        return self.bulk
+
+    def heads(self) -> list[requests.Request]:
+        """Return the first request of each class, the next to start first."""
+        heads = []
+        for lane in (self.interactive, self.bulk):
+            request = lane.head()
+            if request is not None:
+                heads.append(request)
+        if self.bulk_credit > 0:
+            heads.reverse()
+        return heads
+
+    def charge(
+        self, request: requests.Request, tokens: int, bulk_share: float
+    ) -> None:
+        """Account for a request that started."""
+        self.lane(request.priority).charge(request.customer, tokens)
+        if self.bulk.head() is None or self.interactive.head() is None:
+            self.bulk_credit = 0.0
+            return
+        self.bulk_credit += bulk_share * tokens
+        if request.priority is deployment.Priority.BULK:
+            self.bulk_credit -= tokens
+
+
+def cost(request: requests.Request) -> int:
+    """Return the tokens that a request is expected to need."""
+    return request.prompt_tokens + request.max_tokens
