Pass recomputation on to engines; align tests with the model rule

Cause: Dispatch carries recompute, but the upstream client did not send it and the engine stand-in did not know it. A test's engine reported no model, which routing no longer accepts.

Change: the generate body has recompute; the stand-in computes an unknown generation anew and streams from the offset; the test reports its model.

--- a/laburnumpin/server/upstream_client.py
+++ b/laburnumpin/server/upstream_client.py
@@ -217,6 +217,7 @@
             "max_tokens": dispatch.max_tokens,
             "priority": dispatch.priority.value,
             "offset": dispatch.offset,
+            "recompute": dispatch.recompute,
         }
         async with self._fresh.stream(
             "POST",
--- a/laburnumpin/standins/engine.py
+++ b/laburnumpin/standins/engine.py
@@ -175,7 +175,7 @@
             == (body.prompt, body.max_tokens)
         ):
             return known
-        if body.offset > 0:
+        if body.offset > 0 and not body.recompute:
             raise _unknown_generation()
         if known is not None:
             raise documents.RefusedError(
--- a/laburnumpin/standins/engine_documents.py
+++ b/laburnumpin/standins/engine_documents.py
@@ -34,7 +34,11 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class GenerateRequest:
-    """Body of `POST /v1/generate`."""
+    """Body of `POST /v1/generate`.
+
+    With `recompute` an unknown generation is computed from the start and
+    streamed from `offset` on.
+    """
 
     request_id: str
     prompt: str = ""
@@ -42,6 +46,7 @@
     attempt_id: str = ""
     priority: deployment.Priority = deployment.Priority.BULK
     offset: int = 0
+    recompute: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/laburnumpin/tests/test_server_process.py
+++ b/laburnumpin/tests/test_server_process.py
@@ -171,7 +171,8 @@
 
     async def engine(request: requests.Request) -> responses.Response:
         if request.url.path != "/v1/generate":
-            return responses.JSONResponse(fakes.load_report())
+            report = {**fakes.load_report(), "model": "m"}
+            return responses.JSONResponse(report)
 
         async def stream() -> AsyncIterator[bytes]:
             count = 0
--- a/laburnumpin/tests/test_server_upstream_client.py
+++ b/laburnumpin/tests/test_server_upstream_client.py
@@ -72,6 +72,7 @@
         max_tokens=4,
         priority=deployment.Priority.BULK,
         offset=0,
+        recompute=False,
         idempotency_key="key",
         valid_until_ms=2**60,
         first_byte_timeout_ms=60_000,
