Poll a row that only names the current version

Cause: each poll read the whole document. At 2,600 entries (a poll every 6.5 s) a document of the maximum of 256 KiB costs 39 KB a second, over the control limit of 26 KB a second for a node. A malformed row raised in the reducer and the configuration was never read again.

Ruled out: a longer poll period, which delays a change; a hash in a header, which the table service does not offer.

Change: row current holds version and change id; the document is read from its version row when the version is new. Row formats moved to core/versions.py, with a coded error that the configuration module counts. A version whose document cannot be read confirms nothing.

Conclusion: a poll no longer grows with the document.

--- a/laburnumpin/bench/replay.py
+++ b/laburnumpin/bench/replay.py
@@ -20,7 +20,6 @@
 from laburnumpin.bench import fakes
 from laburnumpin.bench import policies
 from laburnumpin.bench import traces
-from laburnumpin.core import configuration
 from laburnumpin.core import deployment
 from laburnumpin.core import effects
 from laburnumpin.core import events
@@ -30,6 +29,7 @@
 from laburnumpin.core import requests
 from laburnumpin.core import state as entry_state
 from laburnumpin.core import store
+from laburnumpin.core import versions
 
 CLIENT_LATENCY_MS = 3.0
 SAME_DATA_CENTER_LATENCY_MS = 0.2
@@ -202,7 +202,7 @@
         document = json.dumps(
             {"version": 1, "change_id": "bench", "document": ""}
         )
-        row = (configuration.TABLE, configuration.CURRENT_KEY)
+        row = (versions.TABLE, versions.CURRENT_KEY)
         self._rows[row] = (1, document)
         for spec in self._trace.upstreams:
             self._start_vm(spec)
--- a/laburnumpin/core/configuration.py
+++ b/laburnumpin/core/configuration.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from typing import TYPE_CHECKING
 
 from laburnumpin import exceptions
@@ -13,12 +12,11 @@
 from laburnumpin.core import membership
 from laburnumpin.core import messages
 from laburnumpin.core import store
+from laburnumpin.core import versions
 
 if TYPE_CHECKING:
     from laburnumpin.core import state as entry_state
 
-TABLE = "configuration"
-CURRENT_KEY = "current"
 MIN_POLL_PERIOD_MS = 2_000
 # Share of the store's reads that all entries together use for polling.
 POLL_READS_PER_S = 400
@@ -44,6 +42,7 @@
         "contact_ms",
         "current",
         "distrust_until_ms",
+        "document_read",
         "last_tick_ms",
         "next_poll_ms",
         "pending",
@@ -57,6 +56,7 @@
         self.confirmed_ms = 0
         self.contact_ms = 0
         self.distrust_until_ms = 0
+        self.document_read: store.OperationId | None = None
         self.last_tick_ms: int | None = None
         self.next_poll_ms = 0
         self.pending: store.OperationId | None = None
@@ -92,7 +92,9 @@
     own.next_poll_ms = now_ms + _poll_period_ms(state)
     own.pending = state.new_operation(store.StoreModule.CONFIGURATION)
     own.pending_since_ms = now_ms
-    return [effects.ReadRows(own.pending, TABLE, (CURRENT_KEY,))]
+    own.document_read = None
+    keys = (versions.CURRENT_KEY,)
+    return [effects.ReadRows(own.pending, versions.TABLE, keys)]
 
 
 def on_store_event(
@@ -100,30 +102,66 @@
 ) -> list[effects.Effect]:
     """Take over what the store holds."""
     own = state.configuration
-    if event.operation_id != own.pending:
+    is_document = event.operation_id == own.document_read
+    if event.operation_id != own.pending and not is_document:
         return []
-    own.pending = None
     if not isinstance(event, events.RowsRead):
+        own.pending = own.document_read = None
         state.counters.increment("platform_failures", "configuration")
         return []
-    row = event.rows[0]
-    if row.value is None:
-        if own.current is None:
-            _note_contact(state, event.now_ms)
+    try:
+        if is_document:
+            return _take_document(state, event.rows[0])
+        return _take_pointer(state, event.rows[0])
+    except exceptions.StoredRowError:
+        own.pending = own.document_read = None
+        state.counters.increment("configuration_row_malformed")
         return []
-    value = json.loads(row.value)
-    read_version = int(value["version"])
-    result = adopt(
-        state, read_version, str(value["change_id"]), str(value["document"])
-    )
+
+
+def _take_pointer(
+    state: entry_state.EntryState, row: store.Row
+) -> list[effects.Effect]:
+    own = state.configuration
+    present = version(state)
+    named = 0
+    if row.value is not None:
+        named = versions.parse_pointer(row).version
+    if named > present:
+        own.document_read = state.new_operation(store.StoreModule.CONFIGURATION)
+        keys = (versions.version_key(named),)
+        return [effects.ReadRows(own.document_read, versions.TABLE, keys)]
+    own.pending = None
     # A reader that lags behind this entry proves nothing about what is
     # current.
-    if read_version >= version(state):
-        own.confirmed_ms = own.pending_since_ms
-        _note_contact(state, own.pending_since_ms)
+    if named < present:
+        state.counters.increment("configuration_older_ignored")
+        return []
+    _confirm(state)
+    return []
+
+
+def _take_document(
+    state: entry_state.EntryState, row: store.Row
+) -> list[effects.Effect]:
+    own = state.configuration
+    own.pending = own.document_read = None
+    if row.value is None:
+        state.counters.increment("configuration_row_malformed")
+        return []
+    stored = versions.parse_version(row)
+    result = adopt(state, stored.version, stored.change_id, stored.document)
+    if version(state) >= stored.version:
+        _confirm(state)
     return result
 
 
+def _confirm(state: entry_state.EntryState) -> None:
+    own = state.configuration
+    own.confirmed_ms = max(own.confirmed_ms, own.pending_since_ms)
+    _note_contact(state, own.pending_since_ms)
+
+
 def adopt(
     state: entry_state.EntryState,
     new_version: int,
--- a/laburnumpin/server/applying.py
+++ b/laburnumpin/server/applying.py
@@ -11,6 +11,7 @@
 from laburnumpin import exceptions
 from laburnumpin.core import applying
 from laburnumpin.core import store
+from laburnumpin.core import versions
 from laburnumpin.server import platform_client
 
 # Together with the pauses below, 3.1 s: shorter than the client's timeout of
@@ -90,7 +91,7 @@
         base_version, change_id, document = self._arguments
         try:
             rows = await self._tables.read_rows(
-                applying.TABLE, applying.keys(change_id)
+                versions.TABLE, applying.keys(change_id)
             )
         except (
             exceptions.PlatformUnavailableError,
--- a/laburnumpin/server/operator_api.py
+++ b/laburnumpin/server/operator_api.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import dataclasses
 import json
 from typing import Any
 
@@ -17,6 +18,7 @@
 from laburnumpin.core import effects
 from laburnumpin.core import events
 from laburnumpin.core import store
+from laburnumpin.core import versions
 from laburnumpin.server import applying
 from laburnumpin.server import authentication
 from laburnumpin.server import bridge as bridges
@@ -28,8 +30,6 @@
 from laburnumpin.server import logs
 from laburnumpin.server import platform_client
 
-TABLE = "configuration"
-CURRENT_KEY = "current"
 MAX_HISTORY_VERSIONS = 50
 MAX_CHANGE_ID_CHARACTERS = 128
 
@@ -96,43 +96,35 @@
     ) -> responses.Response:
         """Answer with the version that is current in the store."""
         del request
-        row = await self._read_row(CURRENT_KEY)
-        if row.value is None:
+        pointer = await self._read_pointer()
+        if pointer is None:
             return responses.JSONResponse(
                 {"version": 0, "change_id": None, "document": None}
             )
-        return responses.JSONResponse(_parse_version(row.value))
+        return await self._answer_version(pointer.version)
 
     async def version(self, request: requests.Request) -> responses.Response:
         """Answer with one version."""
-        number = request.path_params["version"]
-        row = await self._read_row(_version_key(number))
-        if row.value is None:
-            raise _OperatorError(
-                404, "unknown_version", f"there is no version {number}"
-            )
-        return responses.JSONResponse(_parse_version(row.value))
+        return await self._answer_version(request.path_params["version"])
 
     async def history(self, request: requests.Request) -> responses.Response:
         """Answer with the latest versions, newest first."""
         del request
-        row = await self._read_row(CURRENT_KEY)
-        current = 0
-        if row.value is not None:
-            current = _parse_version(row.value)["version"]
-        oldest = max(0, current - MAX_HISTORY_VERSIONS)
-        keys = [_version_key(number) for number in range(current, oldest, -1)]
-        rows: tuple[store.Row, ...] = ()
-        if keys:
-            rows = await self._platform.read_rows(TABLE, tuple(keys))
-        versions = []
-        for read in rows:
-            if read.value is None:
+        pointer = await self._read_pointer()
+        newest = 0 if pointer is None else pointer.version
+        oldest = max(0, newest - MAX_HISTORY_VERSIONS)
+        keys = []
+        for number in range(newest, oldest, -1):
+            keys.append(versions.version_key(number))
+        changes = []
+        for row in await self._read_rows(tuple(keys)):
+            if row.value is None:
                 continue
-            parsed = _parse_version(read.value)
-            del parsed["document"]
-            versions.append(parsed)
-        return responses.JSONResponse({"versions": versions})
+            stored = versions.parse_version(row)
+            changes.append(versions.Pointer(stored.version, stored.change_id))
+        return responses.JSONResponse(
+            {"versions": [dataclasses.asdict(change) for change in changes]}
+        )
 
     async def change(self, request: requests.Request) -> responses.Response:
         """Apply a configuration change."""
@@ -188,22 +180,23 @@
 
         return routing.Route(path, authorized, methods=[method])
 
-    async def _read_row(self, key: str) -> store.Row:
-        rows = await self._platform.read_rows(TABLE, (key,))
-        return rows[0]
-
-
-def _version_key(version: int) -> str:
-    return f"version/{version:012d}"
+    async def _read_pointer(self) -> versions.Pointer | None:
+        row = (await self._read_rows((versions.CURRENT_KEY,)))[0]
+        return None if row.value is None else versions.parse_pointer(row)
 
+    async def _answer_version(self, number: int) -> responses.Response:
+        row = (await self._read_rows((versions.version_key(number),)))[0]
+        if row.value is None:
+            raise _OperatorError(
+                404, "unknown_version", f"there is no version {number}"
+            )
+        stored = versions.parse_version(row)
+        return responses.JSONResponse(dataclasses.asdict(stored))
 
-def _parse_version(value: str) -> dict[str, Any]:
-    document = documents.parse_object(value)
-    return {
-        "version": documents.get(document, "version", int),
-        "change_id": documents.get(document, "change_id", str),
-        "document": documents.get(document, "document", str),
-    }
+    async def _read_rows(self, keys: tuple[str, ...]) -> tuple[store.Row, ...]:
+        if not keys:
+            return ()
+        return await self._platform.read_rows(versions.TABLE, keys)
 
 
 def _parse_change(body: bytes) -> tuple[int, str, str]:
--- a/laburnumpin/tests/test_applying.py
+++ b/laburnumpin/tests/test_applying.py
@@ -14,6 +14,7 @@
 from laburnumpin import exceptions
 from laburnumpin.core import applying
 from laburnumpin.core import store
+from laburnumpin.core import versions
 from laburnumpin.server import applying as server_applying
 from laburnumpin.server import platform_client
 from laburnumpin.tests import test_config_loading
@@ -40,7 +41,7 @@
 
     def _row(self, key: str) -> store.Row:
         version, value = self.rows.get(key, (0, None))
-        return store.Row(applying.TABLE, key, version, value)
+        return store.Row(versions.TABLE, key, version, value)
 
     def _commit(
         self,
@@ -94,19 +95,19 @@
     async def read_rows(
         self, table: str, keys: tuple[str, ...]
     ) -> tuple[store.Row, ...]:
-        assert table == applying.TABLE
+        assert table == versions.TABLE
         if await self._fault() in ("lost", "late"):
             raise exceptions.PlatformAnswerLostError("lost")
         found = tuple(self._row(key) for key in keys)
         self.land_late_writes(0.3)
         return found
 
-    def versions(self) -> list[applying.StoredVersion]:
+    def versions(self) -> list[versions.StoredVersion]:
         """Return all stored versions, after all late writes landed."""
         self.land_late_writes(1.0)
-        prefix = applying.VERSION_PREFIX
+        prefix = versions.VERSION_PREFIX
         keys = sorted(key for key in self.rows if key.startswith(prefix))
-        return [applying.parse_version(self._row(key)) for key in keys]
+        return [versions.parse_version(self._row(key)) for key in keys]
 
 
 async def no_sleep(duration_s: float) -> None:
@@ -131,10 +132,11 @@
     assert apply(tables, 0, "a", "first") == 1
     assert apply(tables, 1, "b", "second") == 2
     assert tables.versions() == [
-        applying.StoredVersion(1, "a", document("first")),
-        applying.StoredVersion(2, "b", document("second")),
+        versions.StoredVersion(1, "a", document("first")),
+        versions.StoredVersion(2, "b", document("second")),
     ]
-    assert tables.rows["current"][1] == tables.rows["version/000000000002"][1]
+    pointer = versions.parse_pointer(tables._row("current"))
+    assert pointer == versions.Pointer(2, "b")
 
 
 def test_a_conflict_names_both_versions() -> None:
@@ -150,7 +152,7 @@
 def test_a_transaction_conditions_each_row_that_it_writes() -> None:
     """Guards against overwriting any row; each condition alone hides this."""
     row = store.Row(
-        applying.TABLE,
+        versions.TABLE,
         "current",
         7,
         json.dumps({"version": 3, "change_id": "c", "document": "{}"}),
@@ -209,7 +211,7 @@
 def test_malformed_rows_have_their_own_error(value: str) -> None:
     """Guards against a damaged row that is taken for an absent one."""
     for key in applying.keys("a"):
-        row = store.Row(applying.TABLE, key, 1, value)
+        row = store.Row(versions.TABLE, key, 1, value)
         with pytest.raises(exceptions.StoredRowError):
             applying.plan(0, "a", document("first"), [row])
 
--- a/laburnumpin/tests/test_configuration.py
+++ b/laburnumpin/tests/test_configuration.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import json
-
 import pytest
 
 from laburnumpin import exceptions
@@ -17,6 +15,7 @@
 from laburnumpin.core import reducer
 from laburnumpin.core import state
 from laburnumpin.core import store
+from laburnumpin.core import versions
 from laburnumpin.tests import builders
 from laburnumpin.tests import test_membership
 
@@ -30,23 +29,77 @@
     monkeypatch.setattr(loading, "load_document", load)
 
 
-def make_row(version: int) -> store.Row:
-    value = {"version": version, "change_id": f"c{version}", "document": "{}"}
-    return store.Row("configuration", "current", version, json.dumps(value))
+def make_pointer(version: int) -> store.Row:
+    pointer = versions.Pointer(version, f"c{version}")
+    return store.Row(
+        versions.TABLE,
+        versions.CURRENT_KEY,
+        version,
+        versions.encode(pointer),
+    )
+
+
+def make_document(version: int) -> store.Row:
+    stored = versions.StoredVersion(version, f"c{version}", "{}")
+    key = versions.version_key(version)
+    return store.Row(versions.TABLE, key, 1, versions.encode(stored))
 
 
 def poll(entry: state.EntryState, now_ms: int) -> store.OperationId:
-    for effect in reducer.reduce(entry, events.Tick(now_ms)):
+    produced = reducer.reduce(entry, events.Tick(now_ms))
+    operation_id = read_of_configuration(produced)
+    assert operation_id is not None
+    return operation_id
+
+
+def read_of_configuration(
+    produced: list[effects.Effect],
+) -> store.OperationId | None:
+    for effect in produced:
         if isinstance(effect, effects.ReadRows):
             if effect.operation_id.module is store.StoreModule.CONFIGURATION:
                 return effect.operation_id
-    raise AssertionError("no read of the configuration is due")
+    return None
 
 
 def read(entry: state.EntryState, now_ms: int, version: int) -> None:
-    operation_id = poll(entry, now_ms)
-    rows = (make_row(version),)
-    reducer.reduce(entry, events.RowsRead(now_ms, operation_id, rows))
+    """Poll the current version and, when it is new, read its document."""
+    rows = (make_pointer(version),)
+    produced = reducer.reduce(
+        entry, events.RowsRead(now_ms, poll(entry, now_ms), rows)
+    )
+    operation_id = read_of_configuration(produced)
+    if operation_id is not None:
+        rows = (make_document(version),)
+        reducer.reduce(entry, events.RowsRead(now_ms, operation_id, rows))
+
+
+@pytest.mark.parametrize("value", ["", "[]", '{"version": 2}', "{"])
+def test_malformed_row_is_counted_and_read_again(value: str) -> None:
+    """Guards against a damaged row that stops the polling for good."""
+    entry = builders.make_state()
+    row = store.Row(versions.TABLE, versions.CURRENT_KEY, 1, value)
+    operation_id = poll(entry, 0)
+    reducer.reduce(entry, events.RowsRead(0, operation_id, (row,)))
+    assert entry.counters.value("configuration_row_malformed") == 1
+    read(entry, 10_000, 2)
+    assert configuration.version(entry) == 2
+
+
+def test_unread_document_confirms_nothing() -> None:
+    """Guards against work under a version that is known to be replaced."""
+    entry = builders.make_state()
+    for now_ms in range(0, 21_000, 3_000):
+        operation_id = poll(entry, now_ms)
+        rows = (make_pointer(2),)
+        produced = reducer.reduce(
+            entry, events.RowsRead(now_ms, operation_id, rows)
+        )
+        document_read = read_of_configuration(produced)
+        assert document_read is not None
+        reducer.reduce(entry, events.ReadFailed(now_ms, document_read))
+    reason = lifecycle.refusal_reason(entry, 18_000)
+    assert reason == "configuration_unconfirmed"
 
 
 def test_version_never_goes_back() -> None:
