Hand a leaving entry's work over to its successors

Cause: `handover.py` was a stub; readers at other entries were cut off when the owner left, lost what the link lost, and could collide, since two entries may use the same reader id.

On a shutdown the outcomes go to a peer before the exit.

Claims: a successor does not use the token that it got. It rewrites the row under its own token on the condition of the version, so that of two entries that hold the same request (acknowledgement lost, link failed) one runs it and the other refers its readers to it. `HandedRequest` therefore carries `claim_tokens` instead of `claim_token` and `claimed`.

Verdicts: a request that has been in an offer is at least `MAY_HAVE_RUN`, at the source and at the successor, since another successor may run it.

Ruled out: returning refused requests to the leaving entry's own queue, which needs a verdict for each combination of offers in doubt; relaying a peer's subscription by guess, which can send it in a circle.

--- a/laburnumpin/core/claims.py
+++ b/laburnumpin/core/claims.py
@@ -16,6 +16,7 @@
 from laburnumpin import verdict
 from laburnumpin.core import effects
 from laburnumpin.core import events
+from laburnumpin.core import ids
 from laburnumpin.core import messages
 from laburnumpin.core import requests
 from laburnumpin.core import store
@@ -135,7 +136,7 @@
     """
     del now_ms
     own = state.claims
-    entry = f"{state.entry.vm_id}.{state.entry.incarnation}"
+    entry = ids.entry_name(state.entry)
     token = f"{request.request_id}/{entry}/{own.next_token}"
     own.next_token += 1
     job = Job(
@@ -421,6 +422,9 @@
         return []
     del state.claims.by_request[job.request_id]
     request = state.requests.by_id[job.request_id]
+    holder = _other_successor(state, request, found)
+    if holder is not None:
+        return requests.on_owned_elsewhere(state, request, holder, now_ms)
     request.claim_tokens = ()
     if found is not None and found.body_hash != job.body_hash:
         return _fail(state, request, _key_reused(), now_ms)
@@ -429,6 +433,21 @@
     return _replay(state, request, found, now_ms)
 
 
+def _other_successor(
+    state: entry_state.EntryState,
+    request: requests.Request,
+    found: ClaimRow | None,
+) -> ids.EntryId | None:
+    """Return the entry that claimed the same request after a handover."""
+    if found is None or found.goal is not Goal.HELD:
+        return None
+    request_id, _, rest = found.token.partition("/")
+    if request_id != request.request_id:
+        return None
+    holder = ids.parse_entry(rest.partition("/")[0])
+    return None if holder == state.entry else holder
+
+
 def _replay(
     state: entry_state.EntryState,
     request: requests.Request,
--- a/laburnumpin/core/ids.py
+++ b/laburnumpin/core/ids.py
@@ -19,9 +19,19 @@
     incarnation: int
 
 
+def entry_name(entry: EntryId) -> str:
+    """Return an entry's id as text, for keys and tokens."""
+    return f"{entry.vm_id}.{entry.incarnation}"
+
+
+def parse_entry(name: str) -> EntryId | None:
+    """Return the entry that `entry_name` wrote, or None when malformed."""
+    return owner_of(f"{name}.0")
+
+
 def request_id(entry: EntryId, counter: int) -> str:
     """Return the id of the request that `entry` accepted as `counter`."""
-    return f"{entry.vm_id}.{entry.incarnation}.{counter}"
+    return f"{entry_name(entry)}.{counter}"
 
 
 def owner_of(request: str) -> EntryId | None:
@@ -38,4 +48,4 @@
     The entry that makes the attempt is part of the id, since a successor
     counts its attempts anew after a handover.
     """
-    return f"{request}/{entry.vm_id}.{entry.incarnation}/{number}"
+    return f"{request}/{entry_name(entry)}/{number}"
--- a/laburnumpin/core/lifecycle.py
+++ b/laburnumpin/core/lifecycle.py
@@ -5,6 +5,7 @@
 import enum
 from typing import TYPE_CHECKING
 
+from laburnumpin.core import claims
 from laburnumpin.core import configuration
 from laburnumpin.core import effects
 from laburnumpin.core import events
@@ -16,6 +17,9 @@
 
 # The balancer may send new requests for this long after readiness ended.
 BALANCER_LAG_MS = 5_000
+# How long the exit waits for outcomes on their way to the store and to a
+# successor. All requests have ended by then.
+FLUSH_MS = 10_000
 
 
 class Phase(enum.Enum):
@@ -33,11 +37,18 @@
 class LifecycleState:
     """Phase, and since when the entry drains."""
 
-    __slots__ = ("draining_since_ms", "exited", "phase", "ready_reason")
+    __slots__ = (
+        "draining_since_ms",
+        "exited",
+        "finished_ms",
+        "phase",
+        "ready_reason",
+    )
 
     def __init__(self) -> None:
         self.phase = Phase.STARTING
         self.draining_since_ms: int | None = None
+        self.finished_ms: int | None = None
         self.ready_reason: str | None = None
         self.exited = False
 
@@ -57,6 +68,12 @@
     return None
 
 
+def leave(state: entry_state.EntryState, now_ms: int) -> list[effects.Effect]:
+    """Refuse new work for good after a reclaim notice."""
+    state.lifecycle.phase = Phase.LEAVING
+    return _update_readiness(state, now_ms)
+
+
 def on_shutdown_requested(
     state: entry_state.EntryState, event: events.ShutdownRequested
 ) -> list[effects.Effect]:
@@ -81,8 +98,15 @@
     if event.now_ms < own.draining_since_ms + BALANCER_LAG_MS:
         if own.phase is not Phase.LEAVING:
             return result
-    if requests.has_unfinished(state) or handover.has_unfinished(state):
-        return result
+    if own.finished_ms is None:
+        if requests.has_unfinished(state) or handover.has_unfinished(state):
+            return result
+        own.finished_ms = event.now_ms
+        if own.phase is not Phase.LEAVING:
+            result.extend(handover.offer_ended(state, event.now_ms))
+    if event.now_ms < own.finished_ms + FLUSH_MS:
+        if handover.has_unfinished(state) or claims.has_unfinished(state):
+            return result
     own.exited = True
     result.append(effects.Exit())
     return result
@@ -93,7 +117,7 @@
 ) -> list[effects.Effect]:
     own = state.lifecycle
     reason = refusal_reason(state, now_ms) or ""
-    if own.draining_since_ms is not None:
+    if own.draining_since_ms is not None or own.phase is Phase.LEAVING:
         reason = "entry_leaving"
     if reason == "" and own.phase is Phase.STARTING:
         own.phase = Phase.SERVING
--- a/laburnumpin/core/messages.py
+++ b/laburnumpin/core/messages.py
@@ -107,12 +107,20 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class HandedRequest:
-    """A request as it goes over to a successor."""
+    """A request as it goes over to a successor.
+
+    `idempotent` keeps what the configuration said when the request was
+    accepted. The claim of a non-idempotent call is held under one of
+    `claim_tokens`, or not yet held. `sent` marks such a call whose attempt
+    was not answered; it must not be sent again. `upstream_id` names the
+    engine that keeps the generation.
+    """
 
     request_id: str
     customer: str
     service: str
     operation: str
+    idempotent: bool
     body: str
     prompt: str
     max_tokens: int
@@ -121,8 +129,7 @@
     priority: deployment.Priority
     accepted_ms: int
     verdict: verdict.Verdict
-    claim_token: str | None
-    claimed: bool
+    claim_tokens: tuple[str, ...]
     sent: bool
     upstream_id: str | None
     chunks: tuple[Chunk, ...]
--- a/laburnumpin/core/requests.py
+++ b/laburnumpin/core/requests.py
@@ -201,13 +201,77 @@
     heapq.heappush(own.deadlines, (request.deadline_ms, request.request_id))
 
 
+def add_ended(
+    state: entry_state.EntryState, request: Request, now_ms: int
+) -> None:
+    """Keep a request that ended at another entry, for its readers."""
+    request.phase = Phase.ENDED
+    request.ended_ms = now_ms
+    state.requests.by_id[request.request_id] = request
+    state.requests.ended.append(request.request_id)
+
+
+def suspend(
+    state: entry_state.EntryState, request: Request, now_ms: int
+) -> bool:
+    """Stop working on a request that is to be offered to a successor.
+
+    Nothing is cancelled at an engine, so that the successor can resume.
+    Returns whether an attempt was in flight.
+    """
+    if request.phase is Phase.QUEUED:
+        limits.dequeue(state, request, now_ms)
+    sent = request.attempt is not None
+    if sent:
+        request.verdict = verdict.combine(
+            request.verdict, verdict.Verdict.MAY_HAVE_RUN
+        )
+    _close_attempt(state, request, now_ms, None)
+    claims.detach(state, request)
+    request.claimed = False
+    request.importing_to = None
+    request.phase = Phase.OFFERED
+    limits.on_ended(state, request, now_ms)
+    return sent
+
+
+def on_handed_over(
+    state: entry_state.EntryState,
+    request: Request,
+    successor: ids.EntryId | None,
+    now_ms: int,
+) -> list[effects.Effect]:
+    """Send the readers of a request to its successor.
+
+    Without a successor the request lies in the object store.
+    """
+    if request.phase is not Phase.OFFERED:
+        return []
+    request.phase = Phase.HANDED_OVER
+    request.handed_to = successor
+    state.requests.unfinished -= 1
+    return subscriptions.move(state, request, successor, now_ms)
+
+
+def on_owned_elsewhere(
+    state: entry_state.EntryState,
+    request: Request,
+    holder: ids.EntryId,
+    now_ms: int,
+) -> list[effects.Effect]:
+    """Leave a request to the other successor that claimed it first."""
+    state.counters.increment("handover", "owned_elsewhere")
+    suspend(state, request, now_ms)
+    return on_handed_over(state, request, holder, now_ms)
+
+
 def dispatch_queued(
     state: entry_state.EntryState, now_ms: int
 ) -> list[effects.Effect]:
     """Start the queued requests for which an upstream has room."""
     result: list[effects.Effect] = []
     for request in limits.candidates(state, now_ms):
-        if request.not_before_ms > now_ms:
+        if request.not_before_ms > now_ms or request.deadline_ms <= now_ms:
             continue
         if _choose(state, request, now_ms) is None:
             continue
@@ -256,7 +320,7 @@
     result: list[effects.Effect] = []
     for chunk in chunks:
         request.chunks.append(chunk)
-        result.extend(subscriptions.deliver(state, request, chunk))
+        result.extend(subscriptions.deliver(state, request, chunk, now_ms))
     result.extend(_finish(state, request, outcome, now_ms))
     return result
 
@@ -298,7 +362,7 @@
                 "first_token", event.now_ms - request.accepted_ms
             )
         )
-    result.extend(subscriptions.deliver(state, request, chunk))
+    result.extend(subscriptions.deliver(state, request, chunk, event.now_ms))
     return result
 
 
@@ -404,12 +468,18 @@
     state: entry_state.EntryState, request: Request
 ) -> messages.RequestStatus:
     """Return what callers and operators may see of a request."""
+    owner = state.entry
+    known = request.verdict
+    if request.phase in (Phase.OFFERED, Phase.HANDED_OVER):
+        # A successor may have started it.
+        known = verdict.combine(known, verdict.Verdict.MAY_HAVE_RUN)
+        owner = request.handed_to or owner
     return messages.RequestStatus(
         request.request_id,
         request.phase.value,
         request.next_offset,
-        request.verdict,
-        state.entry,
+        known,
+        owner,
         request.outcome,
     )
 
--- a/laburnumpin/tests/simulation.py
+++ b/laburnumpin/tests/simulation.py
@@ -111,6 +111,7 @@
     """What one reader was sent."""
 
     request_id: str
+    vm_id: str
     chunks: list[messages.Chunk] = dataclasses.field(default_factory=list)
     outcomes: list[messages.Outcome] = dataclasses.field(default_factory=list)
 
@@ -139,11 +140,14 @@
         self.entries: dict[str, entry_state.EntryState] = {}
         self.gone: set[str] = set()
         self.paused: dict[str, list[Callable[[], None]]] = {}
+        # Paused for longer than the timeout of the links.
+        self.silent: set[str] = set()
         self.cut: set[frozenset[str]] = set()
         self.upstreams: dict[str, Upstream] = {}
         self.notices: dict[str, int] = {}
         self.cancelled: set[str] = set()
         self.executions: list[Execution] = []
+        self.late_sends: list[str] = []
         self.imports: list[effects.ImportCache] = []
         self.dispatches: list[tuple[int, str, effects.Dispatch]] = []
         self.accepted: dict[str, str] = {}
@@ -151,6 +155,10 @@
         self.statuses: dict[str, messages.RequestStatus] = {}
         self.readings: dict[str, Reading] = {}
         self.exits: list[str] = []
+        # Entries whose handover had no way to complete in time, and
+        # violations that are noticed while the world runs.
+        self.excused: set[str] = set()
+        self.broken: list[str] = []
         self.keys: dict[str, str] = {}
         self._queue: list[tuple[int, int, Callable[[], None]]] = []
         self._sequence = 0
@@ -245,16 +253,30 @@
         return request_id
 
     def open(self, vm_id: str, reader_id: str, request_id: str) -> None:
-        self.readings[reader_id] = Reading(request_id)
+        self.readings[reader_id] = Reading(request_id, vm_id)
         self.deliver(
             vm_id,
             events.ReaderOpened(self.now_ms, reader_id, request_id, "acme", 0),
         )
 
     def pause(self, vm_id: str) -> None:
-        self.paused.setdefault(vm_id, [])
+        if vm_id in self.paused:
+            return
+        inbox: list[Callable[[], None]] = []
+        self.paused[vm_id] = inbox
+        self.excused.add(vm_id)
+
+        def time_out() -> None:
+            if self.paused.get(vm_id) is inbox:
+                self.silent.add(vm_id)
+                for peer in self.live():
+                    self._disconnect(peer, vm_id, 0)
+                    self._disconnect(vm_id, peer, 0)
+
+        self.at(3_000, time_out)
 
     def wake(self, vm_id: str) -> None:
+        self.silent.discard(vm_id)
         for action in self.paused.pop(vm_id, []):
             action()
 
@@ -270,9 +292,24 @@
         if vm_id in self.notices:
             return
         self.notices[vm_id] = self.now_ms + remaining_ms
+        if remaining_ms < 4_000 or self.faults.objects_failed > 0.0:
+            self.excused.add(vm_id)
         notice = events.ReclaimNotified(self.now_ms, remaining_ms)
         self.deliver(vm_id, notice)
-        self.at(remaining_ms, lambda: self.kill(vm_id))
+        self.at(remaining_ms, lambda: self._carry_out(vm_id))
+
+    def _carry_out(self, vm_id: str) -> None:
+        own = self.entries[vm_id].handover
+        unfinished = own.pool or own.batches or own.staying
+        if unfinished or own.ends_ms is None:
+            if vm_id not in self.excused and vm_id not in self.gone:
+                self.broken.append(f"{vm_id} left with unfinished work")
+        elif vm_id not in self.gone:
+            self.excused.discard(vm_id)
+        self.kill(vm_id)
+
+    def drain(self, vm_id: str) -> None:
+        self.deliver(vm_id, events.ShutdownRequested(0))
 
     def reclaim_upstream(self, vm_id: str, remaining_ms: int) -> None:
         upstream = self.upstreams[vm_id]
@@ -322,6 +359,10 @@
 
     def _exit(self, vm_id: str, effect: effects.Exit) -> None:
         self.exits.append(vm_id)
+        for reading in self.readings.values():
+            if reading.vm_id == vm_id and not reading.outcomes:
+                self.broken.append(f"{vm_id} exited with an open reader")
+        self.at(1, lambda: self.kill(vm_id))
 
     def _list_vms(self, vm_id: str, effect: effects.ListVms) -> None:
         rows = []
@@ -371,7 +412,10 @@
         upstream = self.upstreams[effect.upstream_id]
         event: events.Event
         if upstream.alive:
-            report = events.LoadReport(1, 0, 0, 0, 64, 0, 10.0, False)
+            since_ms = upstream.leaving_since_ms
+            # Upstreams learn of their reclaim later than the platform.
+            leaving = since_ms is not None and self.now_ms > since_ms + 2_000
+            report = events.LoadReport(1, 0, 0, 0, 64, 0, 10.0, leaving)
             event = events.LoadReported(0, upstream.vm_id, report)
         else:
             event = events.LoadPollFailed(0, upstream.vm_id, False)
@@ -379,7 +423,8 @@
 
     def _send_peer(self, vm_id: str, effect: effects.SendPeer) -> None:
         link = frozenset((vm_id, effect.peer_id))
-        if link in self.cut or effect.peer_id in self.gone:
+        gone = self.gone | self.silent
+        if link in self.cut or effect.peer_id in gone:
             failed = events.PeerSendFailed(0, effect.peer_id, effect.message)
             self.at(1, lambda: self.deliver(vm_id, failed))
             return
@@ -505,6 +550,9 @@
             self._fail(vm_id, effect, not_run, failures.EXPIRED_BEFORE_SEND)
             return
         upstream = self.upstreams[effect.upstream_id]
+        since_ms = upstream.leaving_since_ms
+        if since_ms is not None and self.now_ms > since_ms + 5_000:
+            self.late_sends.append(effect.attempt_id)
         if not upstream.alive:
             self._fail(vm_id, effect, not_run, failures.CONNECT_FAILED)
             return
@@ -587,6 +635,14 @@
 
     # Results.
 
+    def settle(self) -> None:
+        """End all faults and let everything delayed land."""
+        self.faults = Faults()
+        self.heal_links()
+        for vm_id in list(self.paused):
+            self.wake(vm_id)
+        self.run(60_000, tick_ms=100)
+
     def request(self, vm_id: str, request_id: str) -> requests.Request:
         return self.entries[vm_id].requests.by_id[request_id]
 
