--- /dev/null
+++ b/laburnumpin/core/pacing.py
@@ -0,0 +1,84 @@
+"""Estimates of how fast the upstreams of a service and VM class work."""
+
+from __future__ import annotations
+
+import dataclasses
+
+# Older observations count less by this factor with each new one; 200 of them
+# are about 30 s of reports from six engines.
+_DECAY = 0.995
+# Weight of the assumption that half of a step's time is spent per stream,
+# as a variance in streams. It decides while all reports show the same load.
+_PRIOR_VARIANCE = 4.0
+# The line is not trusted far beyond the loads that were observed.
+_MAX_EXTRAPOLATION = 2.0
+_MIN_EXTRAPOLATION_STREAMS = 8
+_SERVICE_TIME_WEIGHT = 0.05
+
+
+@dataclasses.dataclass(slots=True)
+class Pace:
+    """Step time as a line over the running streams, and service time.
+
+    The line is a decayed least-squares fit of what reports showed.
+    """
+
+    weight: float = 0.0
+    sum_streams: float = 0.0
+    sum_step: float = 0.0
+    sum_streams_squared: float = 0.0
+    sum_product: float = 0.0
+    max_streams_seen: float = 0.0
+    service_ms: float = 0.0
+
+    def observe_step(self, streams: int, step_ms: float) -> None:
+        """Note the step time that a report showed with running streams."""
+        if streams <= 0 or step_ms <= 0:
+            return
+        self.weight = self.weight * _DECAY + 1.0
+        self.sum_streams = self.sum_streams * _DECAY + streams
+        self.sum_step = self.sum_step * _DECAY + step_ms
+        self.sum_streams_squared = (
+            self.sum_streams_squared * _DECAY + streams * streams
+        )
+        self.sum_product = self.sum_product * _DECAY + streams * step_ms
+        self.max_streams_seen = max(self.max_streams_seen * _DECAY, streams)
+
+    def observe_service(self, duration_ms: float) -> None:
+        """Note how long a call took."""
+        if self.service_ms == 0.0:
+            self.service_ms = duration_ms
+            return
+        change_ms = duration_ms - self.service_ms
+        self.service_ms += _SERVICE_TIME_WEIGHT * change_ms
+
+    def line(self) -> tuple[float, float]:
+        """Return the step time without streams, and per stream."""
+        if self.weight == 0.0:
+            return 0.0, 0.0
+        mean_streams = self.sum_streams / self.weight
+        mean_step = self.sum_step / self.weight
+        variance = self.sum_streams_squared / self.weight - mean_streams**2
+        covariance = self.sum_product / self.weight - mean_streams * mean_step
+        prior = 0.5 * mean_step / mean_streams
+        slope = (covariance + _PRIOR_VARIANCE * prior) / (
+            max(variance, 0.0) + _PRIOR_VARIANCE
+        )
+        slope = max(slope, 0.0)
+        return max(mean_step - slope * mean_streams, 0.0), slope
+
+    def step_ms(self, streams: float) -> float:
+        """Predict the step time with a number of running streams."""
+        base_ms, slope_ms = self.line()
+        return base_ms + slope_ms * streams
+
+    def max_streams(self, target_ms: float) -> float:
+        """Return how many streams keep the step time within a target."""
+        base_ms, slope_ms = self.line()
+        if slope_ms <= 0.0:
+            return float("inf")
+        trusted = max(
+            self.max_streams_seen * _MAX_EXTRAPOLATION,
+            self.max_streams_seen + _MIN_EXTRAPOLATION_STREAMS,
+        )
+        return max(1.0, min((target_ms - base_ms) / slope_ms, trusted))
--- a/laburnumpin/core/upstreams.py
+++ b/laburnumpin/core/upstreams.py
@@ -12,6 +12,7 @@
 from laburnumpin.core import effects
 from laburnumpin.core import events
 from laburnumpin.core import messages
+from laburnumpin.core import pacing
 from laburnumpin.core import prefixes
 
 if TYPE_CHECKING:
@@ -93,6 +94,7 @@
         "leaving",
         "listed",
         "next_notices_ms",
+        "paces",
         "spares",
     )
 
@@ -102,6 +104,7 @@
         self.leaving: dict[tuple[str, int], int] = {}
         self.listed: set[str] = set()
         self.next_notices_ms = 0
+        self.paces: dict[tuple[str, str], pacing.Pace] = {}
         self.spares: dict[str, list[events.VmRow]] = {}
 
 
@@ -221,6 +224,7 @@
     upstream.report = report
     upstream.reported_ms = reported_ms
     _drop_until(upstream, reported_ms)
+    pace(state, upstream).observe_step(report.running, report.step_ms)
     if report.leaving:
         mark_leaving(
             state, upstream.upstream_id, report.incarnation, event.now_ms
@@ -328,6 +332,12 @@
     return max(corrected, known)
 
 
+def pace(state: entry_state.EntryState, upstream: Upstream) -> pacing.Pace:
+    """Return the estimates of an upstream's service and VM class."""
+    key = (upstream.service, upstream.vm_class)
+    return state.upstreams.paces.setdefault(key, pacing.Pace())
+
+
 def _drop_until(upstream: Upstream, reported_ms: int) -> None:
     while upstream.sent and upstream.sent[0][0] <= reported_ms:
         upstream.sent.popleft()
