Keep streams free for interactive requests

Cause: with all streams of an engine taken by bulk requests, an interactive request waits until one of them ends, about 10 s with six engines.

Ruled out: preemption of bulk streams, which recomputes tokens.

Change: bulk requests may take 85% of the streams that the inter-token target allows.

--- a/laburnumpin/core/routing.py
+++ b/laburnumpin/core/routing.py
@@ -14,6 +14,9 @@
 # The bound on streams aims below the inter-token target, because steps that
 # include prefill take longer than the mean.
 STEP_HEADROOM = 0.9
+# Bulk requests leave the rest of the streams to interactive ones, which would
+# otherwise wait until a long stream ends.
+BULK_STREAMS_SHARE = 0.85
 
 
 def choose(
@@ -42,7 +45,10 @@
     slots = float(upstream.report.slots)
     if request.service.kind is deployment.ServiceKind.PLAIN:
         return slots
+    share = 1.0
+    if request.priority is deployment.Priority.BULK:
+        share = BULK_STREAMS_SHARE
     policy = request.configuration.deployment.policy
     target_ms = policy.inter_token_target_ms * STEP_HEADROOM
     pace = upstreams.pace(state, upstream)
-    return min(slots, pace.max_streams(target_ms))
+    return max(1.0, share * min(slots, pace.max_streams(target_ms)))
