Assume of all sharing entries what this entry sent since a report

Ruled out: peers' in-flight counts alone; a digest is up to a second old, like the report that it should correct. They stay as a lower bound.

Change: the net count of attempts sent and ended since the report's time is multiplied by the number of entries that share the upstream.

--- a/laburnumpin/core/routing.py
+++ b/laburnumpin/core/routing.py
@@ -26,7 +26,7 @@
     best: upstreams.Upstream | None = None
     best_load = 0.0
     for upstream in upstreams.eligible(state, request.service.name, now_ms):
-        load = upstreams.streams(upstream, now_ms)
+        load = upstreams.streams(state, upstream, now_ms)
         if load >= max_streams(state, upstream, request):
             continue
         if best is None or load < best_load:
--- a/laburnumpin/core/upstreams.py
+++ b/laburnumpin/core/upstreams.py
@@ -11,6 +11,7 @@
 from laburnumpin.core import deployment
 from laburnumpin.core import effects
 from laburnumpin.core import events
+from laburnumpin.core import membership
 from laburnumpin.core import messages
 from laburnumpin.core import pacing
 from laburnumpin.core import prefixes
@@ -91,8 +92,10 @@
     __slots__ = (
         "by_id",
         "by_service",
+        "entry_count",
         "leaving",
         "listed",
+        "listed_counts",
         "next_notices_ms",
         "paces",
         "spares",
@@ -103,6 +106,8 @@
         self.by_service: dict[str, dict[str, Upstream]] = {}
         self.leaving: dict[tuple[str, int], int] = {}
         self.listed: set[str] = set()
+        self.listed_counts: dict[str, int] = {}
+        self.entry_count = 1
         self.next_notices_ms = 0
         self.paces: dict[tuple[str, str], pacing.Pace] = {}
         self.spares: dict[str, list[events.VmRow]] = {}
@@ -171,7 +176,9 @@
         by_service.setdefault(row.service, []).append(row)
     for upstream in own.by_id.values():
         upstream.listed = upstream.upstream_id in own.listed
+    own.listed_counts = {}
     for service, rows in by_service.items():
+        own.listed_counts[service] = len(rows)
         _choose_subset(state, service, rows)
     _forget(state, event.now_ms)
     return []
@@ -260,6 +267,7 @@
     result: list[effects.Effect] = []
     if now_ms >= own.next_notices_ms:
         own.next_notices_ms = now_ms + NOTICE_PERIOD_MS
+        own.entry_count = membership.entry_count(state)
         result.append(effects.ListNotices())
     for upstream in own.by_id.values():
         if now_ms < upstream.next_poll_ms or not upstream.in_subset:
@@ -316,11 +324,15 @@
         mark_leaving(state, upstream.upstream_id, upstream.incarnation, now_ms)
 
 
-def streams(upstream: Upstream, now_ms: int) -> int:
+def streams(
+    state: entry_state.EntryState, upstream: Upstream, now_ms: int
+) -> float:
     """Estimate the streams at an upstream now, running and waiting.
 
-    The report is corrected by what this entry sent and ended since, and is
-    never below what this entry and its peers have in flight.
+    The report is corrected by what was sent and ended since. The entries that
+    share the upstream get equal parts of the load from the balancer and see
+    the same reports, so each is assumed to have done what this one did. The
+    result is never below what this entry and its peers have in flight.
     """
     assert upstream.report is not None
     reported = upstream.report.running + upstream.report.waiting
@@ -328,8 +340,15 @@
     for count, digest_ms in upstream.peers_in_flight.values():
         if now_ms - digest_ms <= PEER_COUNT_MAX_AGE_MS:
             known += count
-    corrected = reported + len(upstream.sent) - len(upstream.ended_ms)
-    return max(corrected, known)
+    changed = len(upstream.sent) - len(upstream.ended_ms)
+    return max(reported + changed * sharing(state, upstream.service), known)
+
+
+def sharing(state: entry_state.EntryState, service: str) -> float:
+    """Estimate how many entries send work to one upstream of a service."""
+    own = state.upstreams
+    total = max(own.listed_counts.get(service, 0), 1)
+    return max(1.0, own.entry_count * min(1.0, SUBSET_SIZE / total))
 
 
 def pace(state: entry_state.EntryState, upstream: Upstream) -> pacing.Pace:
--- a/laburnumpin/tests/test_upstreams.py
+++ b/laburnumpin/tests/test_upstreams.py
@@ -181,7 +181,7 @@
     reported(state, 2_000, "u0", make_report(running=7))
     reported(state, 2_100, "u0", make_report(running=0, age_ms=900))
     upstream = state.upstreams.by_id["u0"]
-    assert upstreams.streams(upstream, 2_200) == 7
+    assert upstreams.streams(state, upstream, 2_200) == 7
     reported(state, 2_200, "u0", make_report(incarnation=0))
     assert upstream.incarnation == 1
 
@@ -255,7 +255,24 @@
     event = events.PeerReceived(100, "e1", digest)
     upstreams.on_digest(state, event, digest)
     upstream = state.upstreams.by_id["u0"]
-    assert upstreams.streams(upstream, 200) == 5
+    assert upstreams.streams(state, upstream, 200) == 5
     late_ms = 101 + upstreams.PEER_COUNT_MAX_AGE_MS
-    assert upstreams.streams(upstream, late_ms) == 0
+    assert upstreams.streams(state, upstream, late_ms) == 0
     assert ("u9", 1) in state.upstreams.leaving
+
+
+def test_sends_since_a_report_are_assumed_of_all_sharing_entries() -> None:
+    """Guards against entries that all fill the same engine between reports."""
+    state = make_state()
+    listed(state, 0, make_row("u0"))
+    reported(state, 100, "u0", make_report(running=3))
+    state.upstreams.entry_count = 6
+    upstream = state.upstreams.by_id["u0"]
+    upstream.sent.append((200, 10))
+    assert upstreams.streams(state, upstream, 300) == 9
+    reported(state, 400, "u0", make_report(running=5, age_ms=150))
+    assert upstreams.streams(state, upstream, 400) == 5
+    listed(state, 500, *[make_row(f"u{number}") for number in range(320)])
+    assert upstreams.sharing(state, "desk") == 1.0
+    state.upstreams.entry_count = 60
+    assert upstreams.sharing(state, "desk") == 6.0
