Score upstreams in milliseconds and choose among near-equals at random

Cause: the choice of the least count ignores latency and pace, and entries with equal knowledge choose the same upstream.

Change: `wait_ms + rtt_ms` for engines (20 predicted steps), predicted service time for plain services, learned from completed calls. Among upstreams within 10% of the best, the seeded generator chooses with weights by free streams.

Kept as the form that prefix affinity needs.

--- a/laburnumpin/core/routing.py
+++ b/laburnumpin/core/routing.py
@@ -17,22 +17,51 @@
 # Bulk requests leave the rest of the streams to interactive ones, which would
 # otherwise wait until a long stream ends.
 BULK_STREAMS_SHARE = 0.85
+# Upstreams whose score is within this share of the best are near-equals.
+NEAR_EQUAL_SHARE = 0.1
+# How many steps of a stream count as waiting: a slower engine delays the
+# first token by one step and all others by the difference.
+COUNTED_STEPS = 20
+SAME_ZONE_RTT_MS = 1.0
+SAME_REGION_RTT_MS = 3.0
+OTHER_REGION_RTT_MS = 60.0
 
 
 def choose(
     state: entry_state.EntryState, request: requests.Request, now_ms: int
 ) -> upstreams.Upstream | None:
-    """Return the best upstream with room, or None to keep waiting."""
-    best: upstreams.Upstream | None = None
-    best_load = 0.0
+    """Return an upstream with room and about the best score, if any."""
+    scored: list[tuple[float, float, upstreams.Upstream]] = []
     for upstream in upstreams.eligible(state, request.service.name, now_ms):
-        load = upstreams.streams(state, upstream, now_ms)
-        if load >= max_streams(state, upstream, request):
+        streams = upstreams.streams(state, upstream, now_ms)
+        room = max_streams(state, upstream, request) - streams
+        if room <= 0:
             continue
-        if best is None or load < best_load:
-            best = upstream
-            best_load = load
-    return best
+        score = score_ms(state, upstream, request, streams)
+        scored.append((score, room, upstream))
+    if not scored:
+        return None
+    best = min(score for score, _, _ in scored)
+    near = [s for s in scored if s[0] <= best * (1 + NEAR_EQUAL_SHARE)]
+    if len(near) == 1:
+        return near[0][2]
+    weights = [room for _, room, _ in near]
+    return state.random.choices(near, weights)[0][2]
+
+
+def score_ms(
+    state: entry_state.EntryState,
+    upstream: upstreams.Upstream,
+    request: requests.Request,
+    streams: float,
+) -> float:
+    """Return the score of an upstream for a request; the lowest is best."""
+    rtt_ms = _rtt_ms(state, upstream)
+    pace = upstreams.pace(state, upstream)
+    assert upstream.report is not None
+    if request.service.kind is deployment.ServiceKind.PLAIN:
+        return rtt_ms + pace.service_ms * (streams + 1) / upstream.report.slots
+    return pace.step_ms(streams + 1) * COUNTED_STEPS + rtt_ms
 
 
 def max_streams(
@@ -52,3 +81,18 @@
     target_ms = policy.inter_token_target_ms * STEP_HEADROOM
     pace = upstreams.pace(state, upstream)
     return max(1.0, share * min(slots, pace.max_streams(target_ms)))
+
+
+def _rtt_ms(
+    state: entry_state.EntryState, upstream: upstreams.Upstream
+) -> float:
+    if upstream.zone == state.zone:
+        return SAME_ZONE_RTT_MS
+    current = state.configuration.current
+    if current is None:
+        return SAME_REGION_RTT_MS
+    zones = current.deployment.zones
+    own, other = zones.get(state.zone), zones.get(upstream.zone)
+    if own is None or other is None or own.region == other.region:
+        return SAME_REGION_RTT_MS
+    return OTHER_REGION_RTT_MS
--- a/laburnumpin/core/upstreams.py
+++ b/laburnumpin/core/upstreams.py
@@ -312,7 +312,6 @@
     now_ms: int,
 ) -> None:
     """Count an attempt as ended and learn from its failure."""
-    del request
     upstream = state.upstreams.by_id.get(attempt.upstream_id)
     if upstream is None:
         return
@@ -320,6 +319,9 @@
         # Sent to an earlier incarnation; says nothing about this one.
         return
     upstream.ended_ms.append(now_ms)
+    if failure is None and request.service.kind is deployment.ServiceKind.PLAIN:
+        duration_ms = now_ms - attempt.started_ms
+        pace(state, upstream).observe_service(duration_ms)
     if failure is events.AttemptFailure.UPSTREAM_LEAVING:
         mark_leaving(state, upstream.upstream_id, upstream.incarnation, now_ms)
 
