Prefer the engine that caches a prompt's prefix

Cause: requests of a session were spread over all engines, which computed the same prefixes again.

Change: the score gets `prefill_ms + recompute_weight * uncached tokens`, from the index as it is. `COUNTED_STEPS` weighs load against it.

--- a/laburnumpin/core/pacing.py
+++ b/laburnumpin/core/pacing.py
@@ -30,6 +30,7 @@
     sum_product: float = 0.0
     max_streams_seen: float = 0.0
     service_ms: float = 0.0
+    prefill_tokens_per_s: float = 8_000.0
 
     def observe_step(self, streams: int, step_ms: float) -> None:
         """Note the step time that a report showed with running streams."""
--- a/laburnumpin/core/routing.py
+++ b/laburnumpin/core/routing.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from laburnumpin.core import deployment
+from laburnumpin.core import prefixes
 from laburnumpin.core import upstreams
 
 if TYPE_CHECKING:
@@ -19,9 +20,9 @@
 BULK_STREAMS_SHARE = 0.85
 # Upstreams whose score is within this share of the best are near-equals.
 NEAR_EQUAL_SHARE = 0.1
-# How many steps of a stream count as waiting: a slower engine delays the
-# first token by one step and all others by the difference.
-COUNTED_STEPS = 20
+# How many steps of a stream count as waiting. 60 steps spread the prompts of a
+# session over the engines; with 5 they follow their prefix.
+COUNTED_STEPS = 5
 SAME_ZONE_RTT_MS = 1.0
 SAME_REGION_RTT_MS = 3.0
 OTHER_REGION_RTT_MS = 60.0
@@ -37,7 +38,7 @@
         room = max_streams(state, upstream, request) - streams
         if room <= 0:
             continue
-        score = score_ms(state, upstream, request, streams)
+        score = score_ms(state, upstream, request, streams, now_ms)
         scored.append((score, room, upstream))
     if not scored:
         return None
@@ -54,6 +55,7 @@
     upstream: upstreams.Upstream,
     request: requests.Request,
     streams: float,
+    now_ms: int,
 ) -> float:
     """Return the score of an upstream for a request; the lowest is best."""
     rtt_ms = _rtt_ms(state, upstream)
@@ -61,7 +63,14 @@
     assert upstream.report is not None
     if request.service.kind is deployment.ServiceKind.PLAIN:
         return rtt_ms + pace.service_ms * (streams + 1) / upstream.report.slots
-    return pace.step_ms(streams + 1) * COUNTED_STEPS + rtt_ms
+    policy = request.configuration.deployment.policy
+    cached = prefixes.cached_tokens(
+        state, upstream.upstream_id, request.blocks, now_ms
+    )
+    uncached = max(0, request.prompt_tokens - cached)
+    wait_ms = pace.step_ms(streams + 1) * COUNTED_STEPS
+    prefill_ms = uncached * 1_000 / pace.prefill_tokens_per_s
+    return wait_ms + prefill_ms + rtt_ms + policy.recompute_weight * uncached
 
 
 def max_streams(
--- a/laburnumpin/core/upstreams.py
+++ b/laburnumpin/core/upstreams.py
@@ -457,9 +457,25 @@
     )
     upstream.leaving = (row.vm_id, row.incarnation) in own.leaving
     own.by_id[row.vm_id] = upstream
+    _set_prefill_pace(state, upstream)
     own.by_service.setdefault(row.service, {})[row.vm_id] = upstream
 
 
+def _set_prefill_pace(
+    state: entry_state.EntryState, upstream: Upstream
+) -> None:
+    current = state.configuration.current
+    if current is None:
+        return
+    for placement in current.deployment.placements:
+        if placement.service != upstream.service:
+            continue
+        if placement.vm_class == upstream.vm_class:
+            rate = float(placement.prefill_tokens_per_s)
+            pace(state, upstream).prefill_tokens_per_s = rate
+            return
+
+
 def _forget(state: entry_state.EntryState, now_ms: int) -> None:
     own = state.upstreams
     for upstream in list(own.by_id.values()):
