--- a/laburnumpin/core/upstreams.py
+++ b/laburnumpin/core/upstreams.py
@@ -11,7 +11,9 @@
 from laburnumpin.core import deployment
 from laburnumpin.core import effects
 from laburnumpin.core import events
+from laburnumpin.core import membership
 from laburnumpin.core import messages
+from laburnumpin.core import pacing
 from laburnumpin.core import prefixes
 
 if TYPE_CHECKING:
@@ -90,9 +92,12 @@
     __slots__ = (
         "by_id",
         "by_service",
+        "entry_count",
         "leaving",
         "listed",
+        "listed_counts",
         "next_notices_ms",
+        "paces",
         "spares",
     )
 
@@ -101,7 +106,10 @@
         self.by_service: dict[str, dict[str, Upstream]] = {}
         self.leaving: dict[tuple[str, int], int] = {}
         self.listed: set[str] = set()
+        self.listed_counts: dict[str, int] = {}
+        self.entry_count = 1
         self.next_notices_ms = 0
+        self.paces: dict[tuple[str, str], pacing.Pace] = {}
         self.spares: dict[str, list[events.VmRow]] = {}
 
 
@@ -168,7 +176,9 @@
         by_service.setdefault(row.service, []).append(row)
     for upstream in own.by_id.values():
         upstream.listed = upstream.upstream_id in own.listed
+    own.listed_counts = {}
     for service, rows in by_service.items():
+        own.listed_counts[service] = len(rows)
         _choose_subset(state, service, rows)
     _forget(state, event.now_ms)
     return []
@@ -221,6 +231,7 @@
     upstream.report = report
     upstream.reported_ms = reported_ms
     _drop_until(upstream, reported_ms)
+    pace(state, upstream).observe_step(report.running, report.step_ms)
     if report.leaving:
         mark_leaving(
             state, upstream.upstream_id, report.incarnation, event.now_ms
@@ -256,6 +267,7 @@
     result: list[effects.Effect] = []
     if now_ms >= own.next_notices_ms:
         own.next_notices_ms = now_ms + NOTICE_PERIOD_MS
+        own.entry_count = membership.entry_count(state)
         result.append(effects.ListNotices())
     for upstream in own.by_id.values():
         if now_ms < upstream.next_poll_ms or not upstream.in_subset:
@@ -300,7 +312,6 @@
     now_ms: int,
 ) -> None:
     """Count an attempt as ended and learn from its failure."""
-    del request
     upstream = state.upstreams.by_id.get(attempt.upstream_id)
     if upstream is None:
         return
@@ -308,15 +319,22 @@
         # Sent to an earlier incarnation; says nothing about this one.
         return
     upstream.ended_ms.append(now_ms)
+    if failure is None and request.service.kind is deployment.ServiceKind.PLAIN:
+        duration_ms = now_ms - attempt.started_ms
+        pace(state, upstream).observe_service(duration_ms)
     if failure is events.AttemptFailure.UPSTREAM_LEAVING:
         mark_leaving(state, upstream.upstream_id, upstream.incarnation, now_ms)
 
 
-def streams(upstream: Upstream, now_ms: int) -> int:
+def streams(
+    state: entry_state.EntryState, upstream: Upstream, now_ms: int
+) -> float:
     """Estimate the streams at an upstream now, running and waiting.
 
-    The report is corrected by what this entry sent and ended since, and is
-    never below what this entry and its peers have in flight.
+    The report is corrected by what was sent and ended since. The entries that
+    share the upstream get equal parts of the load from the balancer and see
+    the same reports, so each is assumed to have done what this one did. The
+    result is never below what this entry and its peers have in flight.
     """
     assert upstream.report is not None
     reported = upstream.report.running + upstream.report.waiting
@@ -324,8 +342,21 @@
     for count, digest_ms in upstream.peers_in_flight.values():
         if now_ms - digest_ms <= PEER_COUNT_MAX_AGE_MS:
             known += count
-    corrected = reported + len(upstream.sent) - len(upstream.ended_ms)
-    return max(corrected, known)
+    changed = len(upstream.sent) - len(upstream.ended_ms)
+    return max(reported + changed * sharing(state, upstream.service), known)
+
+
+def sharing(state: entry_state.EntryState, service: str) -> float:
+    """Estimate how many entries send work to one upstream of a service."""
+    own = state.upstreams
+    total = max(own.listed_counts.get(service, 0), 1)
+    return max(1.0, own.entry_count * min(1.0, SUBSET_SIZE / total))
+
+
+def pace(state: entry_state.EntryState, upstream: Upstream) -> pacing.Pace:
+    """Return the estimates of an upstream's service and VM class."""
+    key = (upstream.service, upstream.vm_class)
+    return state.upstreams.paces.setdefault(key, pacing.Pace())
 
 
 def _drop_until(upstream: Upstream, reported_ms: int) -> None:
@@ -426,9 +457,25 @@
     )
     upstream.leaving = (row.vm_id, row.incarnation) in own.leaving
     own.by_id[row.vm_id] = upstream
+    _set_prefill_pace(state, upstream)
     own.by_service.setdefault(row.service, {})[row.vm_id] = upstream
 
 
+def _set_prefill_pace(
+    state: entry_state.EntryState, upstream: Upstream
+) -> None:
+    current = state.configuration.current
+    if current is None:
+        return
+    for placement in current.deployment.placements:
+        if placement.service != upstream.service:
+            continue
+        if placement.vm_class == upstream.vm_class:
+            rate = float(placement.prefill_tokens_per_s)
+            pace(state, upstream).prefill_tokens_per_s = rate
+            return
+
+
 def _forget(state: entry_state.EntryState, now_ms: int) -> None:
     own = state.upstreams
     for upstream in list(own.by_id.values()):
