Index prefixes with gaps, ages and a bound

Cause: the index never forgot a block, read all cache events again on each poll, did not notice gaps and was unbounded.

Ruled out: dropping the whole index of an engine at a gap. Keeping all would break the design's rule and trusts blocks whose removal may have been missed.

Change: blocks that events reported are dropped at a gap; blocks that this entry's own requests left there are kept until an event removes them or they are 10 minutes old. Polls continue after the last sequence number. 50,000 blocks over all engines; a restarted sequence or a new incarnation starts over.

--- a/laburnumpin/core/prefixes.py
+++ b/laburnumpin/core/prefixes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import hashlib
 from typing import TYPE_CHECKING
 
@@ -15,6 +16,26 @@
 BLOCK_CHARACTERS = 256
 CHARACTERS_PER_TOKEN = 4
 TOKENS_PER_BLOCK = BLOCK_CHARACTERS // CHARACTERS_PER_TOKEN
+# A block that was neither reported nor used for this long counts as evicted.
+BLOCK_MAX_AGE_MS = 600_000
+# Blocks known of all upstreams together; about 200 bytes each.
+MAX_BLOCKS = 50_000
+
+
+class Blocks:
+    """Blocks of one upstream with the time they were last seen.
+
+    `reported` are those that its cache events named, `used` those of requests
+    that this entry sent there. Both are in the order of the time.
+    """
+
+    __slots__ = ("reported", "used")
+
+    def __init__(self) -> None:
+        self.reported: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
+        self.used: collections.OrderedDict[str, int] = collections.OrderedDict()
 
 
 class PrefixesState:
@@ -23,7 +44,7 @@
     __slots__ = ("blocks",)
 
     def __init__(self) -> None:
-        self.blocks: dict[str, dict[str, int]] = {}
+        self.blocks: dict[str, Blocks] = {}
 
 
 def count_tokens(prompt: str) -> int:
@@ -49,13 +70,14 @@
     now_ms: int,
 ) -> int:
     """Estimate how many tokens of a prompt an upstream has cached."""
-    del now_ms
     known = state.prefixes.blocks.get(upstream_id)
     if known is None:
         return 0
+    oldest_ms = max(now_ms - BLOCK_MAX_AGE_MS, 0)
     count = 0
     for block in blocks:
-        if block not in known:
+        seen_ms = max(known.reported.get(block, -1), known.used.get(block, -1))
+        if seen_ms < oldest_ms:
             break
         count += 1
     return count * TOKENS_PER_BLOCK
@@ -64,12 +86,31 @@
 def on_cache_events(
     state: entry_state.EntryState, event: events.CacheEventsReported
 ) -> list[effects.Effect]:
-    """Apply the cache events of an engine."""
-    known = state.prefixes.blocks.setdefault(event.upstream_id, {})
-    for block in event.added:
-        known[block] = event.now_ms
+    """Apply the cache events of an engine.
+
+    After a gap the blocks that earlier events named are dropped, because any
+    of them may have been removed. What this entry's own requests left there is
+    kept: an engine removes the blocks that were used last at the end.
+    """
+    upstream = state.upstreams.by_id.get(event.upstream_id)
+    if upstream is None:
+        return []
+    expected = upstream.cache_sequence
+    if event.next_sequence < expected:
+        # The engine counts from the start again: a new process.
+        state.counters.increment("prefix_index_dropped", "sequence_restarted")
+        drop(state, event.upstream_id)
+        upstream.cache_sequence = 0
+        return []
+    upstream.cache_sequence = event.next_sequence
+    known = _blocks(state, event.upstream_id)
+    if event.first_sequence > expected > 0:
+        state.counters.increment("prefix_index_dropped", "gap")
+        known.reported.clear()
+    _note(state, known.reported, event.added, event.now_ms)
     for block in event.removed:
-        known.pop(block, None)
+        known.reported.pop(block, None)
+        known.used.pop(block, None)
     return []
 
 
@@ -82,8 +123,28 @@
     state: entry_state.EntryState, request: requests.Request, now_ms: int
 ) -> None:
     """Note that the upstream of a finished request cached its prompt."""
-    if request.last_upstream_id is None:
+    upstream_id = request.last_upstream_id
+    if upstream_id is None or upstream_id not in state.upstreams.by_id:
         return
-    known = state.prefixes.blocks.setdefault(request.last_upstream_id, {})
-    for block in request.blocks:
+    known = _blocks(state, upstream_id)
+    _note(state, known.used, request.blocks, now_ms)
+
+
+def _blocks(state: entry_state.EntryState, upstream_id: str) -> Blocks:
+    return state.prefixes.blocks.setdefault(upstream_id, Blocks())
+
+
+def _note(
+    state: entry_state.EntryState,
+    known: collections.OrderedDict[str, int],
+    blocks: tuple[str, ...],
+    now_ms: int,
+) -> None:
+    for block in blocks:
         known[block] = now_ms
+        known.move_to_end(block)
+    share = MAX_BLOCKS // (2 * len(state.prefixes.blocks))
+    while len(known) > share:
+        known.popitem(last=False)
+    while known and next(iter(known.values())) < now_ms - BLOCK_MAX_AGE_MS:
+        known.popitem(last=False)
