Note a prompt's blocks when it is dispatched

Cause: requests of a session that come before the first one completes were spread over engines.

Change: `prefixes.on_dispatched` notes the blocks as used.

--- a/laburnumpin/core/prefixes.py
+++ b/laburnumpin/core/prefixes.py
@@ -119,6 +119,20 @@
     state.prefixes.blocks.pop(upstream_id, None)
 
 
+def on_dispatched(
+    state: entry_state.EntryState,
+    upstream_id: str,
+    request: requests.Request,
+    now_ms: int,
+) -> None:
+    """Expect that the upstream will cache the prompt of a request.
+
+    Requests of one session come faster than they complete.
+    """
+    known = _blocks(state, upstream_id)
+    _note(state, known.used, request.blocks, now_ms)
+
+
 def on_completed(
     state: entry_state.EntryState, request: requests.Request, now_ms: int
 ) -> None:
--- a/laburnumpin/core/upstreams.py
+++ b/laburnumpin/core/upstreams.py
@@ -297,11 +297,11 @@
     now_ms: int,
 ) -> None:
     """Count an attempt that is about to be sent."""
-    del state
     assert request.attempt is not None
     expected = request.prompt_tokens + request.max_tokens
     upstream.attempts[request.attempt.attempt_id] = expected
     upstream.sent.append((now_ms, request.prompt_tokens))
+    prefixes.on_dispatched(state, upstream.upstream_id, request, now_ms)
 
 
 def on_attempt_ended(
