Compute interactive prompts first; fetch weights without a token

Prompts were computed in the order of admission, so an urgent first token waited for the bulk prompts that had a slot. Interactive prompts now come first.

An engine with `weights_url` and no platform token sent the header value "Bearer ", which httpx refuses, and repeated that for ever; the new test of loading over sockets showed it. The header is now left out.

The load tool counted plain streams in the latencies; it no longer does.

Tests that need a running stream use one of 100,000 tokens, so that a slow machine cannot end it first.

--- a/laburnumpin/commands/load.py
+++ b/laburnumpin/commands/load.py
@@ -85,7 +85,8 @@
     request. `inter_token_ms` has one value for each streamed request, its
     mean; `token_gap_ms` has each gap between two events. Requests that were
     not finished in time have the outcome `unfinished`. A failed check lists
-    the ids of the requests in `wrong_answers`.
+    the ids of the requests in `wrong_answers`. Latencies are those of
+    streamed model requests.
     """
 
     sent: int
@@ -330,8 +331,6 @@
         return
     exchange.text = _read_text(await response.aread())
     exchange.outcome = "complete"
-    if exchange.target.kind is deployment.ServiceKind.MODEL:
-        exchange.offset = exchange.target.max_tokens
 
 
 async def _read_stream(
@@ -357,6 +356,8 @@
 
 
 def _record_arrival(exchange: _Exchange, results: _Results) -> None:
+    if exchange.target.kind is not deployment.ServiceKind.MODEL:
+        return
     now_s = time.monotonic()
     if not exchange.first_s:
         exchange.first_s = now_s
@@ -407,8 +408,7 @@
     if exchange.outcome == "wrong_answer":
         if len(results.wrong_answers) < MAX_LISTED_IDS:
             results.wrong_answers.append(exchange.request_id)
-    is_model = exchange.target.kind is deployment.ServiceKind.MODEL
-    if is_model and exchange.target.streamed and exchange.offset > 1:
+    if exchange.first_s and exchange.offset > 1:
         mean_s = (exchange.last_s - exchange.first_s) / (exchange.offset - 1)
         _record(results.inter_token, mean_s)
 
--- a/laburnumpin/standins/batching.py
+++ b/laburnumpin/standins/batching.py
@@ -277,7 +277,7 @@
     def _plan_prefill(self, bounded: bool) -> dict[str, int]:
         left = self.settings.prefill_chunk_tokens
         plan: dict[str, int] = {}
-        for generation in self._running:
+        for generation in sorted(self._running, key=_rank):
             if not generation.prefill_left:
                 continue
             tokens = generation.prefill_left
--- a/laburnumpin/standins/engine.py
+++ b/laburnumpin/standins/engine.py
@@ -140,7 +140,10 @@
         if not self.settings.weights_url:
             return
         url = f"{self.settings.weights_url}/weights/{self.orders.model}"
-        headers = {"Authorization": f"Bearer {self.settings.platform_token}"}
+        headers = {}
+        if self.settings.platform_token:
+            token = self.settings.platform_token
+            headers["Authorization"] = f"Bearer {token}"
         while True:
             try:
                 response = await client.get(url, headers=headers)
--- a/laburnumpin/standins/faults.py
+++ b/laburnumpin/standins/faults.py
@@ -32,7 +32,9 @@
     `cut_streams`, `cache_event_gap` and `silence_connections` are used up:
     the first two count down with each call that they affect, the third
     loses that many events, the fourth silences what is connected now. A
-    stream is cut after `cut_after_chunks` parts of its body.
+    stream is cut after `cut_after_chunks` parts of its body or later. The lags
+    have an effect when they exceed those of the stand-in's settings. `leaving`
+    is how the stand-in itself behaves; the platform's notices do not set it.
     """
 
     path: str = ""
--- a/laburnumpin/tests/test_standins_apps.py
+++ b/laburnumpin/tests/test_standins_apps.py
@@ -192,6 +192,49 @@
     assert response.status_code == 200
 
 
+async def test_stream_on_a_silent_connection_resumes_on_a_new_one() -> None:
+    """Guards against a silence that ends the stream or loses its work."""
+    async with _engine() as (client, admin):
+        body = _body("a.1.1", 100_000)
+        async with client.stream(
+            "POST", "/v1/generate", json=body, timeout=SHORT_READ
+        ) as response:
+            lines = response.aiter_lines()
+            await anext(lines)
+            await admin.post(
+                "/admin/faults", json={"silence_connections": True}
+            )
+            with pytest.raises(httpx.ReadTimeout):
+                async for _ in lines:
+                    pass
+        rest = await _read(client, body | {"offset": 1}, stop_at=50)
+    expected = text.expected_text("draft the dossier", 1, rest.offset)
+    assert rest.text == expected
+
+
+async def test_engine_waits_for_its_weights() -> None:
+    """Guards against a model that answers before the store gave it out."""
+    async with running.run_platform() as platform:
+        store = platform.standin.switches
+        store.update(refuse=True, path="/weights")
+        settings = dataclasses.replace(
+            FAST, weights_url=platform.address.url, model_load_ms=0
+        )
+        async with _engine(settings) as (client, _):
+            order = {"fencing_number": 1, "model": "m", "role": "draft"}
+            ordered = await client.post("/v1/orders", json=order)
+            with pytest.raises(httpx.ReadTimeout):
+                await client.post(
+                    "/v1/generate", json=_body("a.1.1", 3), timeout=SHORT_READ
+                )
+            store.update(refuse=False)
+            answer = await _read(client, _body("a.1.1", 3))
+            load = await client.get("/v1/load")
+    assert ordered.json() == {"fencing_number": 1}
+    assert answer.end["total_tokens"] == 3
+    assert (load.json()["model"], load.json()["order_fencing"]) == ("m", 1)
+
+
 async def test_moved_cache_resumes_at_another_engine() -> None:
     """Guards against a moved stream that computes its prompt again."""
     body = _body("a.1.1", 40)
@@ -239,6 +282,15 @@
     assert response.json()["error"]["code"] == "unknown_generation"
 
 
+async def test_recomputed_stream_starts_at_the_offset() -> None:
+    """Guards against a recomputed answer that repeats or skips tokens."""
+    async with _engine() as (client, _):
+        body = _body("a.1.1", 30, offset=20) | {"recompute": True}
+        answer = await _read(client, body)
+    assert answer.text == text.expected_text("draft the dossier", 20, 30)
+    assert answer.end["computed_tokens"] == 30 + 5
+
+
 async def test_cancelled_stream_ends_with_an_error() -> None:
     """Guards against a cancelled stream that looks complete or hangs."""
     received: list[sse.ServerEvent] = []
--- a/laburnumpin/tests/test_standins_engine_parts.py
+++ b/laburnumpin/tests/test_standins_engine_parts.py
@@ -66,6 +66,18 @@
     assert _run_until_idle(batch) == ["running", "urgent", "bulk"]
 
 
+def test_interactive_prompt_is_computed_before_bulk_prompts() -> None:
+    """Guards against an urgent first token behind a long bulk prompt."""
+    batch = batching.Batch(batching.BatchSettings())
+    batch.submit("running", "", 1_000, BULK, now_ms=0)
+    batch.submit("bulk", "x" * 40_000, 1, BULK, now_ms=0)
+    batch.submit("urgent", "x" * 256, 1, INTERACTIVE, now_ms=0)
+    batch.advance(9)
+    batch.advance(9 + 8 + 3 + 8)
+    assert batch.generations["urgent"].phase is batching.Phase.ENDED
+    assert batch.generations["bulk"].prefill_left == 10_000
+
+
 def test_paused_batch_does_not_compute_the_missed_steps() -> None:
     """Guards against a burst of tokens after the process was stopped."""
     batch = batching.Batch(batching.BatchSettings())
