Write waiting chunks to a caller together

Each chunk cost one pass through starlette and hypercorn, also when the whole output was waiting already, as for a reader that resumes.

Trial in one process, processor time of client and server for reading an ended output of 4,096 chunks, three runs each: 562 to 685 ms with one write for each chunk, 50 to 61 ms with one write for all that wait. At 20 requests per second and entry with 64 tokens each the chunks rarely wait, and the processor time of the entry did not change (6.8 s and 6.9 s of 14 s).

The clients of an entry share one TLS context, and answers are read without the decoding of compressed content, which they no longer ask for.

--- a/laburnumpin/server/caller_api.py
+++ b/laburnumpin/server/caller_api.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 from typing import Any
 
 import anyio
+from anyio.streams import memory
 from starlette import applications
 from starlette import exceptions as http_exceptions
 from starlette import requests
@@ -93,17 +95,20 @@
             self._request_id, self._customer, self._offset
         ) as reader:
             async for output in reader:
-                last = isinstance(output, effects.EndReader)
-                event = self._sse_event(output)
+                # Under load several chunks wait; one write for all of them
+                # costs little more than one for each.
+                waiting = [output, *_take_waiting(reader)]
+                rows = [self._sse_event(each) for each in waiting]
+                last = isinstance(waiting[-1], effects.EndReader)
                 await send(
                     {
                         "type": "http.response.body",
-                        "body": sse.encode(event),
+                        "body": b"".join(sse.encode(row) for row in rows),
                         "more_body": not last,
                     }
                 )
                 if last:
-                    return event.name
+                    return rows[-1].name
         return "reader_closed"
 
     def _sse_event(self, output: bridges.Output) -> sse.SseEvent:
@@ -364,6 +369,16 @@
     )
 
 
+def _take_waiting(
+    reader: memory.MemoryObjectReceiveStream[bridges.Output],
+) -> list[bridges.Output]:
+    outputs: list[bridges.Output] = []
+    with contextlib.suppress(anyio.WouldBlock, anyio.EndOfStream):
+        while True:
+            outputs.append(reader.receive_nowait())
+    return outputs
+
+
 def _compact(document: dict[str, Any]) -> str:
     return json.dumps(document, separators=(",", ":"))
 
--- a/laburnumpin/server/http_calls.py
+++ b/laburnumpin/server/http_calls.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import functools
+import ssl
 from typing import Any
 
 import httpx
@@ -75,6 +77,9 @@
     connect_timeout_s = connect_timeout_ms / 1_000
     return httpx.AsyncClient(
         base_url=base_url,
+        # Compression would delay tokens and cost processor time.
+        headers={"Accept-Encoding": "identity"},
+        verify=_ssl_context(),
         trust_env=False,
         follow_redirects=False,
         timeout=httpx.Timeout(
@@ -88,6 +93,12 @@
     )
 
 
+@functools.cache
+def _ssl_context() -> ssl.SSLContext:
+    # Reading the root certificates takes tens of milliseconds.
+    return httpx.create_ssl_context(trust_env=False)
+
+
 def url(address: str, path: str) -> str:
     """Return the URL of a path at a `host:port` address or base URL."""
     if "://" in address:
@@ -98,7 +109,7 @@
 async def read_body(response: httpx.Response, max_bytes: int) -> bytes | None:
     """Return the body of a streamed response, or None when it is too long."""
     body = bytearray()
-    async for part in response.aiter_bytes():
+    async for part in response.aiter_raw():
         body += part
         if len(body) > max_bytes:
             return None
--- a/laburnumpin/server/upstream_client.py
+++ b/laburnumpin/server/upstream_client.py
@@ -233,7 +233,7 @@
         self, attempt: _Attempt, response: httpx.Response
     ) -> events.Event:
         decoder = sse.Decoder()
-        async for data in response.aiter_bytes():
+        async for data in response.aiter_raw():
             for event in decoder.feed(data):
                 # A full event queue is no fault of the upstream.
                 attempt.scope.deadline = math.inf
