--- /dev/null
+++ b/laburnumpin/core/applying.py
@@ -0,0 +1,149 @@
+"""Rules for applying a configuration with optimistic concurrency.
+
+The shell reads the rows that `keys` names, calls `plan` and sends the
+transaction. After a lost answer it reads the rows and calls `plan` again.
+A write that lands late can't take effect twice, because each transaction
+requires that the row of its change id is absent.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+import dataclasses
+import re
+
+from laburnumpin import exceptions
+from laburnumpin.config import loading
+from laburnumpin.config import options
+from laburnumpin.core import store
+from laburnumpin.core import versions
+
+_CHANGE_ID = re.compile(r"[A-Za-z0-9_-]{1,64}")
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Transaction:
+    """Write these rows; on success the change is `version`."""
+
+    version: int
+    conditions: tuple[store.Condition, ...]
+    writes: tuple[store.Write, ...]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Applied:
+    """The change was applied earlier under its change id."""
+
+    version: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Conflict:
+    """Another change was applied first; this one never will be."""
+
+    base_version: int
+    current_version: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ChangeIdReused:
+    """The change id belongs to a change with another document."""
+
+    version: int
+
+
+Plan = Transaction | Applied | Conflict | ChangeIdReused
+
+
+def keys(change_id: str) -> tuple[str, ...]:
+    """Return the keys of the rows that `plan` needs."""
+    return (versions.CURRENT_KEY, versions.change_key(change_id))
+
+
+def check(base_version: object, change_id: object, document: object) -> None:
+    """Check a change before any row is read.
+
+    Raises:
+        ConfigurationError: The change is invalid; lists every problem.
+    """
+    errors: options.Errors = []
+    options.Integer(maximum=10**12 - 2).check(
+        base_version, "base_version", errors
+    )
+    name = options.Text().check(change_id, "change_id", errors)
+    if name is not None and _CHANGE_ID.fullmatch(name) is None:
+        message = "must have 1 to 64 letters, digits, `-` and `_` only"
+        options.add_error(errors, "change_id", options.Code.MALFORMED, message)
+    if not isinstance(document, str):
+        message = "must be a text that contains the JSON document"
+        options.add_error(errors, "document", options.Code.WRONG_TYPE, message)
+    else:
+        try:
+            loading.load_document(document)
+        except exceptions.ConfigurationError as error:
+            errors.extend(error.errors)
+    if errors:
+        raise exceptions.ConfigurationError(errors)
+
+
+def plan(
+    base_version: int,
+    change_id: str,
+    document: str,
+    rows: Sequence[store.Row],
+) -> Plan:
+    """Return the transaction for a change, or its known result.
+
+    `rows` are the rows of `keys(change_id)` from one read.
+
+    Raises:
+        StoredRowError: A row doesn't have the documented form.
+    """
+    current = _row(rows, versions.CURRENT_KEY)
+    change = _row(rows, versions.change_key(change_id))
+    if change.value is not None:
+        return _known_result(change, document)
+    current_version = 0
+    if current.value is not None:
+        current_version = versions.parse_pointer(current).version
+    if current_version != base_version:
+        return Conflict(base_version, current_version)
+    return _transaction(current, change_id, document, base_version + 1)
+
+
+def _known_result(change: store.Row, document: str) -> Applied | ChangeIdReused:
+    known = versions.parse_change(change)
+    if known.document_sha256 != versions.document_hash(document):
+        return ChangeIdReused(known.version)
+    return Applied(known.version)
+
+
+def _transaction(
+    current: store.Row, change_id: str, document: str, version: int
+) -> Transaction:
+    pointer = versions.Pointer(version, change_id)
+    stored = versions.StoredVersion(version, change_id, document)
+    change = versions.StoredChange(version, versions.document_hash(document))
+    table = versions.TABLE
+    version_key = versions.version_key(version)
+    change_key = versions.change_key(change_id)
+    return Transaction(
+        version=version,
+        conditions=(
+            store.Condition(table, versions.CURRENT_KEY, current.version),
+            store.Condition(table, version_key, 0),
+            store.Condition(table, change_key, 0),
+        ),
+        writes=(
+            store.Write(table, versions.CURRENT_KEY, versions.encode(pointer)),
+            store.Write(table, version_key, versions.encode(stored)),
+            store.Write(table, change_key, versions.encode(change)),
+        ),
+    )
+
+
+def _row(rows: Sequence[store.Row], key: str) -> store.Row:
+    for row in rows:
+        if row.key == key:
+            return row
+    return store.Row(versions.TABLE, key, 0, None)
--- a/laburnumpin/core/claims.py
+++ b/laburnumpin/core/claims.py
@@ -16,6 +16,7 @@
 from laburnumpin import verdict
 from laburnumpin.core import effects
 from laburnumpin.core import events
+from laburnumpin.core import ids
 from laburnumpin.core import messages
 from laburnumpin.core import requests
 from laburnumpin.core import store
@@ -60,7 +61,6 @@
     body_hash: str
     goal: Goal
     request_id: str
-    deadline_ms: int
     version: int = 0
     written: Goal = Goal.HELD
     may_exist: bool = False
@@ -136,7 +136,7 @@
     """
     del now_ms
     own = state.claims
-    entry = f"{state.entry.vm_id}.{state.entry.incarnation}"
+    entry = ids.entry_name(state.entry)
     token = f"{request.request_id}/{entry}/{own.next_token}"
     own.next_token += 1
     job = Job(
@@ -145,7 +145,6 @@
         body_hash(request),
         Goal.HELD,
         request.request_id,
-        request.deadline_ms,
         prior_tokens=request.claim_tokens,
     )
     request.claim_tokens = (*request.claim_tokens, token)
@@ -182,7 +181,6 @@
         body_hash(request),
         Goal.HELD,
         request.request_id,
-        request.deadline_ms,
         version=request.claim_version,
         may_exist=True,
         prior_tokens=request.claim_tokens[:-1],
@@ -229,9 +227,9 @@
 def on_tick(
     state: entry_state.EntryState, event: events.Tick
 ) -> list[effects.Effect]:
-    """Expire claims and send the jobs that wait, in groups."""
+    """Send the jobs that wait, in groups."""
     own = state.claims
-    result = _expire(state, event.now_ms)
+    result: list[effects.Effect] = []
     if event.now_ms < own.not_before_ms:
         return result
     while own.doubtful and len(own.operations) < MAX_OPERATIONS:
@@ -245,21 +243,6 @@
     return result
 
 
-def _expire(state: entry_state.EntryState, now_ms: int) -> list[effects.Effect]:
-    result: list[effects.Effect] = []
-    for job in list(state.claims.by_request.values()):
-        if now_ms < job.deadline_ms:
-            continue
-        request = state.requests.by_id[job.request_id]
-        failure = messages.Failure(
-            "deadline_passed",
-            "the deadline passed before the call could be claimed",
-            verdict.Verdict.NOT_RUN,
-        )
-        result.extend(requests.on_claim_failed(state, request, failure, now_ms))
-    return result
-
-
 def _take_group(
     state: entry_state.EntryState, jobs: list[Job]
 ) -> tuple[Job, ...]:
@@ -439,6 +422,9 @@
         return []
     del state.claims.by_request[job.request_id]
     request = state.requests.by_id[job.request_id]
+    holder = _other_successor(state, request, found)
+    if holder is not None:
+        return requests.on_owned_elsewhere(state, request, holder, now_ms)
     request.claim_tokens = ()
     if found is not None and found.body_hash != job.body_hash:
         return _fail(state, request, _key_reused(), now_ms)
@@ -447,6 +433,21 @@
     return _replay(state, request, found, now_ms)
 
 
+def _other_successor(
+    state: entry_state.EntryState,
+    request: requests.Request,
+    found: ClaimRow | None,
+) -> ids.EntryId | None:
+    """Return the entry that claimed the same request after a handover."""
+    if found is None or found.goal is not Goal.HELD:
+        return None
+    request_id, _, rest = found.token.partition("/")
+    if request_id != request.request_id:
+        return None
+    holder = ids.parse_entry(rest.partition("/")[0])
+    return None if holder == state.entry else holder
+
+
 def _replay(
     state: entry_state.EntryState,
     request: requests.Request,
--- a/laburnumpin/standins/batching.py
+++ b/laburnumpin/standins/batching.py
@@ -43,7 +43,9 @@
     CANCELLED = "cancelled"
 
 
-@dataclasses.dataclass(slots=True)
+# Compared by identity, because comparing all fields made queue look-ups slow
+# and each generation exists only once.
+@dataclasses.dataclass(slots=True, eq=False)
 class Generation:
     """One generation; `produced` counts tokens from offset 0.
 
@@ -79,7 +81,7 @@
     """Generations of one engine, its slots and its prefix cache."""
 
     __slots__ = (
-        "_loaded_ms",
+        "_is_loading",
         "_running",
         "_step",
         "_waiting",
@@ -97,7 +99,7 @@
         self._running: list[Generation] = []
         self._waiting: list[Generation] = []
         self._step: Step | None = None
-        self._loaded_ms = 0
+        self._is_loading = False
 
     @property
     def running_count(self) -> int:
@@ -197,17 +199,23 @@
             expired.append(generation)
         return expired
 
-    def load_model(self, now_ms: int, duration_ms: int) -> None:
-        """Drop the cache and compute nothing until the model is loaded."""
+    def begin_load(self, now_ms: int) -> None:
+        """Drop the cache and compute nothing until `end_load`."""
         self.cache.clear(now_ms)
-        self._loaded_ms = now_ms + duration_ms
+        self._is_loading = True
+
+    def end_load(self, now_ms: int) -> None:
+        """Continue with what has arrived since `begin_load`."""
+        self._is_loading = False
+        if self._step is None:
+            self._start_step(now_ms)
 
     def advance(self, now_ms: int) -> list[Generation]:
         """Finish the steps that are due; return what made progress."""
         changed: dict[str, Generation] = {}
         while self._step is not None and self._step.end_ms <= now_ms:
             step = self._step
-            for generation in self._finish(step, now_ms):
+            for generation in self._finish(step):
                 changed[generation.request_id] = generation
             start_ms = step.end_ms
             if now_ms - start_ms > MAX_CATCH_UP_MS:
@@ -230,12 +238,14 @@
     def _enqueue(self, generation: Generation, now_ms: int) -> None:
         self._waiting.append(generation)
         if self._step is None:
-            self._start_step(max(now_ms, self._loaded_ms))
+            self._start_step(now_ms)
 
     def _start_step(self, start_ms: float) -> None:
+        self._step = None
+        if self._is_loading:
+            return
         self._admit()
         if not self._running:
-            self._step = None
             return
         decoding = [each for each in self._running if not each.prefill_left]
         prefill = self._plan_prefill(bounded=bool(decoding))
@@ -278,7 +288,7 @@
                 plan[generation.request_id] = tokens
         return plan
 
-    def _finish(self, step: Step, now_ms: int) -> list[Generation]:
+    def _finish(self, step: Step) -> list[Generation]:
         self.last_step_ms = step.duration_ms
         changed = []
         for generation in list(self._running):
@@ -287,7 +297,7 @@
             generation.prefill_left -= tokens
             generation.computed_tokens += tokens
             if tokens and not generation.prefill_left:
-                self.cache.add(generation.blocks, now_ms)
+                self.cache.add(generation.blocks, int(step.end_ms))
             is_decoding = request_id in step.decoding or tokens
             if generation.prefill_left or not is_decoding:
                 continue
