Give no work to an overloaded upstream until its next report

Cause: after a 429 the entry still trusted an older report that showed room, and retried at the same upstream.

Change: a rejection as overloaded counts until a report from after it.

--- a/laburnumpin/core/upstreams.py
+++ b/laburnumpin/core/upstreams.py
@@ -64,6 +64,7 @@
     in_subset: bool = True
     report: events.LoadReport | None = None
     reported_ms: int = 0
+    overloaded_ms: int = -1
     next_poll_ms: int = 0
     polled_ms: int = 0
     poll_pending: bool = False
@@ -126,6 +127,9 @@
             continue
         if now_ms - upstream.reported_ms > REPORT_MAX_AGE_MS:
             continue
+        # A rejection says more about the present than an older report.
+        if upstream.overloaded_ms >= upstream.reported_ms:
+            continue
         # An engine that has another model loaded waits for the fleet's order.
         if model is not None and upstream.report.model != model:
             continue
@@ -322,6 +326,8 @@
     if failure is None and request.service.kind is deployment.ServiceKind.PLAIN:
         duration_ms = now_ms - attempt.started_ms
         pace(state, upstream).observe_service(duration_ms)
+    if failure is events.AttemptFailure.UPSTREAM_OVERLOADED:
+        upstream.overloaded_ms = now_ms
     if failure is events.AttemptFailure.UPSTREAM_LEAVING:
         mark_leaving(state, upstream.upstream_id, upstream.incarnation, now_ms)
 
@@ -374,6 +380,7 @@
     marks = state.upstreams.leaving
     upstream.leaving = (upstream.upstream_id, incarnation) in marks
     upstream.report = None
+    upstream.overloaded_ms = -1
     upstream.cache_sequence = 0
     upstream.attempts.clear()
     upstream.sent.clear()
--- a/laburnumpin/tests/test_upstreams.py
+++ b/laburnumpin/tests/test_upstreams.py
@@ -9,6 +9,7 @@
 from laburnumpin.core import events
 from laburnumpin.core import ids
 from laburnumpin.core import messages
+from laburnumpin.core import requests
 from laburnumpin.core import state as entry_state
 from laburnumpin.core import upstreams
 from laburnumpin.tests import builders
@@ -276,3 +277,80 @@
     assert upstreams.sharing(state, "desk") == 1.0
     state.upstreams.entry_count = 60
     assert upstreams.sharing(state, "desk") == 6.0
+
+
+def make_request(
+    state: entry_state.EntryState, number: int
+) -> requests.Request:
+    current = state.configuration.current
+    assert current is not None
+    service = current.deployment.services["desk"]
+    return requests.Request(
+        request_id=f"e0.1.{number}",
+        customer="acme",
+        service=service,
+        operation=service.operations["read"],
+        body="",
+        prompt="",
+        prompt_tokens=0,
+        max_tokens=10,
+        blocks=(),
+        idempotency_key=None,
+        accepted_ms=0,
+        deadline_ms=10**9,
+        priority=deployment.Priority.BULK,
+        configuration=current,
+    )
+
+
+def attempt(
+    state: entry_state.EntryState,
+    now_ms: int,
+    failure: events.AttemptFailure | None,
+    incarnation_change: bool = False,
+) -> None:
+    request = make_request(state, now_ms)
+    request.attempt = requests.Attempt(f"a{now_ms}", "u0", now_ms, 0)
+    upstream = state.upstreams.by_id["u0"]
+    upstreams.on_dispatched(state, upstream, request, now_ms)
+    if incarnation_change:
+        reported(state, now_ms, "u0", make_report(incarnation=2))
+    upstreams.on_attempt_ended(
+        state, request.attempt, request, failure, now_ms + 10
+    )
+
+
+def test_overloaded_upstream_gets_no_work_until_a_newer_report() -> None:
+    """Guards against retries that hammer a full upstream."""
+    state = make_state()
+    listed(state, 0, make_row("u0"))
+    reported(state, 100, "u0")
+    attempt(state, 150, events.AttemptFailure.UPSTREAM_OVERLOADED)
+    assert eligible(state, 170) == []
+    reported(state, 200, "u0", make_report(age_ms=60))
+    assert eligible(state, 200) == []
+    reported(state, 300, "u0")
+    assert eligible(state, 300) == ["u0"]
+
+
+def test_rejection_by_an_earlier_incarnation_marks_nothing() -> None:
+    """Guards against a restarted upstream that never gets work again."""
+    state = make_state()
+    listed(state, 0, make_row("u0"))
+    reported(state, 100, "u0")
+    leaving = events.AttemptFailure.UPSTREAM_LEAVING
+    attempt(state, 150, leaving, incarnation_change=True)
+    assert eligible(state, 200) == ["u0"]
+    attempt(state, 250, leaving)
+    assert eligible(state, 300) == []
+
+
+def test_ended_attempts_make_room_before_the_next_report() -> None:
+    """Guards against streams that count twice until the next report."""
+    state = make_state()
+    listed(state, 0, make_row("u0"))
+    reported(state, 100, "u0", make_report(running=4))
+    attempt(state, 150, None)
+    upstream = state.upstreams.by_id["u0"]
+    assert upstreams.streams(state, upstream, 200) == 4
+    assert upstreams.pace(state, upstream).service_ms == 10
