Prove configuration changes with real processes

Cause: the bound and the monotonicity of invariant 7 were tested in virtual time and within one process only.

Change: laburnumpin/tests/processes.py starts the stand-ins and entries from the command line with port 0, reads their addresses from standard output and kills them by process id at the end of each test.

--- /dev/null
+++ b/laburnumpin/tests/processes.py
@@ -0,0 +1,509 @@
+"""Real processes on loopback for the tests of failures.
+
+Every process is started with port 0 and tells its addresses in a JSON line
+on standard output. All of them are killed by process id when the context
+ends, whatever happened in between.
+"""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
+import dataclasses
+import functools
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+from typing import Any
+
+import anyio
+from anyio import abc
+from anyio.streams import buffered
+import httpx
+
+from laburnumpin import operator
+from laburnumpin.core import events
+from laburnumpin.server import sse
+from laburnumpin.standins import text as standin_text
+
+# The only limit on waits. It is far above what any wait takes, so that a
+# slow machine does not reach it.
+WAIT_S = 90
+POLL_S = 0.02
+MAX_PROCESSES = 15
+LOG_TAIL_BYTES = 4_000
+MODEL = "m"
+ZONES = ("recife", "caruaru", "petrolina")
+CUSTOMER_KEY = "key-of-the-customer-acme"
+OPERATOR_KEY = "key-of-the-operators"
+PLATFORM_TOKEN = "token-of-the-platform"
+HEADERS = {"Authorization": f"Bearer {CUSTOMER_KEY}"}
+STREAM = {**HEADERS, "Accept": "text/event-stream"}
+OPERATOR = {"Authorization": f"Bearer {OPERATOR_KEY}"}
+PLATFORM = {"Authorization": f"Bearer {PLATFORM_TOKEN}"}
+
+
+@dataclasses.dataclass(slots=True)
+class Process:
+    """A process, the line it printed when it was ready, and its log."""
+
+    process: abc.Process
+    ready: dict[str, Any]
+    log: pathlib.Path
+
+    @property
+    def url(self) -> str:
+        """Return the base URL of the main port or the caller API."""
+        name = "caller_address" if "vm_id" in self.ready else "address"
+        return f"http://{self.ready[name]}"
+
+    @property
+    def admin_url(self) -> str:
+        """Return the base URL of the admin port or the operator API."""
+        name = "operator_address" if "vm_id" in self.ready else "admin_address"
+        return f"http://{self.ready[name]}"
+
+    def pause(self) -> None:
+        self.process.send_signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        self.process.send_signal(signal.SIGCONT)
+
+    def terminate(self) -> None:
+        self.process.send_signal(signal.SIGTERM)
+
+    def kill(self) -> None:
+        self.process.send_signal(signal.SIGKILL)
+
+    async def exit_code(self) -> int:
+        with anyio.fail_after(WAIT_S):
+            return await self.process.wait()
+
+
+@dataclasses.dataclass(slots=True)
+class Received:
+    """A stream as its caller received it."""
+
+    request_id: str = ""
+    text: str = ""
+    offsets: list[int] = dataclasses.field(default_factory=list)
+    end: dict[str, Any] | None = None
+    error: dict[str, Any] | None = None
+
+    def check_whole(self, prompt: str, tokens: int) -> None:
+        """Check that the answer is the caller's own and complete."""
+        assert self.error is None, self.error
+        assert self.text == standin_text.expected_text(prompt, 0, tokens)
+        assert self.end == {"total_offset": tokens}
+        assert self.offsets == sorted(set(self.offsets))
+
+    def add(self, event: sse.SseEvent) -> None:
+        """Add an event, and check that its offset continues the text."""
+        document = json.loads(event.data)
+        if event.name == "end":
+            self.end = document
+        elif event.name == "error":
+            self.error = document["error"]
+        else:
+            self.text += document["text"]
+            offset = int(event.event_id)
+            width = standin_text.TOKEN_CHARACTERS
+            assert len(self.text) == offset * width
+            self.offsets.append(offset)
+
+
+class Processes:
+    """The processes of one test, and calls to them."""
+
+    def __init__(self, directory: pathlib.Path, http: httpx.AsyncClient):
+        self.http = http
+        self.started: list[Process] = []
+        self._directory = directory
+        self._platform: Process | None = None
+        self._count = 0
+
+    @property
+    def platform(self) -> Process:
+        assert self._platform is not None
+        return self._platform
+
+    async def start_platform(self, vm_list_lag_ms: int = 0) -> Process:
+        self._platform = await self._start(
+            "stand-in",
+            "platform",
+            "--vm-list-lag-ms",
+            str(vm_list_lag_ms),
+            environment={"LABURNUMPIN_PLATFORM_TOKEN": PLATFORM_TOKEN},
+        )
+        return self._platform
+
+    async def start_engine(
+        self, name: str, zone: str, *flags: str, model: str = MODEL
+    ) -> Process:
+        """Start an engine and list it as a VM."""
+        started = await self._start(
+            "stand-in", "engine", "--model", model, *flags
+        )
+        await self.list_upstream(
+            name, zone, "molde", started.ready, started.ready["address"]
+        )
+        return started
+
+    async def start_plain(self, name: str, zone: str) -> Process:
+        """Start a plain service and list it as a VM."""
+        started = await self._start("stand-in", "plain")
+        await self.list_upstream(
+            name, zone, "balcao", started.ready, started.ready["address"]
+        )
+        return started
+
+    async def start_entry(
+        self,
+        number: int,
+        *,
+        seeds: tuple[Process, ...] = (),
+        platform_url: str = "",
+        environment: dict[str, str] | None = None,
+        listed: bool = True,
+    ) -> Process:
+        """Start an entry and list it as a VM."""
+        vm_id, zone = f"entry-{number}", ZONES[number % len(ZONES)]
+        started = await self._start(
+            "entry",
+            "run",
+            environment={
+                "LABURNUMPIN_VM_ID": vm_id,
+                "LABURNUMPIN_ZONE": zone,
+                "LABURNUMPIN_PLATFORM_URL": platform_url or self.platform.url,
+                "LABURNUMPIN_PLATFORM_TOKEN": PLATFORM_TOKEN,
+                "LABURNUMPIN_OPERATOR_KEY": OPERATOR_KEY,
+                "LABURNUMPIN_PEER_SECRET": "secret-of-the-entries",
+                "LABURNUMPIN_CALLER_PORT": "0",
+                "LABURNUMPIN_OPERATOR_PORT": "0",
+                "LABURNUMPIN_PEER_PORT": "0",
+                "LABURNUMPIN_SEED_PEERS": ",".join(
+                    seed.ready["peer_address"] for seed in seeds
+                ),
+                **(environment or {}),
+            },
+        )
+        if listed:
+            await self.list_vm(
+                events.VmRow(
+                    vm_id,
+                    started.ready["incarnation"],
+                    events.VmRole.ENTRY,
+                    zone,
+                    "small",
+                    True,
+                    False,
+                    peer_address=started.ready["peer_address"],
+                )
+            )
+        return started
+
+    async def start_entries(
+        self, count: int, **options: Any
+    ) -> tuple[Process, ...]:
+        """Start entries that know each other through the first of them."""
+        first = await self.start_entry(0, **options)
+        rest: dict[int, Process] = {}
+
+        async def start(number: int) -> None:
+            rest[number] = await self.start_entry(
+                number, seeds=(first,), **options
+            )
+
+        async with anyio.create_task_group() as tasks:
+            for number in range(1, count):
+                tasks.start_soon(start, number)
+        return first, *(rest[number] for number in sorted(rest))
+
+    async def run_command(
+        self, *arguments: str, url: str = ""
+    ) -> subprocess.CompletedProcess[bytes]:
+        """Run a command of the command line to its end."""
+        environment = {
+            **_environment(),
+            "LABURNUMPIN_OPERATOR_KEY": OPERATOR_KEY,
+        }
+        if url:
+            environment["LABURNUMPIN_URL"] = url
+        with anyio.fail_after(WAIT_S):
+            return await anyio.run_process(
+                [sys.executable, *arguments], env=environment, check=False
+            )
+
+    async def list_upstream(
+        self,
+        name: str,
+        zone: str,
+        service: str,
+        ready: dict[str, Any],
+        address: str,
+    ) -> None:
+        """List an upstream as a VM of the platform."""
+        await self.list_vm(
+            events.VmRow(
+                name,
+                ready["incarnation"],
+                events.VmRole.UPSTREAM,
+                zone,
+                "small",
+                True,
+                False,
+                service,
+                address,
+            )
+        )
+
+    async def list_vm(self, row: events.VmRow) -> None:
+        fields = {**dataclasses.asdict(row), "role": row.role.value}
+        await self.post(self.platform, "/admin/vms", {"vms": [fields]})
+
+    async def give_notice(self, vm_id: str, remaining_ms: int) -> None:
+        order = {"vm_id": vm_id, "remaining_ms": remaining_ms}
+        await self.post(self.platform, "/admin/notices", order)
+
+    async def set_faults(self, standin: Process, **changes: Any) -> None:
+        await self.post(standin, "/admin/faults", changes)
+
+    async def post(
+        self, process: Process, path: str, body: Any
+    ) -> dict[str, Any]:
+        response = await self.http.post(
+            process.admin_url + path, json=body, headers=OPERATOR
+        )
+        assert response.status_code < 300, response.text
+        answer: dict[str, Any] = response.json()
+        return answer
+
+    async def get(self, process: Process, path: str) -> dict[str, Any]:
+        response = await self.http.get(
+            process.admin_url + path, headers=OPERATOR
+        )
+        assert response.status_code == 200, response.text
+        answer: dict[str, Any] = response.json()
+        return answer
+
+    async def status(self, entry: Process) -> dict[str, Any]:
+        return await self.get(entry, "/operator/status")
+
+    async def counter(self, entry: Process, name: str, label: str) -> int:
+        """Return the value of a counter of an entry."""
+        for row in (await self.status(entry))["counters"]:
+            if (row["name"], row["label"]) == (name, label):
+                return int(row["value"])
+        return 0
+
+    async def calls(self, standin: Process, path: str) -> list[dict[str, Any]]:
+        """Return the log entries of a stand-in for a path."""
+        log = await self.get(standin, "/admin/log")
+        return [row for row in log["entries"] if row["path"] == path]
+
+    async def executions(self, service: Process) -> dict[str, Any]:
+        return await self.get(service, "/admin/executions")
+
+    async def read_row(self, table: str, key: str) -> dict[str, Any]:
+        response = await self.http.get(
+            f"{self.platform.url}/tables/{table}/{key}", headers=PLATFORM
+        )
+        assert response.status_code == 200, response.text
+        row: dict[str, Any] = response.json()
+        return row
+
+    async def apply(
+        self, entry: Process, document: str, base_version: int = 0
+    ) -> int:
+        """Apply a configuration through the operator API."""
+        answer = await self.post(
+            entry,
+            "/operator/configuration",
+            {
+                "base_version": base_version,
+                "change_id": f"change-{base_version + 1}",
+                "document": document,
+            },
+        )
+        return int(answer["version"])
+
+    async def is_ready(self, entry: Process) -> bool:
+        response = await self.http.get(entry.url + "/readyz")
+        return response.status_code == 200
+
+    async def wait_ready(self, *entries: Process) -> None:
+        for entry in entries:
+            await wait_for(functools.partial(self.is_ready, entry))
+
+    async def wait_upstreams(self, count: int, *entries: Process) -> None:
+        """Wait until each entry has a load report of `count` upstreams."""
+
+        async def is_known(entry: Process) -> bool:
+            known = 0
+            for row in (await self.status(entry))["upstreams"]:
+                known += row["report_age_ms"] is not None
+            return known >= count
+
+        for entry in entries:
+            await wait_for(functools.partial(is_known, entry))
+
+    async def call(
+        self,
+        entry: Process,
+        operation: str,
+        body: Any,
+        key: str = "",
+        deadline_ms: int = 0,
+    ) -> httpx.Response:
+        """Call an operation of the plain service."""
+        headers = dict(HEADERS)
+        if key:
+            headers["Idempotency-Key"] = key
+        if deadline_ms:
+            headers["X-Deadline-Ms"] = str(deadline_ms)
+        return await self.http.post(
+            f"{entry.url}/v1/services/balcao/{operation}",
+            json=body,
+            headers=headers,
+        )
+
+    async def read_stream(
+        self,
+        entry: Process,
+        prompt: str,
+        tokens: int,
+        received: Received | None = None,
+    ) -> Received:
+        """Read a stream to its end; `received` shows what came so far."""
+        received = received or Received()
+        decoder = sse.Decoder()
+        async with self.http.stream(
+            "POST",
+            f"{entry.url}/v1/services/molde/draft",
+            json={"prompt": prompt, "max_tokens": tokens},
+            headers=STREAM,
+        ) as response:
+            if response.status_code != 200:
+                document = json.loads(await response.aread())
+                received.error = document["error"]
+                return received
+            received.request_id = response.headers["X-Request-Id"]
+            async for data in response.aiter_bytes():
+                for event in decoder.feed(data):
+                    received.add(event)
+        return received
+
+    async def close(self) -> None:
+        """Kill what still runs, by process id."""
+        with anyio.CancelScope(shield=True):
+            for started in self.started:
+                if started.process.returncode is None:
+                    started.kill()
+                await started.process.wait()
+
+    def print_logs(self) -> None:
+        """Print the end of every log, for the report of a failed test."""
+        for started in self.started:
+            tail = started.log.read_bytes()[-LOG_TAIL_BYTES:]
+            print(f"--- {started.log.name} {started.ready}")
+            print(tail.decode(errors="replace"))
+
+    async def _start(
+        self, *arguments: str, environment: dict[str, str] | None = None
+    ) -> Process:
+        self._count += 1
+        assert self._count <= MAX_PROCESSES
+        log = self._directory / f"{self._count:02d}-{arguments[1]}.log"
+        with log.open("wb") as errors:
+            process = await anyio.open_process(
+                [sys.executable, "-m", "laburnumpin", *arguments],
+                env={**_environment(), **(environment or {})},
+                stdin=subprocess.DEVNULL,
+                stderr=errors,
+            )
+        started = Process(process, {}, log)
+        self.started.append(started)
+        assert process.stdout is not None
+        lines = buffered.BufferedByteReceiveStream(process.stdout)
+        with anyio.fail_after(WAIT_S):
+            line = await lines.receive_until(b"\n", 100_000)
+        started.ready = json.loads(line)
+        return started
+
+
+@contextlib.asynccontextmanager
+async def run(directory: pathlib.Path) -> AsyncIterator[Processes]:
+    """Provide processes until the context ends; logs go to `directory`."""
+    limits = httpx.Limits(max_connections=None, keepalive_expiry=1.0)
+    async with httpx.AsyncClient(
+        timeout=WAIT_S, trust_env=False, limits=limits
+    ) as http:
+        processes = Processes(directory, http)
+        try:
+            yield processes
+        except BaseException:
+            processes.print_logs()
+            raise
+        finally:
+            await processes.close()
+
+
+async def wait_for(condition: Callable[[], Awaitable[bool]]) -> None:
+    """Return once a condition holds."""
+    with anyio.fail_after(WAIT_S):
+        while not await condition():
+            await anyio.sleep(POLL_S)
+
+
+async def wait_tokens(received: Received, count: int) -> None:
+    """Return once a stream has brought `count` tokens."""
+
+    async def is_reached() -> bool:
+        assert received.error is None, received.error
+        return bool(received.offsets) and received.offsets[-1] >= count
+
+    await wait_for(is_reached)
+
+
+def document(entry_count: int = 3) -> str:
+    """Return a configuration with a model and a plain service."""
+    acme = operator.Deployment("test", entry_count=entry_count)
+    for zone in ZONES:
+        acme.add_zone(zone, data_center=zone, region="pernambuco")
+    acme.add_model_service(
+        "molde", model=MODEL, operations=(operator.Operation("draft"),)
+    )
+    acme.add_plain_service(
+        "balcao",
+        operations=(
+            operator.Operation("place", idempotent=False),
+            operator.Operation("read"),
+        ),
+    )
+    for service in ("molde", "balcao"):
+        acme.add_placement(
+            service=service,
+            zone=ZONES[0],
+            vm_class="small",
+            reclaimable=True,
+            min_vms=0,
+            max_vms=1,
+            price_per_hour=1.0,
+            slots=8,
+        )
+    acme.add_customer("acme", keys=(CUSTOMER_KEY,))
+    return acme.document()
+
+
+def _environment() -> dict[str, str]:
+    """Return this process's environment without settings of entries."""
+    return {
+        name: value
+        for name, value in os.environ.items()
+        if not name.startswith("LABURNUMPIN_")
+    }
