Let streams leave a killed engine without a retry budget

Cause: after SIGKILL of an engine its stream was resumed at the same engine, because the last load report stayed valid for up to 4 s. The connection was refused, and with an empty retry budget the stream ended with connect_failed, budget_exhausted instead of continuing elsewhere. The same holds for an engine that restarted at its address (unknown_generation).

Ruled out: a larger budget, which would only move the threshold; dropping the kept generation on a lost connection, since a cut connection to a live engine has to resume there.

Change: a refused connection expires the upstream's report, so that it gets no new work until it reports again, and asks for one at once. A stream with output that finds its engine gone is charged to the budget but not refused.

The new case of test_retries.py fails without the change.

Conclusion: one engine killed in a stream costs its callers nothing but time.

--- a/laburnumpin/__main__.py
+++ b/laburnumpin/__main__.py
@@ -294,10 +294,13 @@
     host: StandinHost = LOOPBACK,
     port: StandinPort = 0,
     admin_port: AdminPort = 0,
+    call_ms: Annotated[
+        int, typer.Option(min=0, help="Duration of a call.")
+    ] = 20,
 ) -> None:
     """Run the plain service stand-in."""
     standin.run_plain_service(
-        plain_service.PlainSettings(),
+        plain_service.PlainSettings(call_ms=call_ms),
         running.Binding(host, port, admin_port),
     )
 
--- a/laburnumpin/core/retries.py
+++ b/laburnumpin/core/retries.py
@@ -26,6 +26,14 @@
     events.AttemptFailure.TRUNCATED,
 )
 
+# A stream that has output meets these when its engine is gone. Neither can
+# repeat: the upstream gets no work until it reports again, and the next
+# attempt recomputes.
+_ENGINE_GONE = (
+    events.AttemptFailure.CONNECT_FAILED,
+    events.AttemptFailure.UNKNOWN_GENERATION,
+)
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Decision:
@@ -66,8 +74,9 @@
     Two kinds are charged to the budget, but not refused when it is empty. A
     move away from a leaving upstream, since accepted work survives an
     announced reclaim; there is at most one per request and leaving upstream.
-    The continuation of a stream whose attempt `progressed`, which cannot
-    become a storm, since every one needs output of the one before. An
+    The continuation of a stream whose attempt `progressed`, or which found
+    its engine gone. It cannot become a storm, since every one needs output of
+    the one before, or an engine that reported since. An
     attempt that expired in this process is not charged, since the upstream
     saw nothing of it.
     """
@@ -86,6 +95,8 @@
         and failure in _BROKEN_STREAM
         and attempt_verdict is verdict.Verdict.MAY_HAVE_RUN
     )
+    if request.chunks and failure in _ENGINE_GONE:
+        continues = True
     if budget < 1.0 and not (moves or continues or expired):
         return _give_up(state, request, failure, "budget_exhausted")
     delay_ms = 0 if moves or expired else _backoff_ms(state, request)
--- a/laburnumpin/core/upstreams.py
+++ b/laburnumpin/core/upstreams.py
@@ -310,6 +310,8 @@
     upstream.ended_ms.append(now_ms)
     if failure is events.AttemptFailure.UPSTREAM_LEAVING:
         mark_leaving(state, upstream.upstream_id, upstream.incarnation, now_ms)
+    if failure is events.AttemptFailure.CONNECT_FAILED:
+        _expire_report(upstream, now_ms)
 
 
 def streams(upstream: Upstream, now_ms: int) -> int:
@@ -328,6 +330,17 @@
     return max(corrected, known)
 
 
+def _expire_report(upstream: Upstream, now_ms: int) -> None:
+    """Give no new work until the upstream reports again; ask it at once.
+
+    The last report of an upstream that failed stays valid for seconds, in
+    which every attempt would be spent on it.
+    """
+    oldest_ms = now_ms - REPORT_MAX_AGE_MS - 1
+    upstream.reported_ms = min(upstream.reported_ms, oldest_ms)
+    upstream.next_poll_ms = now_ms
+
+
 def _drop_until(upstream: Upstream, reported_ms: int) -> None:
     while upstream.sent and upstream.sent[0][0] <= reported_ms:
         upstream.sent.popleft()
--- a/laburnumpin/tests/processes.py
+++ b/laburnumpin/tests/processes.py
@@ -20,6 +20,7 @@
 import subprocess
 import sys
 from typing import Any
+from typing import TypeVar
 
 import anyio
 from anyio import abc
@@ -31,6 +32,7 @@
 from laburnumpin.server import sse
 from laburnumpin.standins import text as standin_text
 
+T = TypeVar("T")
 # The only limit on waits. It is far above what any wait takes, so that a
 # slow machine does not reach it.
 WAIT_S = 90
@@ -154,9 +156,9 @@
         )
         return started
 
-    async def start_plain(self, name: str, zone: str) -> Process:
+    async def start_plain(self, name: str, zone: str, *flags: str) -> Process:
         """Start a plain service and list it as a VM."""
-        started = await self._start("stand-in", "plain")
+        started = await self._start("stand-in", "plain", *flags)
         await self.list_upstream(
             name, zone, "balcao", started.ready, started.ready["address"]
         )
@@ -212,17 +214,33 @@
     ) -> tuple[Process, ...]:
         """Start entries that know each other through the first of them."""
         first = await self.start_entry(0, **options)
-        rest: dict[int, Process] = {}
-
-        async def start(number: int) -> None:
-            rest[number] = await self.start_entry(
-                number, seeds=(first,), **options
+        starts = [
+            functools.partial(
+                self.start_entry, number, seeds=(first,), **options
             )
-
-        async with anyio.create_task_group() as tasks:
-            for number in range(1, count):
-                tasks.start_soon(start, number)
-        return first, *(rest[number] for number in sorted(rest))
+            for number in range(1, count)
+        ]
+        return first, *await gather(*starts)
+
+    async def start_engines(self, count: int, *flags: str) -> list[Process]:
+        """Start engines, each in another zone."""
+        starts = [
+            functools.partial(
+                self.start_engine, f"engine-{number}", ZONES[number], *flags
+            )
+            for number in range(count)
+        ]
+        return await gather(*starts)
+
+    async def start_services(self, count: int, *flags: str) -> list[Process]:
+        """Start plain services, each in another zone."""
+        starts = [
+            functools.partial(
+                self.start_plain, f"service-{number}", ZONES[number], *flags
+            )
+            for number in range(count)
+        ]
+        return await gather(*starts)
 
     async def run_command(
         self, *arguments: str, url: str = ""
@@ -453,6 +471,19 @@
             await processes.close()
 
 
+async def gather(*calls: Callable[[], Awaitable[T]]) -> list[T]:
+    """Run calls at the same time and return their results in order."""
+    results: dict[int, T] = {}
+
+    async def run_one(number: int, call: Callable[[], Awaitable[T]]) -> None:
+        results[number] = await call()
+
+    async with anyio.create_task_group() as tasks:
+        for number, call in enumerate(calls):
+            tasks.start_soon(run_one, number, call)
+    return [results[number] for number in range(len(calls))]
+
+
 async def wait_for(condition: Callable[[], Awaitable[bool]]) -> None:
     """Return once a condition holds."""
     with anyio.fail_after(WAIT_S):
--- a/laburnumpin/tests/test_retries.py
+++ b/laburnumpin/tests/test_retries.py
@@ -168,3 +168,25 @@
         assert len(reading.chunks) == simulation.DRAFT_TOKENS
     # The moves are still charged, so that ordinary retries pay for them.
     assert world.entries["entry-0"].retries.budget < 0.0
+
+
+def test_stream_leaves_a_killed_engine_without_a_budget() -> None:
+    """Guards against a stream that ends with its killed engine.
+
+    Its resumption is refused there while the engine's last report is valid.
+    """
+    world = simulation.World(1)
+    first = _stream(world, 2)
+    second = _fail(world, first, events.AttemptFailure.CONNECTION_LOST)
+    assert second.upstream_id == first.upstream_id
+    refused = events.AttemptFailure.CONNECT_FAILED
+    world.entries["entry-0"].retries.budget = 0.0
+    world.deliver(
+        "entry-0",
+        events.AttemptFailed(0, second.attempt_id, _NOT_RUN, refused),
+    )
+    world.run(300)
+    third = world.dispatches[-1][2]
+    assert third.attempt_id != second.attempt_id
+    assert third.upstream_id != first.upstream_id
+    assert (third.offset, third.recompute) == (2, True)
