--- a/laburnumpin/core/upstreams.py
+++ b/laburnumpin/core/upstreams.py
@@ -350,6 +350,8 @@
         upstream.overloaded_ms = now_ms
     if failure is events.AttemptFailure.UPSTREAM_LEAVING:
         mark_leaving(state, upstream.upstream_id, upstream.incarnation, now_ms)
+    if failure is events.AttemptFailure.CONNECT_FAILED:
+        _expire_report(upstream, now_ms)
 
 
 def streams(
@@ -385,6 +387,17 @@
     return state.upstreams.paces.setdefault(key, pacing.Pace())
 
 
+def _expire_report(upstream: Upstream, now_ms: int) -> None:
+    """Give no new work until the upstream reports again; ask it at once.
+
+    The last report of an upstream that failed stays valid for seconds, in
+    which every attempt would be spent on it.
+    """
+    oldest_ms = now_ms - REPORT_MAX_AGE_MS - 1
+    upstream.reported_ms = min(upstream.reported_ms, oldest_ms)
+    upstream.next_poll_ms = now_ms
+
+
 def _drop_until(upstream: Upstream, reported_ms: int) -> None:
     while upstream.sent and upstream.sent[0][0] <= reported_ms:
         upstream.sent.popleft()
