Measure the cost of requests, polls, digests and documents

Cause: the capacity page needs slopes for the data path's state and for the network calls of the control plane, not only for the reducer.

Change: request time and memory, configuration checks, load polls over HTTP and digest exchanges over a websocket, with the other side in its own thread.

--- a/laburnumpin/__main__.py
+++ b/laburnumpin/__main__.py
@@ -317,11 +317,11 @@
     as_json: Json = False,
 ) -> None:
     """Measure the slopes on which the capacity page stands."""
-    measured = capacity.measure_slopes(repetitions)
+    measured = capacity.measure(repetitions)
     if as_json:
         typer.echo(capacity.format_json(measured))
         return
-    typer.echo(capacity.format_slopes(measured))
+    typer.echo(capacity.format_table(measured))
 
 
 def _client(url: str, timeout_s: float) -> client.Client:
--- a/laburnumpin/bench/slopes.py
+++ b/laburnumpin/bench/slopes.py
@@ -16,6 +16,8 @@
 import tracemalloc
 from typing import Protocol
 
+from laburnumpin import operator
+from laburnumpin.config import loading
 from laburnumpin.core import deployment
 from laburnumpin.core import effects
 from laburnumpin.core import events
@@ -26,6 +28,9 @@
 
 UPSTREAM_SIZES = (10, 100, 1_000, 10_000)
 MEMBER_SIZES = (9, 90, 900, 2_600)
+REQUEST_SIZES = (10, 100, 500, 1_000)
+DOCUMENT_SIZES = (10, 50, 100, 200)
+ANSWER_TOKENS = 50
 REPETITIONS = 5
 TICKS_PER_S = 1_000 // events.TICK_MS
 ZONE_COUNT = 15
@@ -254,6 +259,113 @@
     )
 
 
+def request_time(repetitions: int = REPETITIONS) -> Slope:
+    """Measure the core's time for requests with answers of 50 tokens."""
+
+    def measure(size: int) -> float:
+        entry = _serving_entry(size)
+        return _cpu_time(lambda: _serve(entry, size))
+
+    return _sweep(
+        "request_time", "s", "request", REQUEST_SIZES, measure, repetitions
+    )
+
+
+def request_memory(repetitions: int = REPETITIONS) -> Slope:
+    """Measure the state of requests that ended and can still be read."""
+
+    def measure(size: int) -> float:
+        entry = _serving_entry(size)
+        return _memory_bytes(lambda: _serve(entry, size))
+
+    return _sweep(
+        "request_memory", "B", "request", REQUEST_SIZES, measure, repetitions
+    )
+
+
+def document_time(repetitions: int = REPETITIONS) -> Slope:
+    """Measure checking a configuration against its placements."""
+
+    def measure(size: int) -> float:
+        document = _document(size)
+        return _cpu_time(lambda: loading.load_document(document))
+
+    return _sweep(
+        "document_time", "s", "placement", DOCUMENT_SIZES, measure, repetitions
+    )
+
+
+def _document(placements: int) -> str:
+    built = operator.Deployment("capacity", entry_count=1)
+    zones = (placements + 3) // 4
+    for number in range(zones):
+        built.add_zone(f"zone-{number}", data_center="dc", region="region")
+    built.add_customer("customer", keys=("key-of-the-customer",))
+    for service in range(4):
+        built.add_model_service(
+            f"service-{service}",
+            model="m",
+            operations=(operator.Operation("run"),),
+        )
+        for number in range(zones):
+            built.add_placement(
+                service=f"service-{service}",
+                zone=f"zone-{number}",
+                vm_class="gpu",
+                reclaimable=True,
+                min_vms=0,
+                max_vms=10,
+                price_per_hour=1.0,
+                slots=64,
+            )
+    return built.document()
+
+
+def _serving_entry(slots: int) -> state.EntryState:
+    entry = make_entry()
+    row = upstream_rows(1)[0]
+    reducer.reduce(entry, events.VmsListed(0, (row,)))
+    report = dataclasses.replace(_report(0), slots=slots, running=0)
+    reducer.reduce(entry, events.LoadReported(900, row.vm_id, report))
+    entry.configuration.contact_ms = 1_000
+    entry.upstreams.entry_count = 1
+    return entry
+
+
+def _serve(entry: state.EntryState, count: int) -> None:
+    for number in range(count):
+        arrived = events.RequestArrived(
+            1_000,
+            f"x{number}",
+            "customer",
+            "service-0",
+            "run",
+            "",
+            "prompt " * 40,
+            ANSWER_TOKENS,
+            None,
+            60_000,
+            None,
+        )
+        for effect in reducer.reduce(entry, arrived):
+            if isinstance(effect, effects.Dispatch):
+                _answer(entry, effect)
+
+
+def _answer(entry: state.EntryState, dispatch: effects.Dispatch) -> None:
+    for offset in range(ANSWER_TOKENS):
+        chunk = messages.Chunk(offset, offset + 1, "word ")
+        reducer.reduce(
+            entry, events.AttemptOutput(1_000, dispatch.attempt_id, chunk)
+        )
+    reducer.reduce(
+        entry,
+        events.AttemptCompleted(
+            1_000, dispatch.attempt_id, ANSWER_TOKENS, 0, ANSWER_TOKENS
+        ),
+    )
+
+
 def _second_of_ticks(entry: state.EntryState, start_ms: int) -> None:
     for number in range(TICKS_PER_S):
         now_ms = start_ms + number * events.TICK_MS
--- a/laburnumpin/commands/capacity.py
+++ b/laburnumpin/commands/capacity.py
@@ -5,26 +5,53 @@
 import dataclasses
 import json
 
+from laburnumpin.bench import link_costs
 from laburnumpin.bench import slopes
+from laburnumpin.core import digests
 from laburnumpin.server import codec
 
 
-def measure_slopes(repetitions: int) -> list[slopes.Slope]:
+@dataclasses.dataclass(slots=True, frozen=True)
+class Measurement:
+    """The slopes, and the sizes that do not depend on a count.
+
+    `resident_bytes` is the memory of this process with the daemon's
+    libraries loaded and without state.
+    """
+
+    resident_bytes: int
+    load_poll_bytes: int
+    slopes: list[slopes.Slope]
+
+
+def measure(repetitions: int) -> Measurement:
     """Measure every slope, with `repetitions` runs at each size."""
-    return [
+    resident_bytes = link_costs.resident_bytes()
+    entry = slopes.make_entry()
+    digest = digests.build(entry, 1_000)
+    measured = [
         slopes.tick_time(repetitions),
         slopes.upstream_memory(repetitions),
         slopes.list_time(repetitions),
         slopes.member_memory(repetitions),
         slopes.digest_time(codec.encode, repetitions),
         slopes.digest_bytes(codec.encode),
+        slopes.request_time(repetitions),
+        slopes.request_memory(repetitions),
+        slopes.document_time(repetitions),
+        link_costs.load_poll_time(repetitions),
+        link_costs.digest_link_time(digest, repetitions),
     ]
+    return Measurement(resident_bytes, link_costs.load_poll_bytes(), measured)
 
 
-def format_slopes(measured: list[slopes.Slope]) -> str:
-    """Return the slopes as a table."""
-    lines = []
-    for slope in measured:
+def format_table(measurement: Measurement) -> str:
+    """Return the measurement as lines of text."""
+    lines = [
+        f"resident memory  {measurement.resident_bytes} B",
+        f"load poll        {measurement.load_poll_bytes} B",
+    ]
+    for slope in measurement.slopes:
         largest = max(sample.size for sample in slope.samples)
         lines.append(
             f"{slope.name:16} {slope.base:.3g} + {slope.per_item:.3g} "
@@ -34,8 +61,6 @@
     return "\n".join(lines)
 
 
-def format_json(measured: list[slopes.Slope]) -> str:
-    """Return the slopes with all samples as a JSON document."""
-    return json.dumps(
-        [dataclasses.asdict(slope) for slope in measured], indent=2
-    )
+def format_json(measurement: Measurement) -> str:
+    """Return the measurement with all samples as a JSON document."""
+    return json.dumps(dataclasses.asdict(measurement), indent=2)
