Let the test of prompt order fail without the order

It now arrives after the bulk prompt has its slot; the test fails without the order and passes with it.

--- a/laburnumpin/tests/test_standins_engine_parts.py
+++ b/laburnumpin/tests/test_standins_engine_parts.py
@@ -71,11 +71,13 @@
     batch = batching.Batch(batching.BatchSettings())
     batch.submit("running", "", 1_000, BULK, now_ms=0)
     batch.submit("bulk", "x" * 40_000, 1, BULK, now_ms=0)
-    batch.submit("urgent", "x" * 256, 1, INTERACTIVE, now_ms=0)
     batch.advance(9)
-    batch.advance(9 + 8 + 3 + 8)
+    batch.submit("urgent", "x" * 256, 1, INTERACTIVE, now_ms=10)
+    batch.advance(9 + 8 + 2 + 8)
+    assert batch.generations["bulk"].prefill_left == 10_000 - 64
+    batch.advance(27 + 8 + 3 + 8)
     assert batch.generations["urgent"].phase is batching.Phase.ENDED
-    assert batch.generations["bulk"].prefill_left == 10_000
+    assert batch.generations["bulk"].prefill_left == 10_000 - 64
 
 
 def test_paused_batch_does_not_compute_the_missed_steps() -> None:
