--- a/laburnumpin/core/routing.py
+++ b/laburnumpin/core/routing.py
@@ -4,30 +4,104 @@
 
 from typing import TYPE_CHECKING
 
+from laburnumpin.core import deployment
+from laburnumpin.core import prefixes
 from laburnumpin.core import upstreams
 
 if TYPE_CHECKING:
     from laburnumpin.core import requests
     from laburnumpin.core import state as entry_state
 
+# The bound on streams aims below the inter-token target, because steps that
+# include prefill take longer than the mean.
+STEP_HEADROOM = 0.9
+# Bulk requests leave the rest of the streams to interactive ones, which would
+# otherwise wait until a long stream ends.
+BULK_STREAMS_SHARE = 0.85
+# Upstreams whose score is within this share of the best are near-equals.
+NEAR_EQUAL_SHARE = 0.1
+# How many steps of a stream count as waiting. 60 steps spread the prompts of a
+# session over the engines; with 5 they follow their prefix.
+COUNTED_STEPS = 5
+SAME_ZONE_RTT_MS = 1.0
+SAME_REGION_RTT_MS = 3.0
+OTHER_REGION_RTT_MS = 60.0
+
 
 def choose(
     state: entry_state.EntryState, request: requests.Request, now_ms: int
 ) -> upstreams.Upstream | None:
-    """Return the best upstream with room, or None to keep waiting."""
-    best: upstreams.Upstream | None = None
-    best_load = 0
+    """Return an upstream with room and about the best score, if any."""
+    scored: list[tuple[float, float, upstreams.Upstream]] = []
     for upstream in upstreams.eligible(state, request.service.name, now_ms):
-        assert upstream.report is not None
-        load = max(
-            upstream.report.running
-            + upstream.report.waiting
-            + upstream.sent_since_report,
-            len(upstream.attempts),
-        )
-        if load >= upstream.report.slots:
+        streams = upstreams.streams(state, upstream, now_ms)
+        room = max_streams(state, upstream, request) - streams
+        if room <= 0:
             continue
-        if best is None or load < best_load:
-            best = upstream
-            best_load = load
-    return best
+        score = score_ms(state, upstream, request, streams, now_ms)
+        scored.append((score, room, upstream))
+    if not scored:
+        return None
+    best = min(score for score, _, _ in scored)
+    near = [s for s in scored if s[0] <= best * (1 + NEAR_EQUAL_SHARE)]
+    if len(near) == 1:
+        return near[0][2]
+    weights = [room for _, room, _ in near]
+    return state.random.choices(near, weights)[0][2]
+
+
+def score_ms(
+    state: entry_state.EntryState,
+    upstream: upstreams.Upstream,
+    request: requests.Request,
+    streams: float,
+    now_ms: int,
+) -> float:
+    """Return the score of an upstream for a request; the lowest is best."""
+    rtt_ms = _rtt_ms(state, upstream)
+    pace = upstreams.pace(state, upstream)
+    assert upstream.report is not None
+    if request.service.kind is deployment.ServiceKind.PLAIN:
+        return rtt_ms + pace.service_ms * (streams + 1) / upstream.report.slots
+    policy = request.configuration.deployment.policy
+    cached = prefixes.cached_tokens(
+        state, upstream.upstream_id, request.blocks, now_ms
+    )
+    uncached = max(0, request.prompt_tokens - cached)
+    wait_ms = pace.step_ms(streams + 1) * COUNTED_STEPS
+    prefill_ms = uncached * 1_000 / pace.prefill_tokens_per_s
+    return wait_ms + prefill_ms + rtt_ms + policy.recompute_weight * uncached
+
+
+def max_streams(
+    state: entry_state.EntryState,
+    upstream: upstreams.Upstream,
+    request: requests.Request,
+) -> float:
+    """Return how many streams an upstream may have for a request's class."""
+    assert upstream.report is not None
+    slots = float(upstream.report.slots)
+    if request.service.kind is deployment.ServiceKind.PLAIN:
+        return slots
+    share = 1.0
+    if request.priority is deployment.Priority.BULK:
+        share = BULK_STREAMS_SHARE
+    policy = request.configuration.deployment.policy
+    target_ms = policy.inter_token_target_ms * STEP_HEADROOM
+    pace = upstreams.pace(state, upstream)
+    return max(1.0, share * min(slots, pace.max_streams(target_ms)))
+
+
+def _rtt_ms(
+    state: entry_state.EntryState, upstream: upstreams.Upstream
+) -> float:
+    if upstream.zone == state.zone:
+        return SAME_ZONE_RTT_MS
+    current = state.configuration.current
+    if current is None:
+        return SAME_REGION_RTT_MS
+    zones = current.deployment.zones
+    own, other = zones.get(state.zone), zones.get(upstream.zone)
+    if own is None or other is None or own.region == other.region:
+        return SAME_REGION_RTT_MS
+    return OTHER_REGION_RTT_MS
--- a/laburnumpin/server/upstream_client.py
+++ b/laburnumpin/server/upstream_client.py
@@ -234,7 +234,7 @@
         self, attempt: _Attempt, response: httpx.Response
     ) -> events.Event:
         decoder = sse.Decoder()
-        async for data in response.aiter_bytes():
+        async for data in response.aiter_raw():
             for event in decoder.feed(data):
                 # A full event queue is no fault of the upstream.
                 attempt.scope.deadline = math.inf
@@ -416,7 +416,8 @@
                 )
             )
             return
-        if effect.kind is deployment.ServiceKind.MODEL:
+        is_engine = effect.kind is deployment.ServiceKind.MODEL
+        if is_engine and effect.with_cache_events:
             with anyio.move_on_after(effect.timeout_ms / 1_000):
                 await self._read_cache_events(client, effect)
 
