Close idle peer links, bound the arrival of bodies, map all codes

- A link that carried no message for 15 s is closed by its opener.
Any pair of entries may need a link for a reader, so an entry would in time send heartbeats to all others.
- Seeds are dialled only while no other entry is known.
- A body that does not arrive within 30 s is refused with 408; before, such a caller held its connection without end.
- Connections stay open for 75 s instead of 5 s when idle, longer than load balancers keep them, so that the entry is not the first to close.
- Five codes of the core had no HTTP status and were answered with 500 or 503.
A test compares the table with the codes that the core gives.

--- a/laburnumpin/server/caller_errors.py
+++ b/laburnumpin/server/caller_errors.py
@@ -14,11 +14,14 @@
 # HTTP status by code. A code that is missing here is answered with 503 when
 # waiting helps and with 500 otherwise.
 STATUS_BY_CODE = {
+    "body_timeout": 408,
     "body_too_large": 413,
     "cancelled": 409,
+    "claim_held": 409,
     "configuration_unconfirmed": 503,
     "connect_failed": 502,
     "connection_lost": 502,
+    "customer_queue_full": 429,
     "deadline_passed": 504,
     "deadline_unreachable": 503,
     "entry_leaving": 503,
@@ -31,6 +34,9 @@
     "invalid_request": 400,
     "method_not_allowed": 405,
     "not_found": 404,
+    "offset_unavailable": 416,
+    "outcome_not_kept": 410,
+    "owner_left": 503,
     "owner_unreachable": 503,
     "platform_unavailable": 503,
     "protocol_error": 502,
--- a/laburnumpin/server/caller_input.py
+++ b/laburnumpin/server/caller_input.py
@@ -5,6 +5,7 @@
 import dataclasses
 from typing import Any
 
+import anyio
 from starlette import requests
 
 from laburnumpin import exceptions
@@ -14,6 +15,8 @@
 from laburnumpin.server import sse
 
 MAX_BODY_BYTES = 1024 * 1024
+# A caller that stops sending must not hold its connection without end.
+BODY_TIMEOUT_MS = 30_000
 MAX_OUTPUT_TOKENS = 131_072
 MIN_DEADLINE_MS = 1
 MAX_DEADLINE_MS = 3_600_000
@@ -37,16 +40,20 @@
     """Return the body of a request.
 
     Raises:
-        CallerError: The body is too long.
+        CallerError: The body is too long or does not arrive in time.
     """
     body = bytearray()
-    async for part in request.stream():
-        body += part
-        if len(body) > MAX_BODY_BYTES:
-            raise caller_errors.refuse(
-                "body_too_large", f"the limit is {MAX_BODY_BYTES} bytes"
-            )
-    return bytes(body)
+    with anyio.move_on_after(BODY_TIMEOUT_MS / 1_000):
+        async for part in request.stream():
+            body += part
+            if len(body) > MAX_BODY_BYTES:
+                raise caller_errors.refuse(
+                    "body_too_large", f"the limit is {MAX_BODY_BYTES} bytes"
+                )
+        return bytes(body)
+    raise caller_errors.refuse(
+        "body_timeout", f"the body did not arrive in {BODY_TIMEOUT_MS} ms"
+    )
 
 
 def parse(
--- a/laburnumpin/server/entry.py
+++ b/laburnumpin/server/entry.py
@@ -42,6 +42,9 @@
 # Hypercorn cuts streams that run for longer than this after the shutdown, so
 # it has to exceed the longest deadline.
 GRACEFUL_TIMEOUT_S = caller_input.MAX_DEADLINE_MS // 1_000 + 60
+# Longer than load balancers keep an idle connection, 60 s as a rule: when the
+# entry closes first, a request that is on its way is lost.
+KEEP_ALIVE_TIMEOUT_S = 75
 LISTEN_BACKLOG = 1_024
 
 
@@ -370,6 +373,7 @@
     # Hypercorn closes the descriptor that it is given.
     config.bind = [f"fd://{listener.dup().detach()}"]
     config.graceful_timeout = GRACEFUL_TIMEOUT_S
+    config.keep_alive_timeout = KEEP_ALIVE_TIMEOUT_S
     config.backlog = LISTEN_BACKLOG
     config.accesslog = None
     config.errorlog = None
--- a/laburnumpin/server/peer_link.py
+++ b/laburnumpin/server/peer_link.py
@@ -37,6 +37,9 @@
 CONNECT_TIMEOUT_MS = 2_000
 CLOSE_TIMEOUT_MS = 1_000
 SEED_PERIOD_MS = 2_000
+# Any pair of entries may need a link for a while. Without an end, an entry
+# would send heartbeats to all others.
+IDLE_MS = 15_000
 # A heartbeat is an empty frame, which no encoded message is.
 HEARTBEAT = b""
 # For messages to peers that have not introduced themselves yet.
@@ -47,7 +50,11 @@
 
 @dataclasses.dataclass(slots=True, eq=False)
 class _Link:
-    """An open link, or one that is being opened."""
+    """An open link, or one that is being opened.
+
+    `used_s` is when a message, other than a heartbeat, was last sent or
+    received.
+    """
 
     peer_id: str
     incarnation: int
@@ -55,6 +62,7 @@
     receive: memory.MemoryObjectReceiveStream[messages.Message]
     scope: anyio.CancelScope
     ended: anyio.Event
+    used_s: float = 0.0
 
 
 class PeerLink:
@@ -107,7 +115,7 @@
                 await served.wait_closed()
 
     def start_seeds(self, addresses: tuple[str, ...]) -> None:
-        """Keep a link to the entries at these addresses."""
+        """Open links to these addresses while no other entry is known."""
         for address in addresses:
             self._tasks.start(self._keep_seed, address)
 
@@ -184,7 +192,8 @@
     async def _keep_seed(self, address: str) -> None:
         peer_id = ""
         while not self._stopping:
-            if not self._links.get(peer_id):
+            is_alone = not self._bridge.state.membership.by_vm
+            if is_alone and not self._links.get(peer_id):
                 peer_id = await self._open_seed(address) or peer_id
             if peer_id == self._introduction.entry.vm_id:
                 return  # The address is this entry's own.
@@ -314,6 +323,7 @@
         self, link: _Link, connection: connections.Connection
     ) -> None:
         logs.write("peer_connected", "info", {"peer": link.peer_id})
+        link.used_s = anyio.current_time()
         async with anyio.create_task_group() as task_group:
             task_group.start_soon(self._read, link, connection)
             task_group.start_soon(self._write, link, connection)
@@ -327,6 +337,7 @@
                 with anyio.fail_after(SILENCE_MS / 1_000):
                     data = await connection.recv(decode=False)
                 if data != HEARTBEAT:
+                    link.used_s = anyio.current_time()
                     await self._receive(link.peer_id, codec.decode(data))
         except _CLOSED as error:
             _log_failure("peer_disconnected", link.peer_id, error)
@@ -364,6 +375,7 @@
             _log_failure("peer_message_not_sent", link.peer_id, error)
             await self._fail(link.peer_id, [message])
             return
+        link.used_s = anyio.current_time()
         await connection.send(data)
 
     async def _receive(self, peer_id: str, message: messages.Message) -> None:
@@ -409,11 +421,14 @@
 async def _send_heartbeats(
     link: _Link, connection: connections.Connection
 ) -> None:
-    del link
+    is_opener = isinstance(connection, client.ClientConnection)
     try:
         while True:
             await connection.send(HEARTBEAT)
             await anyio.sleep(HEARTBEAT_MS / 1_000)
+            idle_s = anyio.current_time() - link.used_s
+            if is_opener and idle_s * 1_000 > IDLE_MS:
+                link.scope.cancel()
     except _CLOSED:
         return  # The reader notices the end too and reports it.
 
--- a/laburnumpin/tests/test_server_caller_api.py
+++ b/laburnumpin/tests/test_server_caller_api.py
@@ -3,15 +3,22 @@
 from __future__ import annotations
 
 import json
+import pathlib
+import re
 
 import anyio
 import pytest
 from starlette import requests
 from starlette import responses
 
+import laburnumpin
+from laburnumpin.core import events
+from laburnumpin.server import caller_errors
+from laburnumpin.server import caller_input
 from laburnumpin.tests import server_fakes as fakes
 
 pytestmark = pytest.mark.anyio
+CORE = pathlib.Path(laburnumpin.__file__).parent / "core"
 SUBMIT = "/v1/services/draft/write"
 BODY = {"prompt": "Write a draft.", "max_tokens": 8}
 
@@ -135,6 +142,39 @@
     assert request.json()["error"]["verdict"] == "may_have_run"
 
 
+def test_every_failure_code_has_an_http_status() -> None:
+    """Guards against refusals that look like faults of the entry."""
+    codes = {failure.value for failure in events.AttemptFailure}
+    for path in CORE.glob("*.py"):
+        text = path.read_text()
+        codes.update(re.findall(r'(?:Failure|_refusal)\(\s*"([a-z_]+)"', text))
+        codes.update(re.findall(r'event, "([a-z_]+)", "', text))
+    lifecycle = (CORE / "lifecycle.py").read_text()
+    codes.update(re.findall(r'return "([a-z_]+)"', lifecycle))
+    assert {"entry_leaving", "unknown_service", "claim_held"} <= codes
+    assert codes - caller_errors.STATUS_BY_CODE.keys() == set()
+
+
+async def test_unfinished_body_is_refused(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against connections that are held without end."""
+    monkeypatch.setattr(caller_input, "BODY_TIMEOUT_MS", 20)
+
+    head = (
+        f"POST {SUBMIT} HTTP/1.1\r\nHost: entry\r\nContent-Length: 9\r\n"
+        f"Authorization: Bearer {fakes.CUSTOMER_KEY}\r\n\r\n{{"
+    )
+    async with fakes.run_entry() as entry:
+        fakes.configure(entry)
+        host, port = entry.caller_address.split(":")
+        with anyio.fail_after(fakes.WAIT_S):
+            async with await anyio.connect_tcp(host, int(port)) as stream:
+                await stream.send(head.encode())
+                answer = await stream.receive()
+    assert answer.startswith(b"HTTP/1.1 408")
+
+
 async def test_request_goes_on_when_its_caller_goes_away() -> None:
     """Guards against accepted work that ends with the connection."""
     proceed = anyio.Event()
--- a/laburnumpin/tests/test_server_peer_link.py
+++ b/laburnumpin/tests/test_server_peer_link.py
@@ -134,6 +134,23 @@
         await connection.close()
 
 
+async def test_opener_closes_an_idle_link(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against heartbeats to every entry that was ever needed."""
+    monkeypatch.setattr(peer_link, "IDLE_MS", 0)
+    monkeypatch.setattr(peer_link, "HEARTBEAT_MS", 10)
+    async with fakes.run_entry() as first:
+        settings = fakes.new_settings(
+            "entry-2", seed_peers=(first.peer_address,)
+        )
+        async with fakes.run_entry(settings) as second:
+            counters = second.bridge.state.counters
+            await fakes.wait_until(
+                lambda: counters.total("peer_links_lost") > 0
+            )
+
+
 async def test_new_incarnation_replaces_links_of_the_old_one() -> None:
     """Guards against messages sent to a process that was replaced."""
     async with fakes.run_entry() as running:
