Prove that paused entries act on no stale decision

Cause: the lease margin and valid_until_ms of dispatches were tested with a manual clock; no test stopped a real process.

Change: one test stops the holder of the placement lease until another entry orders under the next fencing token, and wakes it; its engine is a small app that refuses and records every order. A second test stops an entry between the committed claim and the first byte of a non-idempotent call. A forwarder whose accept queue is full keeps the connection in the handshake meanwhile.

After waking, the old holder sends no order, and the call is sent by the second attempt only.

--- a/laburnumpin/tests/processes.py
+++ b/laburnumpin/tests/processes.py
@@ -156,12 +156,15 @@
         )
         return started
 
-    async def start_plain(self, name: str, zone: str, *flags: str) -> Process:
+    async def start_plain(
+        self, name: str, zone: str, *flags: str, listed: bool = True
+    ) -> Process:
         """Start a plain service and list it as a VM."""
         started = await self._start("stand-in", "plain", *flags)
-        await self.list_upstream(
-            name, zone, "balcao", started.ready, started.ready["address"]
-        )
+        if listed:
+            await self.list_upstream(
+                name, zone, "balcao", started.ready, started.ready["address"]
+            )
         return started
 
     async def start_entry(
@@ -454,6 +457,89 @@
         return started
 
 
+class Forwarder:
+    """Forwards connections to an address until it is cut.
+
+    `hold` stops the accepting of connections, so that one more connection
+    stays in the handshake once the short accept queue is full.
+    """
+
+    def __init__(self, target: str) -> None:
+        self.address = ""
+        self._target = target
+        self._open = anyio.Event()
+        self._open.set()
+        self._streams: set[abc.ByteStream] = set()
+
+    def hold(self) -> None:
+        """Accept no more connections."""
+        self._open = anyio.Event()
+
+    def release(self) -> None:
+        """Accept connections again."""
+        self._open.set()
+
+    async def cut(self) -> None:
+        """Close all connections, and those that are opened from now on."""
+        self._target = ""
+        for stream in list(self._streams):
+            await stream.aclose()
+
+    async def run(
+        self, *, task_status: abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Forward until cancelled."""
+        # With a queue of this length the kernel holds one connection.
+        multi = await anyio.create_tcp_listener(
+            local_host="127.0.0.1", local_port=0, backlog=0
+        )
+        (listener,) = multi.listeners
+        port = listener.extra(abc.SocketAttribute.local_port)
+        self.address = f"127.0.0.1:{port}"
+        task_status.started()
+        async with listener, anyio.create_task_group() as tasks:
+            while True:
+                await self._open.wait()
+                stream = await listener.accept()  # type: ignore[attr-defined]
+                await self._open.wait()
+                tasks.start_soon(self._forward, stream)
+
+    async def _forward(self, near: abc.SocketStream) -> None:
+        if not self._target:
+            await near.aclose()
+            return
+        host, _, port = self._target.rpartition(":")
+        far = await anyio.connect_tcp(host, int(port))
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._pump, near, far)
+            tasks.start_soon(self._pump, far, near)
+
+    async def _pump(
+        self, source: abc.SocketStream, sink: abc.SocketStream
+    ) -> None:
+        self._streams.add(source)
+        try:
+            async for data in source:
+                await sink.send(data)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            pass  # One side was closed, which closes the other one too.
+        finally:
+            self._streams.discard(source)
+            with anyio.CancelScope(shield=True):
+                await source.aclose()
+                await sink.aclose()
+
+
+@contextlib.asynccontextmanager
+async def forward(target: str) -> AsyncIterator[Forwarder]:
+    """Run a forwarder to `host:port` until the context ends."""
+    forwarder = Forwarder(target)
+    async with anyio.create_task_group() as tasks:
+        await tasks.start(forwarder.run)
+        yield forwarder
+        tasks.cancel_scope.cancel()
+
+
 @contextlib.asynccontextmanager
 async def run(directory: pathlib.Path) -> AsyncIterator[Processes]:
     """Provide processes until the context ends; logs go to `directory`."""
--- /dev/null
+++ b/laburnumpin/tests/test_process_pauses.py
@@ -0,0 +1,186 @@
+"""Tests of paused entries with processes on loopback."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import pathlib
+
+import anyio
+import httpx
+import pytest
+from starlette import requests
+from starlette import responses
+
+from laburnumpin import clock
+from laburnumpin.core import requests as core_requests
+from laburnumpin.tests import processes
+from laburnumpin.tests import server_fakes as fakes
+
+pytestmark = pytest.mark.anyio
+# Connections that fill the accept queue of a held forwarder.
+FILLERS = 8
+ORDERS_AFTER_WAKING = 4
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
+
+
+class _Engine:
+    """An engine that refuses every order, so that each plan repeats it."""
+
+    def __init__(self) -> None:
+        self.fencing_numbers: list[int] = []
+
+    async def answer(self, request: requests.Request) -> responses.Response:
+        if request.url.path == "/v1/orders":
+            order = await request.json()
+            self.fencing_numbers.append(order["fencing_number"])
+            error = {"error": {"code": "busy", "message": "refused"}}
+            return responses.JSONResponse(error, 409)
+        return responses.JSONResponse(
+            {**fakes.load_report(), "model": "another"}
+        )
+
+
+async def test_a_paused_lease_holder_sends_no_order_after_waking(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against orders under a lease that another entry took over.
+
+    The engine doesn't check fencing numbers, so only the entry itself can
+    hold its orders back.
+    """
+    engine = _Engine()
+
+    async def has_order(number: int, count: int = 1) -> bool:
+        return engine.fencing_numbers.count(number) >= count
+
+    async with (
+        processes.run(tmp_path) as running,
+        fakes.serve_http(engine.answer) as upstream,
+    ):
+        await running.start_platform()
+        await running.list_upstream(
+            "engine", "recife", "molde", {"incarnation": 1}, upstream.address
+        )
+        entries = await running.start_entries(2)
+        await running.apply(entries[0], processes.document(entry_count=2))
+        await processes.wait_for(lambda: has_order(1))
+        holder = await _find_holder(running, entries)
+        holder.pause()
+        await processes.wait_for(lambda: has_order(2))
+        holder.resume()
+
+        async def is_awake() -> bool:
+            return await running.counter(holder, "pauses", "") > 0
+
+        await processes.wait_for(is_awake)
+        # Each order of the new holder is a plan that the woken one had time
+        # to make as well.
+        count = engine.fencing_numbers.count(2)
+        await processes.wait_for(
+            lambda: has_order(2, count + ORDERS_AFTER_WAKING)
+        )
+        numbers = engine.fencing_numbers
+    assert numbers == sorted(numbers)
+    assert set(numbers) == {1, 2}
+
+
+async def _find_holder(
+    running: processes.Processes, entries: tuple[processes.Process, ...]
+) -> processes.Process:
+    row = await running.read_row("leases", "placement")
+    vm_id = json.loads(row["value"])["token"].partition(".")[0]
+    for entry in entries:
+        if entry.ready["vm_id"] == vm_id:
+            return entry
+    raise AssertionError(row)
+
+
+async def test_an_entry_paused_before_sending_decides_anew(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a call that is sent on a decision made before a pause.
+
+    The entry has committed the claim and dispatched the call, whose
+    connection is not accepted before the entry is paused.
+    """
+    time = clock.SystemClock()
+    async with processes.run(tmp_path) as running:
+        await running.start_platform()
+        service = await running.start_plain("", "", listed=False)
+        async with processes.forward(service.ready["address"]) as forwarder:
+            await running.list_upstream(
+                "service", "recife", "balcao", service.ready, forwarder.address
+            )
+            (entry,) = await running.start_entries(
+                1,
+                environment={"LABURNUMPIN_CONNECT_TIMEOUT_MS": "60000"},
+            )
+            await running.apply(entry, processes.document(entry_count=1))
+            await running.wait_ready(entry)
+            await running.wait_upstreams(1, entry)
+            answers: list[httpx.Response] = []
+
+            async def place() -> None:
+                answers.append(await running.call(entry, "place", {}, "k"))
+
+            async def is_dispatched() -> bool:
+                (row,) = (await running.status(entry))["upstreams"]
+                return bool(row["in_flight"])
+
+            async with anyio.create_task_group() as callers:
+                await _fill(forwarder, callers)
+                callers.start_soon(place)
+                await processes.wait_for(is_dispatched)
+                entry.pause()
+                paused_ms = time.now_ms()
+                valid_ms = core_requests.DISPATCH_VALID_MS
+
+                async def is_expired() -> bool:
+                    return time.now_ms() > paused_ms + valid_ms
+
+                await processes.wait_for(is_expired)
+                forwarder.release()
+                entry.resume()
+                await processes.wait_for(lambda: _is_answered(answers))
+                callers.cancel_scope.cancel()
+        executions = await running.executions(service)
+        expired = await running.counter(entry, "retries", "expired_before_send")
+    assert expired == 1
+    assert executions["total"] == 1
+    (attempt_id,) = executions["by_attempt_id"]
+    assert attempt_id.endswith("/2")
+    assert answers[0].status_code == 200, answers[0].text
+
+
+async def _is_answered(answers: list[httpx.Response]) -> bool:
+    return bool(answers)
+
+
+async def _fill(
+    forwarder: processes.Forwarder, tasks: anyio.abc.TaskGroup
+) -> None:
+    """Hold a forwarder and fill its accept queue."""
+    forwarder.hold()
+    connected = []
+    host, _, port = forwarder.address.rpartition(":")
+
+    async def connect() -> None:
+        async with contextlib.aclosing(
+            await anyio.connect_tcp(host, int(port))
+        ) as stream:
+            connected.append(stream)
+            await anyio.sleep_forever()
+
+    for _ in range(FILLERS):
+        tasks.start_soon(connect)
+
+    async def is_full() -> bool:
+        # One is taken by the accept that was under way, one is queued.
+        return len(connected) >= 2
+
+    await processes.wait_for(is_full)
