--- a/laburnumpin/core/upstreams.py
+++ b/laburnumpin/core/upstreams.py
@@ -4,29 +4,37 @@
 
 import collections
 import dataclasses
-import hashlib
-import heapq
 from typing import TYPE_CHECKING
 
 from laburnumpin.core import deployment
 from laburnumpin.core import effects
 from laburnumpin.core import events
+from laburnumpin.core import membership
 from laburnumpin.core import messages
+from laburnumpin.core import pacing
 from laburnumpin.core import prefixes
+from laburnumpin.core import subsets
 
 if TYPE_CHECKING:
     from laburnumpin.core import requests
     from laburnumpin.core import state as entry_state
 
-POLL_PERIOD_MS = 1_000
+# One poll of a load report takes about 2 ms of processor time in the HTTP
+# client. Eight a second keep a node below 3.3% of a core for control.
+POLLS_PER_S = 8
+MIN_POLL_PERIOD_MS = 1_000
+# Below `REPORT_MAX_AGE_MS`, with room for the lag of the reports.
+MAX_POLL_PERIOD_MS = 3_000
+# Cache events come late anyway, and what this entry sent is known without.
+CACHE_POLL_EVERY = 4
 POLL_TIMEOUT_MS = 1_000
 # A poll without any answer from the shell for this long is repeated.
 POLL_LOST_MS = 3_000
 # No new work goes to an upstream that has not reported for this long.
 REPORT_MAX_AGE_MS = 4_000
 NOTICE_PERIOD_MS = 1_000
-# Upstreams of a service that one entry polls and sends work to.
-SUBSET_SIZE = 32
+# Upstreams that one entry polls and sends work to, over all services.
+SUBSET_SIZE = POLLS_PER_S * MAX_POLL_PERIOD_MS // 1_000
 # Rows kept to replace members of the subset that leave between two VM lists:
 # half of the own data centre, half of others, in case the whole one leaves.
 SPARE_ROWS = 32
@@ -62,8 +70,10 @@
     in_subset: bool = True
     report: events.LoadReport | None = None
     reported_ms: int = 0
+    overloaded_ms: int = -1
     next_poll_ms: int = 0
     polled_ms: int = 0
+    polls: int = 0
     poll_pending: bool = False
     poll_failed: bool = False
     cache_sequence: int = 0
@@ -90,10 +100,15 @@
     __slots__ = (
         "by_id",
         "by_service",
+        "entry_count",
         "leaving",
         "listed",
+        "listed_counts",
         "next_notices_ms",
+        "paces",
+        "poll_period_ms",
         "spares",
+        "subset_size",
     )
 
     def __init__(self) -> None:
@@ -101,7 +116,12 @@
         self.by_service: dict[str, dict[str, Upstream]] = {}
         self.leaving: dict[tuple[str, int], int] = {}
         self.listed: set[str] = set()
+        self.listed_counts: dict[str, int] = {}
+        self.entry_count = 1
         self.next_notices_ms = 0
+        self.poll_period_ms = MIN_POLL_PERIOD_MS
+        self.subset_size = SUBSET_SIZE
+        self.paces: dict[tuple[str, str], pacing.Pace] = {}
         self.spares: dict[str, list[events.VmRow]] = {}
 
 
@@ -118,6 +138,9 @@
             continue
         if now_ms - upstream.reported_ms > REPORT_MAX_AGE_MS:
             continue
+        # A rejection says more about the present than an older report.
+        if upstream.overloaded_ms >= upstream.reported_ms:
+            continue
         # An engine that has another model loaded waits for the fleet's order.
         if model is not None and upstream.report.model != model:
             continue
@@ -159,8 +182,13 @@
     own = state.upstreams
     own.listed = set()
     by_service: dict[str, list[events.VmRow]] = {}
+    entries = subsets.Entries(state.entry.vm_id)
+    data_center = _data_center(state, state.zone)
     for row in event.vms:
         if row.role is not events.VmRole.UPSTREAM:
+            if _data_center(state, row.zone) == data_center:
+                entries.add_local(row.vm_id)
+            entries.add(row.vm_id)
             continue
         own.listed.add(row.vm_id)
         if row.leaving:
@@ -168,9 +196,13 @@
         by_service.setdefault(row.service, []).append(row)
     for upstream in own.by_id.values():
         upstream.listed = upstream.upstream_id in own.listed
+    own.listed_counts = {}
+    own.subset_size = max(1, SUBSET_SIZE // max(1, len(by_service)))
     for service, rows in by_service.items():
-        _choose_subset(state, service, rows)
+        own.listed_counts[service] = len(rows)
+        _choose_subset(state, service, rows, entries)
     _forget(state, event.now_ms)
+    own.poll_period_ms = _poll_period_ms(state)
     return []
 
 
@@ -221,6 +253,7 @@
     upstream.report = report
     upstream.reported_ms = reported_ms
     _drop_until(upstream, reported_ms)
+    pace(state, upstream).observe_step(report.running, report.step_ms)
     if report.leaving:
         mark_leaving(
             state, upstream.upstream_id, report.incarnation, event.now_ms
@@ -256,6 +289,7 @@
     result: list[effects.Effect] = []
     if now_ms >= own.next_notices_ms:
         own.next_notices_ms = now_ms + NOTICE_PERIOD_MS
+        own.entry_count = membership.entry_count(state)
         result.append(effects.ListNotices())
     for upstream in own.by_id.values():
         if now_ms < upstream.next_poll_ms or not upstream.in_subset:
@@ -264,7 +298,8 @@
             continue
         upstream.poll_pending = True
         upstream.polled_ms = now_ms
-        upstream.next_poll_ms = now_ms + POLL_PERIOD_MS
+        upstream.next_poll_ms = now_ms + own.poll_period_ms
+        upstream.polls += 1
         result.append(
             effects.PollLoad(
                 upstream.upstream_id,
@@ -273,6 +308,7 @@
                 upstream.cache_sequence,
                 POLL_TIMEOUT_MS,
                 upstream.poll_failed,
+                upstream.polls % CACHE_POLL_EVERY == 1,
             )
         )
     return result
@@ -285,11 +321,11 @@
     now_ms: int,
 ) -> None:
     """Count an attempt that is about to be sent."""
-    del state
     assert request.attempt is not None
     expected = request.prompt_tokens + request.max_tokens
     upstream.attempts[request.attempt.attempt_id] = expected
     upstream.sent.append((now_ms, request.prompt_tokens))
+    prefixes.on_dispatched(state, upstream.upstream_id, request, now_ms)
 
 
 def on_attempt_ended(
@@ -300,7 +336,6 @@
     now_ms: int,
 ) -> None:
     """Count an attempt as ended and learn from its failure."""
-    del request
     upstream = state.upstreams.by_id.get(attempt.upstream_id)
     if upstream is None:
         return
@@ -308,17 +343,26 @@
         # Sent to an earlier incarnation; says nothing about this one.
         return
     upstream.ended_ms.append(now_ms)
+    if failure is None and request.service.kind is deployment.ServiceKind.PLAIN:
+        duration_ms = now_ms - attempt.started_ms
+        pace(state, upstream).observe_service(duration_ms)
+    if failure is events.AttemptFailure.UPSTREAM_OVERLOADED:
+        upstream.overloaded_ms = now_ms
     if failure is events.AttemptFailure.UPSTREAM_LEAVING:
         mark_leaving(state, upstream.upstream_id, upstream.incarnation, now_ms)
     if failure is events.AttemptFailure.CONNECT_FAILED:
         _expire_report(upstream, now_ms)
 
 
-def streams(upstream: Upstream, now_ms: int) -> int:
+def streams(
+    state: entry_state.EntryState, upstream: Upstream, now_ms: int
+) -> float:
     """Estimate the streams at an upstream now, running and waiting.
 
-    The report is corrected by what this entry sent and ended since, and is
-    never below what this entry and its peers have in flight.
+    The report is corrected by what was sent and ended since. The entries that
+    share the upstream get equal parts of the load from the balancer and see
+    the same reports, so each is assumed to have done what this one did. The
+    result is never below what this entry and its peers have in flight.
     """
     assert upstream.report is not None
     reported = upstream.report.running + upstream.report.waiting
@@ -326,8 +370,21 @@
     for count, digest_ms in upstream.peers_in_flight.values():
         if now_ms - digest_ms <= PEER_COUNT_MAX_AGE_MS:
             known += count
-    corrected = reported + len(upstream.sent) - len(upstream.ended_ms)
-    return max(corrected, known)
+    changed = len(upstream.sent) - len(upstream.ended_ms)
+    return max(reported + changed * sharing(state, upstream.service), known)
+
+
+def sharing(state: entry_state.EntryState, service: str) -> float:
+    """Estimate how many entries send work to one upstream of a service."""
+    own = state.upstreams
+    total = max(own.listed_counts.get(service, 0), 1)
+    return max(1.0, own.entry_count * min(1.0, own.subset_size / total))
+
+
+def pace(state: entry_state.EntryState, upstream: Upstream) -> pacing.Pace:
+    """Return the estimates of an upstream's service and VM class."""
+    key = (upstream.service, upstream.vm_class)
+    return state.upstreams.paces.setdefault(key, pacing.Pace())
 
 
 def _expire_report(upstream: Upstream, now_ms: int) -> None:
@@ -356,6 +413,7 @@
     marks = state.upstreams.leaving
     upstream.leaving = (upstream.upstream_id, incarnation) in marks
     upstream.report = None
+    upstream.overloaded_ms = -1
     upstream.cache_sequence = 0
     upstream.attempts.clear()
     upstream.sent.clear()
@@ -365,11 +423,14 @@
 
 
 def _choose_subset(
-    state: entry_state.EntryState, service: str, rows: list[events.VmRow]
+    state: entry_state.EntryState,
+    service: str,
+    rows: list[events.VmRow],
+    entries: subsets.Entries,
 ) -> None:
     own = state.upstreams
-    near: list[tuple[bytes, events.VmRow]] = []
-    far: list[tuple[bytes, events.VmRow]] = []
+    near: list[events.VmRow] = []
+    far: list[events.VmRow] = []
     data_center = _data_center(state, state.zone)
     for row in rows:
         if (row.vm_id, row.incarnation) in own.leaving:
@@ -378,16 +439,15 @@
                 known.leaving = True
             continue
         same = _data_center(state, row.zone) == data_center
-        (near if same else far).append((_rank(state, row), row))
-    near = heapq.nsmallest(SUBSET_SIZE + SPARE_ROWS, near, key=_first)
-    far = heapq.nsmallest(SUBSET_SIZE + SPARE_ROWS, far, key=_first)
-    ordered = near + far
-    chosen = [row for _, row in ordered[:SUBSET_SIZE]]
-    rest_near = near[SUBSET_SIZE:]
-    rest_far = far[max(0, SUBSET_SIZE - len(near)) :]
+        (near if same else far).append(row)
+    size = own.subset_size
+    near = entries.window(near, size + SPARE_ROWS, local=True)
+    far = entries.window(far, size + SPARE_ROWS, local=False)
+    chosen = (near + far)[:size]
+    rest_near = near[size:]
+    rest_far = far[max(0, size - len(near)) :]
     half = SPARE_ROWS // 2
-    spares = rest_near[:half] + rest_far[:half]
-    own.spares[service] = [row for _, row in spares]
+    own.spares[service] = rest_near[:half] + rest_far[:half]
     members = {row.vm_id for row in chosen}
     for upstream in own.by_service.get(service, {}).values():
         # The list may not show a new upstream yet, and the KV cache of a
@@ -401,13 +461,12 @@
         _learn(state, row)
 
 
-def _first(ranked: tuple[bytes, events.VmRow]) -> bytes:
-    return ranked[0]
-
-
-def _rank(state: entry_state.EntryState, row: events.VmRow) -> bytes:
-    pair = f"{state.entry.vm_id}/{row.vm_id}".encode()
-    return hashlib.blake2b(pair, digest_size=8).digest()
+def _poll_period_ms(state: entry_state.EntryState) -> int:
+    polled = 0
+    for upstream in state.upstreams.by_id.values():
+        polled += upstream.in_subset
+    period_ms = polled * 1_000 // POLLS_PER_S
+    return min(max(period_ms, MIN_POLL_PERIOD_MS), MAX_POLL_PERIOD_MS)
 
 
 def _promote_spare(state: entry_state.EntryState, service: str) -> None:
@@ -439,9 +498,25 @@
     )
     upstream.leaving = (row.vm_id, row.incarnation) in own.leaving
     own.by_id[row.vm_id] = upstream
+    _set_prefill_pace(state, upstream)
     own.by_service.setdefault(row.service, {})[row.vm_id] = upstream
 
 
+def _set_prefill_pace(
+    state: entry_state.EntryState, upstream: Upstream
+) -> None:
+    current = state.configuration.current
+    if current is None:
+        return
+    for placement in current.deployment.placements:
+        if placement.service != upstream.service:
+            continue
+        if placement.vm_class == upstream.vm_class:
+            rate = float(placement.prefill_tokens_per_s)
+            pace(state, upstream).prefill_tokens_per_s = rate
+            return
+
+
 def _forget(state: entry_state.EntryState, now_ms: int) -> None:
     own = state.upstreams
     for upstream in list(own.by_id.values()):
--- a/laburnumpin/tests/test_upstreams.py
+++ b/laburnumpin/tests/test_upstreams.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 
 from laburnumpin.core import deployment
@@ -9,9 +10,11 @@
 from laburnumpin.core import events
 from laburnumpin.core import ids
 from laburnumpin.core import messages
+from laburnumpin.core import requests
 from laburnumpin.core import state as entry_state
 from laburnumpin.core import upstreams
 from laburnumpin.tests import builders
+from laburnumpin.tests import test_membership
 
 
 def make_state() -> entry_state.EntryState:
@@ -112,13 +115,45 @@
 def test_subsets_spread_over_all_upstreams() -> None:
     """Guards against upstreams that no entry would ever use."""
     rows = [make_row(f"n{number}") for number in range(200)]
-    used: set[str] = set()
+    for number in range(40):
+        rows.append(test_membership.make_row(f"e{number}"))
+    used: collections.Counter[str] = collections.Counter()
     for number in range(40):
         state = make_state()
         state.entry = ids.EntryId(f"e{number}", 1)
         listed(state, 0, *rows)
-        used.update(state.upstreams.by_id)
+        used.update(state.upstreams.by_id.keys())
+    # 40 subsets of 24 cover each of 200 upstreams 4.8 times on average.
     assert len(used) == 200
+    assert max(used.values()) - min(used.values()) <= 1
+
+
+def test_subset_hardly_changes_when_an_upstream_or_entry_joins() -> None:
+    """Guards against caches and connections lost at each change of the list."""
+    rows = [make_row(f"n{number}") for number in range(200)]
+    rows += [test_membership.make_row(f"e{number}") for number in range(40)]
+    state = make_state()
+    state.entry = ids.EntryId("e7", 1)
+    listed(state, 0, *rows)
+    before = {u.upstream_id for u in upstreams.of_service(state, "desk")}
+    listed(state, 1, *rows, make_row("x"), test_membership.make_row("y"))
+    after = set()
+    for upstream in upstreams.of_service(state, "desk"):
+        if upstream.in_subset:
+            after.add(upstream.upstream_id)
+    assert len(before & after) >= 18
+
+
+def test_entry_that_the_list_does_not_show_yet_has_a_subset() -> None:
+    """Guards against new entries that all start with the same upstreams."""
+    rows = [make_row(f"n{number}") for number in range(200)]
+    chosen = []
+    for number in range(2):
+        state = make_state()
+        state.entry = ids.EntryId(f"new-{number}", 1)
+        listed(state, 0, *rows)
+        chosen.append(set(state.upstreams.by_id))
+    assert chosen[0] != chosen[1]
 
 
 def test_leaving_mark_outlives_lagging_lists_and_reports() -> None:
@@ -181,7 +216,7 @@
     reported(state, 2_000, "u0", make_report(running=7))
     reported(state, 2_100, "u0", make_report(running=0, age_ms=900))
     upstream = state.upstreams.by_id["u0"]
-    assert upstreams.streams(upstream, 2_200) == 7
+    assert upstreams.streams(state, upstream, 2_200) == 7
     reported(state, 2_200, "u0", make_report(incarnation=0))
     assert upstream.incarnation == 1
 
@@ -255,7 +290,102 @@
     event = events.PeerReceived(100, "e1", digest)
     upstreams.on_digest(state, event, digest)
     upstream = state.upstreams.by_id["u0"]
-    assert upstreams.streams(upstream, 200) == 5
+    assert upstreams.streams(state, upstream, 200) == 5
     late_ms = 101 + upstreams.PEER_COUNT_MAX_AGE_MS
-    assert upstreams.streams(upstream, late_ms) == 0
+    assert upstreams.streams(state, upstream, late_ms) == 0
     assert ("u9", 1) in state.upstreams.leaving
+
+
+def test_sends_since_a_report_are_assumed_of_all_sharing_entries() -> None:
+    """Guards against entries that all fill the same engine between reports."""
+    state = make_state()
+    listed(state, 0, make_row("u0"))
+    reported(state, 100, "u0", make_report(running=3))
+    state.upstreams.entry_count = 6
+    upstream = state.upstreams.by_id["u0"]
+    upstream.sent.append((200, 10))
+    assert upstreams.streams(state, upstream, 300) == 9
+    reported(state, 400, "u0", make_report(running=5, age_ms=150))
+    assert upstreams.streams(state, upstream, 400) == 5
+    listed(state, 500, *[make_row(f"u{number}") for number in range(320)])
+    assert upstreams.sharing(state, "desk") == 1.0
+    state.upstreams.entry_count = 60
+    # 60 entries with 24 of 320 upstreams each.
+    assert upstreams.sharing(state, "desk") == 4.5
+
+
+def make_request(
+    state: entry_state.EntryState, number: int
+) -> requests.Request:
+    current = state.configuration.current
+    assert current is not None
+    service = current.deployment.services["desk"]
+    return requests.Request(
+        request_id=f"e0.1.{number}",
+        customer="acme",
+        service=service,
+        operation=service.operations["read"],
+        body="",
+        prompt="",
+        prompt_tokens=0,
+        max_tokens=10,
+        blocks=(),
+        idempotency_key=None,
+        accepted_ms=0,
+        deadline_ms=10**9,
+        priority=deployment.Priority.BULK,
+        configuration=current,
+    )
+
+
+def attempt(
+    state: entry_state.EntryState,
+    now_ms: int,
+    failure: events.AttemptFailure | None,
+    incarnation_change: bool = False,
+) -> None:
+    request = make_request(state, now_ms)
+    request.attempt = requests.Attempt(f"a{now_ms}", "u0", now_ms, 0)
+    upstream = state.upstreams.by_id["u0"]
+    upstreams.on_dispatched(state, upstream, request, now_ms)
+    if incarnation_change:
+        reported(state, now_ms, "u0", make_report(incarnation=2))
+    upstreams.on_attempt_ended(
+        state, request.attempt, request, failure, now_ms + 10
+    )
+
+
+def test_overloaded_upstream_gets_no_work_until_a_newer_report() -> None:
+    """Guards against retries that hammer a full upstream."""
+    state = make_state()
+    listed(state, 0, make_row("u0"))
+    reported(state, 100, "u0")
+    attempt(state, 150, events.AttemptFailure.UPSTREAM_OVERLOADED)
+    assert eligible(state, 170) == []
+    reported(state, 200, "u0", make_report(age_ms=60))
+    assert eligible(state, 200) == []
+    reported(state, 300, "u0")
+    assert eligible(state, 300) == ["u0"]
+
+
+def test_rejection_by_an_earlier_incarnation_marks_nothing() -> None:
+    """Guards against a restarted upstream that never gets work again."""
+    state = make_state()
+    listed(state, 0, make_row("u0"))
+    reported(state, 100, "u0")
+    leaving = events.AttemptFailure.UPSTREAM_LEAVING
+    attempt(state, 150, leaving, incarnation_change=True)
+    assert eligible(state, 200) == ["u0"]
+    attempt(state, 250, leaving)
+    assert eligible(state, 300) == []
+
+
+def test_ended_attempts_make_room_before_the_next_report() -> None:
+    """Guards against streams that count twice until the next report."""
+    state = make_state()
+    listed(state, 0, make_row("u0"))
+    reported(state, 100, "u0", make_report(running=4))
+    attempt(state, 150, None)
+    upstream = state.upstreams.by_id["u0"]
+    assert upstreams.streams(state, upstream, 200) == 4
+    assert upstreams.pace(state, upstream).service_ms == 10
