--- a/laburnumpin/__main__.py
+++ b/laburnumpin/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import os
 import pathlib
 import sys
@@ -17,11 +18,13 @@
 from laburnumpin.commands import demo
 from laburnumpin.commands import entry
 from laburnumpin.commands import exits
+from laburnumpin.commands import load
 from laburnumpin.commands import output
 from laburnumpin.commands import reference
 from laburnumpin.commands import standin
 from laburnumpin.config import options
 from laburnumpin.config import settings
+from laburnumpin.core import deployment
 from laburnumpin.standins import batching
 from laburnumpin.standins import engine_documents
 from laburnumpin.standins import plain_service
@@ -30,6 +33,7 @@
 
 PROGRAM = "laburnumpin"
 URL_VARIABLE = "LABURNUMPIN_URL"
+CUSTOMER_VARIABLE = "LABURNUMPIN_CUSTOMER_KEY"
 KEY_VARIABLE = "LABURNUMPIN_OPERATOR_KEY"
 LOOPBACK = running.LOOPBACK
 DEFAULT_URL = "http://127.0.0.1:7002"
@@ -311,6 +315,50 @@
     raise typer.Exit(0 if demo.run_demo(typer.echo) else exits.Exit.FAILED)
 
 
+@app.command("load")
+def send_load(
+    service: str,
+    operation: str,
+    entry_url: Annotated[
+        list[str], typer.Option(help="Caller API of an entry; repeatable.")
+    ],
+    customer_key: Annotated[
+        str, typer.Option(envvar=CUSTOMER_VARIABLE, show_default=False)
+    ],
+    plain: Annotated[
+        bool, typer.Option(help="The service is plain, not a model.")
+    ] = False,
+    idempotent: Annotated[
+        bool, typer.Option(help="Whether the operation is idempotent.")
+    ] = True,
+    requests: Annotated[int, typer.Option(min=1)] = 100,
+    rate_per_s: Annotated[float, typer.Option(min=0.1)] = 20.0,
+    as_json: Json = False,
+) -> None:
+    """Send a bounded load to entries on loopback and check the answers."""
+    kind = deployment.ServiceKind.MODEL
+    if plain:
+        kind = deployment.ServiceKind.PLAIN
+    target = load.Target(
+        service, operation, kind, idempotent, streamed=not plain
+    )
+    report = load.run_load(
+        load.LoadSettings(
+            tuple(entry_url),
+            customer_key,
+            (target,),
+            requests=requests,
+            rate_per_s=rate_per_s,
+        )
+    )
+    value = dataclasses.asdict(report)
+    if as_json:
+        output.print_json(value)
+    else:
+        output.print_fields(value)
+    raise typer.Exit(0 if report.all_whole else exits.Exit.FAILED)
+
+
 @app.command("capacity")
 def measure_capacity(
     repetitions: Annotated[int, typer.Option(min=1, max=20)] = 5,
--- a/laburnumpin/config/settings.py
+++ b/laburnumpin/config/settings.py
@@ -10,7 +10,7 @@
 
 ENVIRONMENT_PREFIX = "LABURNUMPIN_"
 # Variables of the command-line client, which an entry ignores.
-CLIENT_VARIABLES = ("LABURNUMPIN_URL",)
+CLIENT_VARIABLES = ("LABURNUMPIN_URL", "LABURNUMPIN_CUSTOMER_KEY")
 MIN_SECRET_CHARACTERS = 16
 UNSPECIFIED_HOSTS = ("0.0.0.0", "::")
 LOG_LEVELS = ("debug", "info", "warning", "error")
--- a/laburnumpin/core/requests.py
+++ b/laburnumpin/core/requests.py
@@ -26,8 +26,11 @@
 if TYPE_CHECKING:
     from laburnumpin.core import state as entry_state
 
-# How long an ended request can still be read.
+# How long an ended request can still be read, and how many tokens of answers
+# are kept for it at most. A token takes about 80 bytes, so this bounds them
+# to about 40 MB.
 RETENTION_MS = 300_000
+MAX_RETAINED_TOKENS = 500_000
 # A dispatch that the shell has not started by then is decided anew.
 DISPATCH_VALID_MS = 1_000
 FIRST_BYTE_TIMEOUT_MS = 10_000
@@ -126,6 +129,7 @@
         "deadlines",
         "ended",
         "next_counter",
+        "retained_tokens",
         "unfinished",
     )
 
@@ -135,6 +139,7 @@
         self.deadlines: list[tuple[int, str]] = []
         self.ended: collections.deque[str] = collections.deque()
         self.next_counter = 1
+        self.retained_tokens = 0
         self.unfinished = 0
 
 
@@ -208,7 +213,7 @@
     request.phase = Phase.ENDED
     request.ended_ms = now_ms
     state.requests.by_id[request.request_id] = request
-    state.requests.ended.append(request.request_id)
+    _retain(state, request)
 
 
 def suspend(
@@ -425,13 +430,26 @@
     """Expire deadlines, dispatch what waits, forget ended requests."""
     result = _expire(state, event.now_ms)
     result.extend(dispatch_queued(state, event.now_ms))
+    _forget_ended(state, event.now_ms)
+    return result
+
+
+def _retain(state: entry_state.EntryState, request: Request) -> None:
+    state.requests.ended.append(request.request_id)
+    state.requests.retained_tokens += request.next_offset
+
+
+def _forget_ended(state: entry_state.EntryState, now_ms: int) -> None:
     own = state.requests
     while own.ended:
         oldest = own.by_id[own.ended[0]]
-        if event.now_ms < oldest.ended_ms + RETENTION_MS:
-            break
+        expired = now_ms >= oldest.ended_ms + RETENTION_MS
+        if not expired and own.retained_tokens <= MAX_RETAINED_TOKENS:
+            return
+        if not expired:
+            state.counters.increment("answers_forgotten_early")
+        own.retained_tokens -= oldest.next_offset
         del own.by_id[own.ended.popleft()]
-    return result
 
 
 def cancel(
@@ -672,7 +690,7 @@
     request.phase = Phase.ENDED
     request.outcome = outcome
     request.ended_ms = now_ms
-    state.requests.ended.append(request.request_id)
+    _retain(state, request)
     state.requests.unfinished -= 1
     limits.on_ended(state, request, now_ms)
     result: list[effects.Effect] = [
--- a/laburnumpin/tests/test_requests.py
+++ b/laburnumpin/tests/test_requests.py
@@ -139,6 +139,22 @@
     assert state.counters.value("dropped_answers", "unknown_attempt") == 1
 
 
+def test_retained_answers_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against memory that grows with the rate of answers."""
+    bound = 5 * simulation.DRAFT_TOKENS
+    monkeypatch.setattr(requests, "MAX_RETAINED_TOKENS", bound)
+    world = simulation.World(1)
+    accepted = []
+    for number in range(12):
+        accepted.append(world.submit("entry-0", f"x{number}", service="model"))
+        world.run(3_000)
+    state = world.entries["entry-0"]
+    kept = list(state.requests.by_id)
+    assert kept == accepted[-5:]
+    assert state.requests.retained_tokens == bound
+    assert state.counters.value("answers_forgotten_early") == 7
+
+
 def test_paused_entry_does_not_send_a_stale_dispatch() -> None:
     """Guards against an attempt that starts long after it was decided."""
     world = simulation.World(1)
