Stop the timer of a plain call once its answer is complete

The inter-token time-out also ran while the answer waited for room in the event queue. An entry under load could then report a call that had been answered as "may have run". Found by reading; no test, since it needs a full queue for 5 s.

--- a/laburnumpin/server/upstream_client.py
+++ b/laburnumpin/server/upstream_client.py
@@ -291,6 +291,8 @@
                 await _raise_rejection(response, verdict.Verdict.RAN)
             self._restart_timer(attempt)
             answer = await http_calls.read_body(response, MAX_ANSWER_BYTES)
+        # A full event queue is no fault of the upstream.
+        attempt.scope.deadline = math.inf
         return await self._take_answer(dispatch, answer)
 
     async def _take_answer(
