--- /dev/null
+++ b/laburnumpin/tests/test_process_lifecycle.py
@@ -0,0 +1,200 @@
+"""Tests of starts and shutdowns of entries with processes on loopback."""
+
+from __future__ import annotations
+
+import functools
+import json
+import pathlib
+
+import anyio
+import httpx
+import pytest
+
+from laburnumpin.tests import processes
+
+pytestmark = pytest.mark.anyio
+# More streams than an engine has slots, so that some of them queue.
+STREAMS = 20
+TOKENS = 120
+# Longer than an entry accepts after SIGTERM, so that it ends in the drain.
+CALL_MS = 6_000
+# Long enough for the call to be admitted, which takes `CALL_MS`.
+DEADLINE_MS = 9_000
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    return "asyncio"
+
+
+async def test_sigterm_interrupts_nothing(tmp_path: pathlib.Path) -> None:
+    """Guards against a shutdown that cuts, drops or forgets work.
+
+    Two entries drain at the same time: the first with streams, queued
+    streams, a call and idle connections, the second without the platform.
+    """
+    async with processes.run(tmp_path) as running:
+        platform = await running.start_platform()
+        (_,), (service,) = await processes.gather(
+            lambda: running.start_engines(1),
+            lambda: running.start_services(1, "--call-ms", str(CALL_MS)),
+        )
+        address = platform.ready["address"]
+        async with processes.forward(address) as forwarder:
+            first, other = await running.start_entries(2)
+            cut_off = await running.start_entry(
+                2,
+                seeds=(first,),
+                platform_url=f"http://{forwarder.address}",
+            )
+            entries = (first, other, cut_off)
+            await running.apply(first, processes.document())
+            await running.wait_ready(*entries)
+            await running.wait_upstreams(2, *entries)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(_drain_busy, running, service, first)
+                tasks.start_soon(_drain_cut_off, running, forwarder, cut_off)
+        # The outcome of the call was recorded before the entry exited.
+        again = await running.call(other, "place", {}, key="drained")
+        executions = await running.executions(service)
+    assert again.status_code == 200, again.text
+    assert executions["by_idempotency_key"] == {"drained": 1}
+
+
+async def _drain_busy(
+    running: processes.Processes,
+    service: processes.Process,
+    entry: processes.Process,
+) -> None:
+    streams = [processes.Received() for _ in range(STREAMS)]
+    answers: list[httpx.Response] = []
+
+    async def place() -> None:
+        answers.append(await running.call(entry, "place", {}, key="drained"))
+
+    async with (
+        httpx.AsyncClient(
+            base_url=entry.url, timeout=processes.WAIT_S, trust_env=False
+        ) as idle,
+        anyio.create_task_group() as callers,
+    ):
+        # Leaves an open connection behind, which nobody uses any more.
+        assert (await idle.get("/livez")).status_code == 200
+        for number, received in enumerate(streams):
+            callers.start_soon(
+                running.read_stream, entry, f"s {number}", TOKENS, received
+            )
+        await processes.wait_for(
+            functools.partial(_has_unfinished, running, entry, STREAMS)
+        )
+        entry.terminate()
+        await processes.wait_for(functools.partial(_is_leaving, running, entry))
+        callers.start_soon(place)
+        # The balancer may send for a while after readiness ended.
+        late = await running.read_stream(entry, "late", 5)
+        late.check_whole("late", 5)
+        await processes.wait_for(
+            functools.partial(_has_executed, running, service)
+        )
+        entry.terminate()
+    assert await entry.exit_code() == 0
+    for number, received in enumerate(streams):
+        received.check_whole(f"s {number}", TOKENS)
+    assert answers[0].status_code == 200, answers[0].text
+
+
+async def _drain_cut_off(
+    running: processes.Processes,
+    forwarder: processes.Forwarder,
+    entry: processes.Process,
+) -> None:
+    """Drain an entry that has lost the platform, with a stream and a call."""
+    await forwarder.cut()
+    received = processes.Received()
+    answers: list[httpx.Response] = []
+
+    async def place() -> None:
+        answers.append(
+            await running.call(
+                entry, "place", {}, key="cut-off", deadline_ms=DEADLINE_MS
+            )
+        )
+
+    async with anyio.create_task_group() as callers:
+        callers.start_soon(
+            running.read_stream, entry, "cut off", 2 * TOKENS, received
+        )
+        callers.start_soon(place)
+        await processes.wait_for(
+            functools.partial(_has_unfinished, running, entry, 2)
+        )
+        entry.terminate()
+    assert await entry.exit_code() == 0
+    received.check_whole("cut off", 2 * TOKENS)
+    error = answers[0].json()["error"]
+    assert (error["code"], error["verdict"]) == ("deadline_passed", "not_run")
+
+
+async def _has_unfinished(
+    running: processes.Processes, entry: processes.Process, count: int
+) -> bool:
+    status = await running.status(entry)
+    return bool(status["requests"]["unfinished"] >= count)
+
+
+async def _is_leaving(
+    running: processes.Processes, entry: processes.Process
+) -> bool:
+    return bool((await running.status(entry))["readiness"] == "entry_leaving")
+
+
+async def _has_executed(
+    running: processes.Processes, service: processes.Process
+) -> bool:
+    return bool((await running.executions(service))["total"])
+
+
+async def test_an_entry_starts_from_a_seed_peer_while_the_store_is_down(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against entries that need the store to start.
+
+    One without any contact must not serve, since its configuration would be
+    unknown.
+    """
+    async with processes.run(tmp_path) as running:
+        platform = await running.start_platform()
+        await running.start_engines(1)
+        (first,) = await running.start_entries(1)
+        await running.apply(first, processes.document())
+        await running.wait_ready(first)
+        await running.set_faults(platform, path="/tables/", refuse=True)
+        seeded, alone = await processes.gather(
+            lambda: running.start_entry(1, seeds=(first,), listed=False),
+            lambda: running.start_entry(
+                2, listed=False, platform_url="http://127.0.0.1:1"
+            ),
+        )
+        await running.wait_ready(seeded)
+        status = await running.status(seeded)
+        assert status["configuration_version"] == 1
+        await running.wait_upstreams(1, seeded)
+        received = await running.read_stream(seeded, "seeded", 20)
+        received.check_whole("seeded", 20)
+        # It had the chance to learn what the other one learned.
+        await processes.wait_for(
+            functools.partial(_has_failed_reads, running, alone)
+        )
+        refusal = await running.http.get(alone.url + "/readyz")
+        assert refusal.status_code == 503
+        assert json.loads(refusal.text)["reason"] == "entry_not_ready"
+        call = await running.read_stream(alone, "alone", 1)
+        assert call.error is not None
+        assert call.error["verdict"] == "not_run"
+
+
+async def _has_failed_reads(
+    running: processes.Processes, entry: processes.Process
+) -> bool:
+    label = "configuration"
+    return await running.counter(entry, "platform_failures", label) >= 2
