Prove that accepted work survives two reclaims with processes

Cause: the handover was tested between reducers in virtual time only.

Callers come back at the last entry with the offset that they have. The answers are whole, the call ran once, and its outcome is read again at the last entry.

--- a/laburnumpin/tests/processes.py
+++ b/laburnumpin/tests/processes.py
@@ -419,6 +419,27 @@
                     received.add(event)
         return received
 
+    async def resume_stream(self, entry: Process, received: Received) -> None:
+        """Read on from the offset that a cut stream has reached.
+
+        An entry that does not know the owner yet refuses with a hint to
+        come back, which leaves the stream as it is.
+        """
+        offset = received.offsets[-1] if received.offsets else 0
+        decoder = sse.Decoder()
+        async with self.http.stream(
+            "GET",
+            f"{entry.url}/v1/requests/{received.request_id}/output",
+            headers={**STREAM, "Last-Event-ID": str(offset)},
+        ) as response:
+            if response.status_code != 200:
+                text = (await response.aread()).decode()
+                assert "Retry-After" in response.headers, text
+                return
+            async for data in response.aiter_bytes():
+                for event in decoder.feed(data):
+                    received.add(event)
+
     async def close(self) -> None:
         """Kill what still runs, by process id."""
         with anyio.CancelScope(shield=True):
--- a/laburnumpin/tests/test_process_reclaims.py
+++ b/laburnumpin/tests/test_process_reclaims.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import contextlib
 import functools
 import pathlib
 
 import anyio
+import httpx
 import pytest
 
 from laburnumpin import clock
@@ -15,6 +17,11 @@
 NOTICE_MS = 60_000
 REQUESTS_AFTER_MARK = 10
 TOKENS = 4
+# More than an engine has slots, so that some of them queue.
+STREAMS = 18
+STREAM_TOKENS = 300
+# The call ends while its entry is leaving.
+CALL_MS = 3_000
 
 
 @pytest.fixture
@@ -122,3 +129,104 @@
         if row["upstream"] == "engine-0":
             return bool(row["leaving"])
     return False
+
+
+async def test_accepted_work_survives_the_reclaim_of_two_entries(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against work that is lost with a reclaimed entry.
+
+    The successor gets a notice as well, and both are killed as soon as they
+    have handed over. Callers come back with the offset that they have.
+    """
+    async with processes.run(tmp_path) as running:
+        await running.start_platform()
+        _, (service,) = await processes.gather(
+            lambda: running.start_engines(1),
+            lambda: running.start_services(1, "--call-ms", str(CALL_MS)),
+        )
+        entries = list(await running.start_entries(3))
+        await running.apply(entries[0], processes.document())
+        await running.wait_ready(*entries)
+        await running.wait_upstreams(2, *entries)
+        live = list(entries)
+        streams = [processes.Received() for _ in range(STREAMS)]
+        answers: list[httpx.Response] = []
+
+        async def place() -> None:
+            answers.append(await running.call(entries[0], "place", {}, "k"))
+
+        async with anyio.create_task_group() as callers:
+            for number, received in enumerate(streams):
+                callers.start_soon(_follow, running, live, number, received)
+            callers.start_soon(place)
+            await processes.wait_for(
+                functools.partial(
+                    _has_unfinished, running, entries[0], STREAMS + 1
+                )
+            )
+            await processes.wait_tokens(streams[0], 5)
+            await _reclaim(running, live, entries[0])
+            successor = await _find_successor(running, live)
+            await _reclaim(running, live, successor)
+            moved = sum(received.end is None for received in streams)
+        (last,) = live
+        again = await running.call(last, "place", {}, "k")
+        executions = await running.executions(service)
+    for number, received in enumerate(streams):
+        received.check_whole(f"stream {number}", STREAM_TOKENS)
+    assert answers[0].status_code == 200, answers[0].text
+    assert again.json()["text"] == answers[0].json()["text"]
+    assert executions["total"] == 1
+    print(f"{moved} streams ran when the second entry was killed")
+
+
+async def _has_unfinished(
+    running: processes.Processes, entry: processes.Process, count: int
+) -> bool:
+    status = await running.status(entry)
+    return bool(status["requests"]["unfinished"] >= count)
+
+
+async def _reclaim(
+    running: processes.Processes,
+    live: list[processes.Process],
+    entry: processes.Process,
+) -> None:
+    """Give notice, and kill the entry once it has nothing left to hand over."""
+    await running.give_notice(entry.ready["vm_id"], NOTICE_MS)
+
+    async def has_handed_over() -> bool:
+        status = await running.status(entry)
+        unfinished = status["requests"]["unfinished"]
+        return bool(status["phase"] == "leaving" and unfinished == 0)
+
+    await processes.wait_for(has_handed_over)
+    live.remove(entry)
+    entry.kill()
+    await entry.exit_code()
+
+
+async def _find_successor(
+    running: processes.Processes, live: list[processes.Process]
+) -> processes.Process:
+    for entry in live:
+        if await running.counter(entry, "handover", "taken"):
+            return entry
+    raise AssertionError("no entry has taken over")
+
+
+async def _follow(
+    running: processes.Processes,
+    live: list[processes.Process],
+    number: int,
+    received: processes.Received,
+) -> None:
+    """Read a stream to its end, at another entry after each cut."""
+    prompt = f"stream {number}"
+    with contextlib.suppress(httpx.TransportError):
+        await running.read_stream(live[0], prompt, STREAM_TOKENS, received)
+    while received.end is None and received.error is None:
+        with contextlib.suppress(httpx.TransportError):
+            await running.resume_stream(live[-1], received)
+        await anyio.sleep(processes.POLL_S)
