--- a/laburnumpin/__main__.py
+++ b/laburnumpin/__main__.py
@@ -22,7 +22,9 @@
 from laburnumpin.commands import output
 from laburnumpin.commands import reference
 from laburnumpin.commands import standin
+from laburnumpin.config import addresses
 from laburnumpin.config import options
+from laburnumpin.config import problems
 from laburnumpin.config import settings
 from laburnumpin.core import deployment
 from laburnumpin.standins import batching
@@ -373,8 +375,8 @@
 
 
 def _client(url: str, timeout_s: float) -> client.Client:
-    errors: options.Errors = []
-    checked = options.Url().check(url, URL_VARIABLE, errors)
+    errors: problems.Errors = []
+    checked = addresses.Url().check(url, URL_VARIABLE, errors)
     key = options.SecretText().check(
         os.environ.get(KEY_VARIABLE, ""), KEY_VARIABLE, errors
     )
--- a/laburnumpin/commands/reference.py
+++ b/laburnumpin/commands/reference.py
@@ -10,6 +10,7 @@
 from laburnumpin.config import loading
 from laburnumpin.config import options
 from laburnumpin.config import schema
+from laburnumpin.config import sections
 from laburnumpin.config import settings
 
 CONFIGURATION_PAGE = "configuration-reference.md"
@@ -19,7 +20,7 @@
     "instead. -->"
 )
 
-_SECTIONS: tuple[type[options.Section], ...] = (
+_SECTIONS: tuple[type[sections.Section], ...] = (
     schema.Deployment,
     schema.Zone,
     schema.Service,
@@ -93,7 +94,7 @@
     return "\n".join([*lines, ""])
 
 
-def _summary(section: type[options.Section]) -> str:
+def _summary(section: type[sections.Section]) -> str:
     return (section.__doc__ or "").splitlines()[0]
 
 
--- a/laburnumpin/commands/standin.py
+++ b/laburnumpin/commands/standin.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from contextlib import AbstractAsyncContextManager
+import contextlib
 import dataclasses
 import functools
 import json
@@ -52,7 +52,8 @@
 
 
 async def _run(
-    kind: str, context: AbstractAsyncContextManager[running.Running[Any]]
+    kind: str,
+    context: contextlib.AbstractAsyncContextManager[running.Running[Any]],
 ) -> None:
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async with context as started:
--- a/laburnumpin/config/loading.py
+++ b/laburnumpin/config/loading.py
@@ -7,8 +7,9 @@
 from typing import NoReturn
 
 from laburnumpin import exceptions
-from laburnumpin.config import options
+from laburnumpin.config import problems
 from laburnumpin.config import schema
+from laburnumpin.config import sections
 from laburnumpin.core import deployment
 
 # At 8,100 changes per day a document of this size takes 24.6 of the 26 KB/s
@@ -39,7 +40,7 @@
     size_bytes = len(document.encode("utf-8", "surrogatepass"))
     if size_bytes > MAX_DOCUMENT_BYTES:
         message = f"has {size_bytes} bytes; the most is {MAX_DOCUMENT_BYTES}"
-        raise _document_error(options.Code.TOO_LARGE, message)
+        raise _document_error(problems.Code.TOO_LARGE, message)
     duplicates: list[str] = []
 
     def to_object(pairs: list[tuple[str, object]]) -> dict[str, object]:
@@ -57,13 +58,13 @@
         )
     except RecursionError:
         message = f"is nested more than {MAX_NESTING} levels deep"
-        raise _document_error(options.Code.TOO_DEEP, message) from None
+        raise _document_error(problems.Code.TOO_DEEP, message) from None
     except ValueError as error:
         message = f"is not JSON: {error}"
-        raise _document_error(options.Code.MALFORMED, message) from None
+        raise _document_error(problems.Code.MALFORMED, message) from None
     if _is_deeper(value, MAX_NESTING):
         message = f"is nested more than {MAX_NESTING} levels deep"
-        raise _document_error(options.Code.TOO_DEEP, message)
+        raise _document_error(problems.Code.TOO_DEEP, message)
     if duplicates:
         errors = [_duplicate_key(key) for key in duplicates]
         raise exceptions.ConfigurationError(_bounded(errors))
@@ -76,23 +77,23 @@
     Raises:
         ConfigurationError: The document is invalid; lists every problem.
     """
-    errors: options.Errors = []
+    errors: problems.Errors = []
     if not isinstance(value, dict):
-        message = f"must be an object, not {options.type_name(value)}"
-        raise _document_error(options.Code.WRONG_TYPE, message)
-    section = options.check_section(schema.Deployment, value, "", errors)
+        message = f"must be an object, not {problems.type_name(value)}"
+        raise _document_error(problems.Code.WRONG_TYPE, message)
+    section = sections.check_section(schema.Deployment, value, "", errors)
     if errors:
         raise exceptions.ConfigurationError(_bounded(errors))
     return _to_deployment(section)
 
 
-def _bounded(errors: options.Errors) -> options.Errors:
+def _bounded(errors: problems.Errors) -> problems.Errors:
     if len(errors) <= MAX_ERRORS:
         return errors
     kept = errors[:MAX_ERRORS]
     message = f"has {len(errors) - MAX_ERRORS} more problems"
-    options.add_error(
-        kept, DOCUMENT_FIELD, options.Code.TOO_MANY_ERRORS, message
+    problems.add_error(
+        kept, DOCUMENT_FIELD, problems.Code.TOO_MANY_ERRORS, message
     )
     return kept
 
@@ -102,17 +103,17 @@
 
 
 def _document_error(
-    code: options.Code, message: str
+    code: problems.Code, message: str
 ) -> exceptions.ConfigurationError:
-    errors: options.Errors = []
-    options.add_error(errors, DOCUMENT_FIELD, code, message)
+    errors: problems.Errors = []
+    problems.add_error(errors, DOCUMENT_FIELD, code, message)
     return exceptions.ConfigurationError(errors)
 
 
 def _duplicate_key(key: str) -> exceptions.FieldError:
-    message = f"the key {options.shown(key)} appears twice in one object"
+    message = f"the key {problems.shown(key)} appears twice in one object"
     return exceptions.FieldError(
-        DOCUMENT_FIELD, options.Code.DUPLICATE.value, message
+        DOCUMENT_FIELD, problems.Code.DUPLICATE.value, message
     )
 
 
--- /dev/null
+++ b/laburnumpin/config/problems.py
@@ -0,0 +1,118 @@
+"""Problems with fields: codes, paths and messages."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from collections.abc import Sequence
+import difflib
+import enum
+import itertools
+import re
+
+from laburnumpin import exceptions
+
+Errors = list[exceptions.FieldError]
+
+MAX_SHOWN_CHARACTERS = 60
+MAX_NAME_CHARACTERS = 64
+MAX_ERRORS_WITH_HINTS = 50
+MAX_HINT_CANDIDATES = 500
+
+# Names become parts of URL paths and of table keys, hence no `/`.
+NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9_-]*")
+
+
+class Code(enum.StrEnum):
+    """Stable codes of field errors."""
+
+    DUPLICATE = "duplicate"
+    INCONSISTENT = "inconsistent"
+    MALFORMED = "malformed"
+    NO_PLACEMENT = "no_placement"
+    NOT_A_CHOICE = "not_a_choice"
+    NOT_APPLICABLE = "not_applicable"
+    OUT_OF_RANGE = "out_of_range"
+    REQUIRED = "required"
+    TOO_DEEP = "too_deep"
+    TOO_FEW = "too_few"
+    TOO_LARGE = "too_large"
+    TOO_LONG = "too_long"
+    TOO_MANY_ERRORS = "too_many_errors"
+    TOO_SHORT = "too_short"
+    UNKNOWN_FIELD = "unknown_field"
+    UNKNOWN_REFERENCE = "unknown_reference"
+    WRONG_TYPE = "wrong_type"
+
+
+def add_error(errors: Errors, path: str, code: Code, message: str) -> None:
+    """Record one problem with the field at `path`."""
+    errors.append(exceptions.FieldError(path, code.value, message))
+
+
+def shown(value: object) -> str:
+    """Return a short printable form of a value for messages and paths."""
+    text = ascii(value)
+    if len(text) <= MAX_SHOWN_CHARACTERS:
+        return text
+    return text[: MAX_SHOWN_CHARACTERS - 3] + "..."
+
+
+def field_path(path: str, key: object) -> str:
+    """Return the path of a field of the object at `path`."""
+    if not isinstance(key, str) or len(key) > MAX_NAME_CHARACTERS:
+        return f"{path}[{shown(key)}]"
+    if NAME_PATTERN.fullmatch(key) is None:
+        return f"{path}[{shown(key)}]"
+    return f"{path}.{key}" if path else key
+
+
+def suggestion(
+    name: str, known: Collection[str], errors: Sequence[object] = ()
+) -> str:
+    """Return a hint that names the closest known name, or nothing.
+
+    There are no hints after many errors, because the search for one compares
+    the name with every known name.
+    """
+    if len(errors) >= MAX_ERRORS_WITH_HINTS:
+        return ""
+    candidates = list(itertools.islice(known, MAX_HINT_CANDIDATES))
+    close = difflib.get_close_matches(name[:MAX_NAME_CHARACTERS], candidates, 1)
+    return f"; did you mean {close[0]!r}?" if close else ""
+
+
+def type_name(value: object) -> str:
+    """Return the JSON name of a value's type."""
+    if value is None:
+        return "null"
+    if isinstance(value, bool):
+        return "a flag"
+    if isinstance(value, (int, float)):
+        return "a number"
+    if isinstance(value, str):
+        return "a text"
+    if isinstance(value, list):
+        return "a list"
+    if isinstance(value, dict):
+        return "an object"
+    return f"a {type(value).__name__}"
+
+
+class RejectedValueError(Exception):
+    """A value is not acceptable to an option."""
+
+    def __init__(self, code: Code, message: str) -> None:
+        super().__init__(message)
+        self.code = code
+        self.message = message
+
+
+def wrong_type(expected: str, value: object) -> RejectedValueError:
+    """Return the rejection of a value whose type is not the expected one."""
+    message = f"must be {expected}, not {type_name(value)}"
+    return RejectedValueError(Code.WRONG_TYPE, message)
+
+
+def record(errors: Errors, path: str, rejection: RejectedValueError) -> None:
+    """Record the rejection of the field at `path`."""
+    add_error(errors, path, rejection.code, rejection.message)
--- a/laburnumpin/config/schema.py
+++ b/laburnumpin/config/schema.py
@@ -5,10 +5,12 @@
 from collections.abc import KeysView
 
 from laburnumpin.config import options
+from laburnumpin.config import problems
+from laburnumpin.config import sections
 from laburnumpin.core import deployment
 
 
-class Zone(options.Section):
+class Zone(sections.Section):
     """A zone in which VMs run."""
 
     __slots__ = ()
@@ -17,7 +19,7 @@
     region = options.Name("Region that contains the data centre.")
 
 
-class Operation(options.Section):
+class Operation(sections.Section):
     """An operation of a service."""
 
     __slots__ = ()
@@ -35,7 +37,7 @@
     )
 
 
-class Service(options.Section):
+class Service(sections.Section):
     """A service that upstreams offer."""
 
     __slots__ = ()
@@ -44,15 +46,15 @@
         tuple(kind.value for kind in deployment.ServiceKind),
         "Whether model engines or plain services serve it.",
     )
-    operations = options.MappingOf(
-        options.Nested(Operation), "Operations by name.", min_items=1
+    operations = sections.MappingOf(
+        sections.Nested(Operation), "Operations by name.", min_items=1
     )
     model = options.Text(
         "Model that the engines load; required for model services.",
         default="",
     )
     model_version = options.Text("Version of the model.", default="")
-    adapters = options.ListOf(
+    adapters = sections.ListOf(
         options.Text(min_length=1),
         "Adapters that the engines load beside the model.",
         default=[],
@@ -63,7 +65,7 @@
         default=False,
     )
 
-    def check_fields(self, path: str, errors: options.Errors) -> None:
+    def check_fields(self, path: str, errors: problems.Errors) -> None:
         """Record model fields that are missing or have no meaning."""
         if not self.has("kind"):
             return
@@ -73,29 +75,29 @@
         for name in ("model", "model_version", "adapters", "checks_fencing"):
             if not self.has(name) or not self.value(name):
                 continue
-            options.add_error(
+            problems.add_error(
                 errors,
-                options.field_path(path, name),
-                options.Code.NOT_APPLICABLE,
+                problems.field_path(path, name),
+                problems.Code.NOT_APPLICABLE,
                 "applies to model services only",
             )
 
-    def _check_model(self, path: str, errors: options.Errors) -> None:
+    def _check_model(self, path: str, errors: problems.Errors) -> None:
         if self.has("model") and not self.model:
-            options.add_error(
+            problems.add_error(
                 errors,
-                options.field_path(path, "model"),
-                options.Code.REQUIRED,
+                problems.field_path(path, "model"),
+                problems.Code.REQUIRED,
                 "a model service needs a model",
             )
 
 
-class Customer(options.Section):
+class Customer(sections.Section):
     """A customer, with keys, weight and limits."""
 
     __slots__ = ()
 
-    key_hashes = options.ListOf(
+    key_hashes = sections.ListOf(
         options.KeyHash(),
         "SHA-256 digests of the keys; several while a key is replaced.",
         min_items=1,
@@ -120,7 +122,7 @@
     )
 
 
-class Placement(options.Section):
+class Placement(sections.Section):
     """Where VMs for a service may run, and what they cost and deliver."""
 
     __slots__ = ()
@@ -153,21 +155,21 @@
         minimum=1,
     )
 
-    def check_fields(self, path: str, errors: options.Errors) -> None:
+    def check_fields(self, path: str, errors: problems.Errors) -> None:
         """Record a minimum above the maximum."""
         if not self.has("min_vms", "max_vms"):
             return
         if self.min_vms <= self.max_vms:
             return
-        options.add_error(
+        problems.add_error(
             errors,
-            options.field_path(path, "min_vms"),
-            options.Code.INCONSISTENT,
+            problems.field_path(path, "min_vms"),
+            problems.Code.INCONSISTENT,
             f"{self.min_vms} exceeds max_vms, which is {self.max_vms}",
         )
 
 
-class Policy(options.Section):
+class Policy(sections.Section):
     """Targets and weights of the decisions."""
 
     __slots__ = ()
@@ -204,24 +206,24 @@
         "Retries permitted per first attempt.", default=0.1, maximum=1.0
     )
 
-    def check_fields(self, path: str, errors: options.Errors) -> None:
+    def check_fields(self, path: str, errors: problems.Errors) -> None:
         """Record weights that leave nothing to optimize."""
         if not self.has("cost_weight", "recompute_weight"):
             return
         if self.cost_weight or self.recompute_weight:
             return
-        options.add_error(
+        problems.add_error(
             errors,
-            options.field_path(path, "cost_weight"),
-            options.Code.INCONSISTENT,
+            problems.field_path(path, "cost_weight"),
+            problems.Code.INCONSISTENT,
             "cost_weight and recompute_weight must not both be 0",
         )
 
 
-_DEFAULT_POLICY = options.check_section(Policy, {}, "policy", [])
+_DEFAULT_POLICY = sections.check_section(Policy, {}, "policy", [])
 
 
-class Deployment(options.Section):
+class Deployment(sections.Section):
     """Everything that an operator configures."""
 
     __slots__ = ()
@@ -234,23 +236,23 @@
         minimum=1,
         maximum=100_000,
     )
-    zones = options.MappingOf(
-        options.Nested(Zone), "Zones by name.", min_items=1
+    zones = sections.MappingOf(
+        sections.Nested(Zone), "Zones by name.", min_items=1
     )
-    services = options.MappingOf(
-        options.Nested(Service), "Services by name.", min_items=1
+    services = sections.MappingOf(
+        sections.Nested(Service), "Services by name.", min_items=1
     )
-    customers = options.MappingOf(
-        options.Nested(Customer), "Customers by name.", default={}
+    customers = sections.MappingOf(
+        sections.Nested(Customer), "Customers by name.", default={}
     )
-    placements = options.ListOf(
-        options.Nested(Placement), "Placements; each service needs one."
+    placements = sections.ListOf(
+        sections.Nested(Placement), "Placements; each service needs one."
     )
-    policy = options.Nested(
+    policy = sections.Nested(
         Policy, "Targets and weights.", default=_DEFAULT_POLICY
     )
 
-    def check_fields(self, path: str, errors: options.Errors) -> None:
+    def check_fields(self, path: str, errors: problems.Errors) -> None:
         """Record problems between sections."""
         self._check_data_centers(path, errors)
         self._check_references(path, errors)
@@ -258,7 +260,7 @@
         self._check_keys(path, errors)
         self._check_rates(path, errors)
 
-    def _check_data_centers(self, path: str, errors: options.Errors) -> None:
+    def _check_data_centers(self, path: str, errors: problems.Errors) -> None:
         if not self.has("zones"):
             return
         regions: dict[str, str] = {}
@@ -268,15 +270,15 @@
             region = regions.setdefault(zone.data_center, zone.region)
             if region == zone.region:
                 continue
-            options.add_error(
+            problems.add_error(
                 errors,
-                f"{options.field_path(path, 'zones')}.{name}.region",
-                options.Code.INCONSISTENT,
+                f"{problems.field_path(path, 'zones')}.{name}.region",
+                problems.Code.INCONSISTENT,
                 f"data centre {zone.data_center!r} is in region {region!r} "
                 "by an earlier zone",
             )
 
-    def _check_references(self, path: str, errors: options.Errors) -> None:
+    def _check_references(self, path: str, errors: problems.Errors) -> None:
         if not self.has("placements"):
             return
         for field, section in (("service", "services"), ("zone", "zones")):
@@ -290,7 +292,7 @@
         path: str,
         field: str,
         known: KeysView[str],
-        errors: options.Errors,
+        errors: problems.Errors,
     ) -> None:
         for index, placement in enumerate(self.placements):
             if not placement.has(field):
@@ -298,15 +300,15 @@
             name = str(placement.value(field))
             if name in known:
                 continue
-            hint = options.suggestion(name, known, errors)
-            options.add_error(
+            hint = problems.suggestion(name, known, errors)
+            problems.add_error(
                 errors,
-                f"{options.field_path(path, 'placements')}[{index}].{field}",
-                options.Code.UNKNOWN_REFERENCE,
+                f"{problems.field_path(path, 'placements')}[{index}].{field}",
+                problems.Code.UNKNOWN_REFERENCE,
                 f"there is no {field} {name!r}{hint}",
             )
 
-    def _check_placements(self, path: str, errors: options.Errors) -> None:
+    def _check_placements(self, path: str, errors: problems.Errors) -> None:
         if not self.has("placements"):
             return
         key = ("service", "zone", "vm_class", "reclaimable")
@@ -319,10 +321,10 @@
                 continue
             values = tuple(placement.value(name) for name in key)
             if values in seen:
-                options.add_error(
+                problems.add_error(
                     errors,
-                    f"{options.field_path(path, 'placements')}[{index}]",
-                    options.Code.DUPLICATE,
+                    f"{problems.field_path(path, 'placements')}[{index}]",
+                    problems.Code.DUPLICATE,
                     "an earlier placement has the same service, zone, VM "
                     "class and reclaimability",
                 )
@@ -330,39 +332,39 @@
         self._check_placed(path, placed, errors)
 
     def _check_placed(
-        self, path: str, placed: set[str], errors: options.Errors
+        self, path: str, placed: set[str], errors: problems.Errors
     ) -> None:
         if not self.has("services"):
             return
         for name in self.services:
             if name in placed:
                 continue
-            options.add_error(
+            problems.add_error(
                 errors,
-                f"{options.field_path(path, 'services')}.{name}",
-                options.Code.NO_PLACEMENT,
+                f"{problems.field_path(path, 'services')}.{name}",
+                problems.Code.NO_PLACEMENT,
                 "no placement names this service",
             )
 
-    def _check_keys(self, path: str, errors: options.Errors) -> None:
+    def _check_keys(self, path: str, errors: problems.Errors) -> None:
         if not self.has("customers"):
             return
         owners: dict[str, str] = {}
-        section = options.field_path(path, "customers")
+        section = problems.field_path(path, "customers")
         for name, customer in self.customers.items():
             if not customer.has("key_hashes"):
                 continue
             for index, key_hash in enumerate(customer.key_hashes):
                 if key_hash in owners:
-                    options.add_error(
+                    problems.add_error(
                         errors,
                         f"{section}.{name}.key_hashes[{index}]",
-                        options.Code.DUPLICATE,
+                        problems.Code.DUPLICATE,
                         f"the same key belongs to {owners[key_hash]!r}",
                     )
                 owners.setdefault(key_hash, name)
 
-    def _check_rates(self, path: str, errors: options.Errors) -> None:
+    def _check_rates(self, path: str, errors: problems.Errors) -> None:
         if not self.has("customers", "entry_count"):
             return
         for name, customer in self.customers.items():
@@ -370,11 +372,11 @@
                 continue
             if customer.rate_tokens_per_s >= self.entry_count:
                 continue
-            section = options.field_path(path, "customers")
-            options.add_error(
+            section = problems.field_path(path, "customers")
+            problems.add_error(
                 errors,
                 f"{section}.{name}.rate_tokens_per_s",
-                options.Code.INCONSISTENT,
+                problems.Code.INCONSISTENT,
                 f"leaves no whole token per second to each of the "
                 f"{self.entry_count} entries",
             )
--- /dev/null
+++ b/laburnumpin/config/sections.py
@@ -0,0 +1,226 @@
+"""Lists, mappings and sections of typed options."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TypeVar
+
+from laburnumpin.config import options
+from laburnumpin.config import problems
+
+T = TypeVar("T")
+S = TypeVar("S", bound="Section")
+
+
+class ListOf(options.Option[list[T]]):
+    """A list of values that one option accepts."""
+
+    __slots__ = ("item", "min_items", "unique")
+
+    def __init__(
+        self,
+        item: options.Option[T],
+        summary: str = "",
+        default: list[T] | None = None,
+        min_items: int = 0,
+        unique: bool = False,
+    ) -> None:
+        super().__init__(summary, default)
+        self.item = item
+        self.min_items = min_items
+        self.unique = unique
+
+    def check(
+        self, value: object, path: str, errors: problems.Errors
+    ) -> list[T] | None:
+        """Return the checked items, or None if any was left out.
+
+        A shorter list would give wrong indices in later messages.
+        """
+        if not isinstance(value, list):
+            problems.record(errors, path, problems.wrong_type("a list", value))
+            return None
+        if len(value) < self.min_items:
+            message = f"must have at least {self.min_items} items"
+            problems.add_error(errors, path, problems.Code.TOO_FEW, message)
+        checked: list[T] = []
+        seen: set[object] = set()
+        for index, raw in enumerate(value):
+            item_path = f"{path}[{index}]"
+            item = self.item.check(raw, item_path, errors)
+            if item is None:
+                continue
+            if self.unique and item in seen:
+                message = "appears earlier in the list"
+                problems.add_error(
+                    errors, item_path, problems.Code.DUPLICATE, message
+                )
+                continue
+            if self.unique:
+                seen.add(item)
+            checked.append(item)
+        return checked if len(checked) == len(value) else None
+
+    def parse(self, text: str) -> object:
+        """Return the value that a flag or environment variable stands for."""
+        parts = [part.strip() for part in text.split(",") if part.strip()]
+        return [self.item.parse(part) for part in parts]
+
+    def describe(self) -> str:
+        """Return what the option accepts, for the reference."""
+        least = f", at least {self.min_items}" if self.min_items else ""
+        return f"list of: {self.item.describe()}{least}"
+
+
+class MappingOf(options.Option[dict[str, T]]):
+    """An object whose keys are names and whose values one option accepts."""
+
+    __slots__ = ("item", "key", "min_items")
+
+    def __init__(
+        self,
+        item: options.Option[T],
+        summary: str = "",
+        default: dict[str, T] | None = None,
+        min_items: int = 0,
+    ) -> None:
+        super().__init__(summary, default)
+        self.key = options.Name()
+        self.item = item
+        self.min_items = min_items
+
+    def check(
+        self, value: object, path: str, errors: problems.Errors
+    ) -> dict[str, T] | None:
+        """Return the checked items, or None if any was left out.
+
+        A smaller mapping would make references to the rest look unknown.
+        """
+        if not isinstance(value, dict):
+            problems.record(
+                errors, path, problems.wrong_type("an object", value)
+            )
+            return None
+        if len(value) < self.min_items:
+            message = f"must have at least {self.min_items} entries"
+            problems.add_error(errors, path, problems.Code.TOO_FEW, message)
+        checked: dict[str, T] = {}
+        for raw_key, raw in value.items():
+            item_path = problems.field_path(path, raw_key)
+            key = self.key.check(raw_key, item_path, errors)
+            item = self.item.check(raw, item_path, errors)
+            if key is not None and item is not None:
+                checked[key] = item
+        return checked if len(checked) == len(value) else None
+
+    def describe(self) -> str:
+        """Return what the option accepts, for the reference."""
+        least = f", at least {self.min_items}" if self.min_items else ""
+        return f"object of name to: {self.item.describe()}{least}"
+
+
+class Section:
+    """A group of options; subclasses declare them as class attributes.
+
+    An instance has the values that passed their checks, so that checks
+    across fields run even if other fields are invalid.
+    """
+
+    __slots__ = ("_values",)
+
+    def __init__(self, values: dict[str, object]) -> None:
+        self._values = values
+
+    @classmethod
+    def options(cls) -> dict[str, options.Option[Any]]:
+        """Return the declared options by name, in order of declaration."""
+        found: dict[str, options.Option[Any]] = {}
+        for name, attribute in vars(cls).items():
+            if isinstance(attribute, options.Option):
+                found[name] = attribute
+        return found
+
+    def value(self, name: str) -> object:
+        """Return a checked value.
+
+        Raises:
+            KeyError: The field is invalid.
+        """
+        return self._values[name]
+
+    def has(self, *names: str) -> bool:
+        """Return whether all these fields are valid."""
+        return all(name in self._values for name in names)
+
+    def check_fields(self, path: str, errors: problems.Errors) -> None:
+        """Record the problems that concern several fields."""
+
+
+class Nested(options.Option[S]):
+    """An object described by a section."""
+
+    __slots__ = ("section",)
+
+    def __init__(
+        self,
+        section: type[S],
+        summary: str = "",
+        default: S | None = None,
+    ) -> None:
+        super().__init__(summary, default)
+        self.section = section
+
+    def check(
+        self, value: object, path: str, errors: problems.Errors
+    ) -> S | None:
+        """Return the section with its valid fields, if it is an object."""
+        if not isinstance(value, dict):
+            problems.record(
+                errors, path, problems.wrong_type("an object", value)
+            )
+            return None
+        return check_section(self.section, value, path, errors)
+
+    def describe(self) -> str:
+        """Return what the option accepts, for the reference."""
+        return f"{self.section.__name__} object"
+
+    def describe_default(self) -> str:
+        """Return the default as it is written, for the reference."""
+        return "" if self.default is None else "{}"
+
+
+def check_section(
+    section: type[S], raw: dict[str, object], path: str, errors: problems.Errors
+) -> S:
+    """Check the fields of an object and the relations between them."""
+    declared = section.options()
+    for key in raw:
+        if key in declared:
+            continue
+        hint = problems.suggestion(str(key), declared, errors)
+        message = f"this field does not exist{hint}"
+        problems.add_error(
+            errors,
+            problems.field_path(path, key),
+            problems.Code.UNKNOWN_FIELD,
+            message,
+        )
+    values: dict[str, object] = {}
+    for name, option in declared.items():
+        item_path = problems.field_path(path, name)
+        if name not in raw:
+            if option.required:
+                message = "this field is required"
+                problems.add_error(
+                    errors, item_path, problems.Code.REQUIRED, message
+                )
+            else:
+                values[name] = option.default
+            continue
+        value = option.check(raw[name], item_path, errors)
+        if value is not None:
+            values[name] = value
+    checked = section(values)
+    checked.check_fields(path, errors)
+    return checked
--- a/laburnumpin/config/settings.py
+++ b/laburnumpin/config/settings.py
@@ -6,7 +6,10 @@
 import dataclasses
 
 from laburnumpin import exceptions
+from laburnumpin.config import addresses
 from laburnumpin.config import options
+from laburnumpin.config import problems
+from laburnumpin.config import sections
 
 ENVIRONMENT_PREFIX = "LABURNUMPIN_"
 # Variables of the command-line client, which an entry ignores.
@@ -16,14 +19,14 @@
 LOG_LEVELS = ("debug", "info", "warning", "error")
 
 
-class EntrySettings(options.Section):
+class EntrySettings(sections.Section):
     """Settings of `laburnumpin entry run`."""
 
     __slots__ = ()
 
     vm_id = options.Name("Platform id of the VM that runs the entry.")
     zone = options.Name("Zone of the VM, as named in the configuration.")
-    caller_host = options.IpAddress(
+    caller_host = addresses.IpAddress(
         "IP address at which the caller API listens.", default="127.0.0.1"
     )
     caller_port = options.Integer(
@@ -31,7 +34,7 @@
         default=7001,
         maximum=65_535,
     )
-    operator_host = options.IpAddress(
+    operator_host = addresses.IpAddress(
         "IP address at which the operator API listens.", default="127.0.0.1"
     )
     operator_port = options.Integer(
@@ -39,7 +42,7 @@
         default=7002,
         maximum=65_535,
     )
-    peer_host = options.IpAddress(
+    peer_host = addresses.IpAddress(
         "IP address at which the peer link listens.", default="127.0.0.1"
     )
     peer_port = options.Integer(
@@ -47,12 +50,12 @@
         default=7003,
         maximum=65_535,
     )
-    advertised_peer_address = options.Address(
+    advertised_peer_address = addresses.Address(
         "Address at which other entries reach the peer link; without it, "
         "the address at which the peer link listens.",
         default="",
     )
-    platform_url = options.Url("Base URL of the platform.")
+    platform_url = addresses.Url("Base URL of the platform.")
     platform_token = options.SecretText("Bearer token for the platform.")
     operator_key = options.SecretText(
         "Bearer key that operators present to the operator API.",
@@ -62,8 +65,8 @@
         "Secret that all entries share and present on the peer link.",
         min_length=MIN_SECRET_CHARACTERS,
     )
-    seed_peers = options.ListOf(
-        options.Address(),
+    seed_peers = sections.ListOf(
+        addresses.Address(),
         "Peer addresses to contact until the VM list is known, separated by "
         "commas.",
         default=[],
@@ -97,14 +100,14 @@
         maximum=60_000,
     )
 
-    def check_fields(self, path: str, errors: options.Errors) -> None:
+    def check_fields(self, path: str, errors: problems.Errors) -> None:
         """Record ports, secrets and limits that contradict each other."""
         self._check_ports(path, errors)
         self._check_advertised_address(path, errors)
         self._check_secrets(path, errors)
         self._check_connections(path, errors)
 
-    def _check_ports(self, path: str, errors: options.Errors) -> None:
+    def _check_ports(self, path: str, errors: problems.Errors) -> None:
         owners: dict[tuple[str, int], str] = {}
         for name in ("caller", "operator", "peer"):
             host_name, port_name = f"{name}_host", f"{name}_port"
@@ -115,16 +118,16 @@
                 continue
             key = (str(self.value(host_name)), port)
             if key in owners:
-                options.add_error(
+                problems.add_error(
                     errors,
-                    options.field_path(path, port_name),
-                    options.Code.DUPLICATE,
+                    problems.field_path(path, port_name),
+                    problems.Code.DUPLICATE,
                     f"{owners[key]} has the same address and port",
                 )
             owners.setdefault(key, port_name)
 
     def _check_advertised_address(
-        self, path: str, errors: options.Errors
+        self, path: str, errors: problems.Errors
     ) -> None:
         if not self.has("peer_host", "advertised_peer_address"):
             return
@@ -132,14 +135,14 @@
             return
         if self.advertised_peer_address:
             return
-        options.add_error(
+        problems.add_error(
             errors,
-            options.field_path(path, "advertised_peer_address"),
-            options.Code.REQUIRED,
+            problems.field_path(path, "advertised_peer_address"),
+            problems.Code.REQUIRED,
             f"is required when peer_host is {self.peer_host}",
         )
 
-    def _check_secrets(self, path: str, errors: options.Errors) -> None:
+    def _check_secrets(self, path: str, errors: problems.Errors) -> None:
         names = ("platform_token", "operator_key", "peer_secret")
         owners: dict[str, str] = {}
         for name in names:
@@ -149,24 +152,24 @@
             if not isinstance(secret, options.Secret):
                 continue
             if secret.reveal() in owners:
-                options.add_error(
+                problems.add_error(
                     errors,
-                    options.field_path(path, name),
-                    options.Code.DUPLICATE,
+                    problems.field_path(path, name),
+                    problems.Code.DUPLICATE,
                     f"must differ from {owners[secret.reveal()]}",
                 )
             owners.setdefault(secret.reveal(), name)
 
-    def _check_connections(self, path: str, errors: options.Errors) -> None:
+    def _check_connections(self, path: str, errors: problems.Errors) -> None:
         names = ("max_connections_per_upstream", "max_upstream_connections")
         if not self.has(*names):
             return
         if self.max_connections_per_upstream <= self.max_upstream_connections:
             return
-        options.add_error(
+        problems.add_error(
             errors,
-            options.field_path(path, "max_connections_per_upstream"),
-            options.Code.INCONSISTENT,
+            problems.field_path(path, "max_connections_per_upstream"),
+            problems.Code.INCONSISTENT,
             f"exceeds max_upstream_connections, which is "
             f"{self.max_upstream_connections}",
         )
@@ -226,7 +229,7 @@
     Raises:
         ConfigurationError: Settings are invalid; lists every problem.
     """
-    errors: options.Errors = []
+    errors: problems.Errors = []
     _check_variables(environment, errors)
     raw: dict[str, object] = {}
     for name, option in EntrySettings.options().items():
@@ -235,7 +238,7 @@
             text = environment.get(variable_name(name))
         if text is not None:
             raw[name] = option.parse(text)
-    section = options.check_section(EntrySettings, raw, "", errors)
+    section = sections.check_section(EntrySettings, raw, "", errors)
     if errors:
         raise exceptions.ConfigurationError(
             [_with_variable(error) for error in errors]
@@ -244,18 +247,18 @@
 
 
 def _check_variables(
-    environment: Mapping[str, str], errors: options.Errors
+    environment: Mapping[str, str], errors: problems.Errors
 ) -> None:
     known = [variable_name(name) for name in EntrySettings.options()]
     known.extend(CLIENT_VARIABLES)
     for variable in environment:
         if not variable.startswith(ENVIRONMENT_PREFIX) or variable in known:
             continue
-        hint = options.suggestion(variable, known)
-        options.add_error(
+        hint = problems.suggestion(variable, known)
+        problems.add_error(
             errors,
             variable,
-            options.Code.UNKNOWN_FIELD,
+            problems.Code.UNKNOWN_FIELD,
             f"there is no such setting{hint}",
         )
 
--- a/laburnumpin/core/applying.py
+++ b/laburnumpin/core/applying.py
@@ -15,6 +15,7 @@
 from laburnumpin import exceptions
 from laburnumpin.config import loading
 from laburnumpin.config import options
+from laburnumpin.config import problems
 from laburnumpin.core import store
 from laburnumpin.core import versions
 
@@ -66,17 +67,21 @@
     Raises:
         ConfigurationError: The change is invalid; lists every problem.
     """
-    errors: options.Errors = []
+    errors: problems.Errors = []
     options.Integer(maximum=10**12 - 2).check(
         base_version, "base_version", errors
     )
     name = options.Text().check(change_id, "change_id", errors)
     if name is not None and _CHANGE_ID.fullmatch(name) is None:
         message = "must have 1 to 64 letters, digits, `-` and `_` only"
-        options.add_error(errors, "change_id", options.Code.MALFORMED, message)
+        problems.add_error(
+            errors, "change_id", problems.Code.MALFORMED, message
+        )
     if not isinstance(document, str):
         message = "must be a text that contains the JSON document"
-        options.add_error(errors, "document", options.Code.WRONG_TYPE, message)
+        problems.add_error(
+            errors, "document", problems.Code.WRONG_TYPE, message
+        )
     else:
         try:
             loading.load_document(document)
--- a/laburnumpin/operator.py
+++ b/laburnumpin/operator.py
@@ -22,6 +22,7 @@
 from laburnumpin.commands import exits
 from laburnumpin.config import loading
 from laburnumpin.config import options
+from laburnumpin.config import problems
 from laburnumpin.core import deployment
 
 INTERACTIVE = deployment.Priority.INTERACTIVE
@@ -55,7 +56,7 @@
     __slots__ = ("_errors", "_sections")
 
     def __init__(self, name: str, entry_count: int | None = None) -> None:
-        self._errors: options.Errors = []
+        self._errors: problems.Errors = []
         self._sections: dict[str, object] = _given(
             name=name, entry_count=entry_count
         )
@@ -207,23 +208,23 @@
         entries = self._sections.setdefault(section, {})
         assert isinstance(entries, dict)
         if name in entries:
-            self._duplicate(options.field_path(section, name))
+            self._duplicate(problems.field_path(section, name))
             return
         entries[name] = fields
 
     def _duplicate(self, path: str) -> None:
         message = "is given more than once"
-        options.add_error(self._errors, path, options.Code.DUPLICATE, message)
+        problems.add_error(self._errors, path, problems.Code.DUPLICATE, message)
 
     def _operations(
         self, service: str, operations: Iterable[Operation]
     ) -> dict[str, object]:
-        path = options.field_path("services", service)
+        path = problems.field_path("services", service)
         found: dict[str, object] = {}
         for operation in operations:
             if operation.name in found:
                 self._duplicate(
-                    options.field_path(f"{path}.operations", operation.name)
+                    problems.field_path(f"{path}.operations", operation.name)
                 )
             found[operation.name] = {
                 "idempotent": operation.idempotent,
@@ -232,7 +233,7 @@
         return found
 
     def _hash_keys(self, customer: str, keys: Iterable[str]) -> list[str]:
-        path = options.field_path("customers", customer)
+        path = problems.field_path("customers", customer)
         option = options.SecretText(min_length=MIN_KEY_CHARACTERS)
         digests: list[str] = []
         for index, key in enumerate(keys):
--- a/laburnumpin/server/caller_errors.py
+++ b/laburnumpin/server/caller_errors.py
@@ -22,6 +22,7 @@
     "connect_failed": 502,
     "connection_lost": 502,
     "customer_queue_full": 429,
+    "customer_rate_exceeded": 429,
     "deadline_passed": 504,
     "deadline_unreachable": 503,
     "entry_leaving": 503,
--- a/laburnumpin/tests/test_config_loading.py
+++ b/laburnumpin/tests/test_config_loading.py
@@ -12,7 +12,7 @@
 
 from laburnumpin import exceptions
 from laburnumpin.config import loading
-from laburnumpin.config import options
+from laburnumpin.config import problems
 from laburnumpin.config import schema
 from laburnumpin.core import deployment
 
@@ -165,7 +165,7 @@
     value["placements"] = value["placements"][:100]
     value |= {f"unknown{index}": 1 for index in range(100)}
     assert len(found(value)) < loading.MAX_ERRORS
-    assert len(searches) <= options.MAX_ERRORS_WITH_HINTS
+    assert len(searches) <= problems.MAX_ERRORS_WITH_HINTS
 
 
 def test_every_field_rejects_every_wrong_type() -> None:
