Give no new work after a pause until the notices are known

Cause: an entry that was stopped while an engine got its notice asked for reports and notices when it woke. Found by test_an_entry_that_wakes_learns_of_notices_before_it_dispatches.

Ruled out: a fixed delay after a pause; the first digest can take longer than that because the links have to be opened again.

Change: the configuration module notes when a pause ended, and no upstream is eligible until notices that were asked for since, or a digest that did not wait in a buffer, have arrived.

Conclusion: an entry that is also cut off from all peers dispatches nothing after a pause; it refuses new requests after 16 s anyway.

--- a/laburnumpin/core/configuration.py
+++ b/laburnumpin/core/configuration.py
@@ -34,7 +34,8 @@
 class ConfigurationState:
     """The version in force and the last contacts.
 
-    `confirmed_ms` is when the store was last known to hold no higher version.
+    `confirmed_ms` is when the store was last known to hold no higher version,
+    `resumed_ms` when the end of a pause was last noticed.
     """
 
     __slots__ = (
@@ -49,6 +50,7 @@
         "pending_since_ms",
         "pull_sent_ms",
         "refused",
+        "resumed_ms",
     )
 
     def __init__(self) -> None:
@@ -63,6 +65,7 @@
         self.pending_since_ms = 0
         self.pull_sent_ms = -PULL_TIMEOUT_MS
         self.refused = 0
+        self.resumed_ms = -1
 
 
 def is_confirmed(state: entry_state.EntryState, now_ms: int) -> bool:
@@ -256,6 +259,7 @@
         return
     state.counters.increment("pauses")
     own.last_tick_ms = now_ms
+    own.resumed_ms = now_ms
     own.distrust_until_ms = now_ms + DISTRUST_MS
 
 
--- a/laburnumpin/core/events.py
+++ b/laburnumpin/core/events.py
@@ -226,10 +226,14 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class NoticesListed:
-    """The reclaim notices that are open."""
+    """The reclaim notices that are open.
+
+    `sent_ms` is when they were asked for, if that was earlier.
+    """
 
     now_ms: int
     notices: tuple[Notice, ...]
+    sent_ms: int | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/laburnumpin/core/upstreams.py
+++ b/laburnumpin/core/upstreams.py
@@ -101,6 +101,7 @@
         "by_id",
         "by_service",
         "entry_count",
+        "informed_ms",
         "leaving",
         "listed",
         "listed_counts",
@@ -118,6 +119,7 @@
         self.listed: set[str] = set()
         self.listed_counts: dict[str, int] = {}
         self.entry_count = 1
+        self.informed_ms = 0
         self.next_notices_ms = 0
         self.poll_period_ms = MIN_POLL_PERIOD_MS
         self.subset_size = SUBSET_SIZE
@@ -128,8 +130,14 @@
 def eligible(
     state: entry_state.EntryState, service: str, now_ms: int
 ) -> list[Upstream]:
-    """Return the upstreams of a service that may get new work."""
-    result = []
+    """Return the upstreams of a service that may get new work.
+
+    After a pause there are none until the platform or a peer has told which
+    of them are leaving, since a notice may have come in the meantime.
+    """
+    result: list[Upstream] = []
+    if state.upstreams.informed_ms <= state.configuration.resumed_ms:
+        return result
     model = _model(state, service)
     for upstream in state.upstreams.by_service.get(service, {}).values():
         if upstream.leaving or not upstream.in_subset:
@@ -212,6 +220,8 @@
     """Mark the upstreams with a reclaim notice as leaving."""
     for notice in event.notices:
         mark_leaving(state, notice.vm_id, notice.incarnation, event.now_ms)
+    sent_ms = event.now_ms if event.sent_ms is None else event.sent_ms
+    _note_informed(state, sent_ms)
     return []
 
 
@@ -223,6 +233,9 @@
     """Take over leaving marks and in-flight counts from a peer."""
     for mark in message.leaving:
         mark_leaving(state, mark.upstream_id, mark.incarnation, event.now_ms)
+    # Right after a pause, a digest may have waited in a buffer.
+    if event.now_ms >= state.configuration.distrust_until_ms:
+        _note_informed(state, event.now_ms)
     for load in message.loads:
         upstream = state.upstreams.by_id.get(load.upstream_id)
         if upstream is not None:
@@ -387,6 +400,11 @@
     return state.upstreams.paces.setdefault(key, pacing.Pace())
 
 
+def _note_informed(state: entry_state.EntryState, at_ms: int) -> None:
+    own = state.upstreams
+    own.informed_ms = max(own.informed_ms, at_ms)
+
+
 def _expire_report(upstream: Upstream, now_ms: int) -> None:
     """Give no new work until the upstream reports again; ask it at once.
 
--- a/laburnumpin/server/platform_client.py
+++ b/laburnumpin/server/platform_client.py
@@ -278,6 +278,7 @@
         await self._bridge.put(event)
 
     async def _run_list_notices(self) -> None:
+        sent_ms = self._now_ms()
         try:
             document = await self._read("GET", "/notices")
             notices = documents.get(
@@ -285,7 +286,9 @@
             )
         except _ERRORS:
             return
-        await self._bridge.put(events.NoticesListed(self._now_ms(), notices))
+        await self._bridge.put(
+            events.NoticesListed(self._now_ms(), notices, sent_ms)
+        )
 
     async def _run_list_prices(self) -> None:
         try:
--- a/laburnumpin/tests/test_process_reclaims.py
+++ b/laburnumpin/tests/test_process_reclaims.py
@@ -15,6 +15,9 @@
 
 pytestmark = pytest.mark.anyio
 NOTICE_MS = 60_000
+# Longer than the bound on new work for a leaving upstream.
+PAUSED_MS = 5_500
+WAKING_STREAMS = 8
 REQUESTS_AFTER_MARK = 10
 TOKENS = 4
 # More than an engine has slots, so that some of them queue.
@@ -230,3 +233,56 @@
         with contextlib.suppress(httpx.TransportError):
             await running.resume_stream(live[-1], received)
         await anyio.sleep(processes.POLL_S)
+
+
+async def test_an_entry_that_wakes_learns_of_notices_before_it_dispatches(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against new work for a leaving engine after a pause.
+
+    Requests have arrived during the pause, and the platform is out of reach
+    after it. The engine itself doesn't know that it is leaving.
+    """
+    time = clock.SystemClock()
+    async with processes.run(tmp_path) as running:
+        platform = await running.start_platform()
+        leaving, _ = await running.start_engines(2)
+        address = platform.ready["address"]
+        async with processes.forward(address) as forwarder:
+            (other,) = await running.start_entries(1)
+            woken = await running.start_entry(
+                1,
+                seeds=(other,),
+                platform_url=f"http://{forwarder.address}",
+            )
+            await running.apply(other, processes.document(entry_count=2))
+            await running.wait_ready(other, woken)
+            await running.wait_upstreams(2, other, woken)
+            woken.pause()
+            paused_ms = time.now_ms()
+
+            async def is_over() -> bool:
+                return time.now_ms() > paused_ms + PAUSED_MS
+
+            await forwarder.cut()
+            await running.give_notice("engine-0", NOTICE_MS)
+            await processes.wait_for(
+                functools.partial(_is_marked, running, other)
+            )
+            await processes.wait_for(is_over)
+            before = await running.calls(leaving, "/v1/generate")
+            streams = [processes.Received() for _ in range(WAKING_STREAMS)]
+            async with anyio.create_task_group() as callers:
+                for number, received in enumerate(streams):
+                    callers.start_soon(
+                        running.read_stream,
+                        woken,
+                        f"waking {number}",
+                        TOKENS,
+                        received,
+                    )
+                woken.resume()
+            after = await running.calls(leaving, "/v1/generate")
+    for number, received in enumerate(streams):
+        received.check_whole(f"waking {number}", TOKENS)
+    assert len(after) == len(before)
--- a/laburnumpin/tests/test_upstreams.py
+++ b/laburnumpin/tests/test_upstreams.py
@@ -5,6 +5,7 @@
 import collections
 import dataclasses
 
+from laburnumpin.core import configuration
 from laburnumpin.core import deployment
 from laburnumpin.core import effects
 from laburnumpin.core import events
@@ -389,3 +390,22 @@
     upstream = state.upstreams.by_id["u0"]
     assert upstreams.streams(state, upstream, 200) == 4
     assert upstreams.pace(state, upstream).service_ms == 10
+
+
+def test_pause_stops_new_work_until_notices_are_known() -> None:
+    """Guards against work for an engine whose notice came in the pause."""
+    state = make_state()
+    listed(state, 0, make_row("u0"), make_row("u1"))
+    for now_ms, resumed in ((0, False), (6_000, True)):
+        configuration.on_tick(state, events.Tick(now_ms))
+        reported(state, now_ms, "u0")
+        reported(state, now_ms, "u1")
+        assert bool(eligible(state, now_ms + 1)) is not resumed
+    # Asked for before the pause, answered after it.
+    upstreams.on_notices(state, events.NoticesListed(6_010, (), sent_ms=1_000))
+    assert eligible(state, 6_011) == []
+    notice = events.Notice("u0", 1, 9_000)
+    upstreams.on_notices(
+        state, events.NoticesListed(6_020, (notice,), sent_ms=6_001)
+    )
+    assert eligible(state, 6_021) == ["u1"]
