Refuse early what cannot meet its deadline

Cause: with a backlog beyond the capacity, requests were accepted, waited and ended with `deadline_passed`, some after tokens had been generated.

Change: the wait is the lower of two predictions, from the queue's speed and from the streams that this entry can have, with run times per token learned from completed attempts; a customer waits for its own share of the queue. The refusal has code `deadline_unreachable` and a `Retry-After` of half the wait, between 1 s and 30 s. Unknown speeds refuse nothing.

--- a/laburnumpin/core/limits.py
+++ b/laburnumpin/core/limits.py
@@ -7,11 +7,13 @@
 from typing import TYPE_CHECKING
 
 from laburnumpin import verdict
+from laburnumpin.core import deployment
 from laburnumpin.core import effects
 from laburnumpin.core import events
 from laburnumpin.core import messages
 from laburnumpin.core import queues
 from laburnumpin.core import quotas
+from laburnumpin.core import routing
 
 if TYPE_CHECKING:
     from laburnumpin.core import requests
@@ -19,6 +21,8 @@
 
 MAX_QUEUED_REQUESTS = 2_000
 QUEUE_FULL_RETRY_AFTER_MS = 1_000
+MIN_RETRY_AFTER_MS = 1_000
+MAX_RETRY_AFTER_MS = 30_000
 
 
 class LimitsState:
@@ -63,6 +67,17 @@
         )
     if customer is None:
         return None
+    run_ms = routing.predicted_run_ms(state, request)
+    wait_ms = _predicted_wait_ms(
+        state, request, customer.weight, run_ms, now_ms
+    )
+    if now_ms + wait_ms + run_ms > request.deadline_ms:
+        # In half of the wait, half of what waits has started.
+        return _refusal(
+            "deadline_unreachable",
+            "the queue is too long for the deadline",
+            min(max(int(wait_ms / 2), MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS),
+        )
     tokens = queues.cost(request)
     retry_after_ms = quotas.charge(state, customer.name, tokens, now_ms)
     if retry_after_ms is not None:
@@ -89,7 +104,7 @@
         item = (request.not_before_ms, request.request_id)
         heapq.heappush(own.delayed, item)
         return
-    _push(state, request)
+    _push(state, request, now_ms)
 
 
 def dequeue(
@@ -174,6 +189,36 @@
     return quotas.on_tick(state, event)
 
 
+def _predicted_wait_ms(
+    state: entry_state.EntryState,
+    request: requests.Request,
+    weight: float,
+    run_ms: float,
+    now_ms: int,
+) -> float:
+    """Predict how long a new request waits; 0 as long as that is unknown.
+
+    The lower of two predictions: from the speed of the queue so far, which is
+    low while the first streams run, and from the streams that this entry can
+    have, if what waits is like the request.
+    """
+    service = state.limits.services.get(request.service.name)
+    if service is None:
+        return 0.0
+    tokens_per_ms = service.tokens_per_ms(now_ms)
+    streams = routing.own_streams(state, request, now_ms)
+    if streams <= 0.0:
+        return 0.0
+    lane = service.lane(request.priority)
+    before = lane.tokens_before(request.customer, weight)
+    if request.priority is deployment.Priority.BULK:
+        before += service.interactive.tokens
+    by_streams_ms = before / queues.cost(request) * run_ms / streams
+    if tokens_per_ms is None:
+        return by_streams_ms
+    return min(before / tokens_per_ms, by_streams_ms)
+
+
 def _refusal(
     code: str, message: str, retry_after_ms: int = QUEUE_FULL_RETRY_AFTER_MS
 ) -> messages.Failure:
@@ -182,12 +227,14 @@
     )
 
 
-def _push(state: entry_state.EntryState, request: requests.Request) -> None:
+def _push(
+    state: entry_state.EntryState, request: requests.Request, now_ms: int
+) -> None:
     own = state.limits
     name = request.service.name
     service = own.services.get(name)
     if service is None:
-        service = queues.ServiceQueue()
+        service = queues.ServiceQueue(now_ms)
         own.services[name] = service
     customers = request.configuration.deployment.customers
     customer = customers.get(request.customer)
@@ -208,7 +255,7 @@
         request = own.queue.get(request_id)
         if request is None or request.not_before_ms != not_before_ms:
             continue
-        _push(state, request)
+        _push(state, request, now_ms)
 
 
 def _service_candidates(
--- a/laburnumpin/core/pacing.py
+++ b/laburnumpin/core/pacing.py
@@ -14,12 +14,15 @@
 _MAX_EXTRAPOLATION = 2.0
 _MIN_EXTRAPOLATION_STREAMS = 8
 _SERVICE_TIME_WEIGHT = 0.05
+_RUN_WEIGHT = 0.05
 
 
 @dataclasses.dataclass(slots=True)
 class Pace:
     """Step time as a line over the running streams, and service time.
 
+    `run_ms_per_token` is how long requests ran for each token of prompt and
+    `max_tokens`; answers are shorter than that, which the mean contains.
     The line is a decayed least-squares fit of what reports showed.
     """
 
@@ -30,6 +33,7 @@
     sum_product: float = 0.0
     max_streams_seen: float = 0.0
     service_ms: float = 0.0
+    run_ms_per_token: float = 0.0
     prefill_tokens_per_s: float = 8_000.0
 
     def observe_step(self, streams: int, step_ms: float) -> None:
@@ -53,6 +57,15 @@
         change_ms = duration_ms - self.service_ms
         self.service_ms += _SERVICE_TIME_WEIGHT * change_ms
 
+    def observe_run(self, duration_ms: float, tokens: int) -> None:
+        """Note how long a request of `tokens`, as limits count them, ran."""
+        per_token_ms = duration_ms / tokens
+        if self.run_ms_per_token == 0.0:
+            self.run_ms_per_token = per_token_ms
+            return
+        change_ms = per_token_ms - self.run_ms_per_token
+        self.run_ms_per_token += _RUN_WEIGHT * change_ms
+
     def line(self) -> tuple[float, float]:
         """Return the step time without streams, and per stream."""
         if self.weight == 0.0:
--- a/laburnumpin/core/queues.py
+++ b/laburnumpin/core/queues.py
@@ -13,6 +13,11 @@
 if TYPE_CHECKING:
     from laburnumpin.core import requests
 
+# The speed of a queue is not known before this time, and is forgotten over
+# about this time.
+MIN_OBSERVED_MS = 2_000
+MAX_OBSERVED_MS = 20_000
+
 
 @dataclasses.dataclass(slots=True)
 class CustomerQueue:
@@ -36,11 +41,19 @@
     divided by the customer's weight. The smallest start goes first.
     """
 
-    __slots__ = ("_heap", "_numbers", "_virtual", "by_customer", "tokens")
+    __slots__ = (
+        "_heap",
+        "_numbers",
+        "_virtual",
+        "by_customer",
+        "tokens",
+        "waiting_weight",
+    )
 
     def __init__(self) -> None:
         self.by_customer: dict[str, CustomerQueue] = {}
         self.tokens = 0
+        self.waiting_weight = 0.0
         self._virtual = 0.0
         # Starts only grow, so an outdated item is a lower bound and is
         # corrected when it reaches the top.
@@ -59,9 +72,10 @@
             return
         if not queue.requests:
             queue.start = max(queue.start, self._virtual)
+            queue.weight = weight
+            self.waiting_weight += weight
         if not queue.in_heap:
             self._push_heap(queue)
-        queue.weight = weight
         queue.requests[request.request_id] = request
         if first:
             queue.requests.move_to_end(request.request_id, last=False)
@@ -76,6 +90,21 @@
         tokens = cost(request)
         queue.tokens -= tokens
         self.tokens -= tokens
+        if not queue.requests:
+            self.waiting_weight -= queue.weight
+
+    def tokens_before(self, customer: str, weight: float) -> float:
+        """Estimate the tokens that start before a new request would.
+
+        While all wait, a customer gets its weight's share of what starts.
+        """
+        queue = self.by_customer.get(customer)
+        own, total_weight = 0, self.waiting_weight
+        if queue is not None and queue.requests:
+            own, weight = queue.tokens, queue.weight
+        else:
+            total_weight += weight
+        return min(float(self.tokens), own * total_weight / weight)
 
     def head(self) -> requests.Request | None:
         """Return the request that should start next."""
@@ -105,15 +134,30 @@
     """The queued requests of one service: interactive before bulk.
 
     `bulk_credit` is the tokens that bulk is owed of its reserved share while
-    interactive requests are served before it.
+    interactive requests are served before it. A queue exists while requests
+    wait; the tokens that started since `since_ms` give its speed.
     """
 
-    __slots__ = ("bulk", "bulk_credit", "interactive")
+    __slots__ = ("bulk", "bulk_credit", "interactive", "since_ms", "started")
 
-    def __init__(self) -> None:
+    def __init__(self, now_ms: int) -> None:
         self.interactive = FairQueue()
         self.bulk = FairQueue()
         self.bulk_credit = 0.0
+        self.since_ms = now_ms
+        self.started = 0.0
+
+    def tokens_per_ms(self, now_ms: int) -> float | None:
+        """Return how fast waiting requests start, or None if not known."""
+        elapsed_ms = now_ms - self.since_ms
+        if elapsed_ms < MIN_OBSERVED_MS or self.started == 0.0:
+            return None
+        if elapsed_ms > MAX_OBSERVED_MS:
+            # Halve the period together with what started in it.
+            self.since_ms += elapsed_ms // 2
+            self.started /= 2
+            elapsed_ms = now_ms - self.since_ms
+        return self.started / elapsed_ms
 
     def lane(self, priority: deployment.Priority) -> FairQueue:
         """Return the queue of a class."""
@@ -137,6 +181,7 @@
     ) -> None:
         """Account for a request that started."""
         self.lane(request.priority).charge(request.customer, tokens)
+        self.started += tokens
         if self.bulk.head() is None or self.interactive.head() is None:
             self.bulk_credit = 0.0
             return
--- a/laburnumpin/core/routing.py
+++ b/laburnumpin/core/routing.py
@@ -6,6 +6,7 @@
 
 from laburnumpin.core import deployment
 from laburnumpin.core import prefixes
+from laburnumpin.core import queues
 from laburnumpin.core import upstreams
 
 if TYPE_CHECKING:
@@ -92,6 +93,29 @@
     return max(1.0, share * min(slots, pace.max_streams(target_ms)))
 
 
+def predicted_run_ms(
+    state: entry_state.EntryState, request: requests.Request
+) -> float:
+    """Predict how long a request runs once it has started; 0 if unknown."""
+    for upstream in upstreams.of_service(state, request.service.name):
+        pace = upstreams.pace(state, upstream)
+        if request.service.kind is deployment.ServiceKind.PLAIN:
+            return pace.service_ms
+        return pace.run_ms_per_token * queues.cost(request)
+    return 0.0
+
+
+def own_streams(
+    state: entry_state.EntryState, request: requests.Request, now_ms: int
+) -> float:
+    """Return this entry's part of the streams that a service can have."""
+    service = request.service.name
+    total = 0.0
+    for upstream in upstreams.eligible(state, service, now_ms):
+        total += max_streams(state, upstream, request)
+    return total / upstreams.sharing(state, service)
+
+
 def _rtt_ms(
     state: entry_state.EntryState, upstream: upstreams.Upstream
 ) -> float:
--- a/laburnumpin/core/upstreams.py
+++ b/laburnumpin/core/upstreams.py
@@ -8,6 +8,7 @@
 import heapq
 from typing import TYPE_CHECKING
 
+from laburnumpin import verdict
 from laburnumpin.core import deployment
 from laburnumpin.core import effects
 from laburnumpin.core import events
@@ -15,6 +16,7 @@
 from laburnumpin.core import messages
 from laburnumpin.core import pacing
 from laburnumpin.core import prefixes
+from laburnumpin.core import queues
 
 if TYPE_CHECKING:
     from laburnumpin.core import requests
@@ -323,9 +325,8 @@
         # Sent to an earlier incarnation; says nothing about this one.
         return
     upstream.ended_ms.append(now_ms)
-    if failure is None and request.service.kind is deployment.ServiceKind.PLAIN:
-        duration_ms = now_ms - attempt.started_ms
-        pace(state, upstream).observe_service(duration_ms)
+    if failure is None:
+        _observe(state, upstream, attempt, request, now_ms)
     if failure is events.AttemptFailure.UPSTREAM_OVERLOADED:
         upstream.overloaded_ms = now_ms
     if failure is events.AttemptFailure.UPSTREAM_LEAVING:
@@ -365,6 +366,24 @@
     return state.upstreams.paces.setdefault(key, pacing.Pace())
 
 
+def _observe(
+    state: entry_state.EntryState,
+    upstream: Upstream,
+    attempt: requests.Attempt,
+    request: requests.Request,
+    now_ms: int,
+) -> None:
+    if request.verdict is not verdict.Verdict.RAN:
+        return
+    known = pace(state, upstream)
+    duration_ms = now_ms - attempt.started_ms
+    if request.service.kind is deployment.ServiceKind.PLAIN:
+        known.observe_service(duration_ms)
+        return
+    if request.attempt_count == 1:
+        known.observe_run(duration_ms, queues.cost(request))
+
+
 def _drop_until(upstream: Upstream, reported_ms: int) -> None:
     while upstream.sent and upstream.sent[0][0] <= reported_ms:
         upstream.sent.popleft()
--- a/laburnumpin/tests/test_limits.py
+++ b/laburnumpin/tests/test_limits.py
@@ -20,6 +20,7 @@
 from laburnumpin.core import quotas
 from laburnumpin.core import requests
 from laburnumpin.core import state as entry_state
+from laburnumpin.core import upstreams
 
 _NUMBERS = itertools.count()
 _BULK = deployment.Priority.BULK
@@ -478,3 +479,63 @@
     assert failure.retry_after_ms is not None
     assert dataclasses.is_dataclass(failure)
     return failure.code
+
+
+def make_busy_state() -> entry_state.EntryState:
+    """Return an entry with one engine of 8 streams that are all taken."""
+    state = make_state()
+    row = events.VmRow(
+        "u0", 1, events.VmRole.UPSTREAM, "z", "gpu", True, False, "draft"
+    )
+    upstreams.on_vms_listed(state, events.VmsListed(0, (row,)))
+    report = events.LoadReport(1, 0, 8, 0, 8, 0, 10.0, False)
+    upstreams.on_load_reported(state, events.LoadReported(0, "u0", report))
+    upstream = state.upstreams.by_id["u0"]
+    upstreams.pace(state, upstream).observe_run(1_000, 100)
+    return state
+
+
+def test_deadline_that_the_queue_cannot_meet_is_refused_early() -> None:
+    """Guards against accepted requests that only wait for their deadline."""
+    state = make_busy_state()
+    add(state, 80, customer="a")
+    # 80 requests of 1 s on 6.8 streams for bulk, and the request's own 1 s.
+    hopeless = make_request(state, deadline_ms=12_500)
+    failure = limits.admit(state, hopeless, 0)
+    assert code(failure) == "deadline_unreachable"
+    assert failure is not None
+    assert failure.verdict is verdict.Verdict.NOT_RUN
+    assert failure.retry_after_ms is not None
+    assert 1_000 <= failure.retry_after_ms <= limits.MAX_RETRY_AFTER_MS
+    reachable = make_request(state, deadline_ms=13_000)
+    assert limits.admit(state, reachable, 0) is None
+
+
+def test_prediction_counts_a_customers_own_share_of_the_queue() -> None:
+    """Guards against a small customer refused for a large one's backlog."""
+    state = make_busy_state()
+    add(state, 80, customer="a")
+    other = make_request(state, customer="b", deadline_ms=2_000)
+    assert limits.admit(state, other, 0) is None
+    urgent = make_request(state, priority=_INTERACTIVE, deadline_ms=2_000)
+    assert limits.admit(state, urgent, 0) is None
+
+
+def test_unknown_speed_refuses_nothing() -> None:
+    """Guards against refusals from guesses after the start of an entry."""
+    state = make_state()
+    add(state, 80)
+    request = make_request(state, deadline_ms=100)
+    assert limits.admit(state, request, 0) is None
+
+
+def test_fast_queue_overrules_the_prediction_from_streams() -> None:
+    """Guards against refusals while requests are far shorter than before."""
+    state = make_busy_state()
+    add(state, 90)
+    assert len(start(state, 60, now_ms=100)) == 60
+    # 30 requests of 1 s on 6.8 streams take 4.4 s, at the speed so far 1.3 s.
+    request = make_request(state, deadline_ms=200 + 3_000)
+    assert limits.admit(state, request, 200) is not None
+    request = make_request(state, deadline_ms=2_500 + 3_000)
+    assert limits.admit(state, request, 2_500) is None
--- a/laburnumpin/tests/test_upstreams.py
+++ b/laburnumpin/tests/test_upstreams.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 
+from laburnumpin import verdict
 from laburnumpin.core import deployment
 from laburnumpin.core import effects
 from laburnumpin.core import events
@@ -315,6 +316,8 @@
     upstreams.on_dispatched(state, upstream, request, now_ms)
     if incarnation_change:
         reported(state, now_ms, "u0", make_report(incarnation=2))
+    if failure is None:
+        request.verdict = verdict.Verdict.RAN
     upstreams.on_attempt_ended(
         state, request.attempt, request, failure, now_ms + 10
     )
