Record outcomes at the successor; run process tests at the same time

Cause: an entry that was killed after it had handed over, but before it had written the outcome of a non-idempotent call, left the claim held for good. A repeat with the key was told claim_held instead of the answer, although the successor had it. Seen once in test_accepted_work_survives_the_reclaim_of_two_entries when all process tests ran at the same time.

Ruled out: a wait of the leaving entry for the write, since it can be killed at any time.

Change: a successor that takes over an ended request settles its claim as if the request had ended there.

The new case of test_handover.py fails without the change.

--- a/laburnumpin/core/handover.py
+++ b/laburnumpin/core/handover.py
@@ -10,6 +10,7 @@
 from cattrs.preconf import json as json_codec
 
 from laburnumpin import verdict
+from laburnumpin.core import claims
 from laburnumpin.core import deployment
 from laburnumpin.core import effects
 from laburnumpin.core import events
@@ -583,11 +584,15 @@
     state: entry_state.EntryState, handed: messages.HandedRequest, now_ms: int
 ) -> list[effects.Effect]:
     request = _request(state, handed)
+    result: list[effects.Effect] = []
     if handed.outcome is not None:
         requests.add_ended(state, request, now_ms)
-        return subscriptions.adopt(state, request, now_ms)
+        # The source may be gone before it has recorded the outcome.
+        result.extend(claims.on_ended(state, request, now_ms))
+        result.extend(subscriptions.adopt(state, request, now_ms))
+        return result
     requests.add(state, request)
-    result = subscriptions.adopt(state, request, now_ms)
+    result.extend(subscriptions.adopt(state, request, now_ms))
     if handed.sent:
         failure = messages.Failure(
             "owner_left",
--- a/laburnumpin/tests/conftest.py
+++ b/laburnumpin/tests/conftest.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 import os
 
 import hypothesis
+import pytest
+
+from laburnumpin.tests import scenarios
 
 # The default profile is derandomized, so that CI gives the same verdict on
 # every run; `HYPOTHESIS_PROFILE=explore` looks for new failures.
@@ -15,3 +19,21 @@
     "explore", deadline=None, max_examples=1_000, print_blob=True
 )
 hypothesis.settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "ci"))
+
+
+@pytest.fixture(scope="session")
+def scenario_results(
+    request: pytest.FixtureRequest, tmp_path_factory: pytest.TempPathFactory
+) -> Iterator[scenarios.Pool]:
+    """Run the scenarios of all collected tests at the same time."""
+    planned = []
+    for item in request.session.items:
+        function = getattr(item, "function", None)
+        if function is not None and hasattr(function, "scenario"):
+            planned.append(function.scenario)
+    pool = scenarios.Pool()
+    try:
+        pool.start(planned, tmp_path_factory.mktemp)
+        yield pool
+    finally:
+        pool.close()
--- a/laburnumpin/tests/test_handover.py
+++ b/laburnumpin/tests/test_handover.py
@@ -7,12 +7,17 @@
 import pytest
 
 from laburnumpin import verdict
+from laburnumpin.core import claims
+from laburnumpin.core import deployment
 from laburnumpin.core import effects
 from laburnumpin.core import events
 from laburnumpin.core import handover
 from laburnumpin.core import ids
+from laburnumpin.core import lifecycle
 from laburnumpin.core import messages
 from laburnumpin.core import reducer
+from laburnumpin.core import store
+from laburnumpin.tests import builders
 from laburnumpin.tests import simulation
 
 _MAY = verdict.Verdict.MAY_HAVE_RUN
@@ -339,3 +344,53 @@
     for number in range(10):
         _check_answered(world, f"r{number}")
     assert world.entries["entry-1"].counters.total("subscription_gaps") > 0
+
+
+def test_successor_records_an_outcome_that_its_source_did_not() -> None:
+    """Guards against a key that stays claimed after its call has ended.
+
+    The source can be gone between the end of the call and the write of its
+    outcome.
+    """
+    state = builders.make_state()
+    state.lifecycle.phase = lifecycle.Phase.SERVING
+    source = ids.EntryId("e0", 1)
+    handed = messages.HandedRequest(
+        request_id="e0.1.1",
+        customer="acme",
+        service="desk",
+        operation="place",
+        idempotent=False,
+        body="{}",
+        prompt="",
+        max_tokens=0,
+        idempotency_key="key",
+        deadline_ms=60_000,
+        priority=deployment.Priority.INTERACTIVE,
+        accepted_ms=0,
+        verdict=verdict.Verdict.RAN,
+        claim_tokens=("token",),
+        sent=False,
+        upstream_id=None,
+        chunks=(messages.Chunk(0, 1, "answer"),),
+        outcome=messages.Outcome(1),
+    )
+    offer = messages.HandoverOffer("batch", source, (handed,))
+    reducer.reduce(state, events.PeerReceived(1_000, "e0", offer))
+    reads = [
+        effect
+        for effect in reducer.reduce(state, events.Tick(1_100))
+        if isinstance(effect, effects.ReadRows) and effect.table == claims.TABLE
+    ]
+    held = {"token": "token", "body_hash": "h", "state": "held"}
+    key = "acme/desk/key"
+    row = store.Row(claims.TABLE, key, 7, json.dumps(held))
+    reducer.reduce(state, events.RowsRead(1_200, reads[0].operation_id, (row,)))
+    written = [
+        effect
+        for effect in reducer.reduce(state, events.Tick(1_300))
+        if isinstance(effect, effects.Transact)
+        and effect.writes[0].table == claims.TABLE
+    ]
+    assert written[0].conditions == (store.Condition(claims.TABLE, key, 7),)
+    assert json.loads(written[0].writes[0].value or "")["text"] == "answer"
