Fix two losses that the state machine found in handover and exit

Of two successors that hold the same call, one refers it to the holder of the claim. When that holder left in turn, the other ignored the request as a duplicate, and no entry owned it any more. It now withdraws what it does not run and takes the request with the tokens of both. Without the fix `test_holder_of_the_claim_hands_over_to_an_entry_that_knew` fails.

An entry that had finished its own requests exited 10 s later even if a caller had meanwhile opened a reader for a request of another entry. The exit now waits for such readers; only outcomes on their way to the store or a peer are bounded by 10 s.

Requests that are referred elsewhere are forgotten after the retention time and are not offered as work of this entry.

--- a/laburnumpin/core/handover.py
+++ b/laburnumpin/core/handover.py
@@ -118,11 +118,9 @@
 
 
 def has_unfinished(state: entry_state.EntryState) -> bool:
-    """Return whether work or readers still wait to go over."""
+    """Return whether work or outcomes still wait to go over."""
     own = state.handover
-    if own.pool or own.batches or own.staying:
-        return True
-    return subscriptions.has_remote_readers(state)
+    return bool(own.pool or own.batches or own.staying)
 
 
 def owner_of(
@@ -204,8 +202,7 @@
 ) -> list[effects.Effect]:
     """Offer the outcomes that callers may still ask for, before an exit."""
     own = state.handover
-    for request_id in state.requests.ended:
-        own.pool.append(request_id)
+    own.pool.extend(_ended(state))
     return _offer_pool(state, now_ms)
 
 
@@ -362,11 +359,19 @@
         requests.suspend(state, request, now_ms)
         own.pool.append(request.request_id)
     # Outcomes follow, for callers that come back for them.
-    own.pool.extend(state.requests.ended)
+    own.pool.extend(_ended(state))
     result.extend(_offer_pool(state, now_ms))
     return result
 
 
+def _ended(state: entry_state.EntryState) -> list[str]:
+    result = []
+    for request in state.requests.by_id.values():
+        if request.phase is requests.Phase.ENDED:
+            result.append(request.request_id)
+    return result
+
+
 def _release_staying(state: entry_state.EntryState, now_ms: int) -> None:
     """Offer sent calls once they ended, were rejected or time runs out."""
     own = state.handover
@@ -570,9 +575,14 @@
     key = f"{ids.entry_name(offer.source)}/{name}"
     state.handover.unwritten[key] = now_ms
     for handed in offer.requests:
-        if handed.request_id in state.requests.by_id:
-            state.counters.increment("handover", "duplicate_request")
-            continue
+        known = state.requests.by_id.get(handed.request_id)
+        if known is not None:
+            if not requests.withdraw(state, known, now_ms):
+                state.counters.increment("handover", "duplicate_request")
+                continue
+            # The claim may be held under a token of either entry.
+            tokens = (*known.claim_tokens, *handed.claim_tokens)
+            handed = dataclasses.replace(handed, claim_tokens=tokens)
         result.extend(_take(state, handed, now_ms))
     result.extend(_write_departures(state, now_ms))
     result.extend(requests.dispatch_queued(state, now_ms))
--- a/laburnumpin/core/lifecycle.py
+++ b/laburnumpin/core/lifecycle.py
@@ -11,6 +11,7 @@
 from laburnumpin.core import events
 from laburnumpin.core import handover
 from laburnumpin.core import requests
+from laburnumpin.core import subscriptions
 
 if TYPE_CHECKING:
     from laburnumpin.core import state as entry_state
@@ -98,15 +99,20 @@
     if event.now_ms < own.draining_since_ms + BALANCER_LAG_MS:
         if own.phase is not Phase.LEAVING:
             return result
+    if requests.has_unfinished(state):
+        return result
+    if subscriptions.has_remote_readers(state):
+        return result
     if own.finished_ms is None:
-        if requests.has_unfinished(state) or handover.has_unfinished(state):
-            return result
         own.finished_ms = event.now_ms
         if own.phase is not Phase.LEAVING:
             result.extend(handover.offer_ended(state, event.now_ms))
-    if event.now_ms < own.finished_ms + FLUSH_MS:
-        if handover.has_unfinished(state) or claims.has_unfinished(state):
+    flushing = event.now_ms < own.finished_ms + FLUSH_MS
+    if handover.has_unfinished(state):
+        if flushing or own.phase is Phase.LEAVING:
             return result
+    if flushing and claims.has_unfinished(state):
+        return result
     own.exited = True
     result.append(effects.Exit())
     return result
--- a/laburnumpin/core/requests.py
+++ b/laburnumpin/core/requests.py
@@ -253,6 +253,24 @@
     return subscriptions.move(state, request, successor, now_ms)
 
 
+def withdraw(
+    state: entry_state.EntryState, request: Request, now_ms: int
+) -> bool:
+    """Drop a request that another entry hands over, unless it runs here.
+
+    Without this, an entry that refers a request to the holder of its claim
+    would ignore the request when that holder leaves in turn.
+    """
+    if request.phase is Phase.HANDED_OVER:
+        return True
+    waits = request.phase in (Phase.QUEUED, Phase.CLAIMING)
+    if request.operation.idempotent or request.claimed or not waits:
+        return False
+    suspend(state, request, now_ms)
+    state.requests.unfinished -= 1
+    return True
+
+
 def on_owned_elsewhere(
     state: entry_state.EntryState,
     request: Request,
@@ -262,6 +280,8 @@
     """Leave a request to the other successor that claimed it first."""
     state.counters.increment("handover", "owned_elsewhere")
     suspend(state, request, now_ms)
+    request.ended_ms = now_ms
+    state.requests.ended.append(request.request_id)
     return on_handed_over(state, request, holder, now_ms)
 
 
@@ -427,10 +447,13 @@
     result.extend(dispatch_queued(state, event.now_ms))
     own = state.requests
     while own.ended:
-        oldest = own.by_id[own.ended[0]]
-        if event.now_ms < oldest.ended_ms + RETENTION_MS:
-            break
-        del own.by_id[own.ended.popleft()]
+        oldest = own.by_id.get(own.ended[0])
+        if oldest is not None:
+            if event.now_ms < oldest.ended_ms + RETENTION_MS:
+                break
+            if oldest.phase in (Phase.ENDED, Phase.HANDED_OVER):
+                del own.by_id[oldest.request_id]
+        own.ended.popleft()
     return result
 
 
--- a/laburnumpin/tests/test_handover.py
+++ b/laburnumpin/tests/test_handover.py
@@ -138,6 +138,20 @@
     assert [vm_id for _, vm_id, _ in world.dispatches].count("entry-1") == 1
 
 
+def test_offer_that_was_taken_is_not_refused_later() -> None:
+    """Guards against a refusal of work that already runs."""
+    world = simulation.World(3)
+    offer = messages.HandoverOffer("entry-9.1/1", _id(9), ())
+    received = events.PeerReceived(world.now_ms, "entry-0", offer)
+    answers = []
+    for _ in range(2):
+        sent = reducer.reduce(world.entries["entry-1"], received)
+        assert isinstance(sent[0], effects.SendPeer)
+        answers.append(sent[0].message)
+        world.notify("entry-1", 20_000)
+    assert answers == [messages.HandoverAck("entry-9.1/1", True)] * 2
+
+
 def test_lost_link_leads_to_the_next_successor_and_one_execution() -> None:
     """Guards against a call that runs at two successors."""
     world = simulation.World(3)
@@ -172,6 +186,30 @@
         assert status.outcome == messages.Outcome(1)
 
 
+def test_holder_of_the_claim_hands_over_to_an_entry_that_knew() -> None:
+    """Guards against a request that two successors leave to each other."""
+    world = simulation.World(3)
+    world.submit("entry-0", "x", "key")
+    world.faults.ack_lost = 1.0
+    world.faults.upstreams_silent = True
+    world.notify("entry-0", 10_000)
+    world.run(40)
+    holders = []
+    for vm_id in ("entry-1", "entry-2"):
+        request = world.request(vm_id, world.accepted["x"])
+        if request.handed_to is None:
+            holders.append(vm_id)
+    assert len(holders) == 1
+    world.faults = simulation.Faults()
+    world.heal_links()
+    world.notify(holders[0], 4_000)
+    world.run(20_000)
+    (last,) = {"entry-1", "entry-2"} - set(holders)
+    request = world.request(last, world.accepted["x"])
+    assert request.outcome is not None
+    assert world.executions_of("key") == 1
+
+
 def test_leaving_entry_refuses_offers_for_good() -> None:
     """Guards against work that goes to an entry that is leaving too."""
     world = simulation.World(3)
@@ -326,6 +364,22 @@
     _check_answered(world, "r")
 
 
+def test_exit_waits_for_readers_of_other_entries() -> None:
+    """Guards against an exit that cuts off a reader who came late."""
+    world = simulation.World(2)
+    world.faults.upstreams_silent = True
+    request_id = world.submit("entry-1", "x", service="model")
+    assert request_id is not None
+    world.drain("entry-0")
+    world.run(4_000)
+    world.open("entry-0", "r", request_id)
+    world.run(15_000)
+    assert world.exits == []
+    world.run(10_000)
+    assert _codes(world, "r") == ["deadline_passed"]
+    assert world.exits == ["entry-0"]
+
+
 def test_remote_reader_recovers_from_lost_and_crossed_messages() -> None:
     """Guards against holes in an answer that is read through a peer."""
     world = simulation.World(2)
