--- a/laburnumpin/__main__.py
+++ b/laburnumpin/__main__.py
@@ -114,12 +114,6 @@
     max_upstream_connections: Annotated[
         str | None, _setting("max_upstream_connections")
     ] = None,
-    max_connections_per_upstream: Annotated[
-        str | None, _setting("max_connections_per_upstream")
-    ] = None,
-    idle_connection_timeout_ms: Annotated[
-        str | None, _setting("idle_connection_timeout_ms")
-    ] = None,
     connect_timeout_ms: Annotated[
         str | None, _setting("connect_timeout_ms")
     ] = None,
--- a/laburnumpin/config/settings.py
+++ b/laburnumpin/config/settings.py
@@ -81,18 +81,6 @@
         minimum=1,
         maximum=60_000,
     )
-    max_connections_per_upstream = options.Integer(
-        "Connections to one upstream.",
-        default=256,
-        minimum=1,
-        maximum=60_000,
-    )
-    idle_connection_timeout_ms = options.Integer(
-        "Time after which an unused connection to an upstream is closed.",
-        default=30_000,
-        minimum=100,
-        maximum=3_600_000,
-    )
     connect_timeout_ms = options.Integer(
         "Time within which a connection to an upstream must be established.",
         default=1_000,
@@ -101,11 +89,10 @@
     )
 
     def check_fields(self, path: str, errors: problems.Errors) -> None:
-        """Record ports, secrets and limits that contradict each other."""
+        """Record ports and secrets that contradict each other."""
         self._check_ports(path, errors)
         self._check_advertised_address(path, errors)
         self._check_secrets(path, errors)
-        self._check_connections(path, errors)
 
     def _check_ports(self, path: str, errors: problems.Errors) -> None:
         owners: dict[tuple[str, int], str] = {}
@@ -160,20 +147,6 @@
                 )
             owners.setdefault(secret.reveal(), name)
 
-    def _check_connections(self, path: str, errors: problems.Errors) -> None:
-        names = ("max_connections_per_upstream", "max_upstream_connections")
-        if not self.has(*names):
-            return
-        if self.max_connections_per_upstream <= self.max_upstream_connections:
-            return
-        problems.add_error(
-            errors,
-            problems.field_path(path, "max_connections_per_upstream"),
-            problems.Code.INCONSISTENT,
-            f"exceeds max_upstream_connections, which is "
-            f"{self.max_upstream_connections}",
-        )
-
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Settings:
@@ -195,8 +168,6 @@
     seed_peers: tuple[str, ...] = ()
     log_level: str = "info"
     max_upstream_connections: int = 2_000
-    max_connections_per_upstream: int = 256
-    idle_connection_timeout_ms: int = 30_000
     connect_timeout_ms: int = 1_000
 
 
@@ -289,7 +260,5 @@
         seed_peers=tuple(section.seed_peers),
         log_level=section.log_level,
         max_upstream_connections=section.max_upstream_connections,
-        max_connections_per_upstream=section.max_connections_per_upstream,
-        idle_connection_timeout_ms=section.idle_connection_timeout_ms,
         connect_timeout_ms=section.connect_timeout_ms,
     )
--- a/laburnumpin/core/requests.py
+++ b/laburnumpin/core/requests.py
@@ -129,6 +129,7 @@
         "deadlines",
         "ended",
         "next_counter",
+        "retained",
         "retained_tokens",
         "unfinished",
     )
@@ -139,6 +140,7 @@
         self.deadlines: list[tuple[int, str]] = []
         self.ended: collections.deque[str] = collections.deque()
         self.next_counter = 1
+        self.retained: dict[str, int] = {}
         self.retained_tokens = 0
         self.unfinished = 0
 
@@ -258,6 +260,24 @@
     return subscriptions.move(state, request, successor, now_ms)
 
 
+def withdraw(
+    state: entry_state.EntryState, request: Request, now_ms: int
+) -> bool:
+    """Drop a request that another entry hands over, unless it runs here.
+
+    Without this, an entry that refers a request to the holder of its claim
+    would ignore the request when that holder leaves in turn.
+    """
+    if request.phase is Phase.HANDED_OVER:
+        return True
+    waits = request.phase in (Phase.QUEUED, Phase.CLAIMING)
+    if request.operation.idempotent or request.claimed or not waits:
+        return False
+    suspend(state, request, now_ms)
+    state.requests.unfinished -= 1
+    return True
+
+
 def on_owned_elsewhere(
     state: entry_state.EntryState,
     request: Request,
@@ -267,6 +287,8 @@
     """Leave a request to the other successor that claimed it first."""
     state.counters.increment("handover", "owned_elsewhere")
     suspend(state, request, now_ms)
+    request.ended_ms = now_ms
+    state.requests.ended.append(request.request_id)
     return on_handed_over(state, request, holder, now_ms)
 
 
@@ -435,21 +457,27 @@
 
 
 def _retain(state: entry_state.EntryState, request: Request) -> None:
-    state.requests.ended.append(request.request_id)
-    state.requests.retained_tokens += request.next_offset
+    own = state.requests
+    own.ended.append(request.request_id)
+    known = own.retained.get(request.request_id, 0)
+    own.retained[request.request_id] = request.next_offset
+    own.retained_tokens += request.next_offset - known
 
 
 def _forget_ended(state: entry_state.EntryState, now_ms: int) -> None:
     own = state.requests
     while own.ended:
-        oldest = own.by_id[own.ended[0]]
-        expired = now_ms >= oldest.ended_ms + RETENTION_MS
-        if not expired and own.retained_tokens <= MAX_RETAINED_TOKENS:
-            return
-        if not expired:
-            state.counters.increment("answers_forgotten_early")
-        own.retained_tokens -= oldest.next_offset
-        del own.by_id[own.ended.popleft()]
+        oldest = own.by_id.get(own.ended[0])
+        if oldest is not None:
+            expired = now_ms >= oldest.ended_ms + RETENTION_MS
+            if not expired and own.retained_tokens <= MAX_RETAINED_TOKENS:
+                return
+            if not expired:
+                state.counters.increment("answers_forgotten_early")
+            if oldest.phase in (Phase.ENDED, Phase.HANDED_OVER):
+                del own.by_id[oldest.request_id]
+        request_id = own.ended.popleft()
+        own.retained_tokens -= own.retained.pop(request_id, 0)
 
 
 def cancel(
--- a/laburnumpin/server/caller_input.py
+++ b/laburnumpin/server/caller_input.py
@@ -76,6 +76,9 @@
     if is_model and document is not None:
         prompt = _parse_prompt(document, errors)
         max_tokens = _parse_max_tokens(document, errors)
+        # The prompt would otherwise travel twice in a handover, and a long
+        # one would not fit into a peer message.
+        text = ""
     submission = Submission(
         text,
         prompt,
