--- a/laburnumpin/tests/test_handover.py
+++ b/laburnumpin/tests/test_handover.py
@@ -186,14 +186,21 @@
         assert status.outcome == messages.Outcome(1)
 
 
-def test_holder_of_the_claim_hands_over_to_an_entry_that_knew() -> None:
-    """Guards against a request that two successors leave to each other."""
+@pytest.mark.parametrize("claim_written", [False, True])
+def test_holder_of_the_claim_hands_over_to_an_entry_that_knew(
+    claim_written: bool,
+) -> None:
+    """Guards against two successors that both run a request, or neither."""
     world = simulation.World(3)
     world.submit("entry-0", "x", "key")
+    if claim_written:
+        # The answer is still on its way, so the call is not sent.
+        world.run(20)
     world.faults.ack_lost = 1.0
     world.faults.upstreams_silent = True
     world.notify("entry-0", 10_000)
-    world.run(40)
+    # Three rounds: conflict with the row, transfer, conflict with that.
+    world.run(100)
     holders = []
     for vm_id in ("entry-1", "entry-2"):
         request = world.request(vm_id, world.accepted["x"])
