--- a/laburnumpin/core/upstreams.py
+++ b/laburnumpin/core/upstreams.py
@@ -6,6 +6,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from laburnumpin import verdict
 from laburnumpin.core import deployment
 from laburnumpin.core import effects
 from laburnumpin.core import events
@@ -13,6 +14,7 @@
 from laburnumpin.core import messages
 from laburnumpin.core import pacing
 from laburnumpin.core import prefixes
+from laburnumpin.core import queues
 from laburnumpin.core import subsets
 
 if TYPE_CHECKING:
@@ -356,9 +358,8 @@
         # Sent to an earlier incarnation; says nothing about this one.
         return
     upstream.ended_ms.append(now_ms)
-    if failure is None and request.service.kind is deployment.ServiceKind.PLAIN:
-        duration_ms = now_ms - attempt.started_ms
-        pace(state, upstream).observe_service(duration_ms)
+    if failure is None:
+        _observe(state, upstream, attempt, request, now_ms)
     if failure is events.AttemptFailure.UPSTREAM_OVERLOADED:
         upstream.overloaded_ms = now_ms
     if failure is events.AttemptFailure.UPSTREAM_LEAVING:
@@ -416,6 +417,24 @@
     upstream.next_poll_ms = now_ms
 
 
+def _observe(
+    state: entry_state.EntryState,
+    upstream: Upstream,
+    attempt: requests.Attempt,
+    request: requests.Request,
+    now_ms: int,
+) -> None:
+    if request.verdict is not verdict.Verdict.RAN:
+        return
+    known = pace(state, upstream)
+    duration_ms = now_ms - attempt.started_ms
+    if request.service.kind is deployment.ServiceKind.PLAIN:
+        known.observe_service(duration_ms)
+        return
+    if request.attempt_count == 1:
+        known.observe_run(duration_ms, queues.cost(request))
+
+
 def _drop_until(upstream: Upstream, reported_ms: int) -> None:
     while upstream.sent and upstream.sent[0][0] <= reported_ms:
         upstream.sent.popleft()
