--- a/laburnumpin/core/requests.py
+++ b/laburnumpin/core/requests.py
@@ -26,8 +26,11 @@
 if TYPE_CHECKING:
     from laburnumpin.core import state as entry_state
 
-# How long an ended request can still be read.
+# How long an ended request can still be read, and how many tokens of answers
+# are kept for it at most. A token takes about 80 bytes, so this bounds them
+# to about 40 MB.
 RETENTION_MS = 300_000
+MAX_RETAINED_TOKENS = 500_000
 # A dispatch that the shell has not started by then is decided anew.
 DISPATCH_VALID_MS = 1_000
 FIRST_BYTE_TIMEOUT_MS = 10_000
@@ -126,6 +129,7 @@
         "deadlines",
         "ended",
         "next_counter",
+        "retained_tokens",
         "unfinished",
     )
 
@@ -135,6 +139,7 @@
         self.deadlines: list[tuple[int, str]] = []
         self.ended: collections.deque[str] = collections.deque()
         self.next_counter = 1
+        self.retained_tokens = 0
         self.unfinished = 0
 
 
@@ -201,13 +206,77 @@
     heapq.heappush(own.deadlines, (request.deadline_ms, request.request_id))
 
 
+def add_ended(
+    state: entry_state.EntryState, request: Request, now_ms: int
+) -> None:
+    """Keep a request that ended at another entry, for its readers."""
+    request.phase = Phase.ENDED
+    request.ended_ms = now_ms
+    state.requests.by_id[request.request_id] = request
+    _retain(state, request)
+
+
+def suspend(
+    state: entry_state.EntryState, request: Request, now_ms: int
+) -> bool:
+    """Stop working on a request that is to be offered to a successor.
+
+    Nothing is cancelled at an engine, so that the successor can resume.
+    Returns whether an attempt was in flight.
+    """
+    if request.phase is Phase.QUEUED:
+        limits.dequeue(state, request, now_ms)
+    sent = request.attempt is not None
+    if sent:
+        request.verdict = verdict.combine(
+            request.verdict, verdict.Verdict.MAY_HAVE_RUN
+        )
+    _close_attempt(state, request, now_ms, None)
+    claims.detach(state, request)
+    request.claimed = False
+    request.importing_to = None
+    request.phase = Phase.OFFERED
+    limits.on_ended(state, request, now_ms)
+    return sent
+
+
+def on_handed_over(
+    state: entry_state.EntryState,
+    request: Request,
+    successor: ids.EntryId | None,
+    now_ms: int,
+) -> list[effects.Effect]:
+    """Send the readers of a request to its successor.
+
+    Without a successor the request lies in the object store.
+    """
+    if request.phase is not Phase.OFFERED:
+        return []
+    request.phase = Phase.HANDED_OVER
+    request.handed_to = successor
+    state.requests.unfinished -= 1
+    return subscriptions.move(state, request, successor, now_ms)
+
+
+def on_owned_elsewhere(
+    state: entry_state.EntryState,
+    request: Request,
+    holder: ids.EntryId,
+    now_ms: int,
+) -> list[effects.Effect]:
+    """Leave a request to the other successor that claimed it first."""
+    state.counters.increment("handover", "owned_elsewhere")
+    suspend(state, request, now_ms)
+    return on_handed_over(state, request, holder, now_ms)
+
+
 def dispatch_queued(
     state: entry_state.EntryState, now_ms: int
 ) -> list[effects.Effect]:
     """Start the queued requests for which an upstream has room."""
     result: list[effects.Effect] = []
     for request in limits.candidates(state, now_ms):
-        if request.not_before_ms > now_ms:
+        if request.not_before_ms > now_ms or request.deadline_ms <= now_ms:
             continue
         if _choose(state, request, now_ms) is None:
             continue
@@ -256,7 +325,7 @@
     result: list[effects.Effect] = []
     for chunk in chunks:
         request.chunks.append(chunk)
-        result.extend(subscriptions.deliver(state, request, chunk))
+        result.extend(subscriptions.deliver(state, request, chunk, now_ms))
     result.extend(_finish(state, request, outcome, now_ms))
     return result
 
@@ -298,7 +367,7 @@
                 "first_token", event.now_ms - request.accepted_ms
             )
         )
-    result.extend(subscriptions.deliver(state, request, chunk))
+    result.extend(subscriptions.deliver(state, request, chunk, event.now_ms))
     return result
 
 
@@ -361,13 +430,26 @@
     """Expire deadlines, dispatch what waits, forget ended requests."""
     result = _expire(state, event.now_ms)
     result.extend(dispatch_queued(state, event.now_ms))
+    _forget_ended(state, event.now_ms)
+    return result
+
+
+def _retain(state: entry_state.EntryState, request: Request) -> None:
+    state.requests.ended.append(request.request_id)
+    state.requests.retained_tokens += request.next_offset
+
+
+def _forget_ended(state: entry_state.EntryState, now_ms: int) -> None:
     own = state.requests
     while own.ended:
         oldest = own.by_id[own.ended[0]]
-        if event.now_ms < oldest.ended_ms + RETENTION_MS:
-            break
+        expired = now_ms >= oldest.ended_ms + RETENTION_MS
+        if not expired and own.retained_tokens <= MAX_RETAINED_TOKENS:
+            return
+        if not expired:
+            state.counters.increment("answers_forgotten_early")
+        own.retained_tokens -= oldest.next_offset
         del own.by_id[own.ended.popleft()]
-    return result
 
 
 def cancel(
@@ -404,12 +486,18 @@
     state: entry_state.EntryState, request: Request
 ) -> messages.RequestStatus:
     """Return what callers and operators may see of a request."""
+    owner = state.entry
+    known = request.verdict
+    if request.phase in (Phase.OFFERED, Phase.HANDED_OVER):
+        # A successor may have started it.
+        known = verdict.combine(known, verdict.Verdict.MAY_HAVE_RUN)
+        owner = request.handed_to or owner
     return messages.RequestStatus(
         request.request_id,
         request.phase.value,
         request.next_offset,
-        request.verdict,
-        state.entry,
+        known,
+        owner,
         request.outcome,
     )
 
@@ -561,7 +649,13 @@
     upstream = state.upstreams.by_id.get(attempt.upstream_id)
     leaving = upstream is not None and upstream.leaving
     decision = retries.decide(
-        state, request, attempt_verdict, failure, leaving, now_ms
+        state,
+        request,
+        attempt_verdict,
+        failure,
+        upstream_leaving=leaving,
+        progressed=request.next_offset > attempt.start_offset,
+        now_ms=now_ms,
     )
     if decision.failure is not None:
         return end(state, request, decision.failure, now_ms)
@@ -596,7 +690,7 @@
     request.phase = Phase.ENDED
     request.outcome = outcome
     request.ended_ms = now_ms
-    state.requests.ended.append(request.request_id)
+    _retain(state, request)
     state.requests.unfinished -= 1
     limits.on_ended(state, request, now_ms)
     result: list[effects.Effect] = [
--- a/laburnumpin/server/caller_api.py
+++ b/laburnumpin/server/caller_api.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 from typing import Any
 
 import anyio
+from anyio.streams import memory
 from starlette import applications
 from starlette import exceptions as http_exceptions
 from starlette import requests
@@ -52,18 +54,32 @@
         self, scope: types.Scope, receive: types.Receive, send: types.Send
     ) -> None:
         """Send the response, until the caller goes away."""
-        async with anyio.create_task_group() as task_group:
-            task_group.start_soon(
-                _cancel_on_disconnect, receive, task_group.cancel_scope
-            )
-            if self._streamed:
-                await self._send_stream(send)
-            else:
-                response = await self._collect()
-                await response(scope, receive, send)
-            task_group.cancel_scope.cancel()
-
-    async def _send_stream(self, send: types.Send) -> None:
+        fields: logs.Fields = {
+            "request_id": self._request_id,
+            "customer": self._customer,
+            "offset": self._offset,
+            "streamed": self._streamed,
+        }
+        with logs.request_action(fields) as result:
+            result["outcome"] = "caller_gone"
+            async with anyio.create_task_group() as task_group:
+                task_group.start_soon(
+                    _cancel_on_disconnect, receive, task_group.cancel_scope
+                )
+                result["outcome"] = await self._send(scope, receive, send)
+                task_group.cancel_scope.cancel()
+
+    async def _send(
+        self, scope: types.Scope, receive: types.Receive, send: types.Send
+    ) -> str:
+        """Send the response and return its outcome for the log."""
+        if self._streamed:
+            return await self._send_stream(send)
+        response = await self._collect()
+        await response(scope, receive, send)
+        return f"http_{response.status_code}"
+
+    async def _send_stream(self, send: types.Send) -> str:
         headers = responses.Response(
             headers={
                 "X-Request-Id": self._request_id,
@@ -79,14 +95,21 @@
             self._request_id, self._customer, self._offset
         ) as reader:
             async for output in reader:
-                last = isinstance(output, effects.EndReader)
+                # Under load several chunks wait; one write for all of them
+                # costs little more than one for each.
+                waiting = [output, *_take_waiting(reader)]
+                rows = [self._sse_event(each) for each in waiting]
+                last = isinstance(waiting[-1], effects.EndReader)
                 await send(
                     {
                         "type": "http.response.body",
-                        "body": sse.encode(self._sse_event(output)),
+                        "body": b"".join(sse.encode(row) for row in rows),
                         "more_body": not last,
                     }
                 )
+                if last:
+                    return rows[-1].name
+        return "reader_closed"
 
     def _sse_event(self, output: bridges.Output) -> sse.SseEvent:
         if isinstance(output, effects.SendChunk):
@@ -204,6 +227,16 @@
         if isinstance(answer, effects.Refuse):
             raise caller_errors.CallerError(answer.failure)
         assert isinstance(answer, effects.Accept)
+        logs.write(
+            "request_accepted",
+            "info",
+            {
+                "request_id": answer.request_id,
+                "customer": customer,
+                "service": service,
+                "operation": request.path_params["operation"],
+            },
+        )
         if caller_input.wants_async(request):
             return _accepted(answer.request_id)
         return OutputResponse(
@@ -336,6 +369,16 @@
     )
 
 
+def _take_waiting(
+    reader: memory.MemoryObjectReceiveStream[bridges.Output],
+) -> list[bridges.Output]:
+    outputs: list[bridges.Output] = []
+    with contextlib.suppress(anyio.WouldBlock, anyio.EndOfStream):
+        while True:
+            outputs.append(reader.receive_nowait())
+    return outputs
+
+
 def _compact(document: dict[str, Any]) -> str:
     return json.dumps(document, separators=(",", ":"))
 
--- a/laburnumpin/server/http_calls.py
+++ b/laburnumpin/server/http_calls.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+import functools
+import ssl
 from typing import Any
 
 import httpx
@@ -21,16 +24,21 @@
     """Watches one call; refuses its first byte after `valid_until_ms`.
 
     `sent` is set before the first byte is written, so that while it is false
-    the call has certainly not reached the other side.
+    the call has certainly not reached the other side. `on_sent` is called at
+    the same time.
     """
 
-    __slots__ = ("_clock", "_valid_until_ms", "sent")
+    __slots__ = ("_clock", "_on_sent", "_valid_until_ms", "sent")
 
     def __init__(
-        self, clock: clocks.Clock, valid_until_ms: int | None = None
+        self,
+        clock: clocks.Clock,
+        valid_until_ms: int | None = None,
+        on_sent: Callable[[], None] | None = None,
     ) -> None:
         self._clock = clock
         self._valid_until_ms = valid_until_ms
+        self._on_sent = on_sent
         self.sent = False
 
     async def trace(self, name: str, info: dict[str, Any]) -> None:
@@ -46,6 +54,8 @@
             if self._clock.now_ms() > self._valid_until_ms:
                 raise ExpiredError
         self.sent = True
+        if self._on_sent is not None:
+            self._on_sent()
 
     def extensions(self) -> dict[str, Any]:
         """Return the `extensions` argument for `httpx`."""
@@ -67,6 +77,9 @@
     connect_timeout_s = connect_timeout_ms / 1_000
     return httpx.AsyncClient(
         base_url=base_url,
+        # Compression would delay tokens and cost processor time.
+        headers={"Accept-Encoding": "identity"},
+        verify=_ssl_context(),
         trust_env=False,
         follow_redirects=False,
         timeout=httpx.Timeout(
@@ -80,6 +93,12 @@
     )
 
 
+@functools.cache
+def _ssl_context() -> ssl.SSLContext:
+    # Reading the root certificates takes tens of milliseconds.
+    return httpx.create_ssl_context(trust_env=False)
+
+
 def url(address: str, path: str) -> str:
     """Return the URL of a path at a `host:port` address or base URL."""
     if "://" in address:
@@ -90,7 +109,7 @@
 async def read_body(response: httpx.Response, max_bytes: int) -> bytes | None:
     """Return the body of a streamed response, or None when it is too long."""
     body = bytearray()
-    async for part in response.aiter_bytes():
+    async for part in response.aiter_raw():
         body += part
         if len(body) > max_bytes:
             return None
--- a/laburnumpin/tests/test_server_caller_api.py
+++ b/laburnumpin/tests/test_server_caller_api.py
@@ -3,15 +3,25 @@
 from __future__ import annotations
 
 import json
+import pathlib
+import re
 
 import anyio
 import pytest
 from starlette import requests
 from starlette import responses
 
+import laburnumpin
+from laburnumpin.core import effects
+from laburnumpin.core import events
+from laburnumpin.core import reducer
+from laburnumpin.core import state as entry_state
+from laburnumpin.server import caller_errors
+from laburnumpin.server import caller_input
 from laburnumpin.tests import server_fakes as fakes
 
 pytestmark = pytest.mark.anyio
+CORE = pathlib.Path(laburnumpin.__file__).parent / "core"
 SUBMIT = "/v1/services/draft/write"
 BODY = {"prompt": "Write a draft.", "max_tokens": 8}
 
@@ -131,10 +141,43 @@
     assert surrogate.json()["error"]["fields"][0]["field"] == "prompt"
     assert service.json()["error"]["code"] == "unknown_service"
     # An id that is unknown here may have run at an entry that failed.
-    assert request.status_code == 404 or request.status_code == 503
+    assert request.status_code in (404, 503)
     assert request.json()["error"]["verdict"] == "may_have_run"
 
 
+def test_every_failure_code_has_an_http_status() -> None:
+    """Guards against refusals that look like faults of the entry."""
+    codes = {failure.value for failure in events.AttemptFailure}
+    for path in CORE.glob("*.py"):
+        text = path.read_text()
+        codes.update(re.findall(r'(?:Failure|_refusal)\(\s*"([a-z_]+)"', text))
+        codes.update(re.findall(r'event, "([a-z_]+)", "', text))
+    lifecycle = (CORE / "lifecycle.py").read_text()
+    codes.update(re.findall(r'return "([a-z_]+)"', lifecycle))
+    assert {"entry_leaving", "unknown_service", "claim_held"} <= codes
+    assert codes - caller_errors.STATUS_BY_CODE.keys() == set()
+
+
+async def test_unfinished_body_is_refused(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against connections that are held without end."""
+    monkeypatch.setattr(caller_input, "BODY_TIMEOUT_MS", 20)
+
+    head = (
+        f"POST {SUBMIT} HTTP/1.1\r\nHost: entry\r\nContent-Length: 9\r\n"
+        f"Authorization: Bearer {fakes.CUSTOMER_KEY}\r\n\r\n{{"
+    )
+    async with fakes.run_entry() as entry:
+        fakes.configure(entry)
+        host, port = entry.caller_address.split(":")
+        with anyio.fail_after(fakes.WAIT_S):
+            async with await anyio.connect_tcp(host, int(port)) as stream:
+                await stream.send(head.encode())
+                answer = await stream.receive()
+    assert answer.startswith(b"HTTP/1.1 408")
+
+
 async def test_request_goes_on_when_its_caller_goes_away() -> None:
     """Guards against accepted work that ends with the connection."""
     proceed = anyio.Event()
@@ -163,6 +206,31 @@
     assert output.json()["text"] == "one two"
 
 
+async def test_reducer_fault_is_answered_and_survived(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against one bad event that ends the process or hangs a caller."""
+    reduce = reducer.reduce
+
+    def fail(
+        state: entry_state.EntryState, event: events.Event
+    ) -> list[effects.Effect]:
+        if isinstance(event, events.RequestArrived):
+            raise ValueError("a fault")
+        return reduce(state, event)
+
+    monkeypatch.setattr(reducer, "reduce", fail)
+    async with fakes.run_entry() as entry, fakes.caller(entry) as client:
+        fakes.configure(entry)
+        answer = await client.post(SUBMIT, json=BODY)
+        again = await client.get("/readyz")
+    assert answer.status_code == 500
+    assert answer.json()["error"]["code"] == "internal_error"
+    # The request may have been registered before the fault.
+    assert answer.json()["error"]["verdict"] == "may_have_run"
+    assert again.status_code in (200, 503)
+
+
 async def test_caller_can_cancel() -> None:
     """Guards against generations that go on after a cancellation."""
 
