Test routing; search the smallest fleet that meets the targets

Cause: cost per request at a fixed fleet hardly depends on the policy; the cost at the latency target asks for the fleet.

--- a/laburnumpin/bench/traces.py
+++ b/laburnumpin/bench/traces.py
@@ -256,6 +256,25 @@
     )
 
 
+def count_engines(site: Site) -> int:
+    """Return how many engines a site's traces have."""
+    return sum(_is_engine(site, spec) for spec in site.upstreams)
+
+
+def with_engines(site: Site, count: int) -> Site:
+    """Return a site that has only the first `count` of its engines."""
+    kept = [spec for spec in site.upstreams if _is_engine(site, spec)][:count]
+    for spec in site.upstreams:
+        if not _is_engine(site, spec):
+            kept.append(spec)
+    return dataclasses.replace(site, upstreams=tuple(kept))
+
+
+def _is_engine(site: Site, spec: UpstreamSpec) -> bool:
+    kind = site.deployment.services[spec.service].kind
+    return kind is deployment.ServiceKind.MODEL
+
+
 def build(
     site: Site,
     day: Day,
--- a/laburnumpin/commands/bench.py
+++ b/laburnumpin/commands/bench.py
@@ -15,6 +15,8 @@
 from laburnumpin.bench import traces
 
 DEFAULT_JOBS = 4
+# Share of the requests for which a latency target must hold.
+PERCENTILE = 0.95
 _SITES = {"rigsafe": traces.rigsafe, "luvas": traces.luvas}
 _Job = tuple[str, traces.Day, traces.Fault, int, str]
 
@@ -54,6 +56,28 @@
     return groups
 
 
+def run_fleets(
+    policy_names: Sequence[str] = tuple(policies.POLICIES),
+    sites: Sequence[str] = tuple(_SITES),
+    seeds: Sequence[int] = traces.HOLD_OUT_SEEDS,
+    jobs: int = DEFAULT_JOBS,
+) -> dict[str, tuple[int, float]]:
+    """Return the smallest fleet that meets the targets, and its cost.
+
+    Keys are `<site> <policy>`; values are the engines, and the mean cost per
+    thousand requests of an ordinary day without faults. Both targets must
+    hold for 95% of the requests of each seed.
+    """
+    result: dict[str, tuple[int, float]] = {}
+    with concurrent.futures.ProcessPoolExecutor(jobs) as pool:
+        for site in sites:
+            for name in policy_names:
+                result[f"{site} {name}"] = _smallest_fleet(
+                    pool, site, name, seeds
+                )
+    return result
+
+
 def run_one(
     site: str,
     day: traces.Day,
@@ -61,18 +85,54 @@
     seed: int,
     policy_name: str,
     duration_ms: float = traces.DURATION_MS,
+    engines: int | None = None,
 ) -> report.Figures:
-    """Replay one trace under one policy."""
-    trace = traces.build(_SITES[site](), day, fault, seed, duration_ms)
+    """Replay one trace under one policy, optionally with fewer engines."""
+    built = _SITES[site]()
+    if engines is not None:
+        built = traces.with_engines(built, engines)
+    trace = traces.build(built, day, fault, seed, duration_ms)
     policy = policies.POLICIES[policy_name]()
     return report.summarize(replay.Replay(trace, policy).run())
 
 
+def _smallest_fleet(
+    pool: concurrent.futures.Executor,
+    site: str,
+    policy_name: str,
+    seeds: Sequence[int],
+) -> tuple[int, float]:
+    most = traces.count_engines(_SITES[site]())
+    cost = float("inf")
+    for engines in range(most, 0, -1):
+        todo = [(site, seed, policy_name, engines) for seed in seeds]
+        figures = list(pool.map(_run_fleet, todo))
+        for one in figures:
+            if min(one.first_token_share, one.inter_token_share) < PERCENTILE:
+                return engines + 1, cost
+        cost = report.mean(figures).cost_per_thousand_requests
+    return 1, cost
+
+
+def _run_fleet(job: tuple[str, int, str, int]) -> report.Figures:
+    site, seed, policy_name, engines = job
+    return run_one(
+        site,
+        traces.Day.ORDINARY,
+        traces.Fault.NONE,
+        seed,
+        policy_name,
+        engines=engines,
+    )
+
+
 def _days(hold_out: bool) -> list[tuple[traces.Day, int]]:
-    if hold_out:
-        return [(traces.Day.MIDWEEK, s) for s in traces.HOLD_OUT_SEEDS]
     days = (traces.Day.ORDINARY, traces.Day.MONDAY)
-    return [(day, seed) for day in days for seed in traces.TUNING_SEEDS]
+    seeds: tuple[int, ...] = traces.TUNING_SEEDS
+    if hold_out:
+        days = (traces.Day.MIDWEEK, traces.Day.MONDAY)
+        seeds = traces.HOLD_OUT_SEEDS
+    return [(day, seed) for day in days for seed in seeds]
 
 
 def _run_all(todo: Sequence[_Job], jobs: int) -> list[report.Figures]:
--- /dev/null
+++ b/laburnumpin/tests/test_routing.py
@@ -0,0 +1,170 @@
+"""Tests of the choice of the upstream."""
+
+from __future__ import annotations
+
+import collections
+
+from laburnumpin.core import deployment
+from laburnumpin.core import events
+from laburnumpin.core import ids
+from laburnumpin.core import pacing
+from laburnumpin.core import prefixes
+from laburnumpin.core import requests
+from laburnumpin.core import routing
+from laburnumpin.core import state as entry_state
+from laburnumpin.core import upstreams
+from laburnumpin.tests import builders
+
+_PROMPT = "".join(f"{number:08d}" for number in range(256))
+_BULK = deployment.Priority.BULK
+_INTERACTIVE = deployment.Priority.INTERACTIVE
+
+
+def make_state(
+    loads: dict[str, int], seed: int = 7, zone: str = "north", slots: int = 64
+) -> entry_state.EntryState:
+    """Return an entry whose engines report `loads` running streams."""
+    state = entry_state.EntryState(ids.EntryId("e0", 1), "north", "e0:1", seed)
+    state.configuration.current = deployment.Configuration(
+        1, "change", "", builders.make_deployment()
+    )
+    rows = []
+    for vm_id in loads:
+        rows.append(
+            events.VmRow(
+                vm_id,
+                1,
+                events.VmRole.UPSTREAM,
+                zone if vm_id != "far" else "south",
+                "gpu",
+                True,
+                False,
+                "draft",
+            )
+        )
+    upstreams.on_vms_listed(state, events.VmsListed(0, tuple(rows)))
+    for vm_id, running in loads.items():
+        report = events.LoadReport(
+            1, 0, running, 0, slots, 0, 0.0, False, model="draft-model"
+        )
+        upstreams.on_load_reported(state, events.LoadReported(0, vm_id, report))
+    # 10 ms for a step, and 0.5 ms for each stream: 44 streams at 32 ms.
+    pace = pacing.Pace()
+    for streams in range(1, 60):
+        pace.observe_step(streams, 10.0 + 0.5 * streams)
+    state.upstreams.paces["draft", "gpu"] = pace
+    return state
+
+
+def make_request(
+    state: entry_state.EntryState, priority: deployment.Priority = _BULK
+) -> requests.Request:
+    current = state.configuration.current
+    assert current is not None
+    service = current.deployment.services["draft"]
+    return requests.Request(
+        request_id="e0.1.1",
+        customer="acme",
+        service=service,
+        operation=service.operations["write"],
+        body="",
+        prompt=_PROMPT,
+        prompt_tokens=prefixes.count_tokens(_PROMPT),
+        max_tokens=100,
+        blocks=prefixes.block_hashes(_PROMPT),
+        idempotency_key=None,
+        accepted_ms=0,
+        deadline_ms=10**9,
+        priority=priority,
+        configuration=current,
+    )
+
+
+def choices(
+    state: entry_state.EntryState, request: requests.Request, count: int = 1
+) -> collections.Counter[str]:
+    counts: collections.Counter[str] = collections.Counter()
+    for _ in range(count):
+        upstream = routing.choose(state, request, 1)
+        counts["" if upstream is None else upstream.upstream_id] += 1
+    return counts
+
+
+def test_streams_are_bounded_by_the_inter_token_target() -> None:
+    """Guards against engines filled up to slots that miss the target."""
+    state = make_state({"u0": 44}, slots=64)
+    assert choices(state, make_request(state, _INTERACTIVE)) == {"u0": 1}
+    state = make_state({"u0": 45}, slots=64)
+    assert choices(state, make_request(state, _INTERACTIVE)) == {"": 1}
+
+
+def test_slots_bound_streams_below_the_target() -> None:
+    """Guards against work for an engine without a free slot."""
+    state = make_state({"u0": 8}, slots=8)
+    assert choices(state, make_request(state, _INTERACTIVE)) == {"": 1}
+
+
+def test_bulk_leaves_streams_to_interactive_requests() -> None:
+    """Guards against urgent requests that wait for a long stream's end."""
+    state = make_state({"u0": 40})
+    assert choices(state, make_request(state, _BULK)) == {"": 1}
+    assert choices(state, make_request(state, _INTERACTIVE)) == {"u0": 1}
+
+
+def test_less_loaded_engine_is_better() -> None:
+    """Guards against a choice that ignores the load."""
+    state = make_state({"u0": 30, "u1": 2})
+    assert choices(state, make_request(state), 20) == {"u1": 20}
+
+
+def test_near_equals_share_the_work() -> None:
+    """Guards against entries with equal reports that choose one engine."""
+    state = make_state({"u0": 10, "u1": 10, "u2": 11})
+    counts = choices(state, make_request(state), 300)
+    assert min(counts.values()) > 60
+    again = make_state({"u0": 10, "u1": 10, "u2": 11})
+    assert counts == choices(again, make_request(again), 300)
+
+
+def test_cached_prefix_outweighs_some_load_but_not_a_full_engine() -> None:
+    """Guards against recomputed prompts, and against waiting for a cache."""
+    for running, expected in ((20, "u0"), (40, "u1")):
+        state = make_state({"u0": running, "u1": 2})
+        request = make_request(state)
+        prefixes.on_cache_events(
+            state, events.CacheEventsReported(1, "u0", 0, 8, request.blocks, ())
+        )
+        assert choices(state, request, 20) == {expected: 20}
+
+
+def test_other_region_needs_a_reason() -> None:
+    """Guards against round trips across regions at equal load."""
+    state = make_state({"far": 2, "u0": 2})
+    current = state.configuration.current
+    assert current is not None
+    current.deployment.zones["south"] = deployment.Zone("south", "d", "abroad")
+    request = make_request(state)
+    request.prompt_tokens = 0
+    assert choices(state, request, 20) == {"u0": 20}
+
+
+def test_pace_is_a_line_and_is_not_trusted_far_beyond_reports() -> None:
+    """Guards against a bound from one lightly loaded report."""
+    pace = pacing.Pace()
+    assert pace.max_streams(36.0) == float("inf")
+    pace.observe_step(0, 50.0)
+    assert pace.weight == 0.0
+    pace.observe_step(2, 11.0)
+    assert pace.max_streams(36.0) <= 10
+    for streams in range(1, 50):
+        pace.observe_step(streams, 10.0 + 0.5 * streams)
+    assert 49 <= pace.max_streams(36.0) <= 55
+    assert abs(pace.step_ms(40) - 30.0) < 0.5
+
+
+def test_pace_of_equal_reports_assumes_a_cost_per_stream() -> None:
+    """Guards against an unbounded count while all reports are equal."""
+    pace = pacing.Pace()
+    for _ in range(100):
+        pace.observe_step(30, 30.0)
+    assert 40 <= pace.max_streams(36.0) <= 45
