Replay fleet decisions in virtual time

The replay of requests has a fixed fleet, so no figure showed what the fleet decisions cost. The new replay runs the real fleet module and lease against a small cloud: late VM list, subset of load reports, refused starts, moving prices, single reclaims, a wave of one zone in the surge, a wave of a whole data centre, and an outage of list and tables. Streams without a free slot wait in a backlog; the share served at once stands for the target of the first token. A run covers 02:00 to 14:00 of two Mondays; the second has a new holder that reads the profile from the object store.

Single requests in virtual time for 24 h were ruled out: the request replay needs minutes for a few minutes of traffic.

--- /dev/null
+++ b/laburnumpin/bench/fleet_policies.py
@@ -0,0 +1,354 @@
+"""Fleet policies that the fleet replay compares."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+import contextlib
+import math
+from typing import Protocol
+from unittest import mock
+
+from laburnumpin import verdict
+from laburnumpin.bench import fleet_demand
+from laburnumpin.core import deployment
+from laburnumpin.core import effects
+from laburnumpin.core import events
+from laburnumpin.core import fleet
+from laburnumpin.core import ids
+from laburnumpin.core import lifecycle
+from laburnumpin.core import messages
+from laburnumpin.core import pacing
+from laburnumpin.core import planning
+from laburnumpin.core import profiles
+from laburnumpin.core import reducer
+from laburnumpin.core import requests
+from laburnumpin.core import state as entry_state
+
+_ALWAYS_MS = 1 << 60
+# The fixed fleet for the peak works off the backlog within this time.
+_PEAK_DRAIN_MS = 15 * fleet_demand.MINUTE_MS
+
+
+class Policy(Protocol):
+    """Decides on VMs from what the lease holder sees."""
+
+    name: str
+
+    def begin(self, scenario: fleet_demand.Scenario, monday: int) -> None:
+        """Start with an empty memory, as a new holder does."""
+
+    def reduce(self, event: events.Event) -> list[effects.Effect]:
+        """Return the effects of an event."""
+
+    def report_queue(
+        self, load: fleet_demand.Load, queued: int, now_ms: int
+    ) -> None:
+        """Tell how many requests wait for a service, over all entries."""
+
+    def polled(self) -> set[str]:
+        """Return the VMs whose load reports the holder reads."""
+
+    def marked(self) -> set[str]:
+        """Return the VMs that the holder marked as leaving."""
+
+
+class FleetPolicy:
+    """The fleet module as it is."""
+
+    name = "current"
+
+    def begin(self, scenario: fleet_demand.Scenario, monday: int) -> None:
+        """Start a holder of the given Monday."""
+        entry = ids.EntryId("holder", monday + 1)
+        zone = next(iter(scenario.deployment.zones))
+        self._scenario = scenario
+        self._state = entry_state.EntryState(entry, zone, "holder:1", 7)
+        self._state.lifecycle.phase = lifecycle.Phase.SERVING
+        self._state.configuration.current = deployment.Configuration(
+            1, "change", "{}", scenario.deployment
+        )
+        self._requests: dict[str, requests.Request] = {}
+        # Entries learn the time of plain calls from their own attempts.
+        for placement in scenario.deployment.placements:
+            for load in scenario.loads:
+                if load.service == placement.service:
+                    pace = pacing.Pace(service_ms=load.request_ms)
+                    key = (load.service, placement.vm_class)
+                    self._state.upstreams.paces[key] = pace
+
+    def reduce(self, event: events.Event) -> list[effects.Effect]:
+        """Let the core decide; of a tick only the fleet's part runs."""
+        with self._installed():
+            if isinstance(event, events.Tick):
+                return fleet.on_tick(self._state, event)
+            return reducer.reduce(self._state, event)
+
+    def report_queue(
+        self, load: fleet_demand.Load, queued: int, now_ms: int
+    ) -> None:
+        """Put one entry's part into the queue, the rest into a digest."""
+        own = queued // fleet_demand.ENTRY_COUNT
+        queue = self._state.limits.queue
+        request = self._request(load, now_ms)
+        for key in list(queue):
+            if queue[key] is request:
+                del queue[key]
+        for number in range(own):
+            queue[f"{load.service}/{number}"] = request
+        tokens = (queued - own) * (load.prompt_tokens + load.output_tokens)
+        digest = messages.Digest(
+            ids.EntryId("peers", 1),
+            1,
+            self._state.zone,
+            "",
+            True,
+            1,
+            0,
+            (),
+            (),
+            (),
+            (messages.ServiceDemand(load.service, 0, tokens),),
+        )
+        received = events.PeerReceived(now_ms, "peers", digest)
+        fleet.on_digest(self._state, received, digest)
+
+    def polled(self) -> set[str]:
+        """Return the members of the holder's subset."""
+        result = set()
+        for upstream in self._state.upstreams.by_id.values():
+            if upstream.in_subset:
+                result.add(upstream.upstream_id)
+        return result
+
+    def marked(self) -> set[str]:
+        """Return the upstreams with a leaving mark."""
+        return {vm_id for vm_id, _ in self._state.upstreams.leaving}
+
+    def _installed(self) -> contextlib.AbstractContextManager[None]:
+        return contextlib.nullcontext()
+
+    def _request(
+        self, load: fleet_demand.Load, now_ms: int
+    ) -> requests.Request:
+        known = self._requests.get(load.service)
+        if known is not None:
+            return known
+        current = self._state.configuration.current
+        assert current is not None
+        service = current.deployment.services[load.service]
+        built = requests.Request(
+            request_id=load.service,
+            customer="customer",
+            service=service,
+            operation=next(iter(service.operations.values())),
+            body="",
+            prompt="",
+            prompt_tokens=load.prompt_tokens,
+            max_tokens=load.output_tokens,
+            blocks=(),
+            idempotency_key=None,
+            accepted_ms=now_ms,
+            deadline_ms=_ALWAYS_MS,
+            priority=deployment.Priority.BULK,
+            configuration=current,
+            verdict=verdict.Verdict.NOT_RUN,
+        )
+        self._requests[load.service] = built
+        return built
+
+
+class PlainFleetPolicy(FleetPolicy):
+    """The fleet module without the weekly profile and the zone spread."""
+
+    name = "no_profile_no_spread"
+
+    def _installed(self) -> contextlib.AbstractContextManager[None]:
+        return _without_profile_and_spread()
+
+
+class FixedPolicy:
+    """A fixed number of VMs in each zone, replaced when they go."""
+
+    name = "fixed"
+    reclaimable = False
+
+    def begin(self, scenario: fleet_demand.Scenario, monday: int) -> None:
+        """Compute the targets by option."""
+        del monday
+        self._targets: dict[tuple[str, planning.Option], int] = {}
+        self._alive: dict[str, events.VmRow] = {}
+        self._pending: dict[str, tuple[str, planning.Option, int]] = {}
+        self._noticed: set[str] = set()
+        self._models: dict[str, str] = {}
+        self._ordered: set[str] = set()
+        self._orders = 0
+        zones = len(scenario.deployment.zones)
+        for service in scenario.deployment.services.values():
+            model = service.kind is deployment.ServiceKind.MODEL
+            if model:
+                self._models[service.name] = service.model
+        for load in scenario.loads:
+            wanted = self.wanted_streams(load)
+            for placement in scenario.deployment.placements:
+                if placement.service != load.service:
+                    continue
+                if placement.reclaimable is not self.reclaimable:
+                    continue
+                if placement.vm_class == "gpu-large":
+                    continue
+                count = math.ceil(wanted / placement.slots / zones)
+                key = (load.service, planning.option_of(placement))
+                self._targets[key] = min(count, placement.max_vms)
+
+    def wanted_streams(self, load: fleet_demand.Load) -> float:
+        """Return the streams for which the fleet is sized."""
+        raise NotImplementedError
+
+    def reduce(self, event: events.Event) -> list[effects.Effect]:
+        """Keep the count and load the models."""
+        if isinstance(event, events.VmsListed):
+            self._alive = {r.vm_id: r for r in event.vms if not r.leaving}
+        elif isinstance(event, events.NoticesListed):
+            self._noticed.update(one.vm_id for one in event.notices)
+        elif isinstance(event, events.VmStartAnswered):
+            return self._on_answer(event)
+        elif isinstance(event, events.LoadReported):
+            return self._on_report(event)
+        elif isinstance(event, events.Tick):
+            return self._fill(event.now_ms)
+        return []
+
+    def report_queue(
+        self, load: fleet_demand.Load, queued: int, now_ms: int
+    ) -> None:
+        """Ignore the queue."""
+
+    def polled(self) -> set[str]:
+        """Return all VMs."""
+        return set(self._alive)
+
+    def marked(self) -> set[str]:
+        """Return no VM."""
+        return set()
+
+    def _on_answer(self, event: events.VmStartAnswered) -> list[effects.Effect]:
+        pending = self._pending.pop(event.order_id, None)
+        if pending is not None and event.vm_id is not None:
+            self._pending[event.vm_id] = pending
+        return []
+
+    def _on_report(self, event: events.LoadReported) -> list[effects.Effect]:
+        vm_id = event.upstream_id
+        row = self._alive.get(vm_id)
+        if row is None or event.report.model or vm_id in self._ordered:
+            return []
+        model = self._models.get(row.service)
+        if model is None:
+            return []
+        self._ordered.add(vm_id)
+        return [
+            effects.SendOrder(
+                vm_id, vm_id, "", 1, _ALWAYS_MS, model, "1", (), ""
+            )
+        ]
+
+    def _fill(self, now_ms: int) -> list[effects.Effect]:
+        counts: dict[tuple[str, planning.Option], int] = {}
+        for row in self._alive.values():
+            self._pending.pop(row.vm_id, None)
+            if row.vm_id in self._noticed:
+                continue
+            option = planning.Option(row.zone, row.vm_class, row.reclaimable)
+            key = (row.service, option)
+            counts[key] = counts.get(key, 0) + 1
+        for vm_id, pending in list(self._pending.items()):
+            service, option, since_ms = pending
+            if now_ms > since_ms + fleet.START_TIMEOUT_MS:
+                del self._pending[vm_id]
+            key = (service, option)
+            counts[key] = counts.get(key, 0) + 1
+        result: list[effects.Effect] = []
+        for (service, option), target in self._targets.items():
+            for _ in range(target - counts.get((service, option), 0)):
+                self._orders += 1
+                order_id = f"order{self._orders}"
+                self._pending[order_id] = (service, option, now_ms)
+                result.append(
+                    effects.StartVm(
+                        order_id,
+                        service,
+                        option.zone,
+                        option.vm_class,
+                        option.reclaimable,
+                        _ALWAYS_MS,
+                    )
+                )
+        return result
+
+
+class FixedPeakPolicy(FixedPolicy):
+    """On-demand VMs for the peak with its backlog, all the time."""
+
+    name = "fixed_peak_on_demand"
+
+    def wanted_streams(self, load: fleet_demand.Load) -> float:
+        """Return the day's streams and those that work off the backlog."""
+        work_ms = load.backlog_requests * load.request_ms
+        return load.day_streams * 1.15 + work_ms / _PEAK_DRAIN_MS
+
+
+class FixedAveragePolicy(FixedPolicy):
+    """Reclaimable VMs for the average demand, all the time."""
+
+    name = "fixed_average_reclaimable"
+    reclaimable = True
+
+    def wanted_streams(self, load: fleet_demand.Load) -> float:
+        """Return the mean of the 12 hours that a run replays."""
+        busy_hours, all_hours = 6.6, 12.0
+        extra = (load.day_streams - load.night_streams) * busy_hours
+        work_ms = load.backlog_requests * load.request_ms
+        extra += work_ms / fleet_demand.HOUR_MS
+        return load.night_streams + extra / all_hours
+
+
+POLICIES: dict[str, type[Policy]] = {
+    FleetPolicy.name: FleetPolicy,
+    PlainFleetPolicy.name: PlainFleetPolicy,
+    FixedPeakPolicy.name: FixedPeakPolicy,
+    FixedAveragePolicy.name: FixedAveragePolicy,
+}
+
+
+@contextlib.contextmanager
+def _without_profile_and_spread() -> Iterator[None]:
+    start = planning.next_start
+
+    def in_one_zone(
+        desired: int,
+        vms: list[planning.Vm],
+        placements: list[deployment.Placement],
+        *rest: object,
+    ) -> planning.Option | None:
+        # A zone's share grows to the whole count, so that price decides.
+        zones = len({placement.zone for placement in placements})
+        if len(vms) >= desired:
+            return None
+        return start(desired * zones, vms, placements, *rest)  # type: ignore
+
+    def without_spare(
+        streams: float, placements: list[deployment.Placement]
+    ) -> int:
+        slots = sum(placement.slots for placement in placements)
+        average_slots = slots / len(placements)
+        busy_slots = average_slots * planning.TARGET_UTILIZATION
+        lowest = sum(placement.min_vms for placement in placements)
+        highest = sum(placement.max_vms for placement in placements)
+        return min(max(math.ceil(streams / busy_slots), lowest), highest)
+
+    with (
+        mock.patch.object(planning, "next_start", in_one_zone),
+        mock.patch.object(planning, "desired_vms", without_spare),
+        mock.patch.object(profiles.Profile, "expected", lambda *_: 0.0),
+    ):
+        yield
--- /dev/null
+++ b/laburnumpin/commands/fleet_bench.py
@@ -0,0 +1,85 @@
+"""The `fleet-bench` command: replays fleet decisions."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+import concurrent.futures
+import dataclasses
+import json
+import pathlib
+
+from rich import console
+
+from laburnumpin.bench import fleet_demand
+from laburnumpin.bench import fleet_policies
+from laburnumpin.bench import fleet_replay
+
+DEFAULT_JOBS = 4
+_COLUMNS = (
+    ("$/h", "cost_per_hour", ".2f"),
+    ("$/1k min", "cost_per_thousand_min", ".2f"),
+    ("at once", "at_once_share", ".4f"),
+    ("lowest", "lowest_service_share", ".4f"),
+    ("backlog min", "largest_backlog", ".0f"),
+    ("drain min", "drain_min", ".1f"),
+    ("starts", "starts", ".0f"),
+    ("refused", "refused", ".0f"),
+    ("stops", "stops", ".0f"),
+    ("busy stops", "busy_stops", ".1f"),
+    ("wasted min", "wasted_vm_min", ".0f"),
+    ("zone wave s", "missed_after_first_wave_s", ".0f"),
+    ("any wave s", "missed_after_wave_s", ".0f"),
+)
+_Job = tuple[str, int, str]
+
+
+def run_fleet_bench(
+    policy_names: Sequence[str] = tuple(fleet_policies.POLICIES),
+    sites: Sequence[str] = fleet_demand.SITES,
+    hold_out: bool = False,
+    json_path: pathlib.Path | None = None,
+    jobs: int = DEFAULT_JOBS,
+) -> list[fleet_replay.Figures]:
+    """Replay all scenarios under the policies, print a table of means."""
+    seeds = fleet_demand.TUNING_SEEDS
+    if hold_out:
+        seeds = fleet_demand.HOLD_OUT_SEEDS
+    todo: list[_Job] = []
+    for site in sites:
+        for name in policy_names:
+            for seed in seeds:
+                todo.append((site, seed, name))
+    with concurrent.futures.ProcessPoolExecutor(jobs) as pool:
+        figures = list(pool.map(_run_job, todo))
+    console.Console(width=200).print(table(figures))
+    if json_path is not None:
+        rows = [dataclasses.asdict(one) for one in figures]
+        json_path.write_text(json.dumps(rows, indent=2), encoding="utf-8")
+    return figures
+
+
+def run_one(site: str, seed: int, policy_name: str) -> fleet_replay.Figures:
+    """Replay one scenario under one policy."""
+    scenario = fleet_demand.build(site, seed)
+    policy = fleet_policies.POLICIES[policy_name]()
+    return fleet_replay.Replay(scenario, policy).run()
+
+
+def table(figures: Sequence[fleet_replay.Figures]) -> str:
+    """Return the means by site and policy as a table."""
+    groups: dict[str, list[fleet_replay.Figures]] = {}
+    for one in figures:
+        groups.setdefault(f"{one.site} {one.policy}", []).append(one)
+    titles = " | ".join(title for title, _, _ in _COLUMNS)
+    lines = [f"| group | {titles} |", "| --- " * (len(_COLUMNS) + 1) + "|"]
+    for name, members in groups.items():
+        cells = []
+        for _, field, form in _COLUMNS:
+            total = sum(getattr(one, field) for one in members)
+            cells.append(format(total / len(members), form))
+        lines.append(f"| {name} | {' | '.join(cells)} |")
+    return "\n".join(lines)
+
+
+def _run_job(job: _Job) -> fleet_replay.Figures:
+    return run_one(*job)
