Drain VMs on the way down instead of waiting for idle ones

Cause: only a VM without any work was stopped. Routing spreads streams evenly, so that with more streams than VMs none is ever idle and the fleet of a surge stayed for hours. An idle report also said nothing about dispatches that other entries made since.

Ruled out: stopping busy VMs (destroys running work), and a new message to entries. The existing leaving mark is spread by digests and stops new work within 5 s; it also tells a new holder which drains to go on with.

Change: after the delay the dearest VM gets the leaving mark. It is stopped when a report from at least 5 s after the mark shows no work. The existing test of the way down renews the reports of its VMs in each pass, since a report from before the mark no longer counts; its assertions are the same.

The holder starts VMs anew when demand returns during a drain, since marks are for good.

--- a/laburnumpin/core/fleet.py
+++ b/laburnumpin/core/fleet.py
@@ -26,6 +26,8 @@
 SCALE_DOWN_DELAY_MS = 600_000
 # A started VM that the list does not show by then counts as lost.
 START_TIMEOUT_MS = 120_000
+# By then a leaving mark is known at every entry, and no new work is sent.
+MARK_SPREAD_MS = 5_000
 MAX_STARTS_PER_PASS = 4
 # Weight loads in flight at a time, for the weight store's rate limit.
 MAX_LOADS_IN_FLIGHT = 2
@@ -303,7 +305,8 @@
             break
         result.append(_start(state, service, option, now_ms))
         vms.append(planning.Vm("", option, 1))
-    result.extend(_scale_down(state, service, desired, vms, placements, now_ms))
+    _scale_down(state, service, desired, vms, placements, now_ms)
+    result.extend(_stop_drained(state, service, now_ms))
     return result
 
 
@@ -314,26 +317,60 @@
     vms: list[planning.Vm],
     placements: list[deployment.Placement],
     now_ms: int,
-) -> list[effects.Effect]:
+) -> None:
+    """Mark a VM that is not needed as leaving, so that its work ends."""
     own = state.fleet
     if len(vms) <= desired:
         own.excess_since_ms.pop(service, None)
-        return []
+        return
     since_ms = own.excess_since_ms.setdefault(service, now_ms)
     if now_ms < since_ms + SCALE_DOWN_DELAY_MS:
-        return []
-    vm = planning.next_stop(vms, placements, own.prices_per_hour)
-    if vm is None:
-        return []
-    state.counters.increment("vm_stops")
-    own.listed[vm.vm_id] = dataclasses.replace(
-        own.listed[vm.vm_id], leaving=True
-    )
-    return [
-        effects.StopVm(
-            _order_id(state, vm.vm_id), vm.vm_id, lease.valid_until_ms(state)
+        return
+    reporting = []
+    for vm in vms:
+        upstream = state.upstreams.by_id.get(vm.vm_id)
+        # Without its reports it would stay unknown when its work ends.
+        if upstream is not None and upstream.report is not None:
+            reporting.append(vm)
+    chosen = planning.next_stop(vms, reporting, placements, own.prices_per_hour)
+    if chosen is None:
+        return
+    state.counters.increment("vm_drains")
+    row = own.listed[chosen.vm_id]
+    upstreams.mark_leaving(state, row.vm_id, row.incarnation, now_ms)
+
+
+def _stop_drained(
+    state: entry_state.EntryState, service: str, now_ms: int
+) -> list[effects.Effect]:
+    """Stop the VMs with a leaving mark that reported no more work.
+
+    Marks are in the digests, so that a new holder goes on with the drains of
+    the last one.
+    """
+    own = state.fleet
+    result: list[effects.Effect] = []
+    for row in own.listed.values():
+        if row.service != service or row.leaving:
+            continue
+        marked_ms = state.upstreams.leaving.get((row.vm_id, row.incarnation))
+        upstream = state.upstreams.by_id.get(row.vm_id)
+        if marked_ms is None or upstream is None:
+            continue
+        if upstream.reported_ms < marked_ms + MARK_SPREAD_MS:
+            continue
+        if _busy(state, row.vm_id) > 0:
+            continue
+        state.counters.increment("vm_stops")
+        own.listed[row.vm_id] = dataclasses.replace(row, leaving=True)
+        result.append(
+            effects.StopVm(
+                _order_id(state, row.vm_id),
+                row.vm_id,
+                lease.valid_until_ms(state),
+            )
         )
-    ]
+    return result
 
 
 def _start(
--- a/laburnumpin/core/planning.py
+++ b/laburnumpin/core/planning.py
@@ -118,12 +118,13 @@
 
 def next_stop(
     vms: list[Vm],
+    candidates: list[Vm],
     placements: list[deployment.Placement],
     prices_per_hour: dict[str, float],
 ) -> Vm | None:
-    """Return the idle VM to stop first: dearest first, fullest zone first.
+    """Return the candidate to drain first: dearest first, fullest zone first.
 
-    A VM with work is never chosen.
+    Idle VMs go before those with work only at the same cost and zone.
     """
     minimum: dict[Option, int] = {}
     slots: dict[Option, int] = {}
@@ -140,15 +141,13 @@
     for vm in vms:
         by_option[vm.option] = by_option.get(vm.option, 0) + 1
         by_zone[vm.option.zone] = by_zone.get(vm.option.zone, 0) + 1
-    best: tuple[float, int, str] | None = None
+    best: tuple[float, int, int, str] | None = None
     chosen: Vm | None = None
-    for vm in vms:
-        if vm.busy_slots > 0:
-            continue
+    for vm in candidates:
         if by_option[vm.option] <= minimum.get(vm.option, 0):
             continue
         cost = price.get(vm.option, math.inf) / slots.get(vm.option, 1)
-        key = (cost, by_zone[vm.option.zone], vm.vm_id)
+        key = (cost, by_zone[vm.option.zone], -vm.busy_slots, vm.vm_id)
         if best is None or key > best:
             best = key
             chosen = vm
--- a/laburnumpin/tests/test_fleet.py
+++ b/laburnumpin/tests/test_fleet.py
@@ -144,6 +144,8 @@
     now_ms = 0
     stopped: list[str] = []
     while now_ms < 2 * fleet.SCALE_DOWN_DELAY_MS:
+        for upstream in entry.upstreams.by_id.values():
+            upstream.reported_ms = now_ms
         for effect in plan(entry, now_ms, rows):
             if isinstance(effect, effects.StopVm):
                 assert now_ms >= fleet.SCALE_DOWN_DELAY_MS
@@ -154,6 +156,45 @@
     assert "u5" not in stopped
 
 
+def test_vm_is_stopped_only_once_its_work_has_ended() -> None:
+    """Guards against a fleet that never shrinks under evenly spread load."""
+    entry = make_holder(0)
+    rows = tuple(make_row(f"u{n}", builders.ZONES[n % 3]) for n in range(6))
+    plan(entry, 0, rows)
+    for row in rows:
+        load(entry, row.vm_id, 1)
+    due_ms = fleet.SCALE_DOWN_DELAY_MS
+    plan(entry, 1_000, rows)
+    plan(entry, due_ms + 1_000, rows)
+    marked = [vm_id for vm_id, _ in entry.upstreams.leaving]
+    assert len(marked) == 1
+    drained = entry.upstreams.by_id[marked[0]]
+    stops: dict[int, list[str]] = {}
+    for after_ms, running in ((30_000, 1), (31_000, 0)):
+        drained.report = make_report(running)
+        drained.reported_ms = due_ms + after_ms
+        stops[after_ms] = [
+            effect.vm_id
+            for effect in plan(entry, due_ms + after_ms, rows)
+            if isinstance(effect, effects.StopVm)
+        ]
+    assert stops == {30_000: [], 31_000: marked}
+
+
+def test_idle_report_from_before_the_mark_does_not_stop_a_vm() -> None:
+    """Guards against a stop while an entry still dispatches to the VM."""
+    entry = make_holder(0)
+    plan(entry, 0, (make_row("u1"),))
+    load(entry, "u1", 0)
+    upstreams.mark_leaving(entry, "u1", 1, 10_000)
+    upstream = entry.upstreams.by_id["u1"]
+    for reported_ms, expected in ((14_999, 0), (15_000, 1)):
+        upstream.reported_ms = reported_ms
+        produced = plan(entry, reported_ms, (make_row("u1"),))
+        stops = [e for e in produced if isinstance(e, effects.StopVm)]
+        assert len(stops) == expected
+
+
 def test_no_order_without_a_lease_margin() -> None:
     """Guards against a holder that acts after its lease lapsed."""
     entry = make_holder(0)
