Plan a bulk backlog over 15 minutes, not one stream per request

Cause: each waiting request counted as one stream, and the slots that serve a backlog counted as demand too. The Monday surge therefore asked for the whole fleet, which was up when the surge was nearly over.

Ruled out: only dividing the queue by a time. While a queue is served every slot is busy, so that what runs grows with the fleet and asks for more.

Change: `core/demand.py` takes what ran before the queue began, plus for each waiting bulk request the share of a stream that serves it within 15 minutes (its tokens times the reported step time, or the learned time of a plain call). Interactive requests still count as one stream each. A queue that is older than 15 minutes counts what runs, so that demand that grew is not taken for a backlog for ever.

--- /dev/null
+++ b/laburnumpin/core/demand.py
@@ -0,0 +1,141 @@
+"""Estimates of the concurrent streams that a service needs."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from laburnumpin.core import deployment
+from laburnumpin.core import upstreams
+
+if TYPE_CHECKING:
+    from laburnumpin.core import requests
+    from laburnumpin.core import state as entry_state
+
+PEER_DEMAND_MAX_AGE_MS = 10_000
+# Waiting bulk work is to be served within this time. One stream for each
+# waiting request starts VMs for a surge that ends soon after they are up.
+BACKLOG_DRAIN_MS = 900_000
+_TYPICAL_REQUEST_TOKENS = 1_000
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class PeerDemand:
+    """Queued tokens at a peer for a service, from its digest."""
+
+    queued_tokens: int
+    received_ms: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class QueueStart:
+    """When a service's queue was last empty, and what ran at that time."""
+
+    empty_ms: int
+    running: float
+
+
+@dataclasses.dataclass(slots=True)
+class _Queued:
+    """Waiting requests, and the streams that serve them in time."""
+
+    requests: float = 0.0
+    tokens: int = 0
+    streams: float = 0.0
+
+
+def concurrent_streams(
+    state: entry_state.EntryState, service: str, now_ms: int
+) -> float:
+    """Estimate the streams that a service needs: running and waiting.
+
+    While a queue is served all slots are busy, so that what runs says nothing
+    about the arrivals. Until the queue should be gone, the streams from before
+    it count instead of those that run.
+    """
+    running = _running(state, service)
+    queued = _queued(state, service, now_ms)
+    if queued.requests == 0:
+        state.fleet.queues[service] = QueueStart(now_ms, running)
+        return running
+    start = state.fleet.queues.setdefault(service, QueueStart(now_ms, running))
+    at_most = running + queued.requests
+    if now_ms - start.empty_ms > BACKLOG_DRAIN_MS:
+        return min(at_most, running + queued.streams)
+    return min(at_most, start.running + queued.streams)
+
+
+def _running(state: entry_state.EntryState, service: str) -> float:
+    streams = 0.0
+    for upstream in upstreams.of_service(state, service):
+        if upstream.report is not None:
+            streams += upstream.report.running + upstream.report.waiting
+    return streams
+
+
+def _queued(
+    state: entry_state.EntryState, service: str, now_ms: int
+) -> _Queued:
+    """Sum the own queue; peers are taken to have the same mix."""
+    own = _Queued()
+    step_ms = _step_ms(state, service)
+    call_ms = _call_ms(state, service)
+    for request in state.limits.queue.values():
+        if request.service.name != service:
+            continue
+        own.requests += 1
+        own.tokens += request.prompt_tokens + request.max_tokens
+        own.streams += _streams_of(request, step_ms, call_ms)
+    peer_tokens = _peer_tokens(state, service, now_ms)
+    if peer_tokens == 0:
+        return own
+    if own.tokens == 0:
+        count = peer_tokens / _TYPICAL_REQUEST_TOKENS
+        return _Queued(own.requests + count, peer_tokens, own.streams + count)
+    factor = 1 + peer_tokens / own.tokens
+    return _Queued(
+        own.requests * factor, own.tokens + peer_tokens, own.streams * factor
+    )
+
+
+def _streams_of(
+    request: requests.Request, step_ms: float, call_ms: float
+) -> float:
+    """Return the share of a stream that serves a request in time."""
+    if request.priority is deployment.Priority.INTERACTIVE:
+        return 1.0
+    duration_ms = call_ms
+    if request.service.kind is deployment.ServiceKind.MODEL:
+        duration_ms = request.max_tokens * step_ms
+    # Nothing is known of the time that it takes.
+    if duration_ms <= 0:
+        return 1.0
+    return min(1.0, duration_ms / BACKLOG_DRAIN_MS)
+
+
+def _step_ms(state: entry_state.EntryState, service: str) -> float:
+    slowest_ms = 0.0
+    for upstream in upstreams.of_service(state, service):
+        if upstream.report is not None:
+            slowest_ms = max(slowest_ms, upstream.report.step_ms)
+    return slowest_ms
+
+
+def _call_ms(state: entry_state.EntryState, service: str) -> float:
+    slowest_ms = 0.0
+    for (name, _), pace in state.upstreams.paces.items():
+        if name == service:
+            slowest_ms = max(slowest_ms, pace.service_ms)
+    return slowest_ms
+
+
+def _peer_tokens(
+    state: entry_state.EntryState, service: str, now_ms: int
+) -> int:
+    tokens = 0
+    for (_, name), known in state.fleet.peer_demand.items():
+        if name != service:
+            continue
+        if now_ms - known.received_ms <= PEER_DEMAND_MAX_AGE_MS:
+            tokens += known.queued_tokens
+    return tokens
--- a/laburnumpin/core/fleet.py
+++ b/laburnumpin/core/fleet.py
@@ -5,6 +5,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from laburnumpin.core import demand
 from laburnumpin.core import deployment
 from laburnumpin.core import effects
 from laburnumpin.core import events
@@ -34,7 +35,6 @@
 LOAD_TIMEOUT_MS = 60_000
 # The plan waits for a list of VMs that is no older than this.
 LIST_MAX_AGE_MS = 30_000
-PEER_DEMAND_MAX_AGE_MS = 10_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -47,14 +47,6 @@
     vm_id: str | None = None
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class PeerDemand:
-    """Queued tokens at a peer for a service, from its digest."""
-
-    queued_tokens: int
-    received_ms: int
-
-
 class FleetState:
     """The lease, what was ordered, prices and demand."""
 
@@ -72,6 +64,7 @@
         "prices_per_hour",
         "profile_reads",
         "profiles",
+        "queues",
         "refusals",
         "starts",
     )
@@ -86,7 +79,8 @@
         self.prices_per_hour: dict[str, float] = {}
         self.profiles: dict[str, profiles.Profile] = {}
         self.profile_reads: dict[store.OperationId, str] = {}
-        self.peer_demand: dict[tuple[str, str], PeerDemand] = {}
+        self.peer_demand: dict[tuple[str, str], demand.PeerDemand] = {}
+        self.queues: dict[str, demand.QueueStart] = {}
         self.excess_since_ms: dict[str, int] = {}
         self.next_order = 1
         self.next_plan_ms = 0
@@ -170,10 +164,10 @@
     message: messages.Digest,
 ) -> list[effects.Effect]:
     """Take over the demand that a peer sees."""
-    for demand in message.demands:
-        key = (message.entry.vm_id, demand.service)
-        state.fleet.peer_demand[key] = PeerDemand(
-            demand.queued_tokens, event.now_ms
+    for row in message.demands:
+        key = (message.entry.vm_id, row.service)
+        state.fleet.peer_demand[key] = demand.PeerDemand(
+            row.queued_tokens, event.now_ms
         )
     return []
 
@@ -216,41 +210,6 @@
     return result
 
 
-def concurrent_streams(
-    state: entry_state.EntryState, service: str, now_ms: int
-) -> float:
-    """Estimate the streams that a service needs: running and waiting.
-
-    Waiting work is counted as the streams that finish it within the target
-    for the first token, but at most one stream for each queued request.
-    """
-    streams = 0.0
-    for upstream in upstreams.of_service(state, service):
-        if upstream.report is not None:
-            streams += upstream.report.running + upstream.report.waiting
-    queued = 0
-    queued_tokens = 0
-    for request in state.limits.queue.values():
-        if request.service.name == service:
-            queued += 1
-            queued_tokens += request.prompt_tokens + request.max_tokens
-    peer_tokens = 0
-    for (_, name), demand in state.fleet.peer_demand.items():
-        if name != service:
-            continue
-        if now_ms - demand.received_ms <= PEER_DEMAND_MAX_AGE_MS:
-            peer_tokens += demand.queued_tokens
-    streams += queued
-    if queued > 0 and peer_tokens > 0:
-        streams += queued * peer_tokens / queued_tokens
-    elif peer_tokens > 0:
-        streams += peer_tokens / _TYPICAL_REQUEST_TOKENS
-    return streams
-
-
-_TYPICAL_REQUEST_TOKENS = 1_000
-
-
 def _plan(state: entry_state.EntryState, now_ms: int) -> list[effects.Effect]:
     own = state.fleet
     current = state.configuration.current
@@ -277,7 +236,7 @@
     now_ms: int,
 ) -> list[effects.Effect]:
     own = state.fleet
-    streams = concurrent_streams(state, service, now_ms)
+    streams = demand.concurrent_streams(state, service, now_ms)
     result: list[effects.Effect] = []
     profile = own.profiles.get(service)
     if profile is not None:
--- a/laburnumpin/tests/test_fleet.py
+++ b/laburnumpin/tests/test_fleet.py
@@ -4,7 +4,10 @@
 
 import hypothesis
 from hypothesis import strategies
+import pytest
 
+from laburnumpin.core import demand
+from laburnumpin.core import deployment
 from laburnumpin.core import effects
 from laburnumpin.core import events
 from laburnumpin.core import fleet
@@ -12,6 +15,7 @@
 from laburnumpin.core import lifecycle
 from laburnumpin.core import planning
 from laburnumpin.core import profiles
+from laburnumpin.core import requests
 from laburnumpin.core import state
 from laburnumpin.core import upstreams
 from laburnumpin.tests import builders
@@ -250,6 +254,64 @@
     assert len(starts(plan(entry, ahead_ms, ()))) > 0
 
 
+def enqueue(
+    entry: state.EntryState, count: int, priority: deployment.Priority
+) -> None:
+    """Let requests of 1,000 tokens wait, as the queue holds them."""
+    current = entry.configuration.current
+    assert current is not None
+    service = current.deployment.services["draft"]
+    for number in range(count):
+        entry.limits.queue[f"{priority}/{number}"] = requests.Request(
+            request_id=f"{priority}/{number}",
+            customer="acme",
+            service=service,
+            operation=service.operations["write"],
+            body="",
+            prompt="",
+            prompt_tokens=0,
+            max_tokens=1_000,
+            blocks=(),
+            idempotency_key=None,
+            accepted_ms=0,
+            deadline_ms=HOUR_MS,
+            priority=priority,
+            configuration=current,
+        )
+
+
+def test_bulk_backlog_is_spread_over_time_and_urgent_work_is_not() -> None:
+    """Guards against a fleet for each stream of a surge that soon ends."""
+    entry = make_holder(0)
+    plan(entry, 0, (make_row("u1"),))
+    load(entry, "u1", 4)
+    assert demand.concurrent_streams(entry, "draft", 0) == 4
+    # Each of the 90 takes 1,000 steps of 10 ms.
+    enqueue(entry, 90, deployment.Priority.BULK)
+    load(entry, "u1", 8)
+    assert demand.concurrent_streams(entry, "draft", 1_000) == pytest.approx(
+        4 + 1
+    )
+    enqueue(entry, 10, deployment.Priority.INTERACTIVE)
+    assert demand.concurrent_streams(entry, "draft", 1_000) == pytest.approx(
+        4 + 1 + 10
+    )
+
+
+def test_queue_that_stays_counts_what_runs() -> None:
+    """Guards against demand that grew but is taken for a backlog for ever."""
+    entry = make_holder(0)
+    plan(entry, 0, (make_row("u1"),))
+    load(entry, "u1", 2)
+    demand.concurrent_streams(entry, "draft", 0)
+    enqueue(entry, 90, deployment.Priority.BULK)
+    load(entry, "u1", 8)
+    late_ms = demand.BACKLOG_DRAIN_MS + 1
+    assert demand.concurrent_streams(entry, "draft", late_ms) == pytest.approx(
+        8 + 1
+    )
+
+
 @hypothesis.given(strategies.binary(max_size=200))
 def test_malformed_profile_is_ignored(body: bytes) -> None:
     """Guards against a damaged object that stops the planner."""
