Plan slots by zone instead of a number of VMs

Cause: the plan divided the streams by the mean slots of all placements. With classes of different size the VMs that start are not of the mean size, so that the plan can hold too few slots, and the loss of the zone with the large VMs takes more than one zone's share. The old property test had one class only.

Ruled out: buying each next VM by price alone until the loss of any zone is covered; it fills the cheapest zone with all streams and needs the same again elsewhere, 2 times the streams in place of 1.5.

Change: `is_short` says whether the slots carry the streams at the target utilization and without any one zone; starts go on while it holds and a drain never makes it hold. Slots beyond those that are needed do not count for the price. The property test now has a second class of 4, 8 or 32 slots and checks slots and an upper bound; `desired_vms` is gone.

--- a/laburnumpin/bench/fleet_policies.py
+++ b/laburnumpin/bench/fleet_policies.py
@@ -322,33 +322,18 @@
 
 @contextlib.contextmanager
 def _without_profile_and_spread() -> Iterator[None]:
-    start = planning.next_start
-
-    def in_one_zone(
-        desired: int,
+    def is_short(
+        streams: float,
         vms: list[planning.Vm],
         placements: list[deployment.Placement],
-        *rest: object,
-    ) -> planning.Option | None:
-        # A zone's share grows to the whole count, so that price decides.
-        zones = len({placement.zone for placement in placements})
-        if len(vms) >= desired:
-            return None
-        return start(desired * zones, vms, placements, *rest)  # type: ignore
-
-    def without_spare(
-        streams: float, placements: list[deployment.Placement]
-    ) -> int:
-        slots = sum(placement.slots for placement in placements)
-        average_slots = slots / len(placements)
-        busy_slots = average_slots * planning.TARGET_UTILIZATION
-        lowest = sum(placement.min_vms for placement in placements)
-        highest = sum(placement.max_vms for placement in placements)
-        return min(max(math.ceil(streams / busy_slots), lowest), highest)
+    ) -> bool:
+        slots = {planning.option_of(one): one.slots for one in placements}
+        total = sum(slots.get(vm.option, 0) for vm in vms)
+        return total < streams / planning.TARGET_UTILIZATION
 
     with (
-        mock.patch.object(planning, "next_start", in_one_zone),
-        mock.patch.object(planning, "desired_vms", without_spare),
+        mock.patch.object(planning, "is_short", is_short),
+        mock.patch.object(planning, "zone_share", lambda *_: math.inf),
         mock.patch.object(profiles.Profile, "expected", lambda *_: 0.0),
     ):
         yield
--- a/laburnumpin/core/fleet.py
+++ b/laburnumpin/core/fleet.py
@@ -249,11 +249,10 @@
                 )
             )
         streams = max(streams, profile.expected(now_ms))
-    desired = planning.desired_vms(streams, placements)
     vms = _vms(state, service)
     for _ in range(MAX_STARTS_PER_PASS):
         option = planning.next_start(
-            desired,
+            streams,
             vms,
             placements,
             own.prices_per_hour,
@@ -264,7 +263,7 @@
             break
         result.append(_start(state, service, option, now_ms))
         vms.append(planning.Vm("", option, 1))
-    _scale_down(state, service, desired, vms, placements, now_ms)
+    _scale_down(state, service, streams, vms, placements, now_ms)
     result.extend(_stop_drained(state, service, now_ms))
     return result
 
@@ -272,27 +271,27 @@
 def _scale_down(
     state: entry_state.EntryState,
     service: str,
-    desired: int,
+    streams: float,
     vms: list[planning.Vm],
     placements: list[deployment.Placement],
     now_ms: int,
 ) -> None:
     """Mark a VM that is not needed as leaving, so that its work ends."""
     own = state.fleet
-    if len(vms) <= desired:
-        own.excess_since_ms.pop(service, None)
-        return
-    since_ms = own.excess_since_ms.setdefault(service, now_ms)
-    if now_ms < since_ms + SCALE_DOWN_DELAY_MS:
-        return
     reporting = []
     for vm in vms:
         upstream = state.upstreams.by_id.get(vm.vm_id)
         # Without its reports it would stay unknown when its work ends.
         if upstream is not None and upstream.report is not None:
             reporting.append(vm)
-    chosen = planning.next_stop(vms, reporting, placements, own.prices_per_hour)
+    chosen = planning.next_stop(
+        streams, vms, reporting, placements, own.prices_per_hour
+    )
     if chosen is None:
+        own.excess_since_ms.pop(service, None)
+        return
+    since_ms = own.excess_since_ms.setdefault(service, now_ms)
+    if now_ms < since_ms + SCALE_DOWN_DELAY_MS:
         return
     state.counters.increment("vm_drains")
     row = own.listed[chosen.vm_id]
--- a/laburnumpin/core/planning.py
+++ b/laburnumpin/core/planning.py
@@ -51,27 +51,32 @@
     return f"{option.zone}/{option.vm_class}/{kind}"
 
 
-def desired_vms(streams: float, placements: list[deployment.Placement]) -> int:
-    """Return how many VMs carry `streams` concurrent streams.
+def is_short(
+    streams: float, vms: list[Vm], placements: list[deployment.Placement]
+) -> bool:
+    """Return whether the VMs are too few for `streams` concurrent streams.
 
-    With several zones the count is such that losing any one zone leaves room
-    for all streams. The result lies within the placements' bounds.
+    With several zones, losing any one must leave room for all streams.
     """
-    slots = sum(placement.slots for placement in placements)
-    average_slots = slots / len(placements)
-    needed = math.ceil(streams / (average_slots * TARGET_UTILIZATION))
-    zones = {placement.zone for placement in placements}
-    if len(zones) > 1 and needed > 0:
-        bare = math.ceil(streams / average_slots)
-        spare = math.ceil(bare * len(zones) / (len(zones) - 1))
-        needed = max(needed, spare)
-    lowest = sum(placement.min_vms for placement in placements)
-    highest = sum(placement.max_vms for placement in placements)
-    return min(max(needed, lowest), highest)
+    by_zone = _slots_by_zone(vms, placements)
+    total = sum(by_zone.values())
+    if total < streams / TARGET_UTILIZATION:
+        return True
+    if len(by_zone) < 2:
+        return False
+    return total - max(by_zone.values()) < streams
+
+
+def zone_share(streams: float, zone_count: int) -> float:
+    """Return the slots that one zone has when all zones have the same."""
+    total = streams / TARGET_UTILIZATION
+    if zone_count > 1:
+        total = max(total, streams * zone_count / (zone_count - 1))
+    return total / zone_count
 
 
 def next_start(
-    desired: int,
+    streams: float,
     vms: list[Vm],
     placements: list[deployment.Placement],
     prices_per_hour: dict[str, float],
@@ -80,43 +85,40 @@
 ) -> Option | None:
     """Return the next VM to start, or None when nothing more can start.
 
-    The cheapest option per slot goes first within a zone's share of the
-    desired count; on-demand VMs and zones over their share are the fallback.
+    The cheapest option per slot that is needed goes first within a zone's
+    share; on-demand VMs and zones over their share are the fallback.
     """
     by_option: dict[Option, int] = {}
-    by_zone: dict[str, int] = {}
     for vm in vms:
         by_option[vm.option] = by_option.get(vm.option, 0) + 1
-        by_zone[vm.option.zone] = by_zone.get(vm.option.zone, 0) + 1
-    zones = {placement.zone for placement in placements}
-    zone_share = math.ceil(desired / len(zones))
-    best: tuple[bool, bool, float, int, Option] | None = None
+    by_zone = _slots_by_zone(vms, placements)
+    share = zone_share(streams, len(by_zone))
+    short = is_short(streams, vms, placements)
+    best: tuple[bool, bool, float, float, Option] | None = None
     for placement in placements:
         option = option_of(placement)
         count = by_option.get(option, 0)
         missing = count < placement.min_vms
-        if len(vms) >= desired and not missing:
-            continue
-        if count >= placement.max_vms:
+        if not (short or missing) or count >= placement.max_vms:
             continue
         refused = refusals.get(option)
         if refused is not None and now_ms < refused.until_ms:
             continue
+        needed = _needed_slots(streams, option.zone, by_zone)
+        if needed <= 0 and not missing:
+            continue
         price = prices_per_hour.get(price_key(option), placement.price_per_hour)
-        in_zone = by_zone.get(option.zone, 0)
-        key = (
-            not missing,
-            in_zone >= zone_share,
-            price / placement.slots,
-            in_zone,
-            option,
-        )
+        in_zone = by_zone[option.zone]
+        # Slots beyond those that are needed are paid without use.
+        used = max(1.0, min(placement.slots, needed))
+        key = (not missing, in_zone >= share, price / used, in_zone, option)
         if best is None or key < best:
             best = key
     return None if best is None else best[4]
 
 
 def next_stop(
+    streams: float,
     vms: list[Vm],
     candidates: list[Vm],
     placements: list[deployment.Placement],
@@ -124,7 +126,8 @@
 ) -> Vm | None:
     """Return the candidate to drain first: dearest first, fullest zone first.
 
-    Idle VMs go before those with work only at the same cost and zone.
+    None when the others would be too few. Idle VMs go before those with work
+    only at the same cost and zone.
     """
     minimum: dict[Option, int] = {}
     slots: dict[Option, int] = {}
@@ -149,6 +152,9 @@
         cost = price.get(vm.option, math.inf) / slots.get(vm.option, 1)
         key = (cost, by_zone[vm.option.zone], -vm.busy_slots, vm.vm_id)
         if best is None or key > best:
+            rest = [other for other in vms if other is not vm]
+            if is_short(streams, rest, placements):
+                continue
             best = key
             chosen = vm
     return chosen
@@ -167,3 +173,28 @@
 def note_start(refusals: dict[Option, Refusals], option: Option) -> None:
     """Forget earlier refusals after a start that succeeded."""
     refusals.pop(option, None)
+
+
+def _slots_by_zone(
+    vms: list[Vm], placements: list[deployment.Placement]
+) -> dict[str, float]:
+    slots = {option_of(one): one.slots for one in placements}
+    by_zone = {placement.zone: 0.0 for placement in placements}
+    for vm in vms:
+        # A VM whose placement was removed from the configuration has no
+        # known size; it is replaced as if it had gone.
+        if vm.option in slots:
+            by_zone[vm.option.zone] += slots[vm.option]
+    return by_zone
+
+
+def _needed_slots(
+    streams: float, zone: str, by_zone: dict[str, float]
+) -> float:
+    """Return the slots that are missing and that `zone` can add."""
+    total = sum(by_zone.values())
+    needed = streams / TARGET_UTILIZATION - total
+    for other, slots in by_zone.items():
+        if other != zone:
+            needed = max(needed, streams - (total - slots))
+    return needed
--- a/laburnumpin/tests/test_bench_fleet.py
+++ b/laburnumpin/tests/test_bench_fleet.py
@@ -85,13 +85,13 @@
 @pytest.mark.parametrize("name", sorted(fleet_policies.POLICIES))
 def test_baselines_replace_decisions_only_in_a_run(name: str) -> None:
     """Guards against a baseline that stays installed in the core."""
-    before = (planning.next_start, planning.desired_vms)
+    before = (planning.is_short, planning.zone_share)
     scenario = _short()
     scenario.end_ms = scenario.start_ms + 15 * fleet_demand.MINUTE_MS
     policy = fleet_policies.POLICIES[name]()
     figures = fleet_replay.Replay(scenario, policy).run()
     assert figures.starts > 0
-    assert (planning.next_start, planning.desired_vms) == before
+    assert (planning.is_short, planning.zone_share) == before
 
 
 def test_hold_out_shares_no_scenario_with_tuning() -> None:
--- a/laburnumpin/tests/test_fleet.py
+++ b/laburnumpin/tests/test_fleet.py
@@ -75,21 +75,36 @@
     upstream.reported_ms = 0
 
 
-@hypothesis.given(streams=strategies.floats(0.1, 120))
-def test_losing_any_zone_leaves_room_for_all_streams(streams: float) -> None:
+@hypothesis.given(
+    streams=strategies.floats(0.1, 120),
+    large_slots=strategies.sampled_from([4, 8, 32]),
+)
+def test_losing_any_zone_leaves_room_for_all_streams(
+    streams: float, large_slots: int
+) -> None:
     """Guards against a plan that one zone's reclaim takes below demand."""
     placements = list(builders.make_deployment().placements)
+    for zone in builders.ZONES:
+        placements.append(
+            deployment.Placement(
+                "draft", zone, "large", True, 0, 4, 1.0, large_slots
+            )
+        )
+    slots = {planning.option_of(one): one.slots for one in placements}
     vms: list[planning.Vm] = []
-    desired = planning.desired_vms(streams, placements)
     while True:
-        option = planning.next_start(desired, vms, placements, {}, {}, 0)
+        option = planning.next_start(streams, vms, placements, {}, {}, 0)
         if option is None:
             break
         vms.append(planning.Vm("", option, 0))
-    assert len(vms) == desired
+    total = sum(slots[vm.option] for vm in vms)
+    assert total * planning.TARGET_UTILIZATION >= streams
     for zone in builders.ZONES:
-        left = sum(8 for vm in vms if vm.option.zone != zone)
+        left = sum(slots[vm.option] for vm in vms if vm.option.zone != zone)
         assert left >= streams
+    # No more than one zone's spare and a VM for each zone is paid.
+    most = max(streams / planning.TARGET_UTILIZATION, streams * 1.5)
+    assert total <= most + 3 * max(slots.values())
 
 
 def test_cheapest_options_come_first() -> None:
