Replace on-demand VMs when reclaimable starts succeed again

Cause: on-demand VMs that were started while reclaimable starts were refused stayed for as long as demand lasted, at three times the price.

Ruled out: draining the on-demand VM first, which leaves the plan short if the start is refused again.

Change: with nothing short and no start open, one reclaimable VM at a time starts when an on-demand VM costs enough more per slot (the other at most 0.7 of its price), reports its load, and is not needed with the new one. The way down then drains the dearest VM. Options with refused starts keep their backoff. Counter `vm_replacements`.

--- a/laburnumpin/core/fleet.py
+++ b/laburnumpin/core/fleet.py
@@ -263,11 +263,46 @@
             break
         result.append(_start(state, service, option, now_ms))
         vms.append(planning.Vm("", option, 1))
+    if not result:
+        result.extend(
+            _replace_on_demand(state, service, streams, vms, placements, now_ms)
+        )
     _scale_down(state, service, streams, vms, placements, now_ms)
     result.extend(_stop_drained(state, service, now_ms))
     return result
 
 
+def _replace_on_demand(
+    state: entry_state.EntryState,
+    service: str,
+    streams: float,
+    vms: list[planning.Vm],
+    placements: list[deployment.Placement],
+    now_ms: int,
+) -> list[effects.Effect]:
+    """Start a reclaimable VM when starts succeed again, one at a time."""
+    own = state.fleet
+    if service in own.excess_since_ms:
+        return []
+    for start in own.starts.values():
+        if start.service == service:
+            return []
+    option = planning.next_replacement(
+        streams,
+        vms,
+        _reporting(state, vms),
+        placements,
+        own.prices_per_hour,
+        own.refusals,
+        now_ms,
+    )
+    if option is None:
+        return []
+    state.counters.increment("vm_replacements")
+    vms.append(planning.Vm("", option, 1))
+    return [_start(state, service, option, now_ms)]
+
+
 def _scale_down(
     state: entry_state.EntryState,
     service: str,
@@ -278,14 +313,12 @@
 ) -> None:
     """Mark a VM that is not needed as leaving, so that its work ends."""
     own = state.fleet
-    reporting = []
-    for vm in vms:
-        upstream = state.upstreams.by_id.get(vm.vm_id)
-        # Without its reports it would stay unknown when its work ends.
-        if upstream is not None and upstream.report is not None:
-            reporting.append(vm)
     chosen = planning.next_stop(
-        streams, vms, reporting, placements, own.prices_per_hour
+        streams,
+        vms,
+        _reporting(state, vms),
+        placements,
+        own.prices_per_hour,
     )
     if chosen is None:
         own.excess_since_ms.pop(service, None)
@@ -298,6 +331,18 @@
     upstreams.mark_leaving(state, row.vm_id, row.incarnation, now_ms)
 
 
+def _reporting(
+    state: entry_state.EntryState, vms: list[planning.Vm]
+) -> list[planning.Vm]:
+    """Return the VMs whose reports tell when their work has ended."""
+    result = []
+    for vm in vms:
+        upstream = state.upstreams.by_id.get(vm.vm_id)
+        if upstream is not None and upstream.report is not None:
+            result.append(vm)
+    return result
+
+
 def _stop_drained(
     state: entry_state.EntryState, service: str, now_ms: int
 ) -> list[effects.Effect]:
--- a/laburnumpin/core/planning.py
+++ b/laburnumpin/core/planning.py
@@ -12,6 +12,9 @@
 TARGET_UTILIZATION = 0.75
 REFUSAL_BASE_MS = 30_000
 REFUSAL_CAP_MS = 600_000
+# A replacement pays twice while it starts and the other VM drains, so that
+# the gain must be clear.
+REPLACEMENT_PRICE_SHARE = 0.7
 
 
 @dataclasses.dataclass(slots=True, frozen=True, order=True)
@@ -160,6 +163,54 @@
     return chosen
 
 
+def next_replacement(
+    streams: float,
+    vms: list[Vm],
+    candidates: list[Vm],
+    placements: list[deployment.Placement],
+    prices_per_hour: dict[str, float],
+    refusals: dict[Option, Refusals],
+    now_ms: int,
+) -> Option | None:
+    """Return a reclaimable VM to start in place of an on-demand candidate.
+
+    Options with refused starts wait for their backoff as in `next_start`. The
+    way down then drains the dearest VM.
+    """
+    by_option: dict[Option, int] = {}
+    for vm in vms:
+        by_option[vm.option] = by_option.get(vm.option, 0) + 1
+    by_key = {option_of(one): one for one in placements}
+    best: tuple[float, Option] | None = None
+    for option, placement in by_key.items():
+        if not option.reclaimable:
+            continue
+        if by_option.get(option, 0) >= placement.max_vms:
+            continue
+        refused = refusals.get(option)
+        if refused is not None and now_ms < refused.until_ms:
+            continue
+        price = _slot_price(placement, prices_per_hour)
+        if best is not None and (price, option) >= best:
+            continue
+        for vm in candidates:
+            old = by_key.get(vm.option)
+            if old is None or old.reclaimable:
+                continue
+            if by_option[vm.option] <= old.min_vms:
+                continue
+            old_price = _slot_price(old, prices_per_hour)
+            if price > old_price * REPLACEMENT_PRICE_SHARE:
+                continue
+            rest = [other for other in vms if other is not vm]
+            rest.append(Vm("", option, 0))
+            if is_short(streams, rest, placements):
+                continue
+            best = (price, option)
+            break
+    return None if best is None else best[1]
+
+
 def note_refusal(
     refusals: dict[Option, Refusals], option: Option, now_ms: int
 ) -> None:
@@ -198,3 +249,10 @@
         if other != zone:
             needed = max(needed, streams - (total - slots))
     return needed
+
+
+def _slot_price(
+    placement: deployment.Placement, prices_per_hour: dict[str, float]
+) -> float:
+    key = price_key(option_of(placement))
+    return prices_per_hour.get(key, placement.price_per_hour) / placement.slots
--- a/laburnumpin/tests/test_fleet.py
+++ b/laburnumpin/tests/test_fleet.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 import hypothesis
 from hypothesis import strategies
 import pytest
@@ -214,6 +216,26 @@
         assert len(stops) == expected
 
 
+def test_on_demand_vms_are_replaced_one_at_a_time() -> None:
+    """Guards against paying the fallback's price after a wave is over."""
+    entry = make_holder(0)
+    rows = tuple(
+        dataclasses.replace(make_row(f"u{n}", zone), reclaimable=False)
+        for n, zone in enumerate(builders.ZONES)
+    )
+    plan(entry, 0, rows)
+    for row in rows:
+        load(entry, row.vm_id, 4)
+    refused = planning.Refusals(1, 5_000)
+    for zone in builders.ZONES:
+        option = planning.Option(zone, "gpu", True)
+        entry.fleet.refusals[option] = refused
+    assert starts(plan(entry, 2_000, rows)) == []
+    ordered = starts(plan(entry, 6_000, rows))
+    assert [order.reclaimable for order in ordered] == [True]
+    assert starts(plan(entry, 8_000, rows)) == []
+
+
 def test_no_order_without_a_lease_margin() -> None:
     """Guards against a holder that acts after its lease lapsed."""
     entry = make_holder(0)
