Estimate demand beyond the polled subset and the neighbours

Cause: the holder added up the reports of the upstreams that it polls, at most 24 over all services, and the queues of the 8 neighbours whose digests it hears. At the design's scale it would have planned for 24 of 10,000 runners and 9 of 2,600 entries.

Change: what runs at polled upstreams counts for all listed ones, without those that are leaving, which count as reported; peers' queued tokens count for the entries that are not heard. Upstreams outside the subset no longer count with an old report.

Ruled out: polling all upstreams from the holder (10,000 polls per period against 8 per second), and a new message.

--- a/laburnumpin/core/demand.py
+++ b/laburnumpin/core/demand.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from laburnumpin.core import deployment
+from laburnumpin.core import membership
 from laburnumpin.core import upstreams
 
 if TYPE_CHECKING:
@@ -66,11 +67,26 @@
 
 
 def _running(state: entry_state.EntryState, service: str) -> float:
+    """Estimate what runs at all upstreams from those that this entry polls."""
+    leaving = 0.0
+    polled = 0
     streams = 0.0
     for upstream in upstreams.of_service(state, service):
-        if upstream.report is not None:
-            streams += upstream.report.running + upstream.report.waiting
-    return streams
+        report = upstream.report
+        running = 0 if report is None else report.running + report.waiting
+        if upstream.leaving:
+            leaving += running
+        elif upstream.in_subset:
+            polled += 1
+            streams += running
+    if polled == 0:
+        return leaving
+    listed = 0
+    for row in state.fleet.listed.values():
+        if row.service != service or row.leaving:
+            continue
+        listed += (row.vm_id, row.incarnation) not in state.upstreams.leaving
+    return leaving + streams * max(1.0, listed / polled)
 
 
 def _queued(
@@ -138,4 +154,15 @@
             continue
         if now_ms - known.received_ms <= PEER_DEMAND_MAX_AGE_MS:
             tokens += known.queued_tokens
-    return tokens
+    return int(tokens * _unheard_factor(state, now_ms))
+
+
+def _unheard_factor(state: entry_state.EntryState, now_ms: int) -> float:
+    """Return how many other entries there are for each that is heard."""
+    heard = 0
+    for member in state.membership.by_vm.values():
+        heard += now_ms - member.digest_ms <= PEER_DEMAND_MAX_AGE_MS
+    if heard == 0:
+        return 1.0
+    others = membership.entry_count(state) - 1
+    return max(1.0, others / heard)
--- a/laburnumpin/tests/test_fleet.py
+++ b/laburnumpin/tests/test_fleet.py
@@ -13,8 +13,10 @@
 from laburnumpin.core import effects
 from laburnumpin.core import events
 from laburnumpin.core import fleet
+from laburnumpin.core import ids
 from laburnumpin.core import lease
 from laburnumpin.core import lifecycle
+from laburnumpin.core import membership
 from laburnumpin.core import planning
 from laburnumpin.core import profiles
 from laburnumpin.core import requests
@@ -349,6 +351,31 @@
     )
 
 
+def test_demand_beyond_the_polled_subset_is_estimated() -> None:
+    """Guards against a plan for the 24 upstreams that the holder polls."""
+    entry = make_holder(0)
+    count = 4 * upstreams.SUBSET_SIZE
+    rows = tuple(make_row(f"u{n}") for n in range(count))
+    plan(entry, 0, rows)
+    for vm_id in entry.upstreams.by_id:
+        load(entry, vm_id, 5)
+    estimate = demand.concurrent_streams(entry, "draft", 0)
+    assert estimate == pytest.approx(5 * count)
+
+
+def test_queues_of_entries_that_are_not_heard_are_estimated() -> None:
+    """Guards against a plan for the queues of eight neighbours."""
+    entry = make_holder(0)
+    entry.configuration.current = builders.make_configuration(entry_count=33)
+    for number in range(8):
+        vm_id = f"e{number + 2}"
+        member = membership.Member(ids.EntryId(vm_id, 1), "north", "", b"")
+        entry.membership.by_vm[vm_id] = member
+        row = demand.PeerDemand(1_000, 0)
+        entry.fleet.peer_demand[vm_id, "draft"] = row
+    assert demand.concurrent_streams(entry, "draft", 0) == 32
+
+
 @hypothesis.given(strategies.binary(max_size=200))
 def test_malformed_profile_is_ignored(body: bytes) -> None:
     """Guards against a damaged object that stops the planner."""
