Check each kind of VM once when planning the way down

Cause: `next_stop` asked for every better candidate whether the rest is too few, which looks at all VMs; with 10,000 VMs of which none can go that is quadratic and did not end within 60 s. In an entry the candidates are the polled VMs, at most 24, so that this was no fault yet.

Change: the answer is kept by option, since VMs of one option are alike to it; the same for replacements. Decisions stay as they are.

--- a/laburnumpin/core/planning.py
+++ b/laburnumpin/core/planning.py
@@ -147,6 +147,8 @@
     for vm in vms:
         by_option[vm.option] = by_option.get(vm.option, 0) + 1
         by_zone[vm.option.zone] = by_zone.get(vm.option.zone, 0) + 1
+    # VMs of one option are alike to `is_short`, which looks at all VMs.
+    kept: dict[Option, bool] = {}
     best: tuple[float, int, int, str] | None = None
     chosen: Vm | None = None
     for vm in candidates:
@@ -154,12 +156,15 @@
             continue
         cost = price.get(vm.option, math.inf) / slots.get(vm.option, 1)
         key = (cost, by_zone[vm.option.zone], -vm.busy_slots, vm.vm_id)
-        if best is None or key > best:
+        if best is not None and key <= best:
+            continue
+        if vm.option not in kept:
             rest = [other for other in vms if other is not vm]
-            if is_short(streams, rest, placements):
-                continue
-            best = key
-            chosen = vm
+            kept[vm.option] = is_short(streams, rest, placements)
+        if kept[vm.option]:
+            continue
+        best = key
+        chosen = vm
     return chosen
 
 
@@ -181,6 +186,8 @@
     for vm in vms:
         by_option[vm.option] = by_option.get(vm.option, 0) + 1
     by_key = {option_of(one): one for one in placements}
+    # VMs of one option are alike to `is_short`, which looks at all VMs.
+    replaceable = {vm.option: vm for vm in candidates}
     best: tuple[float, Option] | None = None
     for option, placement in by_key.items():
         if not option.reclaimable:
@@ -193,7 +200,7 @@
         price = _slot_price(placement, prices_per_hour)
         if best is not None and (price, option) >= best:
             continue
-        for vm in candidates:
+        for vm in replaceable.values():
             old = by_key.get(vm.option)
             if old is None or old.reclaimable:
                 continue
