--- a/laburnumpin/core/fleet.py
+++ b/laburnumpin/core/fleet.py
@@ -5,6 +5,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from laburnumpin.core import demand
 from laburnumpin.core import deployment
 from laburnumpin.core import effects
 from laburnumpin.core import events
@@ -26,13 +27,14 @@
 SCALE_DOWN_DELAY_MS = 600_000
 # A started VM that the list does not show by then counts as lost.
 START_TIMEOUT_MS = 120_000
+# By then a leaving mark is known at every entry, and no new work is sent.
+MARK_SPREAD_MS = 5_000
 MAX_STARTS_PER_PASS = 4
 # Weight loads in flight at a time, for the weight store's rate limit.
 MAX_LOADS_IN_FLIGHT = 2
 LOAD_TIMEOUT_MS = 60_000
 # The plan waits for a list of VMs that is no older than this.
 LIST_MAX_AGE_MS = 30_000
-PEER_DEMAND_MAX_AGE_MS = 10_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -45,14 +47,6 @@
     vm_id: str | None = None
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class PeerDemand:
-    """Queued tokens at a peer for a service, from its digest."""
-
-    queued_tokens: int
-    received_ms: int
-
-
 class FleetState:
     """The lease, what was ordered, prices and demand."""
 
@@ -70,6 +64,7 @@
         "prices_per_hour",
         "profile_reads",
         "profiles",
+        "queues",
         "refusals",
         "starts",
     )
@@ -84,7 +79,8 @@
         self.prices_per_hour: dict[str, float] = {}
         self.profiles: dict[str, profiles.Profile] = {}
         self.profile_reads: dict[store.OperationId, str] = {}
-        self.peer_demand: dict[tuple[str, str], PeerDemand] = {}
+        self.peer_demand: dict[tuple[str, str], demand.PeerDemand] = {}
+        self.queues: dict[str, demand.QueueStart] = {}
         self.excess_since_ms: dict[str, int] = {}
         self.next_order = 1
         self.next_plan_ms = 0
@@ -168,10 +164,10 @@
     message: messages.Digest,
 ) -> list[effects.Effect]:
     """Take over the demand that a peer sees."""
-    for demand in message.demands:
-        key = (message.entry.vm_id, demand.service)
-        state.fleet.peer_demand[key] = PeerDemand(
-            demand.queued_tokens, event.now_ms
+    for row in message.demands:
+        key = (message.entry.vm_id, row.service)
+        state.fleet.peer_demand[key] = demand.PeerDemand(
+            row.queued_tokens, event.now_ms
         )
     return []
 
@@ -214,41 +210,6 @@
     return result
 
 
-def concurrent_streams(
-    state: entry_state.EntryState, service: str, now_ms: int
-) -> float:
-    """Estimate the streams that a service needs: running and waiting.
-
-    Waiting work is counted as the streams that finish it within the target
-    for the first token, but at most one stream for each queued request.
-    """
-    streams = 0.0
-    for upstream in upstreams.of_service(state, service):
-        if upstream.report is not None:
-            streams += upstream.report.running + upstream.report.waiting
-    queued = 0
-    queued_tokens = 0
-    for request in state.limits.queue.values():
-        if request.service.name == service:
-            queued += 1
-            queued_tokens += request.prompt_tokens + request.max_tokens
-    peer_tokens = 0
-    for (_, name), demand in state.fleet.peer_demand.items():
-        if name != service:
-            continue
-        if now_ms - demand.received_ms <= PEER_DEMAND_MAX_AGE_MS:
-            peer_tokens += demand.queued_tokens
-    streams += queued
-    if queued > 0 and peer_tokens > 0:
-        streams += queued * peer_tokens / queued_tokens
-    elif peer_tokens > 0:
-        streams += peer_tokens / _TYPICAL_REQUEST_TOKENS
-    return streams
-
-
-_TYPICAL_REQUEST_TOKENS = 1_000
-
-
 def _plan(state: entry_state.EntryState, now_ms: int) -> list[effects.Effect]:
     own = state.fleet
     current = state.configuration.current
@@ -275,7 +236,7 @@
     now_ms: int,
 ) -> list[effects.Effect]:
     own = state.fleet
-    streams = concurrent_streams(state, service, now_ms)
+    streams = demand.concurrent_streams(state, service, now_ms)
     result: list[effects.Effect] = []
     profile = own.profiles.get(service)
     if profile is not None:
@@ -288,11 +249,10 @@
                 )
             )
         streams = max(streams, profile.expected(now_ms))
-    desired = planning.desired_vms(streams, placements)
     vms = _vms(state, service)
     for _ in range(MAX_STARTS_PER_PASS):
         option = planning.next_start(
-            desired,
+            streams,
             vms,
             placements,
             own.prices_per_hour,
@@ -303,37 +263,117 @@
             break
         result.append(_start(state, service, option, now_ms))
         vms.append(planning.Vm("", option, 1))
-    result.extend(_scale_down(state, service, desired, vms, placements, now_ms))
+    if not result:
+        result.extend(
+            _replace_on_demand(state, service, streams, vms, placements, now_ms)
+        )
+    _scale_down(state, service, streams, vms, placements, now_ms)
+    result.extend(_stop_drained(state, service, now_ms))
     return result
 
 
-def _scale_down(
+def _replace_on_demand(
     state: entry_state.EntryState,
     service: str,
-    desired: int,
+    streams: float,
     vms: list[planning.Vm],
     placements: list[deployment.Placement],
     now_ms: int,
 ) -> list[effects.Effect]:
+    """Start a reclaimable VM when starts succeed again, one at a time."""
     own = state.fleet
-    if len(vms) <= desired:
-        own.excess_since_ms.pop(service, None)
-        return []
-    since_ms = own.excess_since_ms.setdefault(service, now_ms)
-    if now_ms < since_ms + SCALE_DOWN_DELAY_MS:
+    if service in own.excess_since_ms:
         return []
-    vm = planning.next_stop(vms, placements, own.prices_per_hour)
-    if vm is None:
+    for start in own.starts.values():
+        if start.service == service:
+            return []
+    option = planning.next_replacement(
+        streams,
+        vms,
+        _reporting(state, vms),
+        placements,
+        own.prices_per_hour,
+        own.refusals,
+        now_ms,
+    )
+    if option is None:
         return []
-    state.counters.increment("vm_stops")
-    own.listed[vm.vm_id] = dataclasses.replace(
-        own.listed[vm.vm_id], leaving=True
+    state.counters.increment("vm_replacements")
+    vms.append(planning.Vm("", option, 1))
+    return [_start(state, service, option, now_ms)]
+
+
+def _scale_down(
+    state: entry_state.EntryState,
+    service: str,
+    streams: float,
+    vms: list[planning.Vm],
+    placements: list[deployment.Placement],
+    now_ms: int,
+) -> None:
+    """Mark a VM that is not needed as leaving, so that its work ends."""
+    own = state.fleet
+    chosen = planning.next_stop(
+        streams,
+        vms,
+        _reporting(state, vms),
+        placements,
+        own.prices_per_hour,
     )
-    return [
-        effects.StopVm(
-            _order_id(state, vm.vm_id), vm.vm_id, lease.valid_until_ms(state)
+    if chosen is None:
+        own.excess_since_ms.pop(service, None)
+        return
+    since_ms = own.excess_since_ms.setdefault(service, now_ms)
+    if now_ms < since_ms + SCALE_DOWN_DELAY_MS:
+        return
+    state.counters.increment("vm_drains")
+    row = own.listed[chosen.vm_id]
+    upstreams.mark_leaving(state, row.vm_id, row.incarnation, now_ms)
+
+
+def _reporting(
+    state: entry_state.EntryState, vms: list[planning.Vm]
+) -> list[planning.Vm]:
+    """Return the VMs whose reports tell when their work has ended."""
+    result = []
+    for vm in vms:
+        upstream = state.upstreams.by_id.get(vm.vm_id)
+        if upstream is not None and upstream.report is not None:
+            result.append(vm)
+    return result
+
+
+def _stop_drained(
+    state: entry_state.EntryState, service: str, now_ms: int
+) -> list[effects.Effect]:
+    """Stop the VMs with a leaving mark that reported no more work.
+
+    Marks are in the digests, so that a new holder goes on with the drains of
+    the last one.
+    """
+    own = state.fleet
+    result: list[effects.Effect] = []
+    for row in own.listed.values():
+        if row.service != service or row.leaving:
+            continue
+        marked_ms = state.upstreams.leaving.get((row.vm_id, row.incarnation))
+        upstream = state.upstreams.by_id.get(row.vm_id)
+        if marked_ms is None or upstream is None:
+            continue
+        if upstream.reported_ms < marked_ms + MARK_SPREAD_MS:
+            continue
+        if _busy(state, row.vm_id) > 0:
+            continue
+        state.counters.increment("vm_stops")
+        own.listed[row.vm_id] = dataclasses.replace(row, leaving=True)
+        result.append(
+            effects.StopVm(
+                _order_id(state, row.vm_id),
+                row.vm_id,
+                lease.valid_until_ms(state),
+            )
         )
-    ]
+    return result
 
 
 def _start(
--- a/laburnumpin/core/planning.py
+++ b/laburnumpin/core/planning.py
@@ -12,6 +12,9 @@
 TARGET_UTILIZATION = 0.75
 REFUSAL_BASE_MS = 30_000
 REFUSAL_CAP_MS = 600_000
+# A replacement pays twice while it starts and the other VM drains, so that
+# the gain must be clear.
+REPLACEMENT_PRICE_SHARE = 0.7
 
 
 @dataclasses.dataclass(slots=True, frozen=True, order=True)
@@ -51,27 +54,32 @@
     return f"{option.zone}/{option.vm_class}/{kind}"
 
 
-def desired_vms(streams: float, placements: list[deployment.Placement]) -> int:
-    """Return how many VMs carry `streams` concurrent streams.
+def is_short(
+    streams: float, vms: list[Vm], placements: list[deployment.Placement]
+) -> bool:
+    """Return whether the VMs are too few for `streams` concurrent streams.
 
-    With several zones the count is such that losing any one zone leaves room
-    for all streams. The result lies within the placements' bounds.
+    With several zones, losing any one must leave room for all streams.
     """
-    slots = sum(placement.slots for placement in placements)
-    average_slots = slots / len(placements)
-    needed = math.ceil(streams / (average_slots * TARGET_UTILIZATION))
-    zones = {placement.zone for placement in placements}
-    if len(zones) > 1 and needed > 0:
-        bare = math.ceil(streams / average_slots)
-        spare = math.ceil(bare * len(zones) / (len(zones) - 1))
-        needed = max(needed, spare)
-    lowest = sum(placement.min_vms for placement in placements)
-    highest = sum(placement.max_vms for placement in placements)
-    return min(max(needed, lowest), highest)
+    by_zone = _slots_by_zone(vms, placements)
+    total = sum(by_zone.values())
+    if total < streams / TARGET_UTILIZATION:
+        return True
+    if len(by_zone) < 2:
+        return False
+    return total - max(by_zone.values()) < streams
+
+
+def zone_share(streams: float, zone_count: int) -> float:
+    """Return the slots that one zone has when all zones have the same."""
+    total = streams / TARGET_UTILIZATION
+    if zone_count > 1:
+        total = max(total, streams * zone_count / (zone_count - 1))
+    return total / zone_count
 
 
 def next_start(
-    desired: int,
+    streams: float,
     vms: list[Vm],
     placements: list[deployment.Placement],
     prices_per_hour: dict[str, float],
@@ -80,50 +88,49 @@
 ) -> Option | None:
     """Return the next VM to start, or None when nothing more can start.
 
-    The cheapest option per slot goes first within a zone's share of the
-    desired count; on-demand VMs and zones over their share are the fallback.
+    The cheapest option per slot that is needed goes first within a zone's
+    share; on-demand VMs and zones over their share are the fallback.
     """
     by_option: dict[Option, int] = {}
-    by_zone: dict[str, int] = {}
     for vm in vms:
         by_option[vm.option] = by_option.get(vm.option, 0) + 1
-        by_zone[vm.option.zone] = by_zone.get(vm.option.zone, 0) + 1
-    zones = {placement.zone for placement in placements}
-    zone_share = math.ceil(desired / len(zones))
-    best: tuple[bool, bool, float, int, Option] | None = None
+    by_zone = _slots_by_zone(vms, placements)
+    share = zone_share(streams, len(by_zone))
+    short = is_short(streams, vms, placements)
+    best: tuple[bool, bool, float, float, Option] | None = None
     for placement in placements:
         option = option_of(placement)
         count = by_option.get(option, 0)
         missing = count < placement.min_vms
-        if len(vms) >= desired and not missing:
-            continue
-        if count >= placement.max_vms:
+        if not (short or missing) or count >= placement.max_vms:
             continue
         refused = refusals.get(option)
         if refused is not None and now_ms < refused.until_ms:
             continue
+        needed = _needed_slots(streams, option.zone, by_zone)
+        if needed <= 0 and not missing:
+            continue
         price = prices_per_hour.get(price_key(option), placement.price_per_hour)
-        in_zone = by_zone.get(option.zone, 0)
-        key = (
-            not missing,
-            in_zone >= zone_share,
-            price / placement.slots,
-            in_zone,
-            option,
-        )
+        in_zone = by_zone[option.zone]
+        # Slots beyond those that are needed are paid without use.
+        used = max(1.0, min(placement.slots, needed))
+        key = (not missing, in_zone >= share, price / used, in_zone, option)
         if best is None or key < best:
             best = key
     return None if best is None else best[4]
 
 
 def next_stop(
+    streams: float,
     vms: list[Vm],
+    candidates: list[Vm],
     placements: list[deployment.Placement],
     prices_per_hour: dict[str, float],
 ) -> Vm | None:
-    """Return the idle VM to stop first: dearest first, fullest zone first.
+    """Return the candidate to drain first: dearest first, fullest zone first.
 
-    A VM with work is never chosen.
+    None when the others would be too few. Idle VMs go before those with work
+    only at the same cost and zone.
     """
     minimum: dict[Option, int] = {}
     slots: dict[Option, int] = {}
@@ -140,21 +147,77 @@
     for vm in vms:
         by_option[vm.option] = by_option.get(vm.option, 0) + 1
         by_zone[vm.option.zone] = by_zone.get(vm.option.zone, 0) + 1
-    best: tuple[float, int, str] | None = None
+    # VMs of one option are alike to `is_short`, which looks at all VMs.
+    kept: dict[Option, bool] = {}
+    best: tuple[float, int, int, str] | None = None
     chosen: Vm | None = None
-    for vm in vms:
-        if vm.busy_slots > 0:
-            continue
+    for vm in candidates:
         if by_option[vm.option] <= minimum.get(vm.option, 0):
             continue
         cost = price.get(vm.option, math.inf) / slots.get(vm.option, 1)
-        key = (cost, by_zone[vm.option.zone], vm.vm_id)
-        if best is None or key > best:
-            best = key
-            chosen = vm
+        key = (cost, by_zone[vm.option.zone], -vm.busy_slots, vm.vm_id)
+        if best is not None and key <= best:
+            continue
+        if vm.option not in kept:
+            rest = [other for other in vms if other is not vm]
+            kept[vm.option] = is_short(streams, rest, placements)
+        if kept[vm.option]:
+            continue
+        best = key
+        chosen = vm
     return chosen
 
 
+def next_replacement(
+    streams: float,
+    vms: list[Vm],
+    candidates: list[Vm],
+    placements: list[deployment.Placement],
+    prices_per_hour: dict[str, float],
+    refusals: dict[Option, Refusals],
+    now_ms: int,
+) -> Option | None:
+    """Return a reclaimable VM to start in place of an on-demand candidate.
+
+    Options with refused starts wait for their backoff as in `next_start`. The
+    way down then drains the dearest VM.
+    """
+    by_option: dict[Option, int] = {}
+    for vm in vms:
+        by_option[vm.option] = by_option.get(vm.option, 0) + 1
+    by_key = {option_of(one): one for one in placements}
+    # VMs of one option are alike to `is_short`, which looks at all VMs.
+    replaceable = {vm.option: vm for vm in candidates}
+    best: tuple[float, Option] | None = None
+    for option, placement in by_key.items():
+        if not option.reclaimable:
+            continue
+        if by_option.get(option, 0) >= placement.max_vms:
+            continue
+        refused = refusals.get(option)
+        if refused is not None and now_ms < refused.until_ms:
+            continue
+        price = _slot_price(placement, prices_per_hour)
+        if best is not None and (price, option) >= best:
+            continue
+        for vm in replaceable.values():
+            old = by_key.get(vm.option)
+            if old is None or old.reclaimable:
+                continue
+            if by_option[vm.option] <= old.min_vms:
+                continue
+            old_price = _slot_price(old, prices_per_hour)
+            if price > old_price * REPLACEMENT_PRICE_SHARE:
+                continue
+            rest = [other for other in vms if other is not vm]
+            rest.append(Vm("", option, 0))
+            if is_short(streams, rest, placements):
+                continue
+            best = (price, option)
+            break
+    return None if best is None else best[1]
+
+
 def note_refusal(
     refusals: dict[Option, Refusals], option: Option, now_ms: int
 ) -> None:
@@ -168,3 +231,35 @@
 def note_start(refusals: dict[Option, Refusals], option: Option) -> None:
     """Forget earlier refusals after a start that succeeded."""
     refusals.pop(option, None)
+
+
+def _slots_by_zone(
+    vms: list[Vm], placements: list[deployment.Placement]
+) -> dict[str, float]:
+    slots = {option_of(one): one.slots for one in placements}
+    by_zone = {placement.zone: 0.0 for placement in placements}
+    for vm in vms:
+        # A VM whose placement was removed from the configuration has no
+        # known size; it is replaced as if it had gone.
+        if vm.option in slots:
+            by_zone[vm.option.zone] += slots[vm.option]
+    return by_zone
+
+
+def _needed_slots(
+    streams: float, zone: str, by_zone: dict[str, float]
+) -> float:
+    """Return the slots that are missing and that `zone` can add."""
+    total = sum(by_zone.values())
+    needed = streams / TARGET_UTILIZATION - total
+    for other, slots in by_zone.items():
+        if other != zone:
+            needed = max(needed, streams - (total - slots))
+    return needed
+
+
+def _slot_price(
+    placement: deployment.Placement, prices_per_hour: dict[str, float]
+) -> float:
+    key = price_key(option_of(placement))
+    return prices_per_hour.get(key, placement.price_per_hour) / placement.slots
