--- a/laburnumpin/__main__.py
+++ b/laburnumpin/__main__.py
@@ -12,12 +12,15 @@
 import typer
 
 from laburnumpin import exceptions
+from laburnumpin.bench import policies
+from laburnumpin.commands import bench
 from laburnumpin.commands import capacity
 from laburnumpin.commands import client
 from laburnumpin.commands import configuration
 from laburnumpin.commands import demo
 from laburnumpin.commands import entry
 from laburnumpin.commands import exits
+from laburnumpin.commands import fleet_bench
 from laburnumpin.commands import load
 from laburnumpin.commands import output
 from laburnumpin.commands import reference
@@ -91,6 +94,12 @@
 AdminPort = Annotated[
     int, typer.Option(min=0, max=65_535, help="Port for fault switches.")
 ]
+HoldOut = Annotated[
+    bool, typer.Option(help="Use the traces that are kept out of tuning.")
+]
+JsonPath = Annotated[
+    pathlib.Path | None, typer.Option(help="Write the figures as JSON.")
+]
 File = Annotated[str, typer.Argument(help="Document; `-` is standard input.")]
 
 
@@ -355,6 +364,38 @@
     raise typer.Exit(0 if report.all_whole else exits.Exit.FAILED)
 
 
+@app.command("bench")
+def run_bench(
+    policy: Annotated[
+        list[str] | None, typer.Option(help="Policy; repeatable; default all.")
+    ] = None,
+    site: Annotated[
+        list[str] | None, typer.Option(help="Site; repeatable; default all.")
+    ] = None,
+    hold_out: HoldOut = False,
+    json_path: JsonPath = None,
+    plot_path: Annotated[
+        pathlib.Path | None, typer.Option(help="Write a plot.")
+    ] = None,
+) -> None:
+    """Replay routing decisions in virtual time against the baselines."""
+    bench.run_bench(
+        policy or tuple(policies.POLICIES),
+        site or tuple(bench.SITES),
+        hold_out,
+        json_path,
+        plot_path,
+    )
+
+
+@app.command("bench-fleet")
+def run_fleet_bench(
+    hold_out: HoldOut = False, json_path: JsonPath = None
+) -> None:
+    """Replay fleet decisions in virtual time against the baselines."""
+    fleet_bench.run_fleet_bench(hold_out=hold_out, json_path=json_path)
+
+
 @app.command("capacity")
 def measure_capacity(
     repetitions: Annotated[int, typer.Option(min=1, max=20)] = 5,
--- a/laburnumpin/commands/bench.py
+++ b/laburnumpin/commands/bench.py
@@ -17,13 +17,13 @@
 DEFAULT_JOBS = 4
 # Share of the requests for which a latency target must hold.
 PERCENTILE = 0.95
-_SITES = {"rigsafe": traces.rigsafe, "luvas": traces.luvas}
+SITES = {"rigsafe": traces.rigsafe, "luvas": traces.luvas}
 _Job = tuple[str, traces.Day, traces.Fault, int, str]
 
 
 def run_bench(
     policy_names: Sequence[str] = tuple(policies.POLICIES),
-    sites: Sequence[str] = tuple(_SITES),
+    sites: Sequence[str] = tuple(SITES),
     hold_out: bool = False,
     json_path: pathlib.Path | None = None,
     plot_path: pathlib.Path | None = None,
@@ -58,7 +58,7 @@
 
 def run_fleets(
     policy_names: Sequence[str] = tuple(policies.POLICIES),
-    sites: Sequence[str] = tuple(_SITES),
+    sites: Sequence[str] = tuple(SITES),
     seeds: Sequence[int] = traces.HOLD_OUT_SEEDS,
     jobs: int = DEFAULT_JOBS,
 ) -> dict[str, tuple[int, float]]:
@@ -88,7 +88,7 @@
     engines: int | None = None,
 ) -> report.Figures:
     """Replay one trace under one policy, optionally with fewer engines."""
-    built = _SITES[site]()
+    built = SITES[site]()
     if engines is not None:
         built = traces.with_engines(built, engines)
     trace = traces.build(built, day, fault, seed, duration_ms)
@@ -102,7 +102,7 @@
     policy_name: str,
     seeds: Sequence[int],
 ) -> tuple[int, float]:
-    most = traces.count_engines(_SITES[site]())
+    most = traces.count_engines(SITES[site]())
     cost = float("inf")
     for engines in range(most, 0, -1):
         todo = [(site, seed, policy_name, engines) for seed in seeds]
--- a/laburnumpin/server/operator_api.py
+++ b/laburnumpin/server/operator_api.py
@@ -129,7 +129,7 @@
     async def change(self, request: requests.Request) -> responses.Response:
         """Apply a configuration change."""
         body = await caller_input.read_body(request)
-        base_version, change_id, document = _parse_change(body)
+        base_version, change_id, document = parse_change(body)
         version = await applying.apply(
             self._platform, base_version, change_id, document
         )
@@ -199,7 +199,12 @@
         return await self._platform.read_rows(versions.TABLE, keys)
 
 
-def _parse_change(body: bytes) -> tuple[int, str, str]:
+def parse_change(body: bytes) -> tuple[int, str, str]:
+    """Return base version, change id and document of a change.
+
+    Raises:
+        ConfigurationError: The body is invalid; lists every problem.
+    """
     errors: list[exceptions.FieldError] = []
     try:
         change = documents.parse_object(body)
