Guarantee each entry a part of an engine's streams

A stream that ends is first known to the entry that had it, which refills it at once; two entries kept 1 to 3 streams per engine while others had 7 to 10, and their queues grew to 99 while the others' ran empty.

Ruled out: engines that were full or stalled; they ran 30 to 36 streams at 22 to 30 ms a step, without waiting requests.

Change: an entry with less than 0.8 of an equal part of an engine's streams has room there whatever the report shows, unless requests wait at the engine or no other entry shares it.

--- a/laburnumpin/bench/traces.py
+++ b/laburnumpin/bench/traces.py
@@ -14,8 +14,9 @@
 ENTRY_PRICE_PER_HOUR = 0.05
 DURATION_MS = 60_000
 TUNING_SEEDS = (1, 2)
-# These seeds and `Day.MIDWEEK` are never used to choose a constant.
-HOLD_OUT_SEEDS = (101, 102, 103)
+# These seeds and `Day.MIDWEEK` are never used to choose a constant. Seeds 101
+# to 103 were the first hold-out, until a fault was found on one of them.
+HOLD_OUT_SEEDS = (201, 202, 203)
 _SURGE_START_MS = 5_000
 _SURGE_DURATION_MS = 4_000
 
--- a/laburnumpin/core/routing.py
+++ b/laburnumpin/core/routing.py
@@ -19,6 +19,8 @@
 # Bulk requests leave the rest of the streams to interactive ones, which would
 # otherwise wait until a long stream ends.
 BULK_STREAMS_SHARE = 0.85
+# Part of an equal division of the streams that an entry may always have.
+GUARANTEED_SHARE = 0.8
 # Upstreams whose score is within this share of the best are near-equals.
 NEAR_EQUAL_SHARE = 0.1
 # How many steps of a stream count as waiting. 60 steps spread the prompts of a
@@ -36,7 +38,8 @@
     scored: list[tuple[float, float, upstreams.Upstream]] = []
     for upstream in upstreams.eligible(state, request.service.name, now_ms):
         streams = upstreams.streams(state, upstream, now_ms)
-        room = max_streams(state, upstream, request) - streams
+        limit = max_streams(state, upstream, request)
+        room = max(limit - streams, _guaranteed_room(state, upstream, limit))
         if room <= 0:
             continue
         score = score_ms(state, upstream, request, streams, now_ms)
@@ -51,6 +54,23 @@
     return state.random.choices(near, weights)[0][2]
 
 
+def _guaranteed_room(
+    state: entry_state.EntryState, upstream: upstreams.Upstream, limit: float
+) -> float:
+    """Return how many streams this entry lacks of its guaranteed part.
+
+    A stream that ends is first known to the entry that had it. Without a
+    guarantee the entries with most streams refill a full engine, and the
+    others wait without end.
+    """
+    assert upstream.report is not None
+    sharing = upstreams.sharing(state, upstream.service)
+    if sharing <= 1.0 or upstream.report.waiting > 0:
+        return 0.0
+    part = limit / sharing
+    return GUARANTEED_SHARE * part - len(upstream.attempts)
+
+
 def score_ms(
     state: entry_state.EntryState,
     upstream: upstreams.Upstream,
--- a/laburnumpin/tests/test_routing.py
+++ b/laburnumpin/tests/test_routing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import dataclasses
 
 from laburnumpin.core import deployment
 from laburnumpin.core import events
@@ -111,6 +112,24 @@
     assert choices(state, make_request(state, _INTERACTIVE)) == {"u0": 1}
 
 
+def test_entry_gets_its_part_of_an_engine_that_others_fill() -> None:
+    """Guards against entries that refill a full engine while others starve."""
+    state = make_state({"u0": 45})
+    request = make_request(state, _INTERACTIVE)
+    assert choices(state, request) == {"": 1}
+    state.upstreams.entry_count = 6
+    assert choices(state, request) == {"u0": 1}
+    upstream = state.upstreams.by_id["u0"]
+    for number in range(6):
+        upstream.attempts[f"a{number}"] = 1
+    assert choices(state, request) == {"": 1}
+    upstream.attempts.clear()
+    report = upstream.report
+    assert report is not None
+    upstream.report = dataclasses.replace(report, waiting=1)
+    assert choices(state, request) == {"": 1}
+
+
 def test_less_loaded_engine_is_better() -> None:
     """Guards against a choice that ignores the load."""
     state = make_state({"u0": 30, "u1": 2})
