Move streams with their KV cache off engines before they are reclaimed

Cause: a stream on an engine under notice was moved only after its connection broke; when the VM was gone by then, all its tokens were computed again.

Accepted requests that end come before recomputed tokens, so a move needs room.

A stream with output that meets an overloaded engine is charged to the retry budget but not refused.

--- a/laburnumpin/bench/fakes.py
+++ b/laburnumpin/bench/fakes.py
@@ -126,6 +126,10 @@
         kept = self._kept.pop(dispatch.request_id, None)
         if resumes and kept is None:
             return events.AttemptFailure.UNKNOWN_GENERATION
+        if resumes and kept is not None:
+            # What the old engine generated after the export is lost.
+            lost = max(0, dispatch.offset - kept)
+            self._tokens.generated_recomputed += lost
         stream = Stream(
             dispatch.attempt_id,
             dispatch.request_id,
@@ -170,7 +174,10 @@
             )
 
     def export(self, request_id: str) -> int | None:
-        """Return the tokens of a kept generation."""
+        """Return the tokens of a kept or running generation, if any."""
+        for stream in self._running.values():
+            if stream.request_id == request_id and stream.offset > 0:
+                return stream.offset
         return self._kept.pop(request_id, None)
 
     def import_cache(self, request_id: str, tokens: int) -> None:
--- a/laburnumpin/core/reducer.py
+++ b/laburnumpin/core/reducer.py
@@ -16,6 +16,7 @@
 from laburnumpin.core import limits
 from laburnumpin.core import membership
 from laburnumpin.core import messages
+from laburnumpin.core import moves
 from laburnumpin.core import prefixes
 from laburnumpin.core import requests
 from laburnumpin.core import store
@@ -75,6 +76,7 @@
         claims.on_tick,
         limits.on_tick,
         requests.on_tick,
+        moves.on_tick,
         subscriptions.on_tick,
         handover.on_tick,
         lifecycle.on_tick,
--- a/laburnumpin/core/requests.py
+++ b/laburnumpin/core/requests.py
@@ -17,6 +17,7 @@
 from laburnumpin.core import lifecycle
 from laburnumpin.core import limits
 from laburnumpin.core import messages
+from laburnumpin.core import moves
 from laburnumpin.core import prefixes
 from laburnumpin.core import retries
 from laburnumpin.core import routing
@@ -35,8 +36,6 @@
 DISPATCH_VALID_MS = 1_000
 FIRST_BYTE_TIMEOUT_MS = 10_000
 INTER_TOKEN_TIMEOUT_MS = 5_000
-# A KV cache moves within seconds; beyond it, computing anew is as fast.
-IMPORT_TIMEOUT_MS = 3_000
 
 
 # After these the engine has no generation that could be resumed, or it
@@ -440,10 +439,18 @@
         state.counters.increment("dropped_answers", "unknown_import")
         return []
     request.importing_to = None
+    result: list[effects.Effect] = []
+    if request.attempt is not None:
+        if not event.succeeded:
+            moves.on_copy_failed(state, request, event.now_ms)
+            return []
+        result.append(effects.CancelAttempt(request.attempt.attempt_id))
+        _close_attempt(state, request, event.now_ms, None)
     request.generation_upstream_id = None
     if event.succeeded:
         request.generation_upstream_id = event.upstream_id
-    return _start_attempt(state, request, event.now_ms)
+    result.extend(_start_attempt(state, request, event.now_ms))
+    return result
 
 
 def on_tick(
@@ -601,14 +608,7 @@
     if now_ms - source.reported_ms > upstreams.REPORT_MAX_AGE_MS:
         return None
     request.phase = Phase.RUNNING
-    request.importing_to = target.upstream_id
-    return effects.ImportCache(
-        request.request_id,
-        source.address,
-        target.upstream_id,
-        target.address,
-        IMPORT_TIMEOUT_MS,
-    )
+    return moves.copy(request, source, target)
 
 
 def _start_attempt(
@@ -703,6 +703,8 @@
     if attempt is None:
         return
     request.attempt = None
+    request.importing_to = None
+    state.moves.retry_ms.pop(request.request_id, None)
     state.requests.by_attempt.pop(attempt.attempt_id, None)
     upstreams.on_attempt_ended(state, attempt, request, failure, now_ms)
 
--- a/laburnumpin/core/retries.py
+++ b/laburnumpin/core/retries.py
@@ -26,12 +26,13 @@
     events.AttemptFailure.TRUNCATED,
 )
 
-# A stream that has output meets these when its engine is gone. Neither can
-# repeat: the upstream gets no work until it reports again, and the next
-# attempt recomputes.
-_ENGINE_GONE = (
+# A stream that has output meets these when its engine is gone or full. None
+# can repeat at once: the upstream gets no work until it reports again, and the
+# next attempt recomputes.
+_ENGINE_UNUSABLE = (
     events.AttemptFailure.CONNECT_FAILED,
     events.AttemptFailure.UNKNOWN_GENERATION,
+    events.AttemptFailure.UPSTREAM_OVERLOADED,
 )
 
 
@@ -95,7 +96,7 @@
         and failure in _BROKEN_STREAM
         and attempt_verdict is verdict.Verdict.MAY_HAVE_RUN
     )
-    if request.chunks and failure in _ENGINE_GONE:
+    if request.chunks and failure in _ENGINE_UNUSABLE:
         continues = True
     if budget < 1.0 and not (moves or continues or expired):
         return _give_up(state, request, failure, "budget_exhausted")
--- a/laburnumpin/core/state.py
+++ b/laburnumpin/core/state.py
@@ -13,6 +13,7 @@
 from laburnumpin.core import lifecycle
 from laburnumpin.core import limits
 from laburnumpin.core import membership
+from laburnumpin.core import moves
 from laburnumpin.core import prefixes
 from laburnumpin.core import requests
 from laburnumpin.core import retries
@@ -37,6 +38,7 @@
         "lifecycle",
         "limits",
         "membership",
+        "moves",
         "next_operation",
         "peer_address",
         "prefixes",
@@ -62,6 +64,7 @@
         self.subscriptions = subscriptions.SubscriptionsState()
         self.claims = claims.ClaimsState()
         self.retries = retries.RetriesState()
+        self.moves = moves.MovesState()
         self.handover = handover.HandoverState()
         self.upstreams = upstreams.UpstreamsState()
         self.prefixes = prefixes.PrefixesState()
--- a/laburnumpin/core/upstreams.py
+++ b/laburnumpin/core/upstreams.py
@@ -68,6 +68,7 @@
     vm_class: str
     address: str
     leaving: bool = False
+    gone_ms: int | None = None
     listed: bool = True
     in_subset: bool = True
     report: events.LoadReport | None = None
@@ -222,6 +223,9 @@
     """Mark the upstreams with a reclaim notice as leaving."""
     for notice in event.notices:
         mark_leaving(state, notice.vm_id, notice.incarnation, event.now_ms)
+        known = state.upstreams.by_id.get(notice.vm_id)
+        if known is not None and known.incarnation == notice.incarnation:
+            known.gone_ms = event.now_ms + notice.remaining_ms
     sent_ms = event.now_ms if event.sent_ms is None else event.sent_ms
     _note_informed(state, sent_ms)
     return []
@@ -447,6 +451,7 @@
 ) -> None:
     """Start over with a new process on the same VM."""
     upstream.incarnation = incarnation
+    upstream.gone_ms = None
     marks = state.upstreams.leaving
     upstream.leaving = (upstream.upstream_id, incarnation) in marks
     upstream.report = None
