Leave reclaimed VMs to their notice and wait 10 s after a mark

Cause: a drained VM was stopped by its mark alone, and a reclaim notice is a mark too. An engine under notice has no running stream once its streams broke off, but its KV cache is still exported; a stop would cause recomputed tokens. A dispatch from just before the 5 s bound could also still be on its way.

Change: VMs with an open notice are not stopped, and a report counts from 10 s after the mark (5 s bound, 1 s validity of a dispatch, lag).

--- a/laburnumpin/core/fleet.py
+++ b/laburnumpin/core/fleet.py
@@ -27,8 +27,9 @@
 SCALE_DOWN_DELAY_MS = 600_000
 # A started VM that the list does not show by then counts as lost.
 START_TIMEOUT_MS = 120_000
-# By then a leaving mark is known at every entry, and no new work is sent.
-MARK_SPREAD_MS = 5_000
+# Entries send no new work 5 s after a leaving mark. The rest is for what they
+# sent just before and for the lag of the reports.
+MARK_SPREAD_MS = 10_000
 MAX_STARTS_PER_PASS = 4
 # Weight loads in flight at a time, for the weight store's rate limit.
 MAX_LOADS_IN_FLIGHT = 2
@@ -60,6 +61,7 @@
         "next_plan_ms",
         "next_price_ms",
         "next_profile_ms",
+        "noticed",
         "peer_demand",
         "prices_per_hour",
         "profile_reads",
@@ -86,6 +88,7 @@
         self.next_plan_ms = 0
         self.next_price_ms = 0
         self.next_profile_ms = 0
+        self.noticed: set[tuple[str, int]] = set()
 
 
 def on_vms_listed(
@@ -108,6 +111,8 @@
     state: entry_state.EntryState, event: events.NoticesListed
 ) -> list[effects.Effect]:
     """Plan at once when VMs are reclaimed, to replace them."""
+    noticed = {(one.vm_id, one.incarnation) for one in event.notices}
+    state.fleet.noticed = noticed
     for notice in event.notices:
         row = state.fleet.listed.get(notice.vm_id)
         if row is None or row.leaving:
@@ -364,6 +369,9 @@
             continue
         if _busy(state, row.vm_id) > 0:
             continue
+        # The KV cache of a reclaimed VM is exported until it is gone.
+        if (row.vm_id, row.incarnation) in own.noticed:
+            continue
         state.counters.increment("vm_stops")
         own.listed[row.vm_id] = dataclasses.replace(row, leaving=True)
         result.append(
--- a/laburnumpin/tests/test_fleet.py
+++ b/laburnumpin/tests/test_fleet.py
@@ -211,13 +211,27 @@
     load(entry, "u1", 0)
     upstreams.mark_leaving(entry, "u1", 1, 10_000)
     upstream = entry.upstreams.by_id["u1"]
-    for reported_ms, expected in ((14_999, 0), (15_000, 1)):
+    for reported_ms, expected in ((19_999, 0), (20_000, 1)):
         upstream.reported_ms = reported_ms
         produced = plan(entry, reported_ms, (make_row("u1"),))
         stops = [e for e in produced if isinstance(e, effects.StopVm)]
         assert len(stops) == expected
 
 
+def test_reclaimed_vm_is_left_to_its_notice() -> None:
+    """Guards against a stop while the KV cache is still exported."""
+    entry = make_holder(0)
+    rows = (make_row("u1"),)
+    plan(entry, 0, rows)
+    load(entry, "u1", 0)
+    notices = events.NoticesListed(1_000, (events.Notice("u1", 1, 60_000),))
+    upstreams.on_notices(entry, notices)
+    fleet.on_notices(entry, notices)
+    entry.upstreams.by_id["u1"].reported_ms = 30_000
+    produced = plan(entry, 30_000, rows)
+    assert not [e for e in produced if isinstance(e, effects.StopVm)]
+
+
 def test_on_demand_vms_are_replaced_one_at_a_time() -> None:
     """Guards against paying the fallback's price after a wave is over."""
     entry = make_holder(0)
