Keep digests within 1,024 bytes

Cause: a digest with all its parts full took 1,601 bytes with VM ids of 24 characters; the design page allows 1,024.

Change: 5 loads, 3 leaving marks, 1 departure and 1 demand in a digest; what does not fit takes turns as before. test_fullest_digest_fits_its_size_limit fails before and passes after.

--- a/laburnumpin/core/digests.py
+++ b/laburnumpin/core/digests.py
@@ -14,11 +14,12 @@
 
 _Row = TypeVar("_Row")
 
-# Together these keep a digest below 1,024 bytes on the peer link.
-MAX_LOADS = 8
-MAX_LEAVING = 6
-MAX_DEPARTURES = 2
-MAX_DEMANDS = 3
+# Together these keep a digest within 1,024 bytes on the peer link, with VM ids
+# of up to 24 characters.
+MAX_LOADS = 5
+MAX_LEAVING = 3
+MAX_DEPARTURES = 1
+MAX_DEMANDS = 1
 # Leaving marks are spread for this long after they were learned.
 LEAVING_SPREAD_MS = 60_000
 
--- a/laburnumpin/tests/test_server_codec.py
+++ b/laburnumpin/tests/test_server_codec.py
@@ -16,6 +16,8 @@
 import pytest
 
 from laburnumpin import exceptions
+from laburnumpin.core import digests
+from laburnumpin.core import ids
 from laburnumpin.core import messages
 from laburnumpin.server import codec
 
@@ -116,3 +118,29 @@
         codec.decode(b" " * (codec.MAX_MESSAGE_BYTES + 1))
     with pytest.raises(exceptions.MessageError, match="long"):
         codec.encode(messages.Unsubscribe("x" * codec.MAX_MESSAGE_BYTES))
+
+
+def test_fullest_digest_fits_its_size_limit() -> None:
+    """Guards against control traffic over the budget of a node.
+
+    The limit of 1,024 bytes is that of the design page; ids of VMs have up to
+    24 characters here.
+    """
+    entry = ids.EntryId("entry-virtual-machine-01", 1_796_360_193_844)
+    upstream = "upstream-machine-0000001"
+    digest = messages.Digest(
+        entry,
+        123_456_789,
+        "recife-zone-a",
+        "10.123.123.123:7003",
+        True,
+        8_100 * 365,
+        16_000,
+        (messages.UpstreamLoad(upstream, 64),) * digests.MAX_LOADS,
+        (messages.LeavingUpstream(upstream, entry.incarnation),)
+        * digests.MAX_LEAVING,
+        (messages.Departure(entry, (entry,) * 3),) * digests.MAX_DEPARTURES,
+        (messages.ServiceDemand("service-name-01", 100_000, 10**7),)
+        * digests.MAX_DEMANDS,
+    )
+    assert len(codec.encode(digest)) <= 1_024
