Separate the transfer format from the handover; report malformed objects

Cause: core/handover.py had three jobs. An object that is no offer raised in the reducer, and every listing tried it again.

Change: core/transfers.py packs, unpacks, encodes and decodes; a malformed object is logged once as handover_object_malformed and stays in the store.

Conclusion: no behaviour changed for objects that are offers.

--- a/laburnumpin/core/handover.py
+++ b/laburnumpin/core/handover.py
@@ -7,11 +7,9 @@
 import json
 from typing import TYPE_CHECKING
 
-from cattrs.preconf import json as json_codec
-
+from laburnumpin import exceptions
 from laburnumpin import verdict
 from laburnumpin.core import claims
-from laburnumpin.core import deployment
 from laburnumpin.core import effects
 from laburnumpin.core import events
 from laburnumpin.core import ids
@@ -19,10 +17,10 @@
 from laburnumpin.core import limits
 from laburnumpin.core import membership
 from laburnumpin.core import messages
-from laburnumpin.core import prefixes
 from laburnumpin.core import requests
 from laburnumpin.core import store
 from laburnumpin.core import subscriptions
+from laburnumpin.core import transfers
 
 if TYPE_CHECKING:
     from laburnumpin.core import state as entry_state
@@ -49,8 +47,6 @@
 PICKUPS_TABLE = "handover_pickups"
 DEPARTURES_TABLE = "departures"
 
-_CODEC = json_codec.make_converter()
-
 
 @dataclasses.dataclass(slots=True)
 class Batch:
@@ -400,8 +396,8 @@
         handed: list[messages.HandedRequest] = []
         size_bytes = 0
         while own.pool and len(handed) < BATCH_REQUESTS:
-            item = _handed(state, state.requests.by_id[own.pool[0]])
-            item_bytes = _size_bytes(item)
+            item = transfers.pack(state, state.requests.by_id[own.pool[0]])
+            item_bytes = transfers.size_bytes(item)
             if handed and size_bytes + item_bytes > BATCH_BYTES:
                 break
             own.pool.pop(0)
@@ -416,43 +412,6 @@
     return result
 
 
-def _handed(
-    state: entry_state.EntryState, request: requests.Request
-) -> messages.HandedRequest:
-    known = request.verdict
-    if request.outcome is None:
-        # From now on this entry cannot tell whether a successor runs it.
-        known = verdict.combine(known, verdict.Verdict.MAY_HAVE_RUN)
-    return messages.HandedRequest(
-        request_id=request.request_id,
-        customer=request.customer,
-        service=request.service.name,
-        operation=request.operation.name,
-        idempotent=request.operation.idempotent,
-        body=request.body,
-        prompt=request.prompt,
-        max_tokens=request.max_tokens,
-        idempotency_key=request.idempotency_key,
-        deadline_ms=request.deadline_ms,
-        priority=request.priority,
-        accepted_ms=request.accepted_ms,
-        verdict=known,
-        claim_tokens=request.claim_tokens,
-        sent=request.request_id in state.handover.sent,
-        upstream_id=request.generation_upstream_id,
-        chunks=tuple(request.chunks),
-        outcome=request.outcome,
-    )
-
-
-def _size_bytes(item: messages.HandedRequest) -> int:
-    # Characters of up to four bytes, and a fixed part for the other fields.
-    characters = len(item.body) + len(item.prompt)
-    for chunk in item.chunks:
-        characters += len(chunk.text) + 16
-    return 4 * characters + 512
-
-
 def _send(
     state: entry_state.EntryState, batch: Batch, now_ms: int
 ) -> list[effects.Effect]:
@@ -467,7 +426,7 @@
         batch.storing = True
         operation_id = _operation(state, "store", batch.offer.batch_id)
         key = f"{OBJECT_PREFIX}{batch.offer.batch_id}"
-        body = _CODEC.dumps(batch.offer).encode()
+        body = transfers.encode(batch.offer)
         return [effects.PutObject(operation_id, key, body)]
     vm_id = batch.target.vm_id
     batch.sends[vm_id] = batch.sends.get(vm_id, 0) + 1
@@ -593,7 +552,7 @@
 def _take(
     state: entry_state.EntryState, handed: messages.HandedRequest, now_ms: int
 ) -> list[effects.Effect]:
-    request = _request(state, handed)
+    request = transfers.unpack(state, handed)
     result: list[effects.Effect] = []
     if handed.outcome is not None:
         requests.add_ended(state, request, now_ms)
@@ -617,43 +576,6 @@
     return result
 
 
-def _request(
-    state: entry_state.EntryState, handed: messages.HandedRequest
-) -> requests.Request:
-    current = state.configuration.current
-    assert current is not None
-    service = current.deployment.services.get(handed.service)
-    if service is None:
-        # Removed since; the request waits for an upstream until its deadline.
-        service = deployment.Service(
-            handed.service, deployment.ServiceKind.PLAIN, {}
-        )
-    operation = deployment.Operation(
-        handed.operation, handed.idempotent, handed.priority
-    )
-    return requests.Request(
-        request_id=handed.request_id,
-        customer=handed.customer,
-        service=service,
-        operation=operation,
-        body=handed.body,
-        prompt=handed.prompt,
-        prompt_tokens=prefixes.count_tokens(handed.prompt),
-        max_tokens=handed.max_tokens,
-        blocks=prefixes.block_hashes(handed.prompt),
-        idempotency_key=handed.idempotency_key,
-        accepted_ms=handed.accepted_ms,
-        deadline_ms=handed.deadline_ms,
-        priority=handed.priority,
-        configuration=current,
-        verdict=handed.verdict,
-        chunks=list(handed.chunks),
-        outcome=handed.outcome,
-        claim_tokens=handed.claim_tokens,
-        generation_upstream_id=handed.upstream_id,
-    )
-
-
 def _remember_batch(
     state: entry_state.EntryState, batch_id: str, accepted: bool
 ) -> None:
@@ -747,8 +669,18 @@
     own = state.handover
     if event.body is None or key in own.picked_up:
         return []
-    offer = _CODEC.loads(event.body.decode(), messages.HandoverOffer)
     own.picked_up.add(key)
+    try:
+        offer = transfers.decode(event.body)
+    except exceptions.MessageError as error:
+        # The object stays in the store, where an operator can look at it.
+        return [
+            effects.Log(
+                "handover_object_malformed",
+                "error",
+                {"key": key, "error": error.message},
+            )
+        ]
     result: list[effects.Effect] = []
     if not own.seen_batches.get(offer.batch_id, False):
         _remember_batch(state, offer.batch_id, True)
