Bound the open exchanges of callers

Cause: bodies, queues and answers were bounded, but not the number of open exchanges, so callers could exhaust the descriptors of an entry.

Change: at most 4,000 exchanges at a time; more get 503 too_many_exchanges with verdict not_run and Retry-After. Health and metrics are exempt.

--- a/laburnumpin/server/caller_api.py
+++ b/laburnumpin/server/caller_api.py
@@ -10,6 +10,7 @@
 from anyio.streams import memory
 from starlette import applications
 from starlette import exceptions as http_exceptions
+from starlette import middleware
 from starlette import requests
 from starlette import responses
 from starlette import routing
@@ -24,6 +25,7 @@
 from laburnumpin.server import bridge as bridges
 from laburnumpin.server import caller_errors
 from laburnumpin.server import caller_input
+from laburnumpin.server import exchanges
 from laburnumpin.server import logs
 from laburnumpin.server import metrics
 from laburnumpin.server import sse
@@ -189,6 +191,12 @@
                 routing.Route("/readyz", self.readyz),
                 routing.Route("/metrics", self.metrics),
             ],
+            middleware=[
+                middleware.Middleware(
+                    exchanges.ExchangeLimit,
+                    counted=self._bridge.state.counters,
+                )
+            ],
             exception_handlers={
                 caller_errors.CallerError: _answer_error,
                 http_exceptions.HTTPException: _answer_http_error,
--- a/laburnumpin/server/caller_errors.py
+++ b/laburnumpin/server/caller_errors.py
@@ -42,6 +42,7 @@
     "platform_unavailable": 503,
     "protocol_error": 502,
     "queue_full": 429,
+    "too_many_exchanges": 503,
     "rate_limited": 429,
     "rejected": 422,
     "truncated": 502,
--- /dev/null
+++ b/laburnumpin/server/exchanges.py
@@ -0,0 +1,48 @@
+"""A bound on the caller exchanges that are open at a time."""
+
+from __future__ import annotations
+
+from starlette import types
+
+from laburnumpin.core import counters
+from laburnumpin.server import caller_errors
+
+# An exchange holds a descriptor, and its attempt another one. The operator
+# guide asks for a descriptor limit above twice this number.
+MAX_OPEN_EXCHANGES = 4_000
+RETRY_AFTER_MS = 1_000
+# The load balancer and operators look at a full entry, too.
+EXEMPT_PATHS = ("/livez", "/readyz", "/metrics")
+
+
+class ExchangeLimit:
+    """Middleware that refuses exchanges over the bound."""
+
+    __slots__ = ("_app", "_counters", "_open")
+
+    def __init__(self, app: types.ASGIApp, counted: counters.Counters) -> None:
+        self._app = app
+        self._counters = counted
+        self._open = 0
+
+    async def __call__(
+        self, scope: types.Scope, receive: types.Receive, send: types.Send
+    ) -> None:
+        """Serve an exchange, or refuse it when too many are open."""
+        if scope["type"] != "http" or scope["path"] in EXEMPT_PATHS:
+            await self._app(scope, receive, send)
+            return
+        if self._open >= MAX_OPEN_EXCHANGES:
+            self._counters.increment("refusals", "too_many_exchanges")
+            refusal = caller_errors.refuse(
+                "too_many_exchanges",
+                f"the limit is {MAX_OPEN_EXCHANGES} open exchanges",
+                retry_after_ms=RETRY_AFTER_MS,
+            )
+            await caller_errors.response(refusal)(scope, receive, send)
+            return
+        self._open += 1
+        try:
+            await self._app(scope, receive, send)
+        finally:
+            self._open -= 1
