--- a/laburnumpin/tests/test_configuration.py
+++ b/laburnumpin/tests/test_configuration.py
@@ -111,6 +111,16 @@
     assert entry.counters.value("configuration_older_ignored") == 1
 
 
+def test_late_push_of_an_older_version_changes_nothing() -> None:
+    """Guards against a delayed answer of a peer that undoes a change."""
+    entry = builders.make_state()
+    for version in (5, 3, 5):
+        push = messages.ConfigurationPush(version, f"c{version}", "{}", 0)
+        reducer.reduce(entry, events.PeerReceived(1_000, "e1", push))
+        assert configuration.version(entry) == 5
+    assert entry.counters.value("configuration_older_ignored") == 1
+
+
 def test_lagging_reader_is_no_contact() -> None:
     """Guards against an entry that trusts an old version for hours."""
     entry = builders.make_state(configured=False)
