Look up a zone's data centre in one place

Cause: membership and upstreams each had the same function.

Change: membership.data_center serves both; no rule changed.

Conclusion: text and tests unchanged but for the name.

--- a/laburnumpin/core/membership.py
+++ b/laburnumpin/core/membership.py
@@ -125,6 +125,15 @@
     return max(count, current.deployment.entry_count)
 
 
+def data_center(state: entry_state.EntryState, zone: str) -> str:
+    """Return the data centre of a zone; an unknown zone is its own."""
+    current = state.configuration.current
+    if current is None:
+        return zone
+    known = current.deployment.zones.get(zone)
+    return zone if known is None else known.data_center
+
+
 def on_vms_listed(
     state: entry_state.EntryState, event: events.VmsListed
 ) -> list[effects.Effect]:
@@ -283,13 +292,13 @@
 def _choose_neighbours(
     state: entry_state.EntryState, now_ms: int
 ) -> tuple[str, ...]:
-    own_data_center = _data_center(state, state.zone)
+    own_data_center = data_center(state, state.zone)
     local: list[tuple[bytes, str]] = []
     remote: list[tuple[bytes, str]] = []
     for vm_id, member in state.membership.by_vm.items():
         if member.leaving or now_ms < member.suspect_until_ms:
             continue
-        if _data_center(state, member.zone) == own_data_center:
+        if data_center(state, member.zone) == own_data_center:
             local.append((member.rank, vm_id))
             continue
         remote.append((member.rank, vm_id))
@@ -302,11 +311,3 @@
     for _, vm_id in local[:local_count] + remote[:remote_count]:
         chosen.append(vm_id)
     return tuple(chosen)
-
-
-def _data_center(state: entry_state.EntryState, zone: str) -> str:
-    current = state.configuration.current
-    if current is None:
-        return zone
-    known = current.deployment.zones.get(zone)
-    return zone if known is None else known.data_center
--- a/laburnumpin/core/upstreams.py
+++ b/laburnumpin/core/upstreams.py
@@ -194,10 +194,10 @@
     own.listed = set()
     by_service: dict[str, list[events.VmRow]] = {}
     entries = subsets.Entries(state.entry.vm_id)
-    data_center = _data_center(state, state.zone)
+    data_center = membership.data_center(state, state.zone)
     for row in event.vms:
         if row.role is not events.VmRole.UPSTREAM:
-            if _data_center(state, row.zone) == data_center:
+            if membership.data_center(state, row.zone) == data_center:
                 entries.add_local(row.vm_id)
             entries.add(row.vm_id)
             continue
@@ -473,14 +473,14 @@
     own = state.upstreams
     near: list[events.VmRow] = []
     far: list[events.VmRow] = []
-    data_center = _data_center(state, state.zone)
+    data_center = membership.data_center(state, state.zone)
     for row in rows:
         if (row.vm_id, row.incarnation) in own.leaving:
             known = own.by_id.get(row.vm_id)
             if known is not None and known.incarnation <= row.incarnation:
                 known.leaving = True
             continue
-        same = _data_center(state, row.zone) == data_center
+        same = membership.data_center(state, row.zone) == data_center
         (near if same else far).append(row)
     size = own.subset_size
     near = entries.window(near, size + SPARE_ROWS, local=True)
@@ -596,14 +596,6 @@
         state.counters.increment("leaving_marks_dropped")
 
 
-def _data_center(state: entry_state.EntryState, zone: str) -> str:
-    current = state.configuration.current
-    if current is None:
-        return zone
-    known = current.deployment.zones.get(zone)
-    return zone if known is None else known.data_center
-
-
 def _model(state: entry_state.EntryState, service_name: str) -> str | None:
     """Return the model that engines of a service must have loaded."""
     current = state.configuration.current
