--- a/laburnumpin/clock.py
+++ b/laburnumpin/clock.py
@@ -52,3 +52,17 @@
             raise ValueError("a clock does not move backwards")
         self._now_ms += duration_ms
         return self._now_ms
+
+
+class BootClock:
+    """Milliseconds since the VM started, time in suspension included.
+
+    A lease must lapse on a VM that was suspended, and the monotonic clock
+    does not count a suspension.
+    """
+
+    __slots__ = ()
+
+    def now_ms(self) -> int:
+        """Return milliseconds since the VM started."""
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
--- /dev/null
+++ b/laburnumpin/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Forwarding of requests that live and end on their caller's connection."""
--- /dev/null
+++ b/laburnumpin/forwarding/attempts.py
@@ -0,0 +1,385 @@
+"""One attempt of a request at an upstream, and the relay of its answer."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import dataclasses
+
+import anyio
+import h11
+
+from laburnumpin import verdict as verdicts
+from laburnumpin.forwarding import caller as callers
+from laburnumpin.forwarding import connections
+from laburnumpin.forwarding import effects
+from laburnumpin.forwarding import event_stream
+from laburnumpin.forwarding import events
+from laburnumpin.forwarding import interfaces
+from laburnumpin.forwarding import requests
+from laburnumpin.forwarding import shell as shells
+
+# Answers up to this size are complete before the first byte goes on.
+BUFFERED_BYTES = 131_072
+# A body over this size is sent while the answer is awaited.
+INLINE_BODY_BYTES = 4_096
+# A repeatable stream that pauses for longer than this many times its
+# objective is continued elsewhere.
+GAP_OBJECTIVES = 3.0
+MIN_GAP_MS = 800
+# Answers to earlier requests that are skipped on one connection.
+MAX_SKIPPED = 2
+
+NOT_RUN = verdicts.Verdict.NOT_RUN
+MAY_HAVE_RUN = verdicts.Verdict.MAY_HAVE_RUN
+RAN = verdicts.Verdict.RAN
+
+
+class AttemptError(Exception):
+    """The attempt ended without a complete answer."""
+
+    def __init__(
+        self, ending: events.Ending, verdict: verdicts.Verdict, detail: str
+    ) -> None:
+        super().__init__(detail)
+        self.ending = ending
+        self.verdict = verdict
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Answer:
+    """An upstream's complete answer."""
+
+    status: int
+    headers: connections.Headers
+    body: bytes
+
+
+class Relay:
+    """The answer to one caller, over one or more attempts."""
+
+    __slots__ = (
+        "_caller",
+        "_on_first",
+        "began",
+        "extra_headers",
+        "failure",
+        "last_event",
+        "partial",
+        "status",
+    )
+
+    def __init__(
+        self,
+        caller: callers.Caller,
+        extra_headers: connections.Headers,
+        on_first: Callable[[], None],
+        resume_after: int | None,
+    ) -> None:
+        self._caller = caller
+        self._on_first = on_first
+        self.extra_headers = extra_headers
+        self.began = False
+        self.status = 0
+        # An upstream's own failure, passed on when nothing better comes.
+        self.failure: Answer | None = None
+        # The id of the last event that the caller has.
+        self.last_event = resume_after
+        # Whether bytes went out that do not end with an event.
+        self.partial = False
+
+    def runs(self) -> None:
+        """Note that the upstream has begun to run the request."""
+        self._on_first()
+
+    async def whole(self, answer: Answer) -> None:
+        """Deliver a complete answer."""
+        self.began = True
+        self.status = answer.status
+        headers = answer.headers + self.extra_headers
+        await self._caller.answer(answer.status, headers, answer.body)
+
+    async def start(
+        self, status: int, headers: connections.Headers, first: bytes
+    ) -> None:
+        """Deliver the head of an answer with the first part of its body."""
+        self.status = status
+        if self.began:
+            await self._caller.write(first)
+            return
+        self.began = True
+        head = headers + self.extra_headers
+        await self._caller.start_answer(status, head, first)
+
+    async def write(self, data: bytes) -> None:
+        """Deliver a part of the body."""
+        await self._caller.write(data)
+
+    async def end(self) -> None:
+        """Deliver the end of the body."""
+        await self._caller.end_answer()
+
+
+class Attempt:
+    """Sends a request to one upstream and relays the answer."""
+
+    __slots__ = (
+        "_body",
+        "_connection",
+        "_head",
+        "_relay",
+        "_request",
+        "_send",
+        "_shell",
+    )
+
+    def __init__(
+        self,
+        shell: shells.Shell,
+        request: requests.Request,
+        head: interfaces.CallerHead,
+        body: bytes,
+        send: effects.Send,
+        relay: Relay,
+    ) -> None:
+        self._shell = shell
+        self._request = request
+        self._head = head
+        self._body = body
+        self._send = send
+        self._relay = relay
+        self._connection: connections.ClientConnection | None = None
+
+    async def run(self) -> None:
+        """Run the attempt to the end of the answer.
+
+        Raises:
+            AttemptError: There is no complete answer.
+            CallerGoneError: The caller has closed its connection.
+        """
+        registration = self._send.registration
+        route = self._request.route
+        try:
+            connection = await self._shell.pool.acquire(
+                registration, fresh=not route.may_repeat
+            )
+        except connections.ConnectionLostError as error:
+            raise AttemptError(
+                events.Ending.UNREACHABLE, NOT_RUN, str(error)
+            ) from error
+        self._connection = connection
+        complete = False
+        try:
+            await self._exchange(connection)
+            complete = True
+        except AttemptError as error:
+            # A rejected request leaves its connection sound.
+            complete = error.ending in (
+                events.Ending.REJECTED,
+                events.Ending.ERROR_STATUS,
+            )
+            raise
+        finally:
+            with anyio.CancelScope(shield=True):
+                if complete:
+                    await self._shell.pool.release(registration, connection)
+                else:
+                    await connection.close()
+
+    async def _exchange(self, connection: connections.ClientConnection) -> None:
+        request = self._request
+        remaining_ms = request.deadline_ms - self._shell.now_ms()
+        if remaining_ms <= 0:
+            raise AttemptError(events.Ending.DEADLINE, NOT_RUN, "deadline")
+        headers = self._shell.wire.upstream_headers(
+            self._head,
+            request,
+            self._send.registration,
+            remaining_ms=remaining_ms,
+            priority=self._send.priority,
+            body_bytes=len(self._body),
+            resume_after=self._relay.last_event,
+        )
+        try:
+            with anyio.fail_after(remaining_ms / 1_000):
+                if len(self._body) <= INLINE_BODY_BYTES:
+                    await self._write(connection, headers)
+                    await self._read(connection)
+                    return
+                async with anyio.create_task_group() as task_group:
+                    task_group.start_soon(
+                        self._write_quietly, connection, headers
+                    )
+                    await self._read(connection)
+                    task_group.cancel_scope.cancel()
+        except TimeoutError as error:
+            raise AttemptError(
+                events.Ending.DEADLINE, MAY_HAVE_RUN, "deadline"
+            ) from error
+        except BaseExceptionGroup as group:
+            raise _single(group) from group
+
+    async def _write(
+        self,
+        connection: connections.ClientConnection,
+        headers: connections.Headers,
+    ) -> None:
+        try:
+            await connection.send(
+                self._head.method, self._head.target, headers, self._body
+            )
+        except connections.ConnectionLostError:
+            # The upstream may have answered before it closed.
+            return
+
+    async def _write_quietly(
+        self,
+        connection: connections.ClientConnection,
+        headers: connections.Headers,
+    ) -> None:
+        await self._write(connection, headers)
+
+    async def _read(self, connection: connections.ClientConnection) -> None:
+        try:
+            head: h11.Response | None = None
+            with anyio.move_on_after(self._send.silence_ms / 1_000):
+                head = await self._own_head(connection)
+            if head is None:
+                raise AttemptError(
+                    events.Ending.SILENT, MAY_HAVE_RUN, "no answer in time"
+                )
+            await self._classified(connection, head)
+        except connections.ConnectionLostError as error:
+            raise AttemptError(
+                events.Ending.BROKEN, MAY_HAVE_RUN, str(error)
+            ) from error
+        except connections.ProtocolError as error:
+            raise AttemptError(
+                events.Ending.MALFORMED, MAY_HAVE_RUN, str(error)
+            ) from error
+
+    async def _own_head(
+        self, connection: connections.ClientConnection
+    ) -> h11.Response:
+        """Return the head of the answer to this request."""
+        for _ in range(MAX_SKIPPED + 1):
+            head = await connection.head()
+            kind = self._kind(head)
+            if kind is not interfaces.AnswerKind.OTHER_REQUEST:
+                return head
+            await connection.skip_response()
+        raise connections.ProtocolError("answers to other requests")
+
+    def _kind(self, head: h11.Response) -> interfaces.AnswerKind:
+        return self._shell.wire.classify(
+            self._request.request_id,
+            head.status_code,
+            list(head.headers),
+        )
+
+    async def _classified(
+        self, connection: connections.ClientConnection, head: h11.Response
+    ) -> None:
+        kind = self._kind(head)
+        headers = list(head.headers)
+        connection.keep_alive_ms = self._shell.wire.keep_alive_ms(headers)
+        raw = list(head.headers.raw_items())
+        passed_on = self._shell.wire.answer_headers(raw)
+        status = head.status_code
+        if kind is interfaces.AnswerKind.NOT_RUN:
+            await self._body_of(connection, head)
+            raise AttemptError(
+                events.Ending.REJECTED, NOT_RUN, f"rejected with {status}"
+            )
+        if kind is interfaces.AnswerKind.WRONG_UPSTREAM:
+            raise AttemptError(
+                events.Ending.WRONG_UPSTREAM, NOT_RUN, "another upstream"
+            )
+        if kind is interfaces.AnswerKind.FAILURE:
+            self._relay.runs()
+            body = await self._body_of(connection, head)
+            answer = Answer(status, _with_length(passed_on, body), body)
+            self._relay.failure = answer
+            raise AttemptError(
+                events.Ending.ERROR_STATUS, RAN, f"answered with {status}"
+            )
+        if self._request.route.is_stream and 200 <= status < 300:
+            await self._relay_stream(connection, status, passed_on)
+            return
+        body = await self._body_of(connection, head)
+        self._relay.runs()
+        await self._relay.whole(
+            Answer(status, _with_length(passed_on, body), body)
+        )
+
+    async def _body_of(
+        self, connection: connections.ClientConnection, head: h11.Response
+    ) -> bytes:
+        body = bytearray()
+        while True:
+            chunk = await connection.chunk()
+            if not chunk:
+                return bytes(body)
+            body += chunk
+
+    async def _relay_stream(
+        self,
+        connection: connections.ClientConnection,
+        status: int,
+        headers: connections.Headers,
+    ) -> None:
+        splitter = event_stream.Splitter()
+        relay = self._relay
+        is_first = True
+        route = self._request.route
+        gap_ms = max(MIN_GAP_MS, int(route.objective_ms * GAP_OBJECTIVES))
+        while True:
+            wait_ms = self._send.silence_ms if is_first else gap_ms
+            if not route.may_repeat:
+                wait_ms = self._request.route.timeout_ms
+            chunk: bytes | None = None
+            with anyio.move_on_after(wait_ms / 1_000):
+                chunk = await connection.chunk()
+            if chunk is None:
+                raise AttemptError(
+                    events.Ending.SILENT, MAY_HAVE_RUN, "the stream paused"
+                )
+            if not chunk:
+                break
+            ready = []
+            for event in splitter.feed(chunk):
+                number = event_stream.event_id(event)
+                last = relay.last_event
+                if number is not None and last is not None and number <= last:
+                    continue
+                if number is not None:
+                    relay.last_event = number
+                ready.append(event)
+            if not ready:
+                continue
+            if is_first:
+                is_first = False
+                relay.runs()
+                await relay.start(status, headers, b"".join(ready))
+                continue
+            await relay.write(b"".join(ready))
+        if is_first:
+            relay.runs()
+            await relay.start(status, headers, splitter.rest)
+        elif splitter.rest:
+            await relay.write(splitter.rest)
+        await relay.end()
+
+
+def _with_length(
+    headers: connections.Headers, body: bytes
+) -> connections.Headers:
+    kept = [(n, v) for n, v in headers if n.lower() != b"content-length"]
+    return [*kept, (b"Content-Length", str(len(body)).encode())]
+
+
+def _single(group: BaseExceptionGroup[BaseException]) -> BaseException:
+    """Return the exception of a task group with one failing task."""
+    error: BaseException = group
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return error
--- /dev/null
+++ b/laburnumpin/forwarding/deployment.py
@@ -0,0 +1,168 @@
+"""What operators configure for forwarded requests, as immutable data."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Split:
+    """A service that receives a weighted part of a route's requests."""
+
+    service: str
+    weight: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Route:
+    """How requests of one host and path prefix are handled.
+
+    `gap_objective_ms` is the longest pause between two events of a stream
+    that is still on time; 0 when the route declares none. `priority` 0 is the
+    most urgent.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    is_stream: bool
+    may_repeat: bool
+    timeout_ms: int
+    objective_ms: int
+    gap_objective_ms: int
+    priority: int
+    splits: tuple[Split, ...]
+    max_attempts: int
+    anonymous: bool
+
+    def choose_service(self, generator: random.Random) -> str:
+        """Return the service of one request, drawn by weight."""
+        if len(self.splits) == 1:
+            return self.splits[0].service
+        weights = [split.weight for split in self.splits]
+        return generator.choices(self.splits, weights)[0].service
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class EngineProfile:
+    """Constants of a service's model engines."""
+
+    slots: int
+    kv_capacity_tokens: int
+    kv_token_bytes: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Autoscaling:
+    """Bounds and prices of the upstreams of a service, each per zone.
+
+    `spot_price` is the price of a reclaimable upstream as a share of the
+    price of another; 1.0 when there are none.
+    """
+
+    min_replicas: int
+    max_replicas: int
+    boot_ms: int
+    spot_price: float
+    zone_prices: dict[str, float]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Service:
+    """A named kind of upstream; `engine` is None for a plain service.
+
+    `max_connections` is what one upstream accepts from all entries together.
+    """
+
+    name: str
+    health_path: str
+    max_connections: int
+    engine: EngineProfile | None
+    autoscaling: Autoscaling | None
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Customer:
+    """A customer's rank and quota.
+
+    `rate_per_s` and `burst` are in units: requests, or tokens with
+    `counts_tokens`, where a request without a token count has
+    `plain_tokens`. A rate of 0 means no limit.
+    """
+
+    name: str
+    keys: tuple[str, ...]
+    priority: int | None
+    counts_tokens: bool
+    plain_tokens: int
+    rate_per_s: float
+    burst: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class CallerLimits:
+    """What a caller may send, and how long it may take or stay idle."""
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: int = 5_000
+    idle_timeout_ms: int = 15_000
+
+
+class Deployment:
+    """One version of the configuration."""
+
+    __slots__ = (
+        "_by_key",
+        "_by_prefix",
+        "customers",
+        "limits",
+        "routes",
+        "services",
+        "version",
+    )
+
+    def __init__(
+        self,
+        version: int,
+        routes: tuple[Route, ...],
+        services: dict[str, Service],
+        customers: dict[str, Customer],
+        limits: CallerLimits,
+    ) -> None:
+        self.version = version
+        self.routes = routes
+        self.services = services
+        self.customers = customers
+        self.limits = limits
+        self._by_prefix: dict[str, dict[str, Route]] = {}
+        for route in routes:
+            of_host = self._by_prefix.setdefault(route.host, {})
+            of_host[route.path_prefix] = route
+        self._by_key: dict[str, Customer] = {}
+        for customer in customers.values():
+            for key in customer.keys:
+                self._by_key[key] = customer
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of `path`, if any.
+
+        Prefixes begin and end with a slash, so that only the parts of the
+        path up to one of its slashes can match.
+        """
+        of_host = self._by_prefix.get(host)
+        if of_host is None:
+            return None
+        end = len(path)
+        while True:
+            end = path.rfind("/", 0, end)
+            if end < 0:
+                return None
+            route = of_host.get(path[: end + 1])
+            if route is not None:
+                return route
+
+    def customer_of(self, key: str) -> Customer | None:
+        """Return the customer that holds a key, if any."""
+        return self._by_key.get(key)
--- /dev/null
+++ b/laburnumpin/forwarding/digests.py
@@ -0,0 +1,35 @@
+"""What entries tell each other several times a second."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from laburnumpin.forwarding import usage
+
+# Entries of each list in a digest, so that a digest fits into a datagram.
+MAX_LOADS = 60
+MAX_PARTS = 24
+MAX_CONTACTS = 24
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Digest:
+    """The state of one entry.
+
+    `loads` are streams and pending prompt tokens by upstream id; `parts` are
+    prompt parts that upstreams have read since the last digest; `used` are
+    the units of customers since the start.
+    """
+
+    name: str
+    address: str
+    incarnation_ms: int
+    wall_ms: int
+    config_version: int
+    registry_version: int
+    lease_token: int
+    used: dict[str, float]
+    windows: dict[int, usage.Counts]
+    loads: dict[str, tuple[int, int]]
+    parts: tuple[tuple[str, int], ...]
+    contacts: tuple[str, ...]
--- /dev/null
+++ b/laburnumpin/forwarding/frontend.py
@@ -0,0 +1,425 @@
+"""The listener for callers: from a connection to forwarded requests."""
+
+from __future__ import annotations
+
+import anyio
+from anyio import abc
+import h11
+
+from laburnumpin import exceptions
+from laburnumpin.forwarding import attempts
+from laburnumpin.forwarding import caller as callers
+from laburnumpin.forwarding import connections
+from laburnumpin.forwarding import deployment
+from laburnumpin.forwarding import effects
+from laburnumpin.forwarding import events
+from laburnumpin.forwarding import interfaces
+from laburnumpin.forwarding import requests
+from laburnumpin.forwarding import shell as shells
+from laburnumpin.server import logs
+
+BACKLOG = 512
+# Descriptors that stay free for upstreams, the platform and peers.
+RESERVED_SHARE = 0.5
+
+
+class Frontend:
+    """Serves callers' connections."""
+
+    __slots__ = ("_open", "_shell", "active")
+
+    def __init__(self, shell: shells.Shell) -> None:
+        self._shell = shell
+        self._open: set[callers.Caller] = set()
+        # Requests that have been read and not been answered.
+        self.active = 0
+
+    async def serve(self, address: str) -> None:
+        """Accept connections until cancelled."""
+        host, _, port = address.rpartition(":")
+        listener = await anyio.create_tcp_listener(
+            local_host=host, local_port=int(port), backlog=BACKLOG
+        )
+        async with listener:
+            await listener.serve(self._handle)
+
+    async def _handle(self, stream: abc.SocketStream) -> None:
+        current = self._shell.deployment()
+        limits = current.limits if current else deployment.CallerLimits()
+        caller = callers.Caller(stream, limits.max_header_bytes)
+        self._open.add(caller)
+        try:
+            connections.set_options(stream)
+            async with anyio.create_task_group() as task_group:
+                task_group.start_soon(caller.reader.run)
+                await self._requests(caller)
+                task_group.cancel_scope.cancel()
+        except BaseExceptionGroup as group:
+            rest = group.split(_is_expected)[1]
+            if rest is not None:
+                logs.write(
+                    "caller_connection_error",
+                    "error",
+                    {"reason": repr(rest.exceptions[0])},
+                )
+        except OSError as error:
+            logs.write(
+                "caller_connection_lost", "debug", {"reason": str(error)}
+            )
+        finally:
+            self._open.discard(caller)
+            await caller.close()
+
+    async def _requests(self, caller: callers.Caller) -> None:
+        while True:
+            current = self._shell.deployment()
+            limits = current.limits if current else deployment.CallerLimits()
+            try:
+                head = await caller.read_head(
+                    limits.idle_timeout_ms, limits.header_timeout_ms
+                )
+                if head is None:
+                    return
+                received_ms = self._shell.now_ms()
+                body = await caller.read_body(
+                    limits.max_body_bytes, limits.idle_timeout_ms
+                )
+            except callers.CallerInputError as error:
+                await self._refuse(caller, error)
+                return
+            except callers.CallerGoneError:
+                return
+            exchange = _Exchange(self._shell, caller, head, received_ms, body)
+            self.active += 1
+            try:
+                kept = await exchange.run()
+            finally:
+                self.active -= 1
+            if not kept or not caller.next_request():
+                return
+
+    async def _refuse(
+        self, caller: callers.Caller, error: callers.CallerInputError
+    ) -> None:
+        self._shell.state.counters.increment(
+            "caller_input_refused", str(error.status)
+        )
+        logs.write(
+            "request_malformed",
+            "info",
+            {"status": error.status, "reason": str(error)},
+        )
+        headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
+        try:
+            await caller.answer(error.status, headers, b"")
+        except (callers.CallerGoneError, h11.LocalProtocolError):
+            return
+
+
+class _Exchange:
+    """One request on a caller's connection."""
+
+    __slots__ = (
+        "_body",
+        "_caller",
+        "_delivered",
+        "_first_ms",
+        "_head",
+        "_outcome",
+        "_request",
+        "_shell",
+    )
+
+    def __init__(
+        self,
+        shell: shells.Shell,
+        caller: callers.Caller,
+        head: h11.Request,
+        received_ms: int,
+        body: bytes,
+    ) -> None:
+        self._shell = shell
+        self._caller = caller
+        self._head = interfaces.CallerHead(
+            bytes(head.method),
+            bytes(head.target),
+            list(head.headers.raw_items()),
+            received_ms,
+        )
+        self._body = body
+        self._request: requests.Request | None = None
+        self._first_ms = 0
+        self._delivered = False
+        self._outcome = ""
+
+    async def run(self) -> bool:
+        """Serve the request; return whether the connection may be kept."""
+        try:
+            fields = self._shell.wire.decode(self._head)
+        except exceptions.DocumentError as error:
+            return await self._plain_status("", 400, str(error))
+        request = self._admitted(fields)
+        if isinstance(request, effects.Reject):
+            return await self._reject(request)
+        self._request = request
+        return await self._attached(request, fields.resume_after)
+
+    def _admitted(
+        self, fields: interfaces.CallerFields
+    ) -> requests.Request | effects.Reject:
+        """Return the request, or why there is no such request."""
+        request_id = fields.request_id
+        current = self._shell.deployment()
+        if current is None:
+            return _rejection(request_id, effects.Reason.NOT_READY)
+        route = current.match(fields.host, fields.path)
+        if route is None:
+            return _rejection(request_id, effects.Reason.NO_ROUTE)
+        customer = None
+        if current.customers and not route.anonymous:
+            customer = current.customer_of(fields.key or "")
+            if customer is None:
+                return _rejection(request_id, effects.Reason.UNKNOWN_KEY)
+        timeout_ms = route.timeout_ms
+        if fields.deadline_in_ms is not None:
+            timeout_ms = min(timeout_ms, fields.deadline_in_ms)
+        units = 1.0
+        if customer is not None and customer.counts_tokens:
+            units = float(customer.plain_tokens)
+            if fields.prompt is not None:
+                prompt = fields.prompt
+                units = float(prompt.tokens + prompt.max_output_tokens)
+        return requests.Request(
+            request_id=request_id,
+            route=route,
+            service=route.choose_service(self._shell.state.random),
+            customer=customer,
+            prompt=fields.prompt,
+            units=units,
+            arrived_ms=self._head.received_ms,
+            deadline_ms=self._head.received_ms + timeout_ms,
+        )
+
+    async def _attached(
+        self, request: requests.Request, resume_after: int | None
+    ) -> bool:
+        """Serve the request until its end or that of its caller."""
+        scope = anyio.CancelScope()
+        stops_with_caller = request.route.may_repeat or request.route.is_stream
+        if stops_with_caller:
+            # Work whose caller is gone stops; a call that must not run twice
+            # is left to finish, so that it is not cut half way.
+            self._caller.reader.on_end = scope.cancel
+            if self._caller.reader.ended:
+                scope.cancel()
+        kept = False
+        try:
+            with scope:
+                kept = await self._attempts(request, resume_after)
+        except callers.CallerGoneError:
+            self._outcome = self._outcome or "caller_gone"
+        finally:
+            self._caller.reader.on_end = None
+            self._shell.apply(
+                events.RequestEnded(
+                    self._shell.now_ms(), request.request_id, self._delivered
+                )
+            )
+            self._log_end(request)
+        return kept
+
+    async def _attempts(
+        self, request: requests.Request, resume_after: int | None
+    ) -> bool:
+        relay = attempts.Relay(
+            self._caller, self._connection_headers(), self._runs, resume_after
+        )
+        effect = self._shell.apply(
+            events.RequestArrived(self._shell.now_ms(), request)
+        )
+        while True:
+            if isinstance(effect, effects.Reject):
+                return await self._give_up(effect, relay)
+            if not isinstance(effect, effects.Send):
+                self._outcome = "cut"
+                await self._caller.abort()
+                return False
+            self._log_send(effect)
+            attempt = attempts.Attempt(
+                self._shell, request, self._head, self._body, effect, relay
+            )
+            try:
+                await attempt.run()
+            except attempts.AttemptError as error:
+                self._log_failure(effect, error)
+                effect = self._shell.apply(
+                    events.AttemptFailed(
+                        self._shell.now_ms(),
+                        request.request_id,
+                        error.ending,
+                        error.verdict,
+                        relay.began,
+                    )
+                )
+                continue
+            self._delivered = relay.status < 500
+            self._outcome = f"status_{relay.status}"
+            return not self._shell.leaving.is_set()
+
+    def _runs(self) -> None:
+        """Note that an upstream has begun to run the request."""
+        if self._request is None:
+            return
+        now_ms = self._shell.now_ms()
+        if not self._first_ms:
+            self._first_ms = now_ms
+        self._shell.apply(
+            events.FirstEvent(
+                now_ms, self._shell.wall_ms(), self._request.request_id
+            )
+        )
+
+    async def _give_up(
+        self, effect: effects.Reject, relay: attempts.Relay
+    ) -> bool:
+        """Give the final answer of a request that is not served."""
+        if relay.failure is not None and not effect.not_run:
+            self._outcome = f"upstream_status_{relay.failure.status}"
+            await relay.whole(relay.failure)
+            return not self._shell.leaving.is_set()
+        return await self._reject(effect)
+
+    async def _reject(self, effect: effects.Reject) -> bool:
+        status, headers = self._shell.wire.rejection(effect.request_id, effect)
+        self._outcome = f"{effect.reason.value}"
+        if self._request is None:
+            self._shell.state.counters.increment(
+                "rejected", effect.reason.value
+            )
+        logs.write(
+            "request_rejected",
+            "info",
+            {
+                "request_id": effect.request_id,
+                "reason": effect.reason.value,
+                "status": status,
+                "not_run": effect.not_run,
+                "retry_after_ms": effect.retry_after_ms,
+                "configuration": self._version(),
+                **self._quota_fields(effect),
+            },
+        )
+        headers = headers + self._connection_headers()
+        try:
+            await self._caller.answer(status, headers, b"")
+        except callers.CallerGoneError:
+            return False
+        return not self._shell.leaving.is_set()
+
+    def _quota_fields(
+        self, effect: effects.Reject
+    ) -> dict[str, str | int | float | bool | None]:
+        request = self._request
+        if request is None or request.customer is None:
+            return {}
+        if effect.reason is not effects.Reason.OVER_QUOTA:
+            return {"customer": request.customer.name}
+        return {
+            "customer": request.customer.name,
+            "units": request.units,
+            "quota_left": self._shell.state.quotas.level(request.customer.name),
+            "rate_per_s": request.customer.rate_per_s,
+        }
+
+    async def _plain_status(
+        self, request_id: str, status: int, reason: str
+    ) -> bool:
+        logs.write(
+            "request_malformed",
+            "info",
+            {"request_id": request_id, "status": status, "reason": reason},
+        )
+        headers = [(b"Content-Length", b"0"), *self._connection_headers()]
+        try:
+            await self._caller.answer(status, headers, b"")
+        except callers.CallerGoneError:
+            return False
+        return True
+
+    def _connection_headers(self) -> connections.Headers:
+        if self._shell.leaving.is_set():
+            return [(b"Connection", b"close")]
+        return []
+
+    def _version(self) -> int:
+        current = self._shell.deployment()
+        return 0 if current is None else current.version
+
+    def _log_send(self, effect: effects.Send) -> None:
+        request = self._request
+        assert request is not None
+        registration = effect.registration
+        logs.write(
+            "request_sent",
+            "info",
+            {
+                "request_id": effect.request_id,
+                "route": request.route.name,
+                "customer": request.customer.name if request.customer else "",
+                "upstream": effect.upstream_id,
+                "upstream_zone": registration.zone,
+                "attempt": effect.attempt,
+                "predicted_ms": round(effect.predicted_ms, 1),
+                "remaining_ms": request.deadline_ms - self._shell.now_ms(),
+                "configuration": self._version(),
+                "registry": self._shell.state.registry_version,
+            },
+        )
+
+    def _log_failure(
+        self, effect: effects.Send, error: attempts.AttemptError
+    ) -> None:
+        logs.write(
+            "attempt_failed",
+            "warning",
+            {
+                "request_id": effect.request_id,
+                "upstream": effect.upstream_id,
+                "attempt": effect.attempt,
+                "ending": error.ending.value,
+                "verdict": error.verdict.value,
+                "reason": str(error),
+            },
+        )
+
+    def _log_end(self, request: requests.Request) -> None:
+        now_ms = self._shell.now_ms()
+        total_ms = now_ms - request.arrived_ms
+        first_ms = None
+        if self._first_ms:
+            first_ms = self._first_ms - request.arrived_ms
+            self._shell.observe(f"first_{request.service}", first_ms)
+        self._shell.observe(f"total_{request.service}", total_ms)
+        logs.write(
+            "request_ended",
+            "info",
+            {
+                "request_id": request.request_id,
+                "outcome": self._outcome or "caller_gone",
+                "first_ms": first_ms,
+                "total_ms": total_ms,
+            },
+        )
+
+
+def _rejection(request_id: str, reason: effects.Reason) -> effects.Reject:
+    retry_after_ms = None
+    if reason is effects.Reason.NOT_READY:
+        retry_after_ms = 200
+    return effects.Reject(request_id, reason, True, retry_after_ms)
+
+
+def _is_expected(error: BaseException) -> bool:
+    return isinstance(
+        error, callers.CallerGoneError | OSError | anyio.ClosedResourceError
+    )
--- /dev/null
+++ b/laburnumpin/forwarding/gossip.py
@@ -0,0 +1,143 @@
+"""Digests between the entries: when they go out, and what they change."""
+
+from __future__ import annotations
+
+from laburnumpin.forwarding import digests
+from laburnumpin.forwarding import effects
+from laburnumpin.forwarding import events
+from laburnumpin.forwarding import state as forwarding_state
+
+# Pause between two digests, and what each known entry adds to it, so that the
+# digests that one entry receives stay below 200 a second.
+DIGEST_PERIOD_MS = 150
+DIGEST_MS_PER_ENTRY = 5
+# Pause between two fetches from peers.
+FETCH_PERIOD_MS = 300
+# Part of the time of a peer's silence after which its load is dropped.
+LOAD_AGE_MS = 3_000
+
+
+def on_tick(
+    state: forwarding_state.ForwardingState, event: events.Ticked
+) -> list[effects.Effect]:
+    """Send a digest when it is due, and forget silent peers."""
+    now_ms = event.now_ms
+    produced: list[effects.Effect] = []
+    for peer in state.members.expire(now_ms):
+        state.quotas.forget(peer.source)
+        produced.append(effects.Report("peer_forgotten", {"peer": peer.name}))
+    if now_ms < state.digest_due_ms:
+        return produced
+    _drop_old_loads(state, now_ms)
+    period_ms = DIGEST_PERIOD_MS
+    period_ms += DIGEST_MS_PER_ENTRY * state.members.count()
+    state.digest_due_ms = now_ms + period_ms
+    targets = tuple(state.members.targets(now_ms))
+    if targets:
+        digest = _digest(state, now_ms, event.wall_ms, targets)
+        produced.append(effects.SendDigest(digest, targets))
+    return produced
+
+
+def on_digest(
+    state: forwarding_state.ForwardingState, event: events.DigestReceived
+) -> list[effects.Effect]:
+    """Take over what a peer says of itself."""
+    digest = event.digest
+    now_ms = event.now_ms
+    if digest.name == state.name:
+        return []
+    peer, is_new = state.members.hear(
+        digest.name, digest.address, digest.incarnation_ms, now_ms
+    )
+    if peer is None:
+        return []
+    produced: list[effects.Effect] = []
+    if is_new:
+        produced.append(effects.Report("peer_heard", {"peer": digest.name}))
+    peer.wall_offset_ms = digest.wall_ms - now_ms
+    peer.lease_token = digest.lease_token
+    peer.config_version = digest.config_version
+    peer.registry_version = digest.registry_version
+    for address in digest.contacts:
+        state.members.add_contact(address, now_ms)
+    customers = {}
+    if state.deployment is not None:
+        customers = state.deployment.customers
+    state.quotas.hear(peer.source, digest.used, customers, now_ms)
+    state.usage.hear(peer.source, digest.windows)
+    for upstream in state.upstreams.all():
+        load = digest.loads.get(upstream.registration.upstream_id)
+        if load is None:
+            upstream.peer_load.pop(digest.name, None)
+            continue
+        upstream.peer_load[digest.name] = load
+    for upstream_id, part_id in digest.parts:
+        known = state.upstreams.get(upstream_id)
+        if known is not None:
+            known.remember_part(part_id, now_ms)
+    produced.extend(_fetch(state, peer.address, digest, now_ms))
+    return produced
+
+
+def _fetch(
+    state: forwarding_state.ForwardingState,
+    address: str,
+    digest: digests.Digest,
+    now_ms: int,
+) -> list[effects.Effect]:
+    if now_ms < state.fetch_due_ms:
+        return []
+    current = state.deployment
+    own_version = 0 if current is None else current.version
+    behind = digest.config_version > own_version
+    behind = behind or digest.registry_version > state.registry_version
+    if not behind:
+        return []
+    state.fetch_due_ms = now_ms + FETCH_PERIOD_MS
+    return [effects.FetchFromPeer(address)]
+
+
+def _drop_old_loads(
+    state: forwarding_state.ForwardingState, now_ms: int
+) -> None:
+    live = {p.name for p in state.members.live(now_ms, LOAD_AGE_MS)}
+    for upstream in state.upstreams.all():
+        for name in list(upstream.peer_load):
+            if name not in live:
+                del upstream.peer_load[name]
+
+
+def _digest(
+    state: forwarding_state.ForwardingState,
+    now_ms: int,
+    wall_ms: int,
+    targets: tuple[str, ...],
+) -> digests.Digest:
+    loads: dict[str, tuple[int, int]] = {}
+    for upstream in state.upstreams.all():
+        if upstream.own_streams and len(loads) < digests.MAX_LOADS:
+            loads[upstream.registration.upstream_id] = (
+                upstream.own_streams,
+                upstream.own_pending_tokens,
+            )
+    parts = tuple(state.new_parts[-digests.MAX_PARTS :])
+    state.new_parts.clear()
+    contacts = list(targets)
+    if len(contacts) > digests.MAX_CONTACTS:
+        contacts = state.random.sample(contacts, digests.MAX_CONTACTS)
+    current = state.deployment
+    return digests.Digest(
+        name=state.name,
+        address=state.address,
+        incarnation_ms=state.incarnation_ms,
+        wall_ms=wall_ms,
+        config_version=0 if current is None else current.version,
+        registry_version=state.registry_version,
+        lease_token=state.lease_token,
+        used=state.quotas.used(),
+        windows={k: dict(v) for k, v in state.usage.own_windows().items()},
+        loads=loads,
+        parts=parts,
+        contacts=tuple(contacts),
+    )
--- /dev/null
+++ b/laburnumpin/forwarding/lease.py
@@ -0,0 +1,196 @@
+"""The lease on the duties, a row of the store with a fencing token.
+
+The holder renews the row; another entry takes it once it has watched the row
+unchanged for a whole lease. Times are on the boot clock, which counts a
+suspension of the VM.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+RENEW_SHARE = 0.3
+# The holder stops acting this share of a lease before it lapses.
+ACT_SHARE = 0.7
+# Others take over only this share of a lease after it lapsed.
+TAKE_SHARE = 1.2
+# Time after which an unanswered call counts as lost.
+ANSWER_TIMEOUT_MS = 1_500
+# Pause after a failed call.
+PAUSE_MS = 500
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Row:
+    """The lease row; `version` 0 and `fencing_token` 0 when there is none.
+
+    `token` names the write that made the row.
+    """
+
+    version: int
+    fencing_token: int
+    holder: str
+    token: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ReadLease:
+    """Read the lease row."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class WriteLease:
+    """Write the lease row if it still has `expected_version`."""
+
+    expected_version: int
+    row: Row
+
+
+class Lease:
+    """What this entry holds, awaits and has seen of the lease."""
+
+    __slots__ = (
+        "_busy_since_ms",
+        "_lease_ms",
+        "_name",
+        "_next_ms",
+        "_pending",
+        "_pending_sent_ms",
+        "_seen",
+        "_seen_ms",
+        "_valid_until_ms",
+        "_version",
+        "_writes",
+        "fencing_token",
+    )
+
+    def __init__(self, name: str, lease_ms: int) -> None:
+        self._name = name
+        self._lease_ms = lease_ms
+        self.fencing_token = 0
+        self._version = 0
+        self._valid_until_ms = 0
+        self._seen: Row | None = None
+        self._seen_ms = 0
+        self._pending: WriteLease | None = None
+        self._pending_sent_ms = 0
+        self._busy_since_ms: int | None = None
+        self._next_ms = 0
+        self._writes = 0
+
+    def may_act(self, now_ms: int) -> bool:
+        """Return whether an order may be sent under the lease now."""
+        margin_ms = int(self._lease_ms * (1 - ACT_SHARE))
+        return now_ms < self._valid_until_ms - margin_ms
+
+    def holds(self, now_ms: int) -> bool:
+        """Return whether this entry holds the lease."""
+        return now_ms < self._valid_until_ms
+
+    def drop(self) -> None:
+        """Stop acting; a higher fencing token was seen by the platform."""
+        self._valid_until_ms = 0
+        self._pending = None
+        self._seen = None
+
+    def next_call(
+        self, now_ms: int, *, eligible: bool, holder_heard: bool
+    ) -> ReadLease | WriteLease | None:
+        """Return the call to make now, if any.
+
+        With `holder_heard` another entry has just said that it holds the
+        lease, and the store is not asked.
+        """
+        if self._busy_since_ms is not None:
+            if now_ms < self._busy_since_ms + ANSWER_TIMEOUT_MS:
+                return None
+            self.lost(now_ms)
+        if now_ms < self._next_ms:
+            return None
+        if self.holds(now_ms):
+            if not eligible:
+                return None
+            return self._write(now_ms, self._version, self.fencing_token)
+        if not eligible or holder_heard:
+            self._seen = None
+            return None
+        seen = self._seen
+        take_ms = int(self._lease_ms * TAKE_SHARE)
+        if seen is not None and now_ms >= self._seen_ms + take_ms:
+            return self._write(now_ms, seen.version, seen.fencing_token + 1)
+        if seen is not None and seen.version == 0:
+            return self._write(now_ms, 0, 1)
+        self._busy_since_ms = now_ms
+        return ReadLease()
+
+    def read(self, row: Row, now_ms: int) -> None:
+        """Apply the row as the store showed it."""
+        self._busy_since_ms = None
+        self._next_ms = now_ms + PAUSE_MS
+        pending = self._pending
+        if pending is not None and pending.row.token == row.token:
+            # The write whose answer was lost took effect.
+            self._take(pending, row.version, now_ms)
+            return
+        seen = self._seen
+        if seen is None or seen.version != row.version:
+            self._seen = row
+            self._seen_ms = now_ms
+            if row.version == 0:
+                self._next_ms = now_ms
+
+    def written(self, version: int, now_ms: int) -> None:
+        """Apply the success of the pending write."""
+        self._busy_since_ms = None
+        if self._pending is not None:
+            self._take(self._pending, version, now_ms)
+
+    def conflicted(self, now_ms: int) -> None:
+        """Apply that another entry wrote the row first."""
+        self._busy_since_ms = None
+        self._valid_until_ms = 0
+        self._pending = None
+        self._seen = None
+        self._next_ms = now_ms + PAUSE_MS
+
+    def lost(self, now_ms: int) -> None:
+        """Apply that a call failed or its answer was lost."""
+        self._busy_since_ms = None
+        self._seen = None
+        self._next_ms = now_ms + PAUSE_MS
+        if self._pending is None:
+            return
+        if self.holds(now_ms):
+            # Read the row back before the next conditional write.
+            self._busy_since_ms = None
+
+    def needs_read_back(self) -> bool:
+        """Return whether the outcome of a write is not known."""
+        return self._pending is not None and self._busy_since_ms is None
+
+    def read_back(self, now_ms: int) -> ReadLease:
+        """Return the call that finds out whether a lost write took effect."""
+        self._busy_since_ms = now_ms
+        return ReadLease()
+
+    def _write(self, now_ms: int, version: int, fencing: int) -> WriteLease:
+        self._writes += 1
+        token = f"{self._name}/{self._writes}/{now_ms}"
+        row = Row(0, fencing, self._name, token)
+        self._pending = WriteLease(version, row)
+        self._pending_sent_ms = now_ms
+        self._busy_since_ms = now_ms
+        return self._pending
+
+    def _take(self, write: WriteLease, version: int, now_ms: int) -> None:
+        self._pending = None
+        self._seen = None
+        self._version = version
+        self.fencing_token = write.row.fencing_token
+        # Counted from the sending, so that no other entry can have waited
+        # for a whole lease before.
+        self._valid_until_ms = self._pending_sent_ms + self._lease_ms
+        self._next_ms = self._pending_sent_ms
+        self._next_ms += int(self._lease_ms * RENEW_SHARE)
+        if now_ms >= self._valid_until_ms:
+            self._valid_until_ms = 0
--- /dev/null
+++ b/laburnumpin/forwarding/lifecycle.py
@@ -0,0 +1,241 @@
+"""The life of a forwarded request: admission, attempts and its end."""
+
+from __future__ import annotations
+
+from laburnumpin import verdict as verdicts
+from laburnumpin.forwarding import deployment
+from laburnumpin.forwarding import effects
+from laburnumpin.forwarding import events
+from laburnumpin.forwarding import selection
+from laburnumpin.forwarding import state as forwarding_state
+
+# Requests that arrive this long after the start of the exit are rejected: an
+# exit must not cut them.
+ACCEPT_WHILE_LEAVING_MS = 3_000
+# When a caller may return that found no room or no upstream.
+RETRY_AFTER_MS = 150
+# A repeatable request is sent elsewhere when its first byte takes longer than
+# this many times its objective, and at least this long.
+SILENCE_OBJECTIVES = 2.0
+MIN_SILENCE_MS = 400
+# Time below which another attempt is not worth while.
+MIN_ATTEMPT_MS = 30
+
+
+def on_arrived(
+    state: forwarding_state.ForwardingState, event: events.RequestArrived
+) -> list[effects.Effect]:
+    """Admit a request and send it, or reject it."""
+    request = event.request
+    now_ms = event.now_ms
+    if state.leaving_since_ms is not None:
+        if now_ms > state.leaving_since_ms + ACCEPT_WHILE_LEAVING_MS:
+            return _reject(state, request.request_id, effects.Reason.LEAVING)
+    customer = request.customer
+    if customer is not None:
+        wait_ms = state.quotas.admit(customer, request.units, now_ms)
+        if wait_ms > 0:
+            return _reject(
+                state, request.request_id, effects.Reason.OVER_QUOTA, wait_ms
+            )
+    active = forwarding_state.Active(request)
+    state.active[request.request_id] = active
+    state.budget.record_first(request.service, now_ms)
+    return _send_or_reject(state, active, now_ms, effects.Reason.NO_ROOM)
+
+
+def on_first_event(
+    state: forwarding_state.ForwardingState, event: events.FirstEvent
+) -> list[effects.Effect]:
+    """Note that the request runs and its prompt has been read."""
+    active = state.active.get(event.request_id)
+    if active is None:
+        return []
+    request = active.request
+    if not active.counted and request.customer is not None:
+        state.usage.record(request.customer.name, event.wall_ms)
+    active.counted = True
+    _release_pending(active)
+    choice = active.choice
+    if choice is None or request.prompt is None:
+        return []
+    upstream = choice.upstream
+    for part in request.prompt.parts:
+        upstream.remember_part(part.part_id, event.now_ms)
+    for part in request.prompt.parts[:-1]:
+        state.new_parts.append(
+            (upstream.registration.upstream_id, part.part_id)
+        )
+    return []
+
+
+def on_failed(
+    state: forwarding_state.ForwardingState, event: events.AttemptFailed
+) -> list[effects.Effect]:
+    """Send the request elsewhere if that is safe and allowed, else end it."""
+    active = state.active.get(event.request_id)
+    if active is None:
+        return []
+    now_ms = event.now_ms
+    _record_outcome(active, event)
+    state.counters.increment("attempts_failed", event.ending.value)
+    if event.verdict is not verdicts.Verdict.NOT_RUN:
+        active.may_have_run = True
+    active.began = event.began
+    if event.ending is events.Ending.UNREACHABLE:
+        active.sends -= 1  # Nothing was sent.
+    if active.choice is not None:
+        upstream_id = active.choice.upstream.registration.upstream_id
+        active.excluded.add(upstream_id)
+    _release(active)
+    reason = effects.Reason.UPSTREAM_FAILED
+    if event.verdict is verdicts.Verdict.NOT_RUN:
+        reason = effects.Reason.UPSTREAM_REJECTED
+    if event.ending is events.Ending.DEADLINE:
+        return _end(state, active, effects.Reason.DEADLINE)
+    safe = request_may_be_sent(active)
+    if not safe or now_ms + MIN_ATTEMPT_MS > active.request.deadline_ms:
+        return _end(state, active, reason)
+    if active.sends >= active.request.route.max_attempts:
+        state.counters.increment("retries_refused", "max_attempts")
+        return _end(state, active, reason)
+    entries = state.members.count()
+    if active.sends and not state.budget.take(
+        active.request.service, now_ms, entries
+    ):
+        state.counters.increment("retries_refused", "budget")
+        return _end(state, active, reason)
+    state.counters.increment("retries", event.ending.value)
+    return _send_or_reject(state, active, now_ms, reason)
+
+
+def on_ended(
+    state: forwarding_state.ForwardingState, event: events.RequestEnded
+) -> list[effects.Effect]:
+    """Forget a request whose answer was delivered or whose caller is gone."""
+    active = state.active.pop(event.request_id, None)
+    if active is None:
+        return []
+    if event.delivered and active.choice is not None:
+        active.choice.upstream.record_success()
+    _release(active)
+    return []
+
+
+def request_may_be_sent(active: forwarding_state.Active) -> bool:
+    """Return whether another attempt cannot run the request twice."""
+    return active.request.route.may_repeat or not active.may_have_run
+
+
+def _send_or_reject(
+    state: forwarding_state.ForwardingState,
+    active: forwarding_state.Active,
+    now_ms: int,
+    reason: effects.Reason,
+) -> list[effects.Effect]:
+    request = active.request
+    service = _service(state, request.service)
+    candidates = state.upstreams.usable(request.service, now_ms)
+    choice = None
+    if service is not None and candidates:
+        choice = selection.choose(
+            candidates,
+            request,
+            service,
+            state.zone,
+            active.excluded,
+            now_ms,
+            state.random,
+        )
+    if choice is None:
+        if not candidates:
+            reason = effects.Reason.NO_UPSTREAM
+        return _end(state, active, reason)
+    active.choice = choice
+    active.sends += 1
+    active.sent_ms = now_ms
+    upstream = choice.upstream
+    upstream.own_streams += 1
+    active.pending_tokens = choice.uncached_tokens
+    upstream.own_pending_tokens += choice.uncached_tokens
+    silence_ms = request.deadline_ms - now_ms
+    if request.route.may_repeat and active.sends < request.route.max_attempts:
+        patience = request.route.objective_ms * SILENCE_OBJECTIVES
+        silence_ms = min(silence_ms, max(MIN_SILENCE_MS, int(patience)))
+    return [
+        effects.Send(
+            request_id=request.request_id,
+            upstream_id=upstream.registration.upstream_id,
+            registration=upstream.registration,
+            priority=request.priority(),
+            silence_ms=silence_ms,
+            predicted_ms=choice.predicted_ms,
+            attempt=active.sends,
+        )
+    ]
+
+
+def _end(
+    state: forwarding_state.ForwardingState,
+    active: forwarding_state.Active,
+    reason: effects.Reason,
+) -> list[effects.Effect]:
+    request = active.request
+    state.active.pop(request.request_id, None)
+    if active.began:
+        state.counters.increment("answers_cut", reason.value)
+        return [effects.Abort(request.request_id)]
+    if active.may_have_run:
+        state.counters.increment("failed", reason.value)
+        return [effects.Reject(request.request_id, reason, False, None)]
+    if request.customer is not None:
+        state.quotas.give_back(request.customer, request.units)
+    return _reject(state, request.request_id, reason)
+
+
+def _reject(
+    state: forwarding_state.ForwardingState,
+    request_id: str,
+    reason: effects.Reason,
+    retry_after_ms: int = RETRY_AFTER_MS,
+) -> list[effects.Effect]:
+    state.counters.increment("rejected", reason.value)
+    return [effects.Reject(request_id, reason, True, retry_after_ms)]
+
+
+def _record_outcome(
+    active: forwarding_state.Active, event: events.AttemptFailed
+) -> None:
+    if active.choice is None:
+        return
+    upstream = active.choice.upstream
+    match event.ending:
+        case events.Ending.REJECTED:
+            return  # A full upstream is sound.
+        case events.Ending.DEADLINE if event.began:
+            return
+        case events.Ending.UNREACHABLE | events.Ending.WRONG_UPSTREAM:
+            upstream.record_failure(event.now_ms, unreachable=True)
+        case _:
+            upstream.record_failure(event.now_ms, unreachable=False)
+
+
+def _release_pending(active: forwarding_state.Active) -> None:
+    if active.choice is not None:
+        active.choice.upstream.own_pending_tokens -= active.pending_tokens
+    active.pending_tokens = 0
+
+
+def _release(active: forwarding_state.Active) -> None:
+    _release_pending(active)
+    if active.choice is not None:
+        active.choice.upstream.own_streams -= 1
+    active.choice = None
+
+
+def _service(
+    state: forwarding_state.ForwardingState, name: str
+) -> deployment.Service | None:
+    if state.deployment is None:
+        return None
+    return state.deployment.services.get(name)
--- /dev/null
+++ b/laburnumpin/forwarding/probes.py
@@ -0,0 +1,67 @@
+"""The listener for readiness probes and metrics."""
+
+from __future__ import annotations
+
+import anyio
+from anyio import abc
+import h11
+
+from laburnumpin.forwarding import caller as callers
+from laburnumpin.forwarding import shell as shells
+from laburnumpin.server import metrics
+
+METRICS_PATH = b"/metrics"
+IDLE_TIMEOUT_MS = 30_000
+HEADER_TIMEOUT_MS = 2_000
+MAX_HEADER_BYTES = 8_192
+
+
+async def serve(shell: shells.Shell, address: str) -> None:
+    """Answer probes until cancelled."""
+    host, _, port = address.rpartition(":")
+    listener = await anyio.create_tcp_listener(
+        local_host=host, local_port=int(port)
+    )
+
+    async def handle(stream: abc.SocketStream) -> None:
+        caller = callers.Caller(stream, MAX_HEADER_BYTES)
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(caller.reader.run)
+            await _requests(shell, caller)
+            task_group.cancel_scope.cancel()
+        await caller.close()
+
+    async with listener:
+        await listener.serve(handle)
+
+
+async def _requests(shell: shells.Shell, caller: callers.Caller) -> None:
+    try:
+        while True:
+            head = await caller.read_head(IDLE_TIMEOUT_MS, HEADER_TIMEOUT_MS)
+            if head is None:
+                return
+            await caller.read_body(0, HEADER_TIMEOUT_MS)
+            await _answer(shell, caller, head)
+            if not caller.next_request():
+                return
+    except (callers.CallerGoneError, callers.CallerInputError):
+        # A probe that is broken off is repeated by its caller.
+        return
+
+
+async def _answer(
+    shell: shells.Shell, caller: callers.Caller, head: h11.Request
+) -> None:
+    is_ready = shell.is_ready()
+    if bytes(head.target).partition(b"?")[0] == METRICS_PATH:
+        text = shell.metrics.render(shell.state.counters, is_ready)
+        body = text.encode()
+        headers = [
+            (b"Content-Type", metrics.MEDIA_TYPE.encode()),
+            (b"Content-Length", str(len(body)).encode()),
+        ]
+        await caller.answer(200, headers, body)
+        return
+    status = 200 if is_ready else 503
+    await caller.answer(status, [(b"Content-Length", b"0")], b"")
--- /dev/null
+++ b/laburnumpin/forwarding/registry.py
@@ -0,0 +1,127 @@
+"""Changes of what the entry knows: configuration and upstreams."""
+
+from __future__ import annotations
+
+from laburnumpin.forwarding import deployment
+from laburnumpin.forwarding import effects
+from laburnumpin.forwarding import events
+from laburnumpin.forwarding import state as forwarding_state
+from laburnumpin.forwarding import upstreams
+
+
+def on_deployment(
+    state: forwarding_state.ForwardingState, event: events.DeploymentRead
+) -> list[effects.Effect]:
+    """Put a configuration in force unless it is older than the current."""
+    current = state.deployment
+    version = event.deployment.version
+    if current is not None and version <= current.version:
+        return []
+    state.deployment = event.deployment
+    changed = []
+    for customer in event.deployment.customers.values():
+        before = current.customers.get(customer.name) if current else None
+        if before != customer:
+            changed.append(_describe(customer))
+    return [
+        effects.Report(
+            "configuration_in_force",
+            {
+                "version": version,
+                "previous": 0 if current is None else current.version,
+                "routes": len(event.deployment.routes),
+                "changed_customers": "; ".join(changed),
+            },
+        )
+    ]
+
+
+def on_listed(
+    state: forwarding_state.ForwardingState, event: events.UpstreamsListed
+) -> list[effects.Effect]:
+    """Replace the registrations by a complete list."""
+    state.registry_read = True
+    state.registry_version = max(state.registry_version, event.version)
+    produced: list[effects.Effect] = []
+    listed = set()
+    for registration in event.registrations:
+        listed.add(registration.upstream_id)
+        changes = state.upstreams.update(registration, event.now_ms)
+        produced.extend(_report(state, changes, event.version))
+    for upstream in list(state.upstreams.all()):
+        upstream_id = upstream.registration.upstream_id
+        if upstream_id in listed:
+            continue
+        if event.after_outage:
+            state.upstreams.suspect(upstream_id, event.now_ms)
+            continue
+        changes = state.upstreams.remove(upstream_id)
+        produced.extend(_report(state, changes, event.version))
+    return produced
+
+
+def on_changed(
+    state: forwarding_state.ForwardingState, event: events.UpstreamChanged
+) -> list[effects.Effect]:
+    """Apply one changed registration."""
+    state.registry_version = max(state.registry_version, event.version)
+    changes = state.upstreams.update(event.registration, event.now_ms)
+    return _report(state, changes, event.version)
+
+
+def on_removed(
+    state: forwarding_state.ForwardingState, event: events.UpstreamRemoved
+) -> list[effects.Effect]:
+    """Apply one removed registration."""
+    state.registry_version = max(state.registry_version, event.version)
+    if event.after_outage:
+        state.upstreams.suspect(event.upstream_id, event.now_ms)
+        return []
+    changes = state.upstreams.remove(event.upstream_id)
+    return _report(state, changes, event.version)
+
+
+def on_tick(
+    state: forwarding_state.ForwardingState, event: events.Ticked
+) -> list[effects.Effect]:
+    """Forget upstreams that did not register again after an outage."""
+    changes = state.upstreams.expire(event.now_ms)
+    return _report(state, changes, state.registry_version)
+
+
+def _describe(customer: deployment.Customer) -> str:
+    return (
+        f"{customer.name}: rate {customer.rate_per_s:g}, burst "
+        f"{customer.burst:g}, priority {customer.priority}, "
+        f"{len(customer.keys)} keys"
+    )
+
+
+def _report(
+    state: forwarding_state.ForwardingState,
+    changes: upstreams.Changes,
+    version: int,
+) -> list[effects.Effect]:
+    produced: list[effects.Effect] = []
+    by_change = {
+        "upstream_added": changes.added,
+        "upstream_leaving": changes.leaving,
+        "upstream_removed": changes.removed,
+        "upstream_restarted": changes.restarted,
+    }
+    for message_type, upstream_ids in by_change.items():
+        for upstream_id in upstream_ids:
+            known = state.upstreams.get(upstream_id)
+            fields: dict[str, str | int | float | bool | None] = {
+                "upstream": upstream_id,
+                "registry_version": version,
+            }
+            if known is not None:
+                fields["service"] = known.registration.service
+                fields["zone"] = known.registration.zone
+                fields["reclaimable"] = known.registration.reclaimable
+                fields["leaves_in_ms"] = known.registration.leaves_in_ms
+            produced.append(effects.Report(message_type, fields))
+    for upstream_id in changes.removed + changes.restarted:
+        produced.append(effects.CloseUpstream(upstream_id, 0))
+    return produced
--- /dev/null
+++ b/laburnumpin/forwarding/selection.py
@@ -0,0 +1,139 @@
+"""Choice of the upstream for a forwarded request."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+import zlib
+
+from laburnumpin.forwarding import deployment
+from laburnumpin.forwarding import requests
+from laburnumpin.forwarding import upstreams
+
+# Prompt tokens that an engine reads in a millisecond, and the time of a step;
+# both from the deployments' data sheets.
+PREFILL_TOKENS_PER_MS = 68.2
+STEP_MS = 3.82
+STEP_MS_PER_STREAM = 0.0227
+# Time to the first token beside reading the prompt (data sheet).
+FIRST_TOKEN_MS = 36.0
+# Mean service time of a plain service's request (data sheet).
+PLAIN_SERVICE_MS = 45.0
+# Score of a round trip to another zone; it also stands for the price of bytes
+# between zones.
+OTHER_ZONE_MS = 6.0
+# Score that is added for a failure rate of 1.
+FAILURE_SCORE_MS = 2_000.0
+# Score of preferring the engine that the other entries prefer too for the
+# same leading part, while none is known to have it.
+AFFINITY_MS = 10.0
+# Streams beyond this share of an engine's slots wait.
+FULL_SHARE = 1.0
+# How long a prompt part counts as cached after its last use.
+CACHED_MS = 30_000
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Choice:
+    """An upstream with the figures that decided."""
+
+    upstream: upstreams.Upstream
+    score_ms: float
+    predicted_ms: float
+    uncached_tokens: int
+    streams: int
+
+
+def choose(
+    candidates: list[upstreams.Upstream],
+    request: requests.Request,
+    service: deployment.Service,
+    zone: str,
+    excluded: set[str],
+    now_ms: int,
+    generator: random.Random,
+) -> Choice | None:
+    """Return the candidate with the lowest score, None if all are full."""
+    best: Choice | None = None
+    preferred = _preferred(candidates, request)
+    for upstream in candidates:
+        registration = upstream.registration
+        if registration.upstream_id in excluded:
+            continue
+        streams = upstream.streams()
+        if service.engine is None:
+            predicted_ms = _plain_ms(upstream, streams)
+            uncached = 0
+        else:
+            if streams >= _capacity(upstream, service):
+                continue
+            uncached = uncached_tokens(upstream, request, now_ms)
+            predicted_ms = first_token_ms(upstream, uncached, streams)
+        score_ms = predicted_ms * upstream.slowness
+        score_ms += upstream.failure_rate * FAILURE_SCORE_MS
+        if registration.zone != zone:
+            score_ms += OTHER_ZONE_MS
+        if registration.upstream_id == preferred:
+            score_ms -= AFFINITY_MS
+        score_ms += generator.random()
+        if best is None or score_ms < best.score_ms:
+            best = Choice(upstream, score_ms, predicted_ms, uncached, streams)
+    return best
+
+
+def uncached_tokens(
+    upstream: upstreams.Upstream, request: requests.Request, now_ms: int
+) -> int:
+    """Return the prompt tokens that the engine has to read."""
+    if request.prompt is None:
+        return 0
+    cached = 0
+    for part in request.prompt.parts:
+        used_ms = upstream.cached_parts.get(part.part_id)
+        if used_ms is None or now_ms > used_ms + CACHED_MS:
+            break
+        cached += part.tokens
+    return max(0, request.prompt.tokens - cached)
+
+
+def first_token_ms(
+    upstream: upstreams.Upstream, uncached: int, streams: int
+) -> float:
+    """Predict the time to the first token at an engine."""
+    step_ms = STEP_MS + STEP_MS_PER_STREAM * streams
+    read_ms = (uncached + upstream.pending_tokens()) / PREFILL_TOKENS_PER_MS
+    return FIRST_TOKEN_MS + read_ms + 2 * step_ms
+
+
+def _plain_ms(upstream: upstreams.Upstream, streams: int) -> float:
+    slots = max(1, upstream.registration.slots)
+    rounds = max(0, streams + 1 - slots) / slots
+    # A fuller upstream loses against an emptier one before any request waits.
+    return PLAIN_SERVICE_MS * (1 + rounds + 0.2 * streams / slots)
+
+
+def _capacity(
+    upstream: upstreams.Upstream, service: deployment.Service
+) -> float:
+    slots = upstream.registration.slots
+    if slots <= 0 and service.engine is not None:
+        slots = service.engine.slots
+    return slots * FULL_SHARE
+
+
+def _preferred(
+    candidates: list[upstreams.Upstream], request: requests.Request
+) -> str:
+    """Return the candidate with the highest hash with the shared part."""
+    if request.prompt is None or len(request.prompt.parts) < 2:
+        return ""
+    # The last part belongs to the request itself; the one before it is the
+    # most specific part that other requests share.
+    part_id = request.prompt.parts[-2].part_id
+    best_id, best_hash = "", -1
+    for upstream in candidates:
+        upstream_id = upstream.registration.upstream_id
+        value = zlib.crc32(f"{part_id:x}/{upstream_id}".encode())
+        if value > best_hash:
+            best_id, best_hash = upstream_id, value
+    return best_id
--- /dev/null
+++ b/laburnumpin/forwarding/settings.py
@@ -0,0 +1,33 @@
+"""Settings of an entry that forwards requests."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from laburnumpin.forwarding import budgets
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ForwardingSettings:
+    """Addresses, bounds and names of one process.
+
+    Addresses are `IP:PORT`. `drain_ms` is how long after the notice new work
+    may go to a leaving upstream; `exit_ms` is the time from the request to
+    exit until the process is killed.
+    """
+
+    name: str
+    zone: str
+    caller_address: str
+    readiness_address: str
+    peer_address: str
+    seeds: tuple[str, ...]
+    store_address: str
+    cloud_address: str
+    duties: tuple[str, ...]
+    drain_ms: int
+    exit_ms: int
+    lease_ms: int
+    repeat_bound: budgets.RepeatBound
+    usage_window_ms: int
+    usage_late_ms: int
--- /dev/null
+++ b/laburnumpin/forwarding/shell.py
@@ -0,0 +1,106 @@
+"""The state with everything around it that carries out effects."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import time
+
+import anyio
+
+from laburnumpin import clock
+from laburnumpin.forwarding import deployment
+from laburnumpin.forwarding import effects
+from laburnumpin.forwarding import events
+from laburnumpin.forwarding import interfaces
+from laburnumpin.forwarding import pool
+from laburnumpin.forwarding import reducer
+from laburnumpin.forwarding import state as forwarding_state
+from laburnumpin.server import logs
+from laburnumpin.server import metrics
+from laburnumpin.server import tasks
+
+RequestEffect = effects.Reject | effects.Send | effects.Abort
+
+
+class Shell:
+    """Applies events and carries out the effects that no request awaits."""
+
+    __slots__ = (
+        "clock",
+        "leaving",
+        "metrics",
+        "on_digest",
+        "on_fetch",
+        "pool",
+        "state",
+        "tasks",
+        "wire",
+    )
+
+    def __init__(
+        self,
+        state: forwarding_state.ForwardingState,
+        wire: interfaces.Wire,
+        upstream_pool: pool.Pool,
+        runner: tasks.TaskRunner,
+        own_clock: clock.Clock,
+    ) -> None:
+        self.state = state
+        self.wire = wire
+        self.pool = upstream_pool
+        self.tasks = runner
+        self.clock = own_clock
+        self.metrics = metrics.Metrics()
+        self.leaving = anyio.Event()
+        self.on_digest: Callable[[effects.SendDigest], None] | None = None
+        self.on_fetch: Callable[[effects.FetchFromPeer], None] | None = None
+
+    def now_ms(self) -> int:
+        """Return the time on the boot clock."""
+        return self.clock.now_ms()
+
+    def wall_ms(self) -> int:
+        """Return the time of day that the entries agree on."""
+        own_wall_ms = time.time_ns() // 1_000_000
+        return self.state.members.wall_ms(self.now_ms(), own_wall_ms)
+
+    def deployment(self) -> deployment.Deployment | None:
+        """Return the configuration in force."""
+        return self.state.deployment
+
+    def is_ready(self) -> bool:
+        """Return whether the entry can take requests."""
+        if self.leaving.is_set():
+            return False
+        return self.state.deployment is not None and self.state.registry_read
+
+    def leave(self) -> None:
+        """Start the exit: take no new work after a while."""
+        if not self.leaving.is_set():
+            self.state.leaving_since_ms = self.now_ms()
+            self.leaving.set()
+
+    def apply(self, event: events.Event) -> RequestEffect | None:
+        """Apply an event; return what its request has to do next."""
+        awaited: RequestEffect | None = None
+        for effect in reducer.reduce(self.state, event):
+            match effect:
+                case effects.Reject() | effects.Send() | effects.Abort():
+                    awaited = effect
+                case effects.Report():
+                    logs.write(effect.message_type, "info", effect.fields)
+                case effects.CloseUpstream():
+                    self.tasks.start(
+                        self.pool.close_upstream, effect.upstream_id
+                    )
+                case effects.SendDigest():
+                    if self.on_digest is not None:
+                        self.on_digest(effect)
+                case effects.FetchFromPeer():
+                    if self.on_fetch is not None:
+                        self.on_fetch(effect)
+        return awaited
+
+    def observe(self, name: str, duration_ms: int) -> None:
+        """Record a duration in a histogram."""
+        self.metrics.observe_ms(name, duration_ms)
--- /dev/null
+++ b/laburnumpin/forwarding/state.py
@@ -0,0 +1,102 @@
+"""The whole state of an entry's forwarding."""
+
+from __future__ import annotations
+
+import random
+
+from laburnumpin.core import counters
+from laburnumpin.forwarding import budgets
+from laburnumpin.forwarding import deployment
+from laburnumpin.forwarding import membership
+from laburnumpin.forwarding import requests
+from laburnumpin.forwarding import selection
+from laburnumpin.forwarding import upstreams
+from laburnumpin.forwarding import usage
+
+
+class Active:
+    """A request that has not ended."""
+
+    __slots__ = (
+        "began",
+        "choice",
+        "counted",
+        "excluded",
+        "may_have_run",
+        "pending_tokens",
+        "request",
+        "sends",
+        "sent_ms",
+    )
+
+    def __init__(self, request: requests.Request) -> None:
+        self.request = request
+        self.sends = 0
+        self.choice: selection.Choice | None = None
+        self.excluded: set[str] = set()
+        self.pending_tokens = 0
+        self.sent_ms = 0
+        self.may_have_run = False
+        # Whether a part of the answer has gone to the caller.
+        self.began = False
+        # Whether the request counts in its customer's usage.
+        self.counted = False
+
+
+class ForwardingState:
+    """Everything that the decisions read and change."""
+
+    __slots__ = (
+        "active",
+        "address",
+        "budget",
+        "counters",
+        "deployment",
+        "digest_due_ms",
+        "fetch_due_ms",
+        "incarnation_ms",
+        "lease_token",
+        "leaving_since_ms",
+        "members",
+        "name",
+        "new_parts",
+        "quotas",
+        "random",
+        "registry_read",
+        "registry_version",
+        "upstreams",
+        "usage",
+        "zone",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        zone: str,
+        address: str,
+        incarnation_ms: int,
+        bound: budgets.RepeatBound,
+        usage_window_ms: int,
+        generator: random.Random,
+    ) -> None:
+        self.name = name
+        self.zone = zone
+        self.address = address
+        self.incarnation_ms = incarnation_ms
+        self.random = generator
+        self.counters = counters.Counters()
+        self.deployment: deployment.Deployment | None = None
+        self.upstreams = upstreams.Table()
+        self.registry_version = 0
+        self.registry_read = False
+        self.active: dict[str, Active] = {}
+        self.budget = budgets.RepeatBudget(bound)
+        self.quotas = budgets.Quotas()
+        self.usage = usage.Usage(usage_window_ms)
+        self.members = membership.Members(address)
+        self.lease_token = 0
+        self.leaving_since_ms: int | None = None
+        self.digest_due_ms = 0
+        self.fetch_due_ms = 0
+        # Prompt parts read by upstreams since the last digest.
+        self.new_parts: list[tuple[str, int]] = []
--- /dev/null
+++ b/laburnumpin/platform/clients.py
@@ -0,0 +1,322 @@
+"""The platform's store and cloud API."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import json
+from typing import Any
+import urllib.parse
+
+import anyio
+from anyio import abc
+
+from laburnumpin import exceptions
+from laburnumpin.forwarding import connections
+from laburnumpin.forwarding import interfaces
+from laburnumpin.forwarding import settings as forwarding_settings
+
+# Time for one call, beside the time that the platform is asked to wait.
+CALL_TIMEOUT_MS = 1_200
+CONNECT_TIMEOUT_MS = 500
+MAX_IDLE = 4
+
+HOLDER_HEADER = b"X-Laburnumpin-Duty-Holder"
+FENCE_HEADER = b"X-Laburnumpin-Fencing-Token"
+
+# The platform's own tables, and those of the entries.
+_TABLES = {
+    interfaces.Table.OPERATOR: "op",
+    interfaces.Table.UPSTREAMS: "servers",
+    interfaces.Table.ENTRIES: "laburnumpin-entries",
+    interfaces.Table.DUTIES: "laburnumpin-duties",
+    interfaces.Table.USAGE: "laburnumpin-usage",
+}
+
+
+class HttpClient:
+    """Calls to one address with JSON bodies, over kept connections."""
+
+    __slots__ = ("_address", "_idle", "_task_group")
+
+    def __init__(self, address: str, task_group: abc.TaskGroup) -> None:
+        self._address = address
+        self._task_group = task_group
+        self._idle: list[connections.ClientConnection] = []
+
+    async def call(
+        self,
+        method: str,
+        target: str,
+        document: dict[str, Any] | None = None,
+        headers: connections.Headers | None = None,
+        wait_ms: int = 0,
+    ) -> tuple[int, dict[str, Any]]:
+        """Return the status and the document of the answer.
+
+        Raises:
+            PlatformUnavailableError: Nothing was done.
+            PlatformAnswerLostError: The call may have taken effect.
+        """
+        connection = await self._connection()
+        body = b"" if document is None else json.dumps(document).encode()
+        sent: connections.Headers = [
+            (b"Host", self._address.encode()),
+            (b"Content-Length", str(len(body)).encode()),
+            (b"Content-Type", b"application/json"),
+            *(headers or []),
+        ]
+        status, text = 0, b""
+        kept = False
+        try:
+            with anyio.fail_after((CALL_TIMEOUT_MS + wait_ms) / 1_000):
+                await connection.send(
+                    method.encode(), target.encode(), sent, body
+                )
+                head = await connection.head()
+                status = head.status_code
+                while True:
+                    chunk = await connection.chunk()
+                    if not chunk:
+                        break
+                    text += chunk
+            kept = connection.finish() and len(self._idle) < MAX_IDLE
+        except (
+            TimeoutError,
+            connections.ConnectionLostError,
+            connections.ProtocolError,
+        ) as error:
+            raise exceptions.PlatformAnswerLostError(
+                f"{method} {target.partition('?')[0]}: {error!r}"
+            ) from error
+        finally:
+            with anyio.CancelScope(shield=True):
+                if kept:
+                    self._idle.append(connection)
+                else:
+                    await connection.close()
+        if status in (429, 503):
+            raise exceptions.PlatformUnavailableError(
+                f"{method} {target.partition('?')[0]}: status {status}"
+            )
+        return status, _document(text)
+
+    async def _connection(self) -> connections.ClientConnection:
+        while self._idle:
+            kept = self._idle.pop()
+            if kept.is_sound():
+                return kept
+            await kept.close()
+        try:
+            return await connections.connect(
+                self._address, self._task_group, CONNECT_TIMEOUT_MS
+            )
+        except connections.ConnectionLostError as error:
+            raise exceptions.PlatformUnavailableError(str(error)) from error
+
+
+class PlatformStore:
+    """`StoreClient` on the platform's store of rows."""
+
+    __slots__ = ("_http",)
+
+    def __init__(self, http: HttpClient) -> None:
+        self._http = http
+
+    async def read(self, table: interfaces.Table) -> interfaces.Rows:
+        """Return all rows of a table."""
+        rows: list[interfaces.Row] = []
+        query = {"table": _TABLES[table], "part": ""}
+        while True:
+            document = await self._get("/rows-get", query, 0)
+            page = _rows(document)
+            rows.extend(page.rows)
+            if not document.get("truncated") or not page.rows:
+                return interfaces.Rows(tuple(rows), page.version)
+            # Keys are in byte order; the range starts after the last one.
+            query["from"] = page.rows[-1].key + "\x00"
+
+    async def changes(
+        self, table: interfaces.Table, after: int, wait_ms: int
+    ) -> interfaces.Rows:
+        """Return the rows changed after a version, waiting for one."""
+        query = {
+            "table": _TABLES[table],
+            # Named a revision, but the same counter as a row's `ver`.
+            "after_revision": str(after),
+            "wait_ms": str(wait_ms),
+        }
+        return _rows(await self._get("/rows-feed", query, wait_ms))
+
+    async def write(
+        self,
+        table: interfaces.Table,
+        key: str,
+        value: bytes,
+        expected_version: int | None,
+    ) -> int:
+        """Write a row and return its version."""
+        name = _TABLES[table]
+        row = {"table": name, "part": "", "key": key}
+        conditions = []
+        if expected_version is not None:
+            conditions.append({**row, "ver": expected_version})
+        text = base64.b64encode(value).decode()
+        document = await self._transact(
+            {
+                "expected_revision": conditions,
+                "set_keys": [{**row, "value": text}],
+                "remove": [],
+            }
+        )
+        return _version(document)
+
+    async def remove(
+        self, table: interfaces.Table, keys: tuple[str, ...]
+    ) -> None:
+        """Remove rows."""
+        rows = []
+        for key in keys:
+            rows.append({"table": _TABLES[table], "part": "", "key": key})
+        await self._transact(
+            {"expected_revision": [], "set_keys": [], "remove": rows}
+        )
+
+    async def _get(
+        self, path: str, query: dict[str, str], wait_ms: int
+    ) -> dict[str, Any]:
+        target = f"{path}?{urllib.parse.urlencode(query)}"
+        status, document = await self._http.call("GET", target, wait_ms=wait_ms)
+        if status == 410:
+            raise interfaces.HistoryLostError(f"{path}: status 410")
+        if status != 200:
+            raise exceptions.PlatformUnavailableError(
+                f"{path}: status {status}"
+            )
+        return document
+
+    async def _transact(self, document: dict[str, Any]) -> dict[str, Any]:
+        status, answer = await self._http.call("POST", "/rows-tx", document)
+        if status == 412:
+            raise interfaces.ConflictError("/rows-tx: status 412")
+        if status != 200:
+            raise exceptions.PlatformUnavailableError(
+                f"/rows-tx: status {status}"
+            )
+        return answer
+
+
+class PlatformCloud:
+    """`CloudClient` on the platform's API."""
+
+    __slots__ = ("_holder", "_http")
+
+    def __init__(self, http: HttpClient, holder: str) -> None:
+        self._http = http
+        self._holder = holder
+
+    async def report_usage(
+        self, fencing_token: int, window: int, counts: dict[str, int]
+    ) -> None:
+        """Report the requests of each customer that began in a window."""
+        status, answer = await self._http.call(
+            "POST",
+            "/usage",
+            {"window_id": window, "counts": counts},
+            self._headers(fencing_token),
+        )
+        if status == 409:
+            raise interfaces.FencedError(f"/usage: {answer}")
+        if status != 200:
+            raise exceptions.PlatformUnavailableError(
+                f"/usage: status {status}"
+            )
+
+    async def order_upstreams(
+        self,
+        fencing_token: int,
+        service: str,
+        zone: str,
+        count: int,
+        *,
+        reclaimable: bool,
+    ) -> None:
+        """Order a number of upstreams of one kind in a zone."""
+        document: dict[str, Any] = {
+            "service": service,
+            "zone": zone,
+            "desired_count": count,
+        }
+        if reclaimable:
+            document["spot"] = True
+        status, answer = await self._http.call(
+            "POST", "/scale", document, self._headers(fencing_token)
+        )
+        if status == 409:
+            if reclaimable:
+                # 409 stands for both; a holder that was replaced also learns
+                # of it from its lease and from its usage reports.
+                raise interfaces.OrderRefusedError(f"/scale: {answer}")
+            raise interfaces.FencedError(f"/scale: {answer}")
+        if status != 200:
+            raise exceptions.PlatformUnavailableError(
+                f"/scale: status {status} {answer}"
+            )
+
+    def _headers(self, fencing_token: int) -> connections.Headers:
+        return [
+            (HOLDER_HEADER, self._holder.encode()),
+            (FENCE_HEADER, str(fencing_token).encode()),
+        ]
+
+
+class PlatformClients:
+    """`Clients` of the platform."""
+
+    __slots__ = ()
+
+    def store(
+        self,
+        settings: forwarding_settings.ForwardingSettings,
+        task_group: abc.TaskGroup,
+    ) -> interfaces.StoreClient:
+        """Return the client of the store."""
+        return PlatformStore(HttpClient(settings.store_address, task_group))
+
+    def cloud(
+        self,
+        settings: forwarding_settings.ForwardingSettings,
+        task_group: abc.TaskGroup,
+    ) -> interfaces.CloudClient:
+        """Return the client of the cloud API."""
+        http = HttpClient(settings.cloud_address, task_group)
+        return PlatformCloud(http, settings.name)
+
+
+def _document(text: bytes) -> dict[str, Any]:
+    try:
+        document = json.loads(text or b"{}")
+    except ValueError:
+        # Errors may have another body; the status decides then.
+        return {}
+    return document if isinstance(document, dict) else {}
+
+
+def _version(document: dict[str, Any]) -> int:
+    version = document.get("ver")
+    if not isinstance(version, int):
+        raise exceptions.PlatformAnswerLostError("an answer has no version")
+    return version
+
+
+def _rows(document: dict[str, Any]) -> interfaces.Rows:
+    rows = []
+    for row in document.get("rows", []):
+        value: bytes | None = None
+        if not row.get("tombstone"):
+            try:
+                value = base64.b64decode(row.get("value", ""), validate=True)
+            except (binascii.Error, TypeError):
+                value = b""  # A malformed value is refused by its decoder.
+        rows.append(interfaces.Row(str(row["key"]), value, int(row["ver"])))
+    return interfaces.Rows(tuple(rows), _version(document))
--- /dev/null
+++ b/laburnumpin/platform/documents.py
@@ -0,0 +1,191 @@
+"""The operator's configuration and the runners' registrations."""
+
+from __future__ import annotations
+
+import json
+import re
+from typing import Any
+
+from laburnumpin import exceptions
+from laburnumpin.forwarding import deployment
+from laburnumpin.forwarding import interfaces
+from laburnumpin.forwarding import upstreams
+
+CONFIGURATION_KEY = "config"
+_ADDRESS = re.compile(r"\d{1,3}(\.\d{1,3}){3}:\d{1,5}")
+_LIFECYCLES = {
+    "ready": upstreams.Lifecycle.READY,
+    "draining": upstreams.Lifecycle.LEAVING,
+}
+
+
+class PlatformDocuments:
+    """`Documents` in the platform's formats."""
+
+    __slots__ = ()
+
+    def decode_deployment(
+        self, rows: interfaces.Rows
+    ) -> deployment.Deployment | None:
+        """Return the newest configuration in the operator's rows."""
+        for row in rows.rows:
+            if row.key != CONFIGURATION_KEY or row.value is None:
+                continue
+            try:
+                return _deployment(json.loads(row.value))
+            except (
+                AttributeError,
+                KeyError,
+                TypeError,
+                ValueError,
+            ) as error:
+                raise exceptions.DocumentError(
+                    f"the configuration is malformed: {error!r}"
+                ) from error
+        return None
+
+    def decode_registration(
+        self, row: interfaces.Row
+    ) -> upstreams.Registration | None:
+        """Return a registration; None if it names no upstream to use."""
+        if row.value is None:
+            return None
+        try:
+            document = json.loads(row.value)
+        except ValueError:
+            return None
+        if not isinstance(document, dict):
+            return None
+        lifecycle = _LIFECYCLES.get(str(document.get("state")))
+        service = document.get("service")
+        address = document.get("address")
+        zone = document.get("zone")
+        slots = document.get("slots")
+        # `born` is the time of the start in Unix milliseconds.
+        born = document.get("born", 0)
+        if lifecycle is None or not isinstance(service, str):
+            return None
+        if not isinstance(address, str) or not _ADDRESS.fullmatch(address):
+            return None
+        if not isinstance(zone, str) or not _is_int(slots):
+            return None
+        if not _is_int(born):
+            return None
+        cold = document.get("cold_remaining_ms")
+        leaves = document.get("leaves_ms")
+        return upstreams.Registration(
+            upstream_id=row.key,
+            incarnation_ms=int(born),
+            service=service,
+            address=address,
+            zone=zone,
+            slots=int(str(slots)),
+            lifecycle=lifecycle,
+            reclaimable=document.get("spot") is True,
+            cold_ms=int(cold) if isinstance(cold, int | float) else 0,
+            leaves_in_ms=(
+                int(leaves) if isinstance(leaves, int | float) else None
+            ),
+        )
+
+
+def _is_int(value: object) -> bool:
+    return isinstance(value, int) and not isinstance(value, bool)
+
+
+def _deployment(document: dict[str, Any]) -> deployment.Deployment:
+    services = {}
+    for fields in document.get("services", []):
+        service = _service(fields)
+        services[service.name] = service
+    customers = {}
+    for fields in document.get("tenants", []):
+        customer = _customer(fields)
+        customers[customer.name] = customer
+    limits = document.get("limits", {})
+    defaults = deployment.CallerLimits()
+    return deployment.Deployment(
+        version=int(document["version"]),
+        routes=tuple(_route(f) for f in document.get("routes", [])),
+        services=services,
+        customers=customers,
+        limits=deployment.CallerLimits(
+            int(limits.get("max_header_bytes", defaults.max_header_bytes)),
+            int(limits.get("max_body_bytes", defaults.max_body_bytes)),
+            int(limits.get("header_timeout_ms", defaults.header_timeout_ms)),
+            int(limits.get("idle_timeout_ms", defaults.idle_timeout_ms)),
+        ),
+    )
+
+
+def _route(fields: dict[str, Any]) -> deployment.Route:
+    kind = fields["route_type"]
+    if kind not in ("idempotent", "non_idempotent", "streaming"):
+        raise ValueError(f"unknown kind of route: {kind}")
+    is_stream = kind == "streaming"
+    splits = []
+    for split in fields.get("traffic_split") or []:
+        weight = float(split.get("weight", 1))
+        splits.append(deployment.Split(split["service"], weight))
+    if not splits:
+        splits.append(deployment.Split(fields["service"], 1.0))
+    may_resume = is_stream and bool(fields.get("stream_resume"))
+    return deployment.Route(
+        name=str(fields["name"]),
+        host=str(fields["host"]).lower(),
+        path_prefix=str(fields["path_prefix"]),
+        is_stream=is_stream,
+        may_repeat=kind == "idempotent" or may_resume,
+        timeout_ms=int(fields["timeout_ms"]),
+        objective_ms=int(fields.get("target_latency_ms", 1_000)),
+        gap_objective_ms=int(fields.get("gap_aim_ms") or 0),
+        priority=int(fields.get("priority", 5)),
+        splits=tuple(splits),
+        max_attempts=max(1, int(fields.get("max_attempts", 1))),
+        anonymous=bool(fields.get("anonymous")),
+    )
+
+
+def _service(fields: dict[str, Any]) -> deployment.Service:
+    engine = None
+    if fields.get("engine"):
+        described = fields["engine"]
+        engine = deployment.EngineProfile(
+            slots=int(described["slots"]),
+            kv_capacity_tokens=int(described["kv_capacity_tokens"]),
+            kv_token_bytes=int(described.get("kv_token_bytes", 0)),
+        )
+    autoscaling = None
+    if fields.get("autoscaling"):
+        bounds = fields["autoscaling"]
+        autoscaling = deployment.Autoscaling(
+            min_replicas=int(bounds["min_replicas"]),
+            max_replicas=int(bounds["max_replicas"]),
+            boot_ms=int(float(bounds.get("boot_time_s", 5)) * 1_000),
+            # Absent where there are no reclaimable upstreams.
+            spot_price=float(bounds.get("spot_price", 1.0)),
+            zone_prices={
+                str(zone): float(price)
+                for zone, price in bounds.get("zone_prices", {}).items()
+            },
+        )
+    return deployment.Service(
+        name=str(fields["name"]),
+        health_path=str(fields.get("health_path", "/")),
+        max_connections=int(fields.get("max_connections", 100)),
+        engine=engine,
+        autoscaling=autoscaling,
+    )
+
+
+def _customer(fields: dict[str, Any]) -> deployment.Customer:
+    priority = fields.get("priority")
+    return deployment.Customer(
+        name=str(fields["name"]),
+        keys=tuple(str(key) for key in fields.get("api_keys", [])),
+        priority=None if priority is None else int(priority),
+        counts_tokens=fields.get("unit") == "tokens",
+        plain_tokens=int(fields.get("plain_tokens", 1)),
+        rate_per_s=float(fields.get("rate_per_s") or 0),
+        burst=float(fields.get("burst") or 0),
+    )
--- /dev/null
+++ b/laburnumpin/platform/program.py
@@ -0,0 +1,46 @@
+"""Start of an entry on the users' platform."""
+
+from __future__ import annotations
+
+import functools
+import gc
+import os
+import sys
+
+import anyio
+
+from laburnumpin import exceptions
+from laburnumpin.forwarding import daemon
+from laburnumpin.platform import clients
+from laburnumpin.platform import documents
+from laburnumpin.platform import settings
+from laburnumpin.platform import wire
+from laburnumpin.server import logs
+
+LOG_LEVEL_VARIABLE = "LABURNUMPIN_LOG_LEVEL"
+# Collections of the youngest generation are this many allocations apart:
+# tracebacks and tasks make few cycles.
+GC_THRESHOLD = 20_000
+
+
+def main() -> None:
+    """Run an entry until it is asked to exit; exit with 1 if it cannot."""
+    path = os.environ.get(settings.PATH_VARIABLE, settings.DEFAULT_PATH)
+    level = os.environ.get(LOG_LEVEL_VARIABLE, "info")
+    gc.set_threshold(GC_THRESHOLD)
+    try:
+        loaded = settings.load(path)
+    except exceptions.ConfigurationError as error:
+        for problem in error.errors:
+            print(f"error: {path}: {problem}", file=sys.stderr)
+        sys.exit(1)
+    with logs.set_up(level, loaded.name, sys.stdout):
+        anyio.run(
+            functools.partial(
+                daemon.serve,
+                loaded,
+                wire.PlatformWire(),
+                documents.PlatformDocuments(),
+                clients.PlatformClients(),
+            )
+        )
--- /dev/null
+++ b/laburnumpin/platform/settings.py
@@ -0,0 +1,149 @@
+"""The settings file of the platform (TOML), as the project's settings."""
+
+from __future__ import annotations
+
+import pathlib
+import tomllib
+from typing import Any
+
+from laburnumpin import exceptions
+from laburnumpin.forwarding import budgets
+from laburnumpin.forwarding import settings as forwarding_settings
+
+PATH_VARIABLE = "LABURNUMPIN_SETTINGS"
+DEFAULT_PATH = "/etc/laburnumpin/boot.toml"
+
+# The duties by the platform's name.
+_DUTIES = {"usage_report": "usage", "autoscale": "upstreams"}
+
+
+class _Reader:
+    """Reads typed fields and collects what is wrong with them."""
+
+    def __init__(self, document: dict[str, Any]) -> None:
+        self._document = document
+        self.errors: list[exceptions.FieldError] = []
+
+    def text(self, *path: str) -> str:
+        """Return a text that is not empty."""
+        value = self._find(path)
+        if isinstance(value, str) and value:
+            return value
+        self._fault(path, "a text is expected")
+        return ""
+
+    def number(self, *path: str, default: float | None = None) -> float:
+        """Return a number that is not negative."""
+        value = self._find(path)
+        if value is None and default is not None:
+            return default
+        is_number = isinstance(value, int | float)
+        if is_number and not isinstance(value, bool) and value >= 0:
+            return float(value)
+        self._fault(path, "a number that is not negative is expected")
+        return 0.0
+
+    def texts(self, *path: str) -> tuple[str, ...]:
+        """Return a list of texts; empty where there is none."""
+        value = self._find(path)
+        if value is None:
+            return ()
+        if not isinstance(value, list):
+            self._fault(path, "a list is expected")
+            return ()
+        return tuple(str(entry) for entry in value)
+
+    def ports(self, *path: str) -> tuple[int, int]:
+        """Return a range of ports."""
+        value = self._find(path)
+        if isinstance(value, list) and len(value) == 2:
+            first, last = value
+            if isinstance(first, int) and isinstance(last, int):
+                if 0 < first <= last < 65_536:
+                    return first, last
+        self._fault(path, "the first and the last port are expected")
+        return 0, 0
+
+    def _find(self, path: tuple[str, ...]) -> Any:
+        value: Any = self._document
+        for name in path:
+            if not isinstance(value, dict):
+                return None
+            value = value.get(name)
+        return value
+
+    def _fault(self, path: tuple[str, ...], message: str) -> None:
+        self.errors.append(
+            exceptions.FieldError(".".join(path), "field_invalid", message)
+        )
+
+
+def load(path: str) -> forwarding_settings.ForwardingSettings:
+    """Read the settings file.
+
+    Raises:
+        ConfigurationError: It cannot be read; lists every problem.
+    """
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+        document = tomllib.loads(text)
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        raise exceptions.ConfigurationError(
+            [exceptions.FieldError("settings", "unreadable", str(error))]
+        ) from error
+    return decode(document)
+
+
+def decode(
+    document: dict[str, Any],
+) -> forwarding_settings.ForwardingSettings:
+    """Return the settings in a document.
+
+    Raises:
+        ConfigurationError: Fields are missing or invalid; lists them all.
+    """
+    reader = _Reader(document)
+    address = reader.text("ip")
+    first_port, _ = reader.ports("internal_ports")
+    seeds = []
+    for seed in reader.texts("seeds"):
+        # The seeds are addresses for control; peers use another port of the
+        # same VM.
+        seeds.append(f"{seed.rpartition(':')[0]}:{first_port}")
+    duties = []
+    for duty in reader.texts("cloud_api", "duties"):
+        if duty in _DUTIES:
+            duties.append(_DUTIES[duty])
+    bound = budgets.RepeatBound(
+        ratio=reader.number("bounds", "retry_budget_ratio", default=0.2),
+        slack=int(reader.number("bounds", "retry_slack", default=20)),
+        window_ms=_seconds(reader, "retry_window_s", 10),
+    )
+    settings = forwarding_settings.ForwardingSettings(
+        name=reader.text("node_name"),
+        zone=reader.text("zone"),
+        caller_address=reader.text("listen", "frontend"),
+        readiness_address=reader.text("listen", "readiness"),
+        peer_address=f"{address}:{first_port}",
+        seeds=tuple(seeds),
+        store_address=reader.text("platform", "address"),
+        cloud_address=str(
+            document.get("cloud_api", {}).get("address", "")
+            if isinstance(document.get("cloud_api"), dict)
+            else ""
+        ),
+        duties=tuple(duties),
+        drain_ms=int(reader.number("bounds", "drain_ms", default=2_000)),
+        exit_ms=_seconds(reader, "grace_s", 8),
+        lease_ms=int(reader.number("bounds", "lease_ms", default=3_000)),
+        repeat_bound=bound,
+        usage_window_ms=_seconds(reader, "usage_window_s", 5),
+        usage_late_ms=_seconds(reader, "usage_late_s", 10),
+    )
+    if reader.errors:
+        raise exceptions.ConfigurationError(reader.errors)
+    return settings
+
+
+def _seconds(reader: _Reader, name: str, default: float) -> int:
+    return int(reader.number("bounds", name, default=default) * 1_000)
--- a/laburnumpin/server/logs.py
+++ b/laburnumpin/server/logs.py
@@ -95,9 +95,11 @@
 
 
 @contextlib.contextmanager
-def set_up(level: str, entry: str) -> Iterator[None]:
-    """Write messages of `level` and above to standard error."""
-    destination = Destination(level, sys.stderr)
+def set_up(
+    level: str, entry: str, stream: TextIO | None = None
+) -> Iterator[None]:
+    """Write messages of `level` and above to `stream`, or standard error."""
+    destination = Destination(level, stream or sys.stderr)
     handler = _LibraryHandler(logging.WARNING)
     eliot.add_global_fields(entry=entry)
     eliot.add_destinations(destination)
--- a/laburnumpin/server/metrics.py
+++ b/laburnumpin/server/metrics.py
@@ -29,16 +29,19 @@
 
     def observe(self, effect: effects.ObserveLatency) -> None:
         """Record a duration."""
-        recorded = self._by_name.get(effect.name)
+        self.observe_ms(effect.name, effect.duration_ms)
+
+    def observe_ms(self, name: str, duration_ms: int) -> None:
+        """Record a duration under a name."""
+        recorded = self._by_name.get(name)
         if recorded is None:
             recorded = histogram.HdrHistogram(
                 1, MAX_DURATION_MS, _SIGNIFICANT_FIGURES
             )
-            self._by_name[effect.name] = recorded
-        duration_ms = min(max(effect.duration_ms, 1), MAX_DURATION_MS)
+            self._by_name[name] = recorded
+        duration_ms = min(max(duration_ms, 1), MAX_DURATION_MS)
         recorded.record_value(duration_ms)
-        total_ms = self._sums.get(effect.name, 0) + duration_ms
-        self._sums[effect.name] = total_ms
+        self._sums[name] = self._sums.get(name, 0) + duration_ms
 
     def render(self, counted: counters.Counters, ready: bool) -> str:
         """Return all metrics as text."""
