--- a/laburnumpin/forwarding/digests.py
+++ b/laburnumpin/forwarding/digests.py
@@ -18,7 +18,8 @@
 
     `loads` are streams and pending prompt tokens by upstream id; `parts` are
     prompt parts that upstreams have read since the last digest; `used` are
-    the units of customers since the start.
+    the units of customers since the start; `work_ms` is the engine time of
+    the requests that arrived since the start, by service.
     """
 
     name: str
@@ -33,3 +34,4 @@
     loads: dict[str, tuple[int, int]]
     parts: tuple[tuple[str, int], ...]
     contacts: tuple[str, ...]
+    work_ms: dict[str, float]
--- a/laburnumpin/forwarding/duties.py
+++ b/laburnumpin/forwarding/duties.py
@@ -254,8 +254,9 @@
                 reclaimable=order.reclaimable,
             )
             self._scaler.accepted(order, self._shell.now_ms())
-        except interfaces.OrderRefusedError:
+        except interfaces.OrderRefusedError as error:
             outcome = "refused"
+            fields["reason"] = error.message
             self._scaler.refused(order, self._shell.now_ms())
         except interfaces.FencedError:
             outcome = "fenced"
--- a/laburnumpin/forwarding/gossip.py
+++ b/laburnumpin/forwarding/gossip.py
@@ -56,6 +56,7 @@
     if is_new:
         produced.append(effects.Report("peer_heard", {"peer": digest.name}))
     peer.wall_offset_ms = digest.wall_ms - now_ms
+    peer.work_ms = digest.work_ms
     peer.lease_token = digest.lease_token
     peer.config_version = digest.config_version
     peer.registry_version = digest.registry_version
@@ -140,4 +141,5 @@
         loads=loads,
         parts=parts,
         contacts=tuple(contacts),
+        work_ms=dict(state.work_ms),
     )
--- a/laburnumpin/forwarding/lifecycle.py
+++ b/laburnumpin/forwarding/lifecycle.py
@@ -41,7 +41,15 @@
     active = forwarding_state.Active(request)
     state.active[request.request_id] = active
     state.budget.record_first(request.service, now_ms)
-    return _send_or_reject(state, active, now_ms, effects.Reason.NO_ROOM)
+    produced = _send_or_reject(state, active, now_ms, effects.Reason.NO_ROOM)
+    if request.prompt is not None:
+        tokens = request.prompt.tokens
+        if active.choice is not None:
+            tokens = active.choice.uncached_tokens
+        state.add_work(
+            request.service, tokens / selection.PREFILL_TOKENS_PER_MS
+        )
+    return produced
 
 
 def on_first_event(
--- a/laburnumpin/forwarding/membership.py
+++ b/laburnumpin/forwarding/membership.py
@@ -22,6 +22,7 @@
         "name",
         "registry_version",
         "wall_offset_ms",
+        "work_ms",
     )
 
     def __init__(self, name: str, address: str, incarnation_ms: int) -> None:
@@ -32,6 +33,7 @@
         self.config_version = 0
         self.registry_version = 0
         self.wall_offset_ms = 0
+        self.work_ms: dict[str, float] = {}
         # Fencing token while the peer holds the lease, else 0.
         self.lease_token = 0
 
@@ -44,11 +46,13 @@
 class Members:
     """Peers by name, and addresses that have not answered yet."""
 
-    __slots__ = ("_by_name", "_contacts", "_own_address")
+    __slots__ = ("_by_name", "_contacts", "_own_address", "_past_work_ms")
 
     def __init__(self, own_address: str) -> None:
         self._own_address = own_address
         self._by_name: dict[str, Peer] = {}
+        # What peers had counted that are gone, or have started again.
+        self._past_work_ms: dict[str, float] = {}
         # Addresses to which digests go, with the time until which.
         self._contacts: dict[str, int] = {}
 
@@ -95,6 +99,8 @@
         if known is not None and incarnation_ms < known.incarnation_ms:
             return None, False
         if known is None or is_new:
+            if known is not None:
+                self._keep_work(known)
             known = Peer(name, address, incarnation_ms)
             self._by_name[name] = known
         known.heard_ms = now_ms
@@ -106,9 +112,22 @@
         gone = []
         for name, peer in list(self._by_name.items()):
             if now_ms > peer.heard_ms + FORGET_MS:
+                self._keep_work(peer)
                 gone.append(self._by_name.pop(name))
         return gone
 
+    def work_ms(self, service: str) -> float:
+        """Return the engine time that all peers have counted."""
+        total = self._past_work_ms.get(service, 0.0)
+        for peer in self._by_name.values():
+            total += peer.work_ms.get(service, 0.0)
+        return total
+
+    def _keep_work(self, peer: Peer) -> None:
+        for service, work_ms in peer.work_ms.items():
+            past = self._past_work_ms.get(service, 0.0)
+            self._past_work_ms[service] = past + work_ms
+
     def holder_heard(self, now_ms: int, lease_ms: int) -> bool:
         """Return whether a peer has lately said that it holds the lease."""
         for peer in self._by_name.values():
--- a/laburnumpin/forwarding/peer_link.py
+++ b/laburnumpin/forwarding/peer_link.py
@@ -141,6 +141,7 @@
             "o": {k: list(v) for k, v in digest.loads.items()},
             "p": [list(p) for p in digest.parts],
             "m": list(digest.contacts),
+            "e": {k: int(v) for k, v in digest.work_ms.items()},
         }
     )
 
@@ -179,4 +180,5 @@
         loads=loads,
         parts=tuple(parts),
         contacts=tuple(str(a) for a in fields["m"]),
+        work_ms={str(k): float(v) for k, v in dict(fields["e"]).items()},
     )
--- a/laburnumpin/forwarding/state.py
+++ b/laburnumpin/forwarding/state.py
@@ -66,6 +66,7 @@
         "registry_version",
         "upstreams",
         "usage",
+        "work_ms",
         "zone",
     )
 
@@ -98,5 +99,16 @@
         self.leaving_since_ms: int | None = None
         self.digest_due_ms = 0
         self.fetch_due_ms = 0
+        # Engine time of the requests that arrived here, by service.
+        self.work_ms: dict[str, float] = {}
         # Prompt parts read by upstreams since the last digest.
         self.new_parts: list[tuple[str, int]] = []
+
+    def add_work(self, service: str, work_ms: float) -> None:
+        """Count engine time that a request takes."""
+        self.work_ms[service] = self.work_ms.get(service, 0.0) + work_ms
+
+    def total_work_ms(self, service: str) -> float:
+        """Return the engine time of all requests that the entries counted."""
+        total = self.work_ms.get(service, 0.0)
+        return total + self.members.work_ms(service)
--- a/laburnumpin/platform/clients.py
+++ b/laburnumpin/platform/clients.py
@@ -253,11 +253,9 @@
             "POST", "/scale", document, self._headers(fencing_token)
         )
         if status == 409:
-            if reclaimable:
-                # 409 stands for both; a holder that was replaced also learns
-                # of it from its lease and from its usage reports.
-                raise interfaces.OrderRefusedError(f"/scale: {answer}")
-            raise interfaces.FencedError(f"/scale: {answer}")
+            # The status stands for a higher fencing token too; a holder that
+            # was replaced learns of that from its lease.
+            raise interfaces.OrderRefusedError(f"/scale: {answer}")
         if status != 200:
             raise exceptions.PlatformUnavailableError(
                 f"/scale: status {status} {answer}"
