Order reclaimable engines in every zone, others while they are scarce

Change: forwarding/autoscaling.py; the holder of the lease orders reclaimable engines so that the load is carried without any one zone, and regular ones for what is missing while reclaimable ones are scarce.

--- a/laburnumpin/forwarding/autoscaling.py
+++ b/laburnumpin/forwarding/autoscaling.py
@@ -20,8 +20,12 @@
 # Share of an engine's time that the prompts of its requests may take. Above
 # it the wait for other prompts exceeds the objectives of short requests.
 TARGET_UTILIZATION = 0.5
-# The load is the highest mean over these spans.
+# The load is the highest mean over spans of time: reclaimable engines follow
+# the short ones too, the costly others the long ones only.
 SPANS_MS = (1_500, 4_000, 8_000)
+LONG_SPANS_MS = (4_000, 8_000)
+# Utilization at which others are ordered.
+REGULAR_UTILIZATION = 0.7
 # Engines are ordered for this many times the load, for waves rise while
 # ordered engines start.
 GROWTH = 1.15
@@ -48,6 +52,8 @@
     zone: str
     count: int
     reclaimable: bool
+    load_engines: float
+    needed: int
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -74,13 +80,22 @@
         while self._samples[0][0] < now_ms - max(SPANS_MS):
             self._samples.popleft()
 
-    def engines(self) -> float | None:
+    def has_seen_load(self) -> bool:
+        """Return whether work has arrived over the longest span."""
+        if len(self._samples) < 2:
+            return False
+        first_ms, first_work = self._samples[0]
+        last_ms, last_work = self._samples[-1]
+        covered = last_ms - first_ms >= max(SPANS_MS) * 3 // 4
+        return covered and first_work > 0.0 and last_work > first_work
+
+    def engines(self, spans_ms: tuple[int, ...]) -> float | None:
         """Return the highest load over the spans; None if not known yet."""
         if len(self._samples) < 2:
             return None
         last_ms, last_work = self._samples[-1]
         highest = 0.0
-        for span_ms in SPANS_MS:
+        for span_ms in spans_ms:
             for then_ms, work in self._samples:
                 if then_ms < last_ms - span_ms:
                     continue
@@ -117,6 +132,7 @@
 
 def plan(
     needed: int,
+    needed_regular: int,
     bounds: deployment.Autoscaling,
     zones: list[str],
     supply: Supply,
@@ -125,45 +141,46 @@
 ) -> Plan:
     """Return the wanted numbers for a load that needs `needed` engines.
 
-    While reclaimable engines are scarce, others make up for those that are
-    missing and for the zone that would be lost next.
+    `needed_regular` is what the load needs at the least. While reclaimable
+    engines are scarce, others make up for those that are missing and for the
+    zone that would be lost next.
     """
     others = max(1, len(zones) - 1)
     each = math.ceil(needed / others)
     if bounds.spot_price >= 1.0:
         each = 0
-    each = max(0, min(each, bounds.max_replicas))
-    wanted = {zone: each for zone in zones}
-    missing = needed
+    each = max(0, min(each, bounds.max_replicas - 1))
+    wanted = dict.fromkeys(zones, each)
+    missing = needed_regular
     if each > 0:
         ready = supply.total(reclaimable=True)
-        missing = needed - ready
+        missing = needed_regular - ready
         if scarce:
             largest = max(supply.count(z, reclaimable=True) for z in zones)
-            missing = needed - (ready - largest)
-        elif ready < each * len(zones):
-            # They are starting; the others stay until then.
-            missing = needed - max(0, ready - 1)
-    regular = _spread(max(0, missing), bounds, zones, each)
+            missing = needed_regular - (ready - largest)
+    regular = _spread(max(0, missing), bounds, zones, supply)
+    if each == 0:
+        for zone in zones:
+            regular[zone] = max(regular[zone], bounds.min_replicas)
     return Plan(wanted, regular)
 
 
 def _spread(
-    count: int, bounds: deployment.Autoscaling, zones: list[str], taken: int
+    count: int,
+    bounds: deployment.Autoscaling,
+    zones: list[str],
+    supply: Supply,
 ) -> dict[str, int]:
     """Spread engines over the zones, cheaper ones first."""
-    room = max(0, bounds.max_replicas - taken)
     spread = dict.fromkeys(zones, 0)
     by_price = sorted(zones, key=lambda z: bounds.zone_prices.get(z, 1.0))
-    for _ in range(room):
+    for _ in range(bounds.max_replicas):
         for zone in by_price:
-            if count <= 0:
-                break
+            taken = supply.count(zone, reclaimable=True) + spread[zone]
+            if count <= 0 or taken >= bounds.max_replicas:
+                continue
             spread[zone] += 1
             count -= 1
-    for zone in zones:
-        if taken == 0:
-            spread[zone] = max(spread[zone], bounds.min_replicas)
     return spread
 
 
@@ -171,10 +188,13 @@
     """The orders of one service."""
 
     __slots__ = (
+        "accepted_ms",
+        "initial",
         "last",
         "meter",
         "next_ms",
         "scarce_until_ms",
+        "seen_load",
         "shrink_since_ms",
     )
 
@@ -182,9 +202,13 @@
         self.meter = LoadMeter()
         # The last accepted count by zone and kind.
         self.last: dict[tuple[str, bool], int] = {}
+        self.accepted_ms: dict[tuple[str, bool], int] = {}
         self.next_ms: dict[tuple[str, bool], int] = {}
         self.shrink_since_ms: dict[tuple[str, bool], int] = {}
         self.scarce_until_ms = 0
+        # Engines that were there before any load was seen.
+        self.initial = 0
+        self.seen_load = False
 
 
 class Autoscaler:
@@ -215,6 +239,7 @@
         scaler = self._services[order.service]
         key = (order.zone, order.reclaimable)
         scaler.last[key] = order.count
+        scaler.accepted_ms[key] = now_ms
 
     def refused(self, order: Order, now_ms: int) -> None:
         """Note that there are none to be had at the moment."""
@@ -242,17 +267,30 @@
     ) -> list[Order]:
         scaler = self._services.setdefault(service.name, _ServiceScaler())
         scaler.meter.add(now_ms, state.total_work_ms(service.name))
-        load = scaler.meter.engines()
-        if load is None:
+        load = scaler.meter.engines(SPANS_MS)
+        long_load = scaler.meter.engines(LONG_SPANS_MS)
+        if load is None or long_load is None:
             return []
         zones = sorted(bounds.zone_prices)
         supply = _supply(state, service.name)
         if supply.reclaimed:
             scaler.scarce_until_ms = now_ms + SCARCE_MS
-        needed = math.ceil(load * GROWTH / TARGET_UTILIZATION)
-        needed = max(MIN_ENGINES, needed)
+        needed = max(MIN_ENGINES, math.ceil(load * GROWTH / TARGET_UTILIZATION))
+        needed_regular = max(
+            MIN_ENGINES, math.ceil(long_load / REGULAR_UTILIZATION)
+        )
+        if not scaler.seen_load:
+            # Without load there is no telling what will come: what is there
+            # stays.
+            scaler.initial = max(
+                scaler.initial, supply.total(reclaimable=False)
+            )
+            needed = max(needed, scaler.initial)
+            needed_regular = max(needed_regular, scaler.initial)
+            scaler.seen_load = scaler.meter.has_seen_load()
         wanted = plan(
             needed,
+            needed_regular,
             bounds,
             zones,
             supply,
@@ -264,22 +302,29 @@
             (False, wanted.regular),
         ):
             for zone, count in by_zone.items():
-                order = Order(service.name, zone, count, reclaimable)
+                order = Order(
+                    service.name, zone, count, reclaimable, load, needed
+                )
                 ready = supply.count(zone, reclaimable=reclaimable)
-                if self._is_due(scaler, order, ready, now_ms):
+                if self._is_due(scaler, order, ready, bounds.boot_ms, now_ms):
                     placed.append(order)
         return placed
 
     def _is_due(
-        self, scaler: _ServiceScaler, order: Order, ready: int, now_ms: int
+        self,
+        scaler: _ServiceScaler,
+        order: Order,
+        ready: int,
+        boot_ms: int,
+        now_ms: int,
     ) -> bool:
         key = (order.zone, order.reclaimable)
         if now_ms < scaler.next_ms.get(key, 0):
             return False
         last = scaler.last.get(key, ready)
-        if order.reclaimable and ready < last:
-            # What was reclaimed has to be ordered again.
-            scaler.next_ms[key] = now_ms + REFUSED_PAUSE_MS
+        started_ms = scaler.accepted_ms.get(key, 0) + boot_ms + BOOT_SLACK_MS
+        if ready < min(last, order.count) and now_ms >= started_ms:
+            # What was taken away has to be ordered again.
             scaler.shrink_since_ms.pop(key, None)
             return True
         if order.count >= last:
--- a/laburnumpin/forwarding/duties.py
+++ b/laburnumpin/forwarding/duties.py
@@ -242,6 +242,8 @@
             "zone": order.zone,
             "count": order.count,
             "reclaimable": order.reclaimable,
+            "load_engines": round(order.load_engines, 2),
+            "needed": order.needed,
             "fencing_token": self._lease.fencing_token,
         }
         outcome = "accepted"
