--- a/laburnumpin/forwarding/budgets.py
+++ b/laburnumpin/forwarding/budgets.py
@@ -72,11 +72,13 @@
 
 
 class _Account:
-    __slots__ = ("level", "peer_used", "updated_ms", "used")
+    __slots__ = ("assumed", "level", "peer_used", "updated_ms", "used")
 
     def __init__(self, level: float, now_ms: int) -> None:
         self.level = level
         self.updated_ms = now_ms
+        # Units that were taken off for silent peers, until they are heard.
+        self.assumed = 0.0
         # Units that this process has admitted since its start.
         self.used = 0.0
         # The same of each peer's incarnation, as its last digest said.
@@ -143,8 +145,12 @@
             account = self._advance(customer, now_ms)
             before = account.peer_used.get(peer)
             account.peer_used[peer] = total
-            if before is not None:
-                account.level -= total - before
+            if before is None:
+                continue
+            reported = total - before
+            covered = min(reported, account.assumed)
+            account.assumed -= covered
+            account.level -= reported - covered
 
     def forget(self, peer: str) -> None:
         """Drop a peer that is gone."""
@@ -168,8 +174,10 @@
         for heard_ms in self._heard_ms.values():
             if now_ms > heard_ms + PEER_SILENT_MS:
                 silent += 1
-        rate = customer.rate_per_s * (1 - silent / entries)
-        account.level += rate * elapsed_ms / 1_000
+        gained = customer.rate_per_s * elapsed_ms / 1_000
+        assumed = gained * silent / entries
+        account.assumed = account.assumed + assumed if silent else 0.0
+        account.level += gained - assumed
         lowest = -customer.rate_per_s * MAX_DEBT_S
         account.level = max(lowest, min(account.level, customer.burst))
         return account
--- a/laburnumpin/forwarding/duties.py
+++ b/laburnumpin/forwarding/duties.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import time
 
 import anyio
 
@@ -24,6 +25,10 @@
 LATE_MARGIN_MS = 500
 # Windows whose rows are kept in the store.
 KEPT_ROWS = 8
+# Entries that try for a lease that nobody holds, and the time after which one
+# more of them does.
+CANDIDATES = 3
+WIDEN_MS = 1_000
 # Pause between two looks at the upstreams that are ordered.
 SCALE_PERIOD_MS = 500
 
@@ -35,6 +40,7 @@
 
     __slots__ = (
         "_cloud",
+        "_held_ms",
         "_lease",
         "_next_scale_ms",
         "_reported",
@@ -59,6 +65,8 @@
         self._lease = leases.Lease(settings.name, settings.lease_ms)
         self._scaler = autoscaling.Autoscaler()
         self._next_scale_ms = 0
+        # When the lease was last known to be held by anyone.
+        self._held_ms = shell.now_ms()
         # The newest window that is known to be reported.
         self._reported: int | None = None
         self._was_holder = False
@@ -72,8 +80,10 @@
             if "upstreams" in self._settings.duties:
                 task_group.start_soon(self._order_upstreams)
             while True:
+                # The VM's own time of day: the entries agree on the median.
+                own_wall_ms = time.time_ns() // 1_000_000
                 self._shell.apply(
-                    events.Ticked(self._shell.now_ms(), self._shell.wall_ms())
+                    events.Ticked(self._shell.now_ms(), own_wall_ms)
                 )
                 await anyio.sleep(TICK_MS / 1_000)
 
@@ -86,12 +96,13 @@
             now_ms = self._shell.now_ms()
             self._note_holder(now_ms)
             members = self._shell.state.members
+            holder_heard = members.holder_heard(now_ms, self._settings.lease_ms)
+            if holder_heard or self._lease.holds(now_ms):
+                self._held_ms = now_ms
             call = self._lease.next_call(
                 now_ms,
-                eligible=self._shell.is_ready(),
-                holder_heard=members.holder_heard(
-                    now_ms, self._settings.lease_ms
-                ),
+                eligible=self._is_candidate(now_ms),
+                holder_heard=holder_heard,
             )
             if call is None:
                 continue
@@ -125,6 +136,22 @@
                     {"code": error.code, "reason": error.message},
                 )
 
+    def _is_candidate(self, now_ms: int) -> bool:
+        """Return whether this entry may hold the lease, or try for it.
+
+        A few entries watch the row of a holder that is not heard; the longer
+        it stays without one, the more of them.
+        """
+        if not self._shell.is_ready():
+            return False
+        if self._lease.holds(now_ms):
+            return True
+        state = self._shell.state
+        names = [peer.name for peer in state.members.live(now_ms)]
+        rank = sum(1 for name in names if name < state.name)
+        waited_ms = now_ms - self._held_ms
+        return rank < CANDIDATES + waited_ms // WIDEN_MS
+
     async def _read_lease(self) -> leases.Row:
         rows = await self._store.read(Table.DUTIES)
         for row in rows.rows:
--- a/laburnumpin/forwarding/lease.py
+++ b/laburnumpin/forwarding/lease.py
@@ -16,6 +16,8 @@
 TAKE_SHARE = 1.2
 # Time after which an unanswered call counts as lost.
 ANSWER_TIMEOUT_MS = 1_500
+# Holder in a row whose holder has given the lease up.
+RELEASED = ""
 # Pause after a failed call.
 PAUSE_MS = 500
 
@@ -108,18 +110,27 @@
         if now_ms < self._next_ms:
             return None
         if self.holds(now_ms):
-            if not eligible:
-                return None
-            return self._write(now_ms, self._version, self.fencing_token)
+            if self._pending is not None:
+                self._busy_since_ms = now_ms
+                return ReadLease()
+            return self._write(
+                now_ms,
+                self._version,
+                self.fencing_token,
+                self._name if eligible else RELEASED,
+            )
         if not eligible or holder_heard:
             self._seen = None
             return None
         seen = self._seen
         take_ms = int(self._lease_ms * TAKE_SHARE)
-        if seen is not None and now_ms >= self._seen_ms + take_ms:
-            return self._write(now_ms, seen.version, seen.fencing_token + 1)
-        if seen is not None and seen.version == 0:
-            return self._write(now_ms, 0, 1)
+        if seen is not None:
+            lapsed = now_ms >= self._seen_ms + take_ms
+            if lapsed or seen.version == 0 or seen.holder == RELEASED:
+                fencing_token = seen.fencing_token + 1
+                return self._write(
+                    now_ms, seen.version, fencing_token, self._name
+                )
         self._busy_since_ms = now_ms
         return ReadLease()
 
@@ -132,11 +143,18 @@
             # The write whose answer was lost took effect.
             self._take(pending, row.version, now_ms)
             return
+        if pending is not None and self.holds(now_ms):
+            self._pending = None
+            if row.version != self._version:
+                self.conflicted(now_ms)
+                return
+            self._next_ms = now_ms  # It had no effect: write again.
+            return
         seen = self._seen
         if seen is None or seen.version != row.version:
             self._seen = row
             self._seen_ms = now_ms
-            if row.version == 0:
+            if row.version == 0 or row.holder == RELEASED:
                 self._next_ms = now_ms
 
     def written(self, version: int, now_ms: int) -> None:
@@ -154,29 +172,21 @@
         self._next_ms = now_ms + PAUSE_MS
 
     def lost(self, now_ms: int) -> None:
-        """Apply that a call failed or its answer was lost."""
+        """Apply that a call failed or its answer was lost.
+
+        The row is read before the next write: it tells by its token whether
+        the lost write took effect.
+        """
         self._busy_since_ms = None
         self._seen = None
         self._next_ms = now_ms + PAUSE_MS
-        if self._pending is None:
-            return
-        if self.holds(now_ms):
-            # Read the row back before the next conditional write.
-            self._busy_since_ms = None
-
-    def needs_read_back(self) -> bool:
-        """Return whether the outcome of a write is not known."""
-        return self._pending is not None and self._busy_since_ms is None
-
-    def read_back(self, now_ms: int) -> ReadLease:
-        """Return the call that finds out whether a lost write took effect."""
-        self._busy_since_ms = now_ms
-        return ReadLease()
 
-    def _write(self, now_ms: int, version: int, fencing: int) -> WriteLease:
+    def _write(
+        self, now_ms: int, version: int, fencing_token: int, holder: str
+    ) -> WriteLease:
         self._writes += 1
         token = f"{self._name}/{self._writes}/{now_ms}"
-        row = Row(0, fencing, self._name, token)
+        row = Row(0, fencing_token, holder, token)
         self._pending = WriteLease(version, row)
         self._pending_sent_ms = now_ms
         self._busy_since_ms = now_ms
@@ -192,5 +202,5 @@
         self._valid_until_ms = self._pending_sent_ms + self._lease_ms
         self._next_ms = self._pending_sent_ms
         self._next_ms += int(self._lease_ms * RENEW_SHARE)
-        if now_ms >= self._valid_until_ms:
+        if write.row.holder == RELEASED or now_ms >= self._valid_until_ms:
             self._valid_until_ms = 0
