Relays for large fleets: one link an entry, few entries follow the store

Change: above 12 entries two relays a zone, those with the fastest links, follow the store and pass on rows and digests.

--- a/laburnumpin/forwarding/budgets.py
+++ b/laburnumpin/forwarding/budgets.py
@@ -5,6 +5,7 @@
 import collections
 import dataclasses
 import math
+import random
 
 from laburnumpin.forwarding import deployment
 
@@ -12,18 +13,26 @@
 # that cross the ends of windows.
 BUDGET_SHARE = 0.7
 # A peer whose last digest is older than this, and by this much more for each
-# entry, may be cut off; it is left its part of what remains of a quota. Digests
-# are 150 ms apart, and 5 ms more for each entry.
+# entry, may be cut off; it is left its part of what remains of a quota. It is
+# two periods of the digests.
 PEER_SILENT_MS = 300
-PEER_SILENT_MS_PER_ENTRY = 12
+PEER_SILENT_MS_PER_ENTRY = 16
+# Time constant over which the use of a customer is averaged.
+USE_WINDOW_MS = 4_000
+# An entry's part of a scarce quota: one half is divided equally, the other in
+# proportion to the use.
+EQUAL_SHARE = 0.5
 # A silent peer keeps its part of the quotas for this long.
 PEER_FORGET_MS = 60_000
 # A new process starts with this part of a burst: what was used before its
 # start is not known to it.
 START_BURST_SHARE = 0.5
+# While a quota is scarce nothing is admitted below this debt, in seconds of the
+# rate.
+LOWEST_SCARCE_S = 0.5
 # Debt of a quota is bounded, in seconds of its rate: use beyond the rate that
 # was reported late delays later requests for at most this long.
-MAX_DEBT_S = 4.0
+MAX_DEBT_S = 8.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -92,10 +101,26 @@
 class _Account:
     """One customer's bucket, as this entry sees it."""
 
-    __slots__ = ("level", "updated_ms", "used")
+    __slots__ = (
+        "all_use",
+        "level",
+        "own_level",
+        "own_use",
+        "threshold",
+        "updated_ms",
+        "used",
+    )
 
     def __init__(self, level: float, now_ms: int) -> None:
         self.level = level
+        # This entry's own part while the quota is scarce.
+        self.own_level = 0.0
+        # Part of a request that the own part has to cover. It is drawn anew for
+        # each, so that the entries do not overdraw their parts all at once.
+        self.threshold = 0.5
+        # Units used lately here and everywhere, decaying exponentially.
+        self.own_use = 0.0
+        self.all_use = 0.0
         self.updated_ms = now_ms
         # Units that this process has admitted since its start.
         self.used = 0.0
@@ -108,11 +133,17 @@
     into the copy all the time; the part of a peer flows in when a digest
     tells how much of it the peer has used. An entry that hears nobody thus
     admits its own part only, without knowing that it is cut off.
+
+    All copies show the same room, so that entries which all used it would
+    take it many times over before the next digests. Room is taken freely only
+    as long as more is left than all use in that time; after that each entry
+    has a part of its own, which it may overdraw by one request.
     """
 
-    __slots__ = ("_accounts", "_peers")
+    __slots__ = ("_accounts", "_peers", "_random")
 
-    def __init__(self) -> None:
+    def __init__(self, generator: random.Random) -> None:
+        self._random = generator
         self._accounts: dict[str, _Account] = {}
         self._peers: dict[str, _Peer] = {}
 
@@ -124,13 +155,23 @@
             return 0
         self._leave_to_silent(now_ms)
         account = self._advance(customer, now_ms)
-        if account.level <= 0:
-            missing = -account.level + min(units, customer.burst) * 0.5
-            # Where the peers use their parts, this entry's own fills it.
-            rate = customer.rate_per_s / self._entries()
+        # What is not heard of yet may be more than before: as much as if every
+        # entry had begun to use what this one does.
+        use = max(account.all_use, account.own_use * self._entries())
+        unseen = use * self._silent_ms() / USE_WINDOW_MS
+        is_free = account.level > unseen + units
+        lowest = -customer.rate_per_s * LOWEST_SCARCE_S
+        if not is_free and (account.own_level < 0 or account.level < lowest):
+            rate = customer.rate_per_s * self._own_part(account)
+            missing = -account.own_level + units * 0.1
             return max(1, math.ceil(missing * 1_000 / rate))
         account.level -= units
         account.used += units
+        account.own_use += units
+        account.all_use += units
+        if not is_free:
+            account.own_level -= units
+            account.threshold = self._random.random()
         return 0
 
     def give_back(self, customer: deployment.Customer, units: float) -> None:
@@ -139,6 +180,8 @@
         if account is not None and customer.rate_per_s > 0:
             account.level += units
             account.used -= units
+            account.own_use = max(0.0, account.own_use - units)
+            account.all_use = max(0.0, account.all_use - units)
 
     def level(self, customer: str) -> float:
         """Return the units left of a customer; negative when in debt."""
@@ -176,6 +219,7 @@
             newly = used.get(customer.name, 0.0)
             newly -= peer.used.get(customer.name, 0.0)
             account.level += customer.rate_per_s * part - newly
+            account.all_use += max(0.0, newly)
             _clip(account, customer)
         peer.heard_ms = now_ms
         peer.is_silent = False
@@ -184,10 +228,19 @@
     def _entries(self) -> int:
         return len(self._peers) + 1
 
+    def _silent_ms(self) -> int:
+        return PEER_SILENT_MS + PEER_SILENT_MS_PER_ENTRY * self._entries()
+
+    def _own_part(self, account: _Account) -> float:
+        part = EQUAL_SHARE / self._entries()
+        if account.all_use > 0:
+            used = min(1.0, account.own_use / account.all_use)
+            return part + (1 - EQUAL_SHARE) * used
+        return part * 2
+
     def _leave_to_silent(self, now_ms: int) -> None:
         """Leave peers that fell silent their part of what remains."""
-        entries = self._entries()
-        silent_ms = PEER_SILENT_MS + PEER_SILENT_MS_PER_ENTRY * entries
+        silent_ms = self._silent_ms()
         for name, peer in list(self._peers.items()):
             if now_ms > peer.heard_ms + PEER_FORGET_MS:
                 del self._peers[name]
@@ -205,14 +258,22 @@
         if account is None:
             level = customer.burst * START_BURST_SHARE
             account = _Account(level, now_ms)
+            account.threshold = self._random.random()
             self._accounts[customer.name] = account
             return account
         elapsed_ms = now_ms - account.updated_ms
         if elapsed_ms <= 0:
             return account
         account.updated_ms = now_ms
-        rate = customer.rate_per_s / self._entries()
-        account.level += rate * elapsed_ms / 1_000
+        gained = customer.rate_per_s * elapsed_ms / 1_000
+        account.level += gained / self._entries()
+        decay = math.exp(-elapsed_ms / USE_WINDOW_MS)
+        account.own_use *= decay
+        account.all_use *= decay
+        part = self._own_part(account)
+        if account.level > -customer.rate_per_s * LOWEST_SCARCE_S:
+            account.own_level += gained * part
+        account.own_level = min(account.own_level, customer.burst * part)
         _clip(account, customer)
         return account
 
--- a/laburnumpin/forwarding/daemon.py
+++ b/laburnumpin/forwarding/daemon.py
@@ -13,6 +13,7 @@
 from laburnumpin.forwarding import duties
 from laburnumpin.forwarding import frontend
 from laburnumpin.forwarding import interfaces
+from laburnumpin.forwarding import membership
 from laburnumpin.forwarding import peer_link
 from laburnumpin.forwarding import pool
 from laburnumpin.forwarding import probes
@@ -39,10 +40,14 @@
     """Serve until a signal asks for the exit."""
     boot_clock = clock.BootClock()
     incarnation_ms = time.time_ns() // 1_000_000
-    state = forwarding_state.ForwardingState(
+    own = membership.Contact(
         settings.name,
-        settings.zone,
         settings.peer_address,
+        settings.zone,
+        settings.link_mbps,
+    )
+    state = forwarding_state.ForwardingState(
+        own,
         incarnation_ms,
         settings.repeat_bound,
         settings.usage_window_ms,
@@ -64,7 +69,8 @@
         runner.start(probes.serve, shell, settings.readiness_address)
         runner.start(follower.follow, interfaces.Table.OPERATOR)
         runner.start(follower.follow, interfaces.Table.UPSTREAMS)
-        runner.start(follower.join, settings.peer_address, settings.name)
+        runner.start(follower.join, own)
+        runner.start(link.keep_links)
         holder = duties.Duties(shell, store, cloud, settings)
         runner.start(holder.run)
         logs.write(
--- a/laburnumpin/forwarding/digests.py
+++ b/laburnumpin/forwarding/digests.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 
+from laburnumpin.forwarding import membership
 from laburnumpin.forwarding import usage
 
 # Entries of each list in a digest, so that a digest fits into a datagram.
@@ -14,7 +15,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Digest:
-    """The state of one entry.
+    """The state of one entry; `number` counts its digests.
 
     `loads` are streams and pending prompt tokens by upstream id; `parts` are
     prompt parts that upstreams have read since the last digest; `used` are
@@ -22,9 +23,9 @@
     the requests that arrived since the start, by service.
     """
 
-    name: str
-    address: str
+    contact: membership.Contact
     incarnation_ms: int
+    number: int
     wall_ms: int
     config_version: int
     registry_version: int
--- a/laburnumpin/forwarding/effects.py
+++ b/laburnumpin/forwarding/effects.py
@@ -72,7 +72,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class SendDigest:
-    """Send a digest to peers."""
+    """Send a digest to peers; over the links to relays without addresses."""
 
     digest: digests.Digest
     addresses: tuple[str, ...]
--- a/laburnumpin/forwarding/gossip.py
+++ b/laburnumpin/forwarding/gossip.py
@@ -8,15 +8,26 @@
 from laburnumpin.forwarding import state as forwarding_state
 
 # Pause between two digests, and what each known entry adds to it, so that the
-# digests that one entry receives stay below 200 a second.
+# digests that one entry receives stay below 125 a second.
 DIGEST_PERIOD_MS = 150
-DIGEST_MS_PER_ENTRY = 5
+DIGEST_MS_PER_ENTRY = 8
+# The holder of the lease is heard more often than a lease lapses.
+HOLDER_PERIOD_MS = 800
+# Every how many digests the addresses of other entries are told.
+CONTACTS_PERIOD = 8
+# Windows of usage that a digest tells of; a report waits for two digests.
+TOLD_WINDOWS = 2
 # Pause between two fetches from peers.
 FETCH_PERIOD_MS = 300
 # Part of the time of a peer's silence after which its load is dropped.
 LOAD_AGE_MS = 3_000
 
 
+def digest_period_ms(entries: int) -> int:
+    """Return the pause between two digests of one entry."""
+    return DIGEST_PERIOD_MS + DIGEST_MS_PER_ENTRY * entries
+
+
 def on_tick(
     state: forwarding_state.ForwardingState, event: events.Ticked
 ) -> list[effects.Effect]:
@@ -28,12 +39,16 @@
     if now_ms < state.digest_due_ms:
         return produced
     _drop_old_loads(state, now_ms)
-    period_ms = DIGEST_PERIOD_MS
-    period_ms += DIGEST_MS_PER_ENTRY * state.members.count()
+    period_ms = digest_period_ms(state.members.count())
+    if state.lease_token:
+        period_ms = min(period_ms, HOLDER_PERIOD_MS)
     state.digest_due_ms = now_ms + period_ms
+    state.digests_sent += 1
     targets = tuple(state.members.targets(now_ms))
-    if targets:
-        digest = _digest(state, now_ms, event.wall_ms, targets)
+    digest = _digest(state, now_ms, event.wall_ms, targets)
+    if state.members.uses_relays():
+        produced.append(effects.SendDigest(digest, ()))
+    elif targets:
         produced.append(effects.SendDigest(digest, targets))
     return produced
 
@@ -44,16 +59,17 @@
     """Take over what a peer says of itself."""
     digest = event.digest
     now_ms = event.now_ms
-    if digest.name == state.name:
+    name = digest.contact.name
+    if name == state.name:
         return []
     peer, is_new = state.members.hear(
-        digest.name, digest.address, digest.incarnation_ms, now_ms
+        digest.contact, digest.incarnation_ms, now_ms
     )
     if peer is None:
         return []
     produced: list[effects.Effect] = []
     if is_new:
-        produced.append(effects.Report("peer_heard", {"peer": digest.name}))
+        produced.append(effects.Report("peer_heard", {"peer": name}))
     peer.wall_offset_ms = digest.wall_ms - now_ms
     peer.work_ms = digest.work_ms
     peer.lease_token = digest.lease_token
@@ -65,15 +81,15 @@
     if state.deployment is not None:
         customers = state.deployment.customers
     state.quotas.hear(
-        digest.name, digest.incarnation_ms, digest.used, customers, now_ms
+        name, digest.incarnation_ms, digest.used, customers, now_ms
     )
     state.usage.hear(peer.source, digest.windows)
     for upstream in state.upstreams.all():
         load = digest.loads.get(upstream.registration.upstream_id)
         if load is None:
-            upstream.peer_load.pop(digest.name, None)
+            upstream.peer_load.pop(name, None)
             continue
-        upstream.peer_load[digest.name] = load
+        upstream.peer_load[name] = load
     for upstream_id, part_id in digest.parts:
         known = state.upstreams.get(upstream_id)
         if known is not None:
@@ -103,7 +119,8 @@
 def _drop_old_loads(
     state: forwarding_state.ForwardingState, now_ms: int
 ) -> None:
-    live = {p.name for p in state.members.live(now_ms, LOAD_AGE_MS)}
+    age_ms = LOAD_AGE_MS + 2 * digest_period_ms(state.members.count())
+    live = {p.name for p in state.members.live(now_ms, age_ms)}
     for upstream in state.upstreams.all():
         for name in list(upstream.peer_load):
             if name not in live:
@@ -125,20 +142,22 @@
             )
     parts = tuple(state.new_parts[-digests.MAX_PARTS :])
     state.new_parts.clear()
-    contacts = list(targets)
+    contacts: list[str] = []
+    if state.digests_sent % CONTACTS_PERIOD == 1:
+        contacts = list(targets)
     if len(contacts) > digests.MAX_CONTACTS:
         contacts = state.random.sample(contacts, digests.MAX_CONTACTS)
     current = state.deployment
     return digests.Digest(
-        name=state.name,
-        address=state.address,
+        contact=state.contact,
         incarnation_ms=state.incarnation_ms,
+        number=state.digests_sent,
         wall_ms=wall_ms,
         config_version=0 if current is None else current.version,
         registry_version=state.registry_version,
         lease_token=state.lease_token,
         used=state.quotas.used(),
-        windows={k: dict(v) for k, v in state.usage.own_windows().items()},
+        windows=state.usage.newest(TOLD_WINDOWS),
         loads=loads,
         parts=parts,
         contacts=tuple(contacts),
--- a/laburnumpin/forwarding/lifecycle.py
+++ b/laburnumpin/forwarding/lifecycle.py
@@ -154,6 +154,7 @@
             active.excluded,
             now_ms,
             state.random,
+            state.members.count(),
         )
     if choice is None:
         if not candidates:
--- a/laburnumpin/forwarding/membership.py
+++ b/laburnumpin/forwarding/membership.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import dataclasses
+import json
 import statistics
+import zlib
 
 # A peer that has not been heard for this long is not counted any more.
 FORGET_MS = 12_000
@@ -10,6 +13,53 @@
 NEAR_MS = 4_000
 
 
+# Up to this many entries send their digests to each other directly. More of
+# them use relays.
+MESH_ENTRIES = 12
+RELAYS_PER_ZONE = 2
+# An entry that did not work as a relay is not tried again for this long.
+RELAY_PAUSE_MS = 5_000
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Contact:
+    """Where an entry is, and the bandwidth of its link."""
+
+    name: str
+    address: str
+    zone: str
+    link_mbps: float
+
+    def encode(self) -> bytes:
+        """Return the value of the entry's row in the store."""
+        fields = {
+            "address": self.address,
+            "zone": self.zone,
+            "link_mbps": self.link_mbps,
+        }
+        return json.dumps(fields).encode()
+
+    @staticmethod
+    def decode(name: str, value: bytes) -> Contact:
+        """Return the contact in a row.
+
+        Raises:
+            ValueError: The row is malformed.
+        """
+        fields = json.loads(value)
+        if not isinstance(fields, dict):
+            raise ValueError("a row of an entry is not an object")
+        try:
+            return Contact(
+                name,
+                str(fields["address"]),
+                str(fields["zone"]),
+                float(fields["link_mbps"]),
+            )
+        except (KeyError, TypeError) as error:
+            raise ValueError(f"a row of an entry: {error!r}") from error
+
+
 class Peer:
     """What the digests of one entry said."""
 
@@ -46,10 +96,21 @@
 class Members:
     """Peers by name, and addresses that have not answered yet."""
 
-    __slots__ = ("_by_name", "_contacts", "_own_address", "_past_work_ms")
+    __slots__ = (
+        "_by_name",
+        "_contacts",
+        "_entries",
+        "_failed_relays",
+        "_own",
+        "_past_work_ms",
+    )
 
-    def __init__(self, own_address: str) -> None:
-        self._own_address = own_address
+    def __init__(self, own: Contact) -> None:
+        self._own = own
+        # Entries by name, and when each was last heard or read of.
+        self._entries: dict[str, tuple[Contact, int]] = {}
+        # Entries that failed as relays, with the time until which.
+        self._failed_relays: dict[str, int] = {}
         self._by_name: dict[str, Peer] = {}
         # What peers had counted that are gone, or have started again.
         self._past_work_ms: dict[str, float] = {}
@@ -84,16 +145,72 @@
 
     def add_contact(self, address: str, now_ms: int) -> None:
         """Send digests to an address until nothing is heard from it."""
-        if address and address != self._own_address:
+        if address and address != self._own.address:
             self._contacts.setdefault(address, now_ms + FORGET_MS)
 
+    def add_entry(self, contact: Contact, now_ms: int) -> None:
+        """Note an entry that is registered in the store."""
+        if contact.name == self._own.name:
+            return
+        self._entries.setdefault(contact.name, (contact, now_ms))
+        self.add_contact(contact.address, now_ms)
+
+    def uses_relays(self) -> bool:
+        """Return whether there are too many entries for a mesh."""
+        return len(self._entries) + 1 > MESH_ENTRIES
+
+    def relays(self, zone: str, now_ms: int) -> list[Contact]:
+        """Return the relays of a zone, this entry possibly among them.
+
+        They are the entries with the fastest links; all entries that know
+        the same entries agree.
+        """
+        found = []
+        if zone == self._own.zone:
+            found.append(self._own)
+        for contact, _ in self._entries.values():
+            if contact.zone != zone:
+                continue
+            if now_ms < self._failed_relays.get(contact.name, 0):
+                continue
+            found.append(contact)
+        found.sort(key=lambda c: (-c.link_mbps, c.name))
+        return found[:RELAYS_PER_ZONE]
+
+    def links(self, now_ms: int) -> list[Contact]:
+        """Return the entries to which this one opens a link.
+
+        A relay has links to the other relays, any other entry has one to a
+        relay of its zone.
+        """
+        own_relays = self.relays(self._own.zone, now_ms)
+        if self._own in own_relays:
+            zones = {contact.zone for contact, _ in self._entries.values()}
+            linked = []
+            for zone in sorted(zones | {self._own.zone}):
+                for contact in self.relays(zone, now_ms):
+                    if contact.name < self._own.name:
+                        linked.append(contact)
+            return linked
+        index = zlib.crc32(self._own.name.encode()) % len(own_relays)
+        return [own_relays[index]]
+
+    def is_relay(self, now_ms: int) -> bool:
+        """Return whether this entry is a relay of its zone."""
+        return self._own in self.relays(self._own.zone, now_ms)
+
+    def relay_failed(self, name: str, now_ms: int) -> None:
+        """Use another relay for a while."""
+        self._failed_relays[name] = now_ms + RELAY_PAUSE_MS
+
     def hear(
-        self, name: str, address: str, incarnation_ms: int, now_ms: int
+        self, contact: Contact, incarnation_ms: int, now_ms: int
     ) -> tuple[Peer | None, bool]:
         """Note a digest; return the peer and whether it is new.
 
         A digest of an older incarnation is ignored: no peer is returned.
         """
+        name, address = contact.name, contact.address
         known = self._by_name.get(name)
         is_new = known is None or known.incarnation_ms < incarnation_ms
         if known is not None and incarnation_ms < known.incarnation_ms:
@@ -103,6 +220,8 @@
                 self._keep_work(known)
             known = Peer(name, address, incarnation_ms)
             self._by_name[name] = known
+            self._failed_relays.pop(name, None)
+        self._entries[name] = (contact, now_ms)
         known.heard_ms = now_ms
         self._contacts[address] = now_ms + FORGET_MS
         return known, is_new
@@ -114,6 +233,7 @@
             if now_ms > peer.heard_ms + FORGET_MS:
                 self._keep_work(peer)
                 gone.append(self._by_name.pop(name))
+                self._entries.pop(name, None)
         return gone
 
     def work_ms(self, service: str) -> float:
--- a/laburnumpin/forwarding/peer_link.py
+++ b/laburnumpin/forwarding/peer_link.py
@@ -12,22 +12,25 @@
 from anyio import abc
 import cbor2
 
+from laburnumpin.forwarding import connections
 from laburnumpin.forwarding import digests
 from laburnumpin.forwarding import effects
 from laburnumpin.forwarding import events
+from laburnumpin.forwarding import frames
+from laburnumpin.forwarding import membership
+from laburnumpin.forwarding import relay
 from laburnumpin.forwarding import shell as shells
 from laburnumpin.forwarding import synchronization
 from laburnumpin.server import logs
 
 FORMAT = 1
 FETCH_TIMEOUT_S = 1.5
-MAX_SNAPSHOT_BYTES = 16_000_000
 
 
 class PeerLink:
     """The socket to the other entries."""
 
-    __slots__ = ("_address", "_shell", "_socket", "_synchronizer")
+    __slots__ = ("_address", "_relay", "_shell", "_socket", "_synchronizer")
 
     def __init__(
         self,
@@ -39,6 +42,7 @@
         self._synchronizer = synchronizer
         self._address = address
         self._socket: abc.UDPSocket | None = None
+        self._relay = relay.Relay(shell, synchronizer, self._receive)
         shell.on_digest = self._on_digest_due
         shell.on_fetch = self._on_fetch_due
 
@@ -56,18 +60,23 @@
             anyio.create_task_group() as task_group,
         ):
             self._socket = udp
-            task_group.start_soon(listener.serve, self._answer_fetch)
+            task_group.start_soon(listener.serve, self._accept)
             async for packet, _ in udp:
                 self._receive(packet)
 
-    def _receive(self, packet: bytes) -> None:
+    async def keep_links(self) -> None:
+        """Keep the links to relays until cancelled."""
+        await self._relay.run()
+
+    def _receive(self, packet: bytes) -> digests.Digest | None:
         try:
             digest = decode(packet)
         except (cbor2.CBORDecodeError, ValueError, TypeError, KeyError) as e:
             self._shell.state.counters.increment("digests_invalid")
             logs.write("peer_message_invalid", "warning", {"reason": repr(e)})
-            return
+            return None
         self._shell.apply(events.DigestReceived(self._shell.now_ms(), digest))
+        return digest
 
     def _on_digest_due(self, effect: effects.SendDigest) -> None:
         self._shell.tasks.start(self._send, effect)
@@ -76,9 +85,12 @@
         self._shell.tasks.start(self._fetch, effect.address)
 
     async def _send(self, effect: effects.SendDigest) -> None:
+        packet = encode(effect.digest)
+        if not effect.addresses:
+            self._relay.pass_on(packet)
+            return
         if self._socket is None:
             return
-        packet = encode(effect.digest)
         for address in effect.addresses:
             host, _, port = address.rpartition(":")
             try:
@@ -87,40 +99,32 @@
                 # A peer that cannot be reached is found silent by its age.
                 self._shell.state.counters.increment("digests_not_sent")
 
-    async def _answer_fetch(self, stream: abc.SocketStream) -> None:
+    async def _accept(self, stream: abc.SocketStream) -> None:
         async with stream:
-            with anyio.move_on_after(FETCH_TIMEOUT_S):
-                snapshot = self._synchronizer.snapshot()
-                try:
-                    await stream.send(cbor2.dumps(snapshot))
-                except (anyio.BrokenResourceError, OSError):
-                    self._shell.state.counters.increment("fetches_cut")
+            channel = frames.Frames(stream)
+            try:
+                hello = await channel.read(FETCH_TIMEOUT_S)
+                if hello.get("kind") == "link":
+                    connections.set_options(stream)
+                    await self._relay.accept(channel, hello)
+                    return
+                await channel.write(self._synchronizer.snapshot())
+            except (frames.FrameError, OSError) as error:
+                logs.write("peer_lost", "debug", {"reason": str(error)})
 
     async def _fetch(self, address: str) -> None:
-        host, _, port = address.rpartition(":")
-        received = bytearray()
-        complete = False
         try:
-            with anyio.move_on_after(FETCH_TIMEOUT_S):
-                async with await anyio.connect_tcp(host, int(port)) as stream:
-                    async for data in stream:
-                        received += data
-                        if len(received) > MAX_SNAPSHOT_BYTES:
-                            raise ValueError("the snapshot is too long")
-                    complete = True
-            if complete:
-                self._synchronizer.adopt(cbor2.loads(bytes(received)))
-        except (
-            OSError,
-            anyio.BrokenResourceError,
-            ValueError,
-            cbor2.CBORDecodeError,
-        ) as error:
-            complete = False
+            stream = await frames.connect(address, FETCH_TIMEOUT_S)
+            async with stream:
+                channel = frames.Frames(stream)
+                await channel.write({"kind": "fetch"})
+                snapshot = await channel.read(FETCH_TIMEOUT_S)
+            self._synchronizer.adopt(snapshot)
+        except (frames.FrameError, ValueError, OSError) as error:
             logs.write(
                 "peer_fetch_failed",
                 "info",
-                {"peer": address, "reason": repr(error)},
+                {"peer": address, "reason": str(error)},
             )
 
 
@@ -129,9 +133,12 @@
     return cbor2.dumps(
         {
             "f": FORMAT,
-            "n": digest.name,
-            "a": digest.address,
+            "n": digest.contact.name,
+            "a": digest.contact.address,
+            "z": digest.contact.zone,
+            "b": digest.contact.link_mbps,
             "i": digest.incarnation_ms,
+            "s": digest.number,
             "w": digest.wall_ms,
             "c": digest.config_version,
             "r": digest.registry_version,
@@ -168,9 +175,14 @@
     for upstream_id, part_id in fields["p"]:
         parts.append((str(upstream_id), int(part_id)))
     return digests.Digest(
-        name=str(fields["n"]),
-        address=str(fields["a"]),
+        contact=membership.Contact(
+            str(fields["n"]),
+            str(fields["a"]),
+            str(fields["z"]),
+            float(fields["b"]),
+        ),
         incarnation_ms=int(fields["i"]),
+        number=int(fields["s"]),
         wall_ms=int(fields["w"]),
         config_version=int(fields["c"]),
         registry_version=int(fields["r"]),
--- a/laburnumpin/forwarding/selection.py
+++ b/laburnumpin/forwarding/selection.py
@@ -33,6 +33,13 @@
 CACHED_MS = 30_000
 
 
+# Up to this many entries each looks at all upstreams. With more of them a view
+# that is a digest old would send all entries to the same upstream, so each
+# looks at a random few.
+SMALL_FLEET = 12
+SAMPLED = 4
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Choice:
     """An upstream with the figures that decided."""
@@ -52,10 +59,15 @@
     excluded: set[str],
     now_ms: int,
     generator: random.Random,
+    entries: int = 1,
 ) -> Choice | None:
     """Return the candidate with the lowest score, None if all are full."""
     best: Choice | None = None
     preferred = _preferred(candidates, request)
+    if entries > SMALL_FLEET and service.engine is not None:
+        sampled = _sample(candidates, service, excluded, preferred, generator)
+        if sampled:
+            candidates = sampled
     for upstream in candidates:
         registration = upstream.registration
         if registration.upstream_id in excluded:
@@ -81,6 +93,29 @@
     return best
 
 
+def _sample(
+    candidates: list[upstreams.Upstream],
+    service: deployment.Service,
+    excluded: set[str],
+    preferred: str,
+    generator: random.Random,
+) -> list[upstreams.Upstream]:
+    """Return a random few candidates with room, and the preferred one."""
+    open_ones = []
+    sampled = []
+    for upstream in candidates:
+        if upstream.registration.upstream_id in excluded:
+            continue
+        if upstream.streams() >= _capacity(upstream, service):
+            continue
+        if upstream.registration.upstream_id == preferred:
+            sampled.append(upstream)
+            continue
+        open_ones.append(upstream)
+    count = min(SAMPLED, len(open_ones))
+    return sampled + generator.sample(open_ones, count)
+
+
 def uncached_tokens(
     upstream: upstreams.Upstream, request: requests.Request, now_ms: int
 ) -> int:
--- a/laburnumpin/forwarding/settings.py
+++ b/laburnumpin/forwarding/settings.py
@@ -31,3 +31,4 @@
     repeat_bound: budgets.RepeatBound
     usage_window_ms: int
     usage_late_ms: int
+    link_mbps: float
--- a/laburnumpin/forwarding/state.py
+++ b/laburnumpin/forwarding/state.py
@@ -48,11 +48,12 @@
 
     __slots__ = (
         "active",
-        "address",
         "budget",
+        "contact",
         "counters",
         "deployment",
         "digest_due_ms",
+        "digests_sent",
         "fetch_due_ms",
         "incarnation_ms",
         "lease_token",
@@ -72,17 +73,15 @@
 
     def __init__(
         self,
-        name: str,
-        zone: str,
-        address: str,
+        contact: membership.Contact,
         incarnation_ms: int,
         bound: budgets.RepeatBound,
         usage_window_ms: int,
         generator: random.Random,
     ) -> None:
-        self.name = name
-        self.zone = zone
-        self.address = address
+        self.contact = contact
+        self.name = contact.name
+        self.zone = contact.zone
         self.incarnation_ms = incarnation_ms
         self.random = generator
         self.counters = counters.Counters()
@@ -92,12 +91,13 @@
         self.registry_read = False
         self.active: dict[str, Active] = {}
         self.budget = budgets.RepeatBudget(bound)
-        self.quotas = budgets.Quotas()
+        self.quotas = budgets.Quotas(generator)
         self.usage = usage.Usage(usage_window_ms)
-        self.members = membership.Members(address)
+        self.members = membership.Members(contact)
         self.lease_token = 0
         self.leaving_since_ms: int | None = None
         self.digest_due_ms = 0
+        self.digests_sent = 0
         self.fetch_due_ms = 0
         # Engine time of the requests that arrived here, by service.
         self.work_ms: dict[str, float] = {}
--- a/laburnumpin/forwarding/synchronization.py
+++ b/laburnumpin/forwarding/synchronization.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 import anyio
@@ -9,10 +10,15 @@
 from laburnumpin import exceptions
 from laburnumpin.forwarding import events
 from laburnumpin.forwarding import interfaces
+from laburnumpin.forwarding import membership
 from laburnumpin.forwarding import shell as shells
 from laburnumpin.forwarding import upstreams
 from laburnumpin.server import logs
 
+# Entries that together ask a failing store at the pace of one another.
+CROWD = 8
+# Pause between two looks whether another entry still passes on the rows.
+RELAYED_POLL_S = 0.1
 # Longest wait of one call for changes; a connection that has gone silent is
 # noticed a little later.
 WAIT_MS = 2_500
@@ -22,8 +28,14 @@
 # Registrations that lapsed during an outage may come back until this time
 # after it (the platform's statement), with room for their way here.
 AFTER_OUTAGE_MS = 2_500
-# Pause between two reads of the entries' rows.
+# Pauses after the first reads of the entries' rows: entries that start together
+# register one after the other.
+FIRST_READS_S = (1.5, 4.0)
+# Pause between two later reads of the entries' rows, and what each entry adds.
 ENTRIES_PERIOD_S = 10.0
+ENTRIES_PERIOD_S_PER_ENTRY = 1.0
+# Removed registrations whose version is remembered.
+KEPT_REMOVALS = 1_000
 
 Table = interfaces.Table
 
@@ -33,12 +45,16 @@
 
     __slots__ = (
         "_documents",
+        "_failing",
         "_operator_rows",
         "_outage_ended_ms",
+        "_removed",
         "_shell",
         "_store",
         "_upstream_rows",
         "_versions",
+        "on_rows",
+        "relayed",
     )
 
     def __init__(
@@ -53,8 +69,19 @@
         # Rows as the store has them, for peers that do not reach it.
         self._operator_rows: dict[str, interfaces.Row] = {}
         self._upstream_rows: dict[str, interfaces.Row] = {}
+        # The newest change of each table that is applied here.
         self._versions = {Table.OPERATOR: 0, Table.UPSTREAMS: 0}
+        # Registrations that were removed, with the version of the removal.
+        self._removed: dict[str, int] = {}
         self._outage_ended_ms: int | None = None
+        # Tables whose last call failed.
+        self._failing: set[interfaces.Table] = set()
+        # Called with rows that are new here, and whether they are all.
+        self.on_rows: (
+            Callable[[interfaces.Table, interfaces.Rows, bool], None] | None
+        ) = None
+        # Whether another entry keeps this one in step with the store.
+        self.relayed: Callable[[], bool] = lambda: False
 
     async def follow(self, table: interfaces.Table) -> None:
         """Follow one table until cancelled."""
@@ -62,6 +89,11 @@
         after: int | None = None
         failing = False
         while True:
+            if self.relayed() and self._versions[table]:
+                failing = False
+                self._failing.discard(table)
+                await anyio.sleep(RELAYED_POLL_S)
+                continue
             try:
                 if after is None:
                     rows = await self._store.read(table)
@@ -72,6 +104,7 @@
                         self._outage_ended_ms = self._shell.now_ms()
                     self._apply_changes(table, rows)
                 after = rows.version
+                self._failing.discard(table)
             except interfaces.HistoryLostError:
                 logs.write("store_history_lost", "info", {"table": table.value})
                 after = None
@@ -80,7 +113,13 @@
                 if not failing:
                     self._log_lost(table, error)
                 failing = True
-                await anyio.sleep(pause_ms / 1_000)
+                self._failing.add(table)
+                members = self._shell.state.members.count()
+                # Many entries find a store that serves some of them as fast
+                # as few do.
+                crowd = max(1.0, members / CROWD)
+                spread = self._shell.state.random.uniform(0.5, 1.5) * crowd
+                await anyio.sleep(pause_ms * spread / 1_000)
                 pause_ms = min(pause_ms * 2, LONGEST_PAUSE_MS)
                 continue
             if failing:
@@ -92,14 +131,16 @@
             failing = False
             pause_ms = FIRST_PAUSE_MS
 
-    async def join(self, own_address: str, own_name: str) -> None:
+    async def join(self, own: membership.Contact) -> None:
         """Register this entry and learn of the others from time to time."""
         registered = False
+        reads = 0
+        members = self._shell.state.members
         while True:
             try:
                 if not registered:
                     await self._store.write(
-                        Table.ENTRIES, own_name, own_address.encode(), None
+                        Table.ENTRIES, own.name, own.encode(), None
                     )
                     registered = True
                 rows = await self._store.read(Table.ENTRIES)
@@ -111,16 +152,41 @@
                 continue
             now_ms = self._shell.now_ms()
             for row in rows.rows:
-                if row.value is not None:
-                    address = row.value.decode("ascii", "replace")
-                    self._shell.state.members.add_contact(address, now_ms)
-            await anyio.sleep(ENTRIES_PERIOD_S)
+                if row.value is None:
+                    continue
+                try:
+                    contact = membership.Contact.decode(row.key, row.value)
+                except ValueError as error:
+                    logs.write(
+                        "entry_row_malformed",
+                        "warning",
+                        {"entry_row": row.key, "reason": str(error)},
+                    )
+                    continue
+                members.add_entry(contact, now_ms)
+            if reads < len(FIRST_READS_S):
+                await anyio.sleep(FIRST_READS_S[reads])
+                reads += 1
+                continue
+            pause_s = ENTRIES_PERIOD_S
+            pause_s += ENTRIES_PERIOD_S_PER_ENTRY * len(rows.rows)
+            await anyio.sleep(pause_s)
+
+    def in_step(self) -> bool:
+        """Return whether this entry itself follows the store."""
+        return not self._failing and all(self._versions.values())
+
+    def adopt_changes(
+        self, table: interfaces.Table, rows: interfaces.Rows
+    ) -> None:
+        """Apply changed rows that another entry passes on."""
+        self._apply_changes(table, rows)
 
     def snapshot(self) -> dict[str, Any]:
         """Return what this entry knows, for a peer that does not."""
         return {
-            "operator": _dump(self._operator_rows),
-            "upstreams": _dump(self._upstream_rows),
+            "operator": dump(tuple(self._operator_rows.values())),
+            "upstreams": dump(tuple(self._upstream_rows.values())),
             "operator_version": self._versions[Table.OPERATOR],
             "upstreams_version": self._versions[Table.UPSTREAMS],
         }
@@ -132,8 +198,8 @@
             ValueError: The snapshot is malformed.
         """
         try:
-            operator = _load(snapshot["operator"])
-            rows = _load(snapshot["upstreams"])
+            operator = load(snapshot["operator"])
+            rows = load(snapshot["upstreams"])
             operator_version = int(snapshot["operator_version"])
             version = int(snapshot["upstreams_version"])
         except (KeyError, TypeError) as error:
@@ -167,11 +233,14 @@
     ) -> None:
         if rows.version < self._versions[table]:
             return  # A peer's snapshot was newer.
-        self._versions[table] = rows.version
+        newest = max([row.version for row in rows.rows], default=1)
+        before = self._versions[table]
+        self._versions[table] = max(before, newest)
         now_ms = self._shell.now_ms()
         if table is Table.OPERATOR:
             self._operator_rows = {row.key: row for row in rows.rows}
             self._adopt_deployment(rows.version)
+            self._pass_on(table, rows, before, complete=True)
             return
         self._upstream_rows = {row.key: row for row in rows.rows}
         if after_outage:
@@ -183,19 +252,29 @@
                 registrations.append(registration)
         self._shell.apply(
             events.UpstreamsListed(
-                now_ms, rows.version, tuple(registrations), after_outage
+                now_ms,
+                self._versions[table],
+                tuple(registrations),
+                after_outage,
             )
         )
+        self._pass_on(table, rows, before, complete=True)
 
     def _apply_changes(
         self, table: interfaces.Table, rows: interfaces.Rows
     ) -> None:
-        self._versions[table] = max(self._versions[table], rows.version)
+        if not rows.rows:
+            return
+        before = self._versions[table]
+        newest = max(row.version for row in rows.rows)
+        self._versions[table] = max(before, newest)
         if table is Table.OPERATOR:
             for row in rows.rows:
-                self._operator_rows[row.key] = row
-            if rows.rows:
-                self._adopt_deployment(rows.version)
+                known = self._operator_rows.get(row.key)
+                if known is None or row.version > known.version:
+                    self._operator_rows[row.key] = row
+            self._adopt_deployment(rows.version)
+            self._pass_on(table, rows, before, complete=False)
             return
         now_ms = self._shell.now_ms()
         ended_ms = self._outage_ended_ms
@@ -203,23 +282,47 @@
             now_ms <= ended_ms + AFTER_OUTAGE_MS
         )
         for row in rows.rows:
-            known = self._upstream_rows.get(row.key)
-            if known is not None and row.version < known.version:
-                continue  # A peer's snapshot was newer.
-            registration = self._documents.decode_registration(row)
-            if registration is None:
-                self._upstream_rows.pop(row.key, None)
-                self._shell.apply(
-                    events.UpstreamRemoved(
-                        now_ms, row.version, row.key, after_outage
-                    )
-                )
-                continue
-            self._upstream_rows[row.key] = row
+            self._apply_row(row, now_ms, after_outage)
+        self._shell.state.registry_version = self._versions[table]
+        self._pass_on(table, rows, before, complete=False)
+
+    def _apply_row(
+        self, row: interfaces.Row, now_ms: int, after_outage: bool
+    ) -> None:
+        known = self._upstream_rows.get(row.key)
+        known_version = self._removed.get(row.key, 0)
+        if known is not None:
+            known_version = known.version
+        if row.version <= known_version:
+            return  # A peer was faster.
+        registration = self._documents.decode_registration(row)
+        if registration is None:
+            self._upstream_rows.pop(row.key, None)
+            self._removed[row.key] = row.version
+            if len(self._removed) > KEPT_REMOVALS:
+                del self._removed[next(iter(self._removed))]
             self._shell.apply(
-                events.UpstreamChanged(now_ms, row.version, registration)
+                events.UpstreamRemoved(
+                    now_ms, row.version, row.key, after_outage
+                )
             )
-        self._shell.state.registry_version = self._versions[table]
+            return
+        self._removed.pop(row.key, None)
+        self._upstream_rows[row.key] = row
+        self._shell.apply(
+            events.UpstreamChanged(now_ms, row.version, registration)
+        )
+
+    def _pass_on(
+        self,
+        table: interfaces.Table,
+        rows: interfaces.Rows,
+        before: int,
+        *,
+        complete: bool,
+    ) -> None:
+        if self.on_rows is not None and self._versions[table] > before:
+            self.on_rows(table, rows, complete)
 
     def _adopt_deployment(self, version: int) -> None:
         rows = interfaces.Rows(tuple(self._operator_rows.values()), version)
@@ -251,14 +354,18 @@
         )
 
 
-def _dump(rows: dict[str, interfaces.Row]) -> list[list[Any]]:
-    dumped = []
-    for row in rows.values():
-        dumped.append([row.key, row.value, row.version])
-    return dumped
+def dump(rows: tuple[interfaces.Row, ...]) -> list[list[Any]]:
+    """Return rows as CBOR can carry them."""
+    return [[row.key, row.value, row.version] for row in rows]
+
 
+def load(dumped: list[list[Any]]) -> list[interfaces.Row]:
+    """Return the rows of a message.
 
-def _load(dumped: list[list[Any]]) -> list[interfaces.Row]:
+    Raises:
+        ValueError: They are malformed.
+        TypeError: They are malformed.
+    """
     rows = []
     for key, value, version in dumped:
         rows.append(interfaces.Row(str(key), value, int(version)))
--- a/laburnumpin/forwarding/usage.py
+++ b/laburnumpin/forwarding/usage.py
@@ -40,9 +40,10 @@
             self._trim(window)
         counts[customer] = counts.get(customer, 0) + 1
 
-    def own_windows(self) -> dict[int, Counts]:
-        """Return this entry's counts of the newest windows."""
-        return self._own
+    def newest(self, windows: int) -> dict[int, Counts]:
+        """Return this entry's counts of its newest windows."""
+        newest = sorted(self._own)[-windows:]
+        return {window: dict(self._own[window]) for window in newest}
 
     def hear(self, peer: str, windows: dict[int, Counts]) -> None:
         """Keep the counts that a peer's incarnation reports."""
--- a/laburnumpin/platform/settings.py
+++ b/laburnumpin/platform/settings.py
@@ -139,6 +139,7 @@
         repeat_bound=bound,
         usage_window_ms=_seconds(reader, "usage_window_s", 5),
         usage_late_ms=_seconds(reader, "usage_late_s", 10),
+        link_mbps=reader.number("limits", "link_mbps", default=0),
     )
     if reader.errors:
         raise exceptions.ConfigurationError(reader.errors)
--- a/laburnumpin/tests/forwarding_builders.py
+++ b/laburnumpin/tests/forwarding_builders.py
@@ -7,6 +7,7 @@
 from laburnumpin.forwarding import budgets
 from laburnumpin.forwarding import deployment
 from laburnumpin.forwarding import events
+from laburnumpin.forwarding import membership
 from laburnumpin.forwarding import reducer
 from laburnumpin.forwarding import requests
 from laburnumpin.forwarding import state as forwarding_state
@@ -146,13 +147,20 @@
     return requests.Prompt(each * len(ids), 100, parts)
 
 
+def contact(
+    name: str, address: str = "10.0.0.8:7500", **changes: object
+) -> membership.Contact:
+    fields: dict[str, object] = {"zone": "a", "link_mbps": 10.0, **changes}
+    return membership.Contact(name, address, **fields)  # type: ignore[arg-type]
+
+
 def state(
     *registrations: upstreams.Registration,
     current: deployment.Deployment | None = None,
     name: str = "entry-1",
 ) -> forwarding_state.ForwardingState:
     built = forwarding_state.ForwardingState(
-        name, "a", "10.0.0.9:7500", 1, BOUND, 5_000, random.Random(1)
+        contact(name, "10.0.0.9:7500"), 1, BOUND, 5_000, random.Random(1)
     )
     found = current or configuration()
     reducer.reduce(built, events.DeploymentRead(0, found))
--- a/laburnumpin/tests/test_forwarding_budgets.py
+++ b/laburnumpin/tests/test_forwarding_budgets.py
@@ -10,6 +10,7 @@
 import pytest
 
 from laburnumpin.forwarding import budgets
+from laburnumpin.forwarding import gossip
 from laburnumpin.tests import forwarding_builders as build
 
 WINDOW_MS = 8_000
@@ -23,15 +24,19 @@
     *,
     silent: set[int],
     seed: int,
+    units: float = 40.0,
+    digest_ms: int = DIGEST_MS,
 ) -> list[tuple[int, float]]:
     """Play entries that admit one customer's requests; return admissions."""
     generator = random.Random(seed)
     customer = build.customer(rate_per_s=1_000.0, burst=1_000.0)
     customers = {customer.name: customer}
-    quotas = [budgets.Quotas() for _ in range(entries)]
+    quotas = [
+        budgets.Quotas(random.Random(f"{seed}/{i}")) for i in range(entries)
+    ]
     admitted: list[tuple[int, float]] = []
     for now_ms in range(0, seconds * 1_000, 20):
-        if now_ms % DIGEST_MS == 0:
+        if now_ms % digest_ms == 0:
             for sender in range(entries):
                 if sender in silent and now_ms > 2_000:
                     continue
@@ -49,9 +54,9 @@
                     )
         for quota in quotas:
             wanted = pressure * 1_000.0 / entries * 0.02
-            if generator.random() * 40.0 < wanted:
-                if quota.admit(customer, 40.0, now_ms) == 0:
-                    admitted.append((now_ms, 40.0))
+            if generator.random() * units < wanted:
+                if quota.admit(customer, units, now_ms) == 0:
+                    admitted.append((now_ms, units))
     return admitted
 
 
@@ -79,10 +84,41 @@
     assert _most_in_window(admitted) <= bound
 
 
+@pytest.mark.parametrize("silent", [set(), set(range(20))])
+@pytest.mark.parametrize("pressure", [4.0, 8.0])
+def test_quota_holds_over_many_entries_with_large_requests(
+    pressure: float, silent: set[int]
+) -> None:
+    # Pattern: 74 entries, digests 740 ms apart, and requests of a tenth of
+    # what the customer may use in a second.
+    admitted = _play(
+        74, 16, pressure, silent=silent, seed=4, units=100.0, digest_ms=740
+    )
+    bound = (1_000.0 * 8 + 1_000.0) * 1.1 + 1_000.0
+    assert _most_in_window(admitted) <= bound
+
+
+@pytest.mark.parametrize("entries", [6, 74])
+def test_pressed_quota_is_used_up(entries: int) -> None:
+    digest_ms = gossip.digest_period_ms(entries)
+    digest_ms -= digest_ms % 20
+    admitted = _play(
+        entries,
+        20,
+        5.0,
+        silent=set(),
+        seed=6,
+        units=100.0,
+        digest_ms=digest_ms,
+    )
+    total = sum(units for _, units in admitted)
+    assert total >= 0.85 * 1_000.0 * 20
+
+
 def test_use_below_the_quota_is_admitted() -> None:
     generator = random.Random(1)
     customer = build.customer(rate_per_s=1_000.0, burst=1_000.0)
-    quota = budgets.Quotas()
+    quota = budgets.Quotas(random.Random(1))
     refused = 0
     for now_ms in range(0, 20_000, 20):
         if generator.random() < 0.25 and quota.admit(customer, 40.0, now_ms):
@@ -92,7 +128,7 @@
 
 def test_wait_of_a_refused_request_is_enough() -> None:
     customer = build.customer(rate_per_s=1_000.0, burst=1_000.0)
-    quota = budgets.Quotas()
+    quota = budgets.Quotas(random.Random(1))
     now_ms = 0
     while not quota.admit(customer, 400.0, now_ms):
         now_ms += 10
@@ -102,7 +138,7 @@
 
 
 def test_customer_without_a_rate_has_no_limit() -> None:
-    quota = budgets.Quotas()
+    quota = budgets.Quotas(random.Random(1))
     customer = build.customer(rate_per_s=0.0)
     assert all(quota.admit(customer, 1e9, 0) == 0 for _ in range(10))
 
@@ -140,7 +176,7 @@
     generator = random.Random(5)
     customer = build.customer(rate_per_s=1_000.0, burst=1_000.0)
     customers = {customer.name: customer}
-    quotas = [budgets.Quotas() for _ in range(6)]
+    quotas = [budgets.Quotas(random.Random(i)) for i in range(6)]
     weights = [0.5, 0.3, 0.1, 0.1, 0.0, 0.0]
     asked = refused = 0
     for now_ms in range(0, 30_000, 20):
@@ -161,7 +197,7 @@
 def test_restarted_peer_is_counted_from_its_start() -> None:
     customer = build.customer(rate_per_s=1_000.0, burst=1_000.0)
     customers = {customer.name: customer}
-    quota = budgets.Quotas()
+    quota = budgets.Quotas(random.Random(1))
     for now_ms in range(0, 4_000, 200):
         quota.hear("e1", 1, {customer.name: now_ms * 0.1}, customers, now_ms)
     before = quota.level(customer.name)
--- a/laburnumpin/tests/test_forwarding_registry.py
+++ b/laburnumpin/tests/test_forwarding_registry.py
@@ -14,9 +14,9 @@
 
 def _digest(name: str = "entry-2", **changes: object) -> digests.Digest:
     fields: dict[str, object] = {
-        "name": name,
-        "address": "10.0.0.8:7500",
+        "contact": build.contact(name),
         "incarnation_ms": 1,
+        "number": 1,
         "wall_ms": 50_000,
         "config_version": 1,
         "registry_version": 1,
