--- a/laburnumpin/__main__.py
+++ b/laburnumpin/__main__.py
@@ -371,6 +371,35 @@
     raise typer.Exit(0 if report.all_whole else exits.Exit.FAILED)
 
 
+@app.command("explain")
+def explain_request(
+    request_id: str,
+    log_file: Annotated[
+        list[pathlib.Path] | None,
+        typer.Argument(help="Logs of entries; standard input if none."),
+    ] = None,
+    as_json: Json = False,
+) -> None:
+    """Tell from logs what happened to a request, with the cause last."""
+    from laburnumpin.commands import explain
+
+    explain.explain(request_id, tuple(log_file or ()), as_json)
+
+
+@app.command("soak")
+def run_soak(
+    first_seed: Annotated[int, typer.Option(min=0)] = 1,
+    seeds: Annotated[int, typer.Option(min=1, max=1_000)] = 5,
+    duration_s: Annotated[float, typer.Option(min=1.0, max=600.0)] = 12.0,
+    entries: Annotated[int, typer.Option(min=1, max=40)] = 3,
+) -> None:
+    """Play real entry processes under faults and check the promises."""
+    from laburnumpin.commands import soak
+
+    held = soak.soak(first_seed, seeds, duration_s, entries)
+    raise typer.Exit(0 if held else exits.Exit.FAILED)
+
+
 @app.command("bench")
 def run_bench(
     policy: Annotated[
--- a/laburnumpin/forwarding/duties.py
+++ b/laburnumpin/forwarding/duties.py
@@ -178,9 +178,9 @@
         self._reported = None
         self._scaler = autoscaling.Autoscaler()
         logs.write(
-            "lease_acquired" if holds else "lease_ended",
+            "lease_changed",
             "info",
-            {"fencing_token": self._lease.fencing_token},
+            {"held": holds, "fencing_token": self._lease.fencing_token},
         )
 
     async def _report_usage(self) -> None:
--- a/laburnumpin/forwarding/frontend.py
+++ b/laburnumpin/forwarding/frontend.py
@@ -298,7 +298,7 @@
             )
         logs.write(
             "request_rejected",
-            "info",
+            "warning",
             {
                 "request_id": effect.request_id,
                 "reason": effect.reason.value,
--- a/laburnumpin/forwarding/registry.py
+++ b/laburnumpin/forwarding/registry.py
@@ -104,16 +104,17 @@
 ) -> list[effects.Effect]:
     produced: list[effects.Effect] = []
     by_change = {
-        "upstream_added": changes.added,
-        "upstream_leaving": changes.leaving,
-        "upstream_removed": changes.removed,
-        "upstream_restarted": changes.restarted,
+        "added": changes.added,
+        "leaving": changes.leaving,
+        "removed": changes.removed,
+        "restarted": changes.restarted,
     }
-    for message_type, upstream_ids in by_change.items():
+    for change, upstream_ids in by_change.items():
         for upstream_id in upstream_ids:
             known = state.upstreams.get(upstream_id)
             fields: dict[str, str | int | float | bool | None] = {
                 "upstream": upstream_id,
+                "change": change,
                 "registry_version": version,
             }
             if known is not None:
@@ -121,7 +122,7 @@
                 fields["zone"] = known.registration.zone
                 fields["reclaimable"] = known.registration.reclaimable
                 fields["leaves_in_ms"] = known.registration.leaves_in_ms
-            produced.append(effects.Report(message_type, fields))
+            produced.append(effects.Report("upstream_changed", fields))
     for upstream_id in changes.removed + changes.restarted:
         produced.append(effects.CloseUpstream(upstream_id, 0))
     return produced
--- a/laburnumpin/forwarding/state.py
+++ b/laburnumpin/forwarding/state.py
@@ -112,3 +112,10 @@
         """Return the engine time of all requests that the entries counted."""
         total = self.work_ms.get(service, 0.0)
         return total + self.members.work_ms(service)
+
+    def unheard_factor(self, now_ms: int) -> float:
+        """Return how many entries there are for each one that is heard.
+
+        Entries that are cut off from this one still send their requests on.
+        """
+        return self.members.count() / (len(self.members.live(now_ms)) + 1)
--- a/laburnumpin/platform/program.py
+++ b/laburnumpin/platform/program.py
@@ -34,7 +34,7 @@
         for problem in error.errors:
             print(f"error: {path}: {problem}", file=sys.stderr)
         sys.exit(1)
-    with logs.set_up(level, loaded.name, sys.stdout):
+    with logs.set_up(level, loaded.name, sys.stdout, limited=True):
         anyio.run(
             functools.partial(
                 daemon.serve,
--- a/laburnumpin/server/logs.py
+++ b/laburnumpin/server/logs.py
@@ -1,4 +1,4 @@
-"""Structured logs: JSON lines of documented types on standard error.
+"""Structured logs: JSON lines of documented types.
 
 `docs/logs.md` lists the types. Fields never contain keys, secrets, prompts or
 answers.
@@ -14,6 +14,7 @@
 import queue
 import sys
 import threading
+import time
 import traceback
 from typing import Any
 from typing import TextIO
@@ -22,13 +23,39 @@
 
 Fields = Mapping[str, str | int | float | bool | None]
 
-# Lines that wait for a reader of standard error that is slow.
+# Lines that wait for a reader that is slow.
 QUEUE_LINES = 10_000
+# Above this part of the queue only warnings and errors are accepted, so that
+# what explains a failure is kept.
+ROUTINE_SHARE = 0.5
+# Lines of one type below a warning that are written in a second, and at once.
+LINES_PER_S = 250.0
+BURST_LINES = 500.0
 FLUSH_TIMEOUT_S = 2.0
 
 _RANKS = {"debug": 10, "info": 20, "warning": 30, "error": 40}
 
 
+class _Bucket:
+    """The lines of one type that may still be written."""
+
+    __slots__ = ("_lines", "_updated_s")
+
+    def __init__(self, now_s: float) -> None:
+        self._lines = BURST_LINES
+        self._updated_s = now_s
+
+    def take(self, now_s: float) -> bool:
+        """Take one line; False if there are none left."""
+        gained = (now_s - self._updated_s) * LINES_PER_S
+        self._lines = min(BURST_LINES, self._lines + gained)
+        self._updated_s = now_s
+        if self._lines < 1:
+            return False
+        self._lines -= 1
+        return True
+
+
 class Destination:
     """Writes messages of at least one level as JSON lines.
 
@@ -37,12 +64,24 @@
     next line that does names their number.
     """
 
-    __slots__ = ("_dropped", "_lines", "_rank", "_stream", "_thread")
+    __slots__ = (
+        "_buckets",
+        "_dropped",
+        "_limited",
+        "_lines",
+        "_rank",
+        "_stream",
+        "_thread",
+    )
 
-    def __init__(self, level: str, stream: TextIO) -> None:
+    def __init__(
+        self, level: str, stream: TextIO, *, limited: bool = False
+    ) -> None:
         self._rank = _RANKS[level]
+        self._limited = limited
         self._stream = stream
         self._dropped = 0
+        self._buckets: dict[str, _Bucket] = {}
         self._lines: queue.Queue[str | None] = queue.Queue(QUEUE_LINES)
         self._thread = threading.Thread(target=self._run, daemon=True)
         self._thread.start()
@@ -52,6 +91,11 @@
         level = str(message.get("level", _default_level(message)))
         if _RANKS.get(level, _RANKS["error"]) < self._rank:
             return
+        is_routine = _RANKS.get(level, _RANKS["error"]) < _RANKS["warning"]
+        if self._limited and is_routine:
+            if not self._may_write(message):
+                self._dropped += 1
+                return
         line = {**message, "level": level}
         if self._dropped:
             line["dropped_lines"] = self._dropped
@@ -62,6 +106,16 @@
             return
         self._dropped = 0
 
+    def _may_write(self, message: Mapping[str, Any]) -> bool:
+        if self._lines.qsize() > QUEUE_LINES * ROUTINE_SHARE:
+            return False
+        kind = str(message.get("message_type", ""))
+        now_s = time.monotonic()
+        bucket = self._buckets.get(kind)
+        if bucket is None:
+            bucket = self._buckets[kind] = _Bucket(now_s)
+        return bucket.take(now_s)
+
     def is_idle(self) -> bool:
         """Return whether no line waits."""
         return self._lines.empty()
@@ -96,10 +150,17 @@
 
 @contextlib.contextmanager
 def set_up(
-    level: str, entry: str, stream: TextIO | None = None
+    level: str,
+    entry: str,
+    stream: TextIO | None = None,
+    *,
+    limited: bool = False,
 ) -> Iterator[None]:
-    """Write messages of `level` and above to `stream`, or standard error."""
-    destination = Destination(level, stream or sys.stderr)
+    """Write messages of `level` and above to `stream`, or standard error.
+
+    With `limited` the lines of each type below a warning are bounded.
+    """
+    destination = Destination(level, stream or sys.stderr, limited=limited)
     handler = _LibraryHandler(logging.WARNING)
     eliot.add_global_fields(entry=entry)
     eliot.add_destinations(destination)
--- /dev/null
+++ b/laburnumpin/tests/test_commands_explain.py
@@ -0,0 +1,117 @@
+"""From a request's id to its cause, on lines as entries write them."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+
+import pytest
+
+from laburnumpin import exceptions
+from laburnumpin.commands import explain
+
+
+def _line(at_s: float, kind: str, **fields: object) -> str:
+    line = {
+        "timestamp": at_s,
+        "message_type": kind,
+        "entry": "e1",
+        "task_uuid": "x",
+        **fields,
+    }
+    return f"  {at_s:.3f} e1 {json.dumps(line)}"
+
+
+def _story(*texts: str) -> list[explain.Line]:
+    lines = []
+    for text in texts:
+        parsed = explain.parse(text)
+        assert parsed is not None
+        lines.append(parsed)
+    return explain.tell("r1", lines)
+
+
+def test_rejection_while_upstreams_leave() -> None:
+    story = _story(
+        _line(1.0, "upstream_changed", upstream="u1", change="leaving"),
+        _line(
+            1.2,
+            "request_rejected",
+            request_id="r1",
+            reason="no_upstream",
+            status=503,
+            not_run=True,
+        ),
+        _line(1.2, "request_ended", request_id="r1", outcome="no_upstream"),
+    )
+    text = explain.cause("r1", story)
+    assert "no upstream of the service could take work" in text
+    assert "had not run" in text
+
+
+def test_stream_that_was_broken_off_by_a_reclaim() -> None:
+    story = _story(
+        _line(1.0, "request_sent", request_id="r1", upstream="u1", attempt=1),
+        _line(2.0, "upstream_changed", upstream="u1", change="leaving"),
+        _line(2.1, "upstream_changed", upstream="u2", change="leaving"),
+        _line(
+            4.0,
+            "attempt_failed",
+            request_id="r1",
+            upstream="u1",
+            attempt=1,
+            ending="broken",
+            reason="the connection was reset",
+        ),
+        _line(4.0, "request_ended", request_id="r1", outcome="cut"),
+    )
+    assert len(story) == 4
+    text = explain.cause("r1", story)
+    assert "broke off after a part was delivered" in text
+    assert "had noted that it was leaving" in text
+
+
+def test_call_with_an_unknown_outcome() -> None:
+    story = _story(
+        _line(1.0, "request_sent", request_id="r1", upstream="u1", attempt=1),
+        _line(
+            1.1,
+            "attempt_failed",
+            request_id="r1",
+            upstream="u1",
+            attempt=1,
+            ending="broken",
+            reason="reset",
+        ),
+        _line(
+            1.1,
+            "request_rejected",
+            request_id="r1",
+            reason="upstream_failed",
+            status=502,
+            not_run=False,
+        ),
+    )
+    assert "answered 502, it may have run" in explain.cause("r1", story)
+
+
+def test_unknown_request_is_an_error(tmp_path: pathlib.Path) -> None:
+    path = tmp_path / "log"
+    path.write_text(_line(1.0, "entry_started") + "\nnot JSON\n")
+    with pytest.raises(exceptions.InputError):
+        explain.explain("r1", (path,), False)
+    with pytest.raises(exceptions.InputError):
+        explain.explain("r1", (tmp_path / "none",), False)
+
+
+def test_json_holds_lines_and_cause(
+    tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    path = tmp_path / "log"
+    path.write_text(
+        _line(1.0, "request_ended", request_id="r1", outcome="caller_gone")
+    )
+    explain.explain("r1", (path,), True)
+    printed = json.loads(capsys.readouterr().out)
+    assert printed["cause"] == "the caller closed its connection"
+    assert len(printed["lines"]) == 1
--- a/laburnumpin/tests/test_forwarding_autoscaling.py
+++ b/laburnumpin/tests/test_forwarding_autoscaling.py
@@ -187,3 +187,14 @@
         scaler.lost(order, 5_000)
     assert not scaler.orders(state, 5_500)
     assert scaler.orders(state, 5_000 + autoscaling.REPEAT_MS)
+
+
+def test_load_of_entries_that_are_cut_off_is_counted() -> None:
+    # Pattern: half of the entries are cut off from the holder of the lease
+    # and still send work to the engines (scale-2 of grown Luvas).
+    state = build.state(*_engines(False, dict.fromkeys(ZONES, 1)))
+    contacts = [build.contact(f"entry-{n}") for n in range(2, 5)]
+    for contact in contacts:
+        state.members.hear(contact, 1, 0)
+    state.members.hear(contacts[0], 1, 10_000)
+    assert state.unheard_factor(10_000) == 2.0
--- a/laburnumpin/tests/test_server_logs.py
+++ b/laburnumpin/tests/test_server_logs.py
@@ -16,7 +16,8 @@
 
 PACKAGE = pathlib.Path(laburnumpin.__file__).parent
 WRITTEN = re.compile(
-    r"(?:logs\.write|logs\.write_exception|effects\.Log|_log_failure|write)\("
+    r"(?:logs\.write|logs\.write_exception|effects\.Log|effects\.Report"
+    r"|_log_failure|write)\("
     r'\s*"([a-z_]+)"'
 )
 
@@ -26,6 +27,8 @@
     written = set()
     for path in PACKAGE.glob("core/*.py"):
         written.update(WRITTEN.findall(path.read_text()))
+    for path in PACKAGE.glob("forwarding/*.py"):
+        written.update(WRITTEN.findall(path.read_text()))
     for path in PACKAGE.glob("server/*.py"):
         written.update(WRITTEN.findall(path.read_text()))
     page = (PACKAGE.parent / "docs" / "logs.md").read_text()
@@ -46,6 +49,21 @@
     assert [line["level"] for line in lines] == ["error", "error"]
 
 
+def test_flood_of_one_type_is_bounded() -> None:
+    """Guards against a log that grows with the load."""
+    stream = io.StringIO()
+    destination = logs.Destination("info", stream, limited=True)
+    for _ in range(20_000):
+        destination({"message_type": "a", "level": "info"})
+    destination({"message_type": "b", "level": "warning"})
+    destination.close()
+    lines = [json.loads(line) for line in stream.getvalue().splitlines()]
+    assert len(lines) < 5_000
+    assert lines[-1]["message_type"] == "b"
+    dropped = sum(line.get("dropped_lines", 0) for line in lines)
+    assert dropped + len(lines) == 20_001
+
+
 def test_stalled_reader_does_not_block() -> None:
     """Guards against an event loop that waits for standard error."""
     released = threading.Event()
