Move long streams off engines that leave

Change: forwarding/moves.py; a stream that will not end in time stops, its memory is copied, and it goes on at another engine under the same answer.

--- a/laburnumpin/forwarding/attempts.py
+++ b/laburnumpin/forwarding/attempts.py
@@ -8,6 +8,7 @@
 import anyio
 import h11
 
+from laburnumpin import exceptions
 from laburnumpin import verdict as verdicts
 from laburnumpin.forwarding import caller as callers
 from laburnumpin.forwarding import connections
@@ -17,6 +18,7 @@
 from laburnumpin.forwarding import interfaces
 from laburnumpin.forwarding import requests
 from laburnumpin.forwarding import shell as shells
+from laburnumpin.server import logs
 
 # Answers up to this size are complete before the first byte goes on.
 BUFFERED_BYTES = 131_072
@@ -26,6 +28,8 @@
 # objective is continued elsewhere.
 GAP_OBJECTIVES = 3.0
 MIN_GAP_MS = 800
+# A stream that stopped for a move waits this long for the copy.
+MOVE_TIMEOUT_S = 2.0
 # Answers to earlier requests that are skipped on one connection.
 MAX_SKIPPED = 2
 
@@ -45,6 +49,14 @@
         self.verdict = verdict
 
 
+class StreamMovedError(Exception):
+    """The stream stopped here and goes on elsewhere."""
+
+    def __init__(self, kv_source: str) -> None:
+        super().__init__(kv_source)
+        self.kv_source = kv_source
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Answer:
     """An upstream's complete answer."""
@@ -126,6 +138,8 @@
         "_body",
         "_connection",
         "_head",
+        "_kv_source",
+        "_move_ended",
         "_relay",
         "_request",
         "_send",
@@ -148,6 +162,41 @@
         self._send = send
         self._relay = relay
         self._connection: connections.ClientConnection | None = None
+        # Set while a move is under way, and the event after it.
+        self._move_ended: anyio.Event | None = None
+        self._kv_source: str | None = None
+
+    def move(self, effect: effects.MoveStream) -> None:
+        """Start to move the stream to another engine."""
+        if self._move_ended is None:
+            self._move_ended = anyio.Event()
+            self._shell.tasks.start(self._move, effect)
+
+    async def _move(self, effect: effects.MoveStream) -> None:
+        assert self._move_ended is not None
+        outcome = "moved"
+        try:
+            self._kv_source = await self._shell.engines.move_stream(
+                effect.source.address,
+                effect.request_id,
+                effect.target.address,
+            )
+            if self._kv_source is None:
+                outcome = "not_running"
+        except exceptions.LaburnumpinError as error:
+            outcome = error.code
+        finally:
+            self._move_ended.set()
+        logs.write(
+            "stream_moved",
+            "info",
+            {
+                "request_id": effect.request_id,
+                "upstream": effect.source.upstream_id,
+                "target": effect.target.upstream_id,
+                "outcome": outcome,
+            },
+        )
 
     async def run(self) -> None:
         """Run the attempt to the end of the answer.
@@ -198,6 +247,7 @@
             priority=self._send.priority,
             body_bytes=len(self._body),
             resume_after=self._relay.last_event,
+            kv_source=self._send.kv_source,
         )
         try:
             with anyio.fail_after(remaining_ms / 1_000):
@@ -249,6 +299,7 @@
                 )
             await self._classified(connection, head)
         except connections.ConnectionLostError as error:
+            await self._raise_if_moved()
             raise AttemptError(
                 events.Ending.BROKEN, MAY_HAVE_RUN, str(error)
             ) from error
@@ -257,6 +308,15 @@
                 events.Ending.MALFORMED, MAY_HAVE_RUN, str(error)
             ) from error
 
+    async def _raise_if_moved(self) -> None:
+        """Raise `StreamMovedError` if the stream stopped for a move."""
+        if self._move_ended is None:
+            return
+        with anyio.move_on_after(MOVE_TIMEOUT_S):
+            await self._move_ended.wait()
+        if self._kv_source is not None:
+            raise StreamMovedError(self._kv_source)
+
     async def _own_head(
         self, connection: connections.ClientConnection
     ) -> h11.Response:
--- a/laburnumpin/forwarding/autoscaling.py
+++ b/laburnumpin/forwarding/autoscaling.py
@@ -19,13 +19,13 @@
 
 # Share of an engine's time that the prompts of its requests may take. Above
 # it the wait for other prompts exceeds the objectives of short requests.
-TARGET_UTILIZATION = 0.45
+TARGET_UTILIZATION = 0.5
 # The load is the highest mean over spans of time: reclaimable engines follow
 # the short ones too, the costly others the long ones only.
 SPANS_MS = (1_500, 4_000, 8_000)
 LONG_SPANS_MS = (4_000, 8_000)
 # Utilization at which others are ordered.
-REGULAR_UTILIZATION = 0.62
+REGULAR_UTILIZATION = 0.7
 # Engines are ordered for this many times the load, for waves rise while
 # ordered engines start.
 GROWTH = 1.15
@@ -37,7 +37,7 @@
 # zones may follow.
 SCARCE_MS = 15_000
 # A smaller number is ordered only after it has been enough for this long.
-SHRINK_MS = 6_000
+SHRINK_MS = 4_000
 # An order whose outcome is not known is repeated after this time.
 REPEAT_MS = 1_500
 # How long an ordered upstream may take beyond the declared time.
--- a/laburnumpin/forwarding/daemon.py
+++ b/laburnumpin/forwarding/daemon.py
@@ -58,7 +58,10 @@
     async with anyio.create_task_group() as task_group:
         runner = tasks.TaskRunner(task_group)
         upstream_pool = pool.Pool(boot_clock, task_group)
-        shell = shells.Shell(state, wire, upstream_pool, runner, boot_clock)
+        engines = clients.engines(task_group)
+        shell = shells.Shell(
+            state, wire, upstream_pool, runner, boot_clock, engines
+        )
         store = clients.store(settings, task_group)
         cloud = clients.cloud(settings, task_group)
         follower = synchronization.Synchronizer(shell, store, documents)
--- a/laburnumpin/forwarding/deployment.py
+++ b/laburnumpin/forwarding/deployment.py
@@ -51,6 +51,7 @@
     slots: int
     kv_capacity_tokens: int
     kv_token_bytes: int
+    moves_streams: bool
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/laburnumpin/forwarding/effects.py
+++ b/laburnumpin/forwarding/effects.py
@@ -53,6 +53,17 @@
     silence_ms: int
     predicted_ms: float
     attempt: int
+    # Where the memory of the stream is kept that this attempt continues.
+    kv_source: str | None = None
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class MoveStream:
+    """Stop a stream and copy its memory from one engine to another."""
+
+    request_id: str
+    source: upstreams.Registration
+    target: upstreams.Registration
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -94,5 +105,12 @@
 
 
 Effect = (
-    Reject | Send | Abort | CloseUpstream | SendDigest | FetchFromPeer | Report
+    Reject
+    | Send
+    | MoveStream
+    | Abort
+    | CloseUpstream
+    | SendDigest
+    | FetchFromPeer
+    | Report
 )
--- a/laburnumpin/forwarding/events.py
+++ b/laburnumpin/forwarding/events.py
@@ -99,6 +99,15 @@
     began: bool
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class StreamMoved:
+    """A stream has stopped, and its memory is kept under `kv_source`."""
+
+    now_ms: int
+    request_id: str
+    kv_source: str
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class RequestEnded:
     """The answer was delivered, or the caller is gone."""
@@ -133,6 +142,7 @@
     | FirstEvent
     | AttemptFailed
     | RequestEnded
+    | StreamMoved
     | DigestReceived
     | Ticked
 )
--- a/laburnumpin/forwarding/frontend.py
+++ b/laburnumpin/forwarding/frontend.py
@@ -220,6 +220,7 @@
             self._outcome = self._outcome or "caller_gone"
         finally:
             self._caller.reader.on_end = None
+            self._shell.movers.pop(request.request_id, None)
             self._shell.apply(
                 events.RequestEnded(
                     self._shell.now_ms(), request.request_id, self._delivered
@@ -248,8 +249,18 @@
             attempt = attempts.Attempt(
                 self._shell, request, self._head, self._body, effect, relay
             )
+            self._shell.movers[request.request_id] = attempt.move
             try:
                 await attempt.run()
+            except attempts.StreamMovedError as error:
+                effect = self._shell.apply(
+                    events.StreamMoved(
+                        self._shell.now_ms(),
+                        request.request_id,
+                        error.kv_source,
+                    )
+                )
+                continue
             except attempts.AttemptError as error:
                 self._log_failure(effect, error)
                 effect = self._shell.apply(
--- a/laburnumpin/forwarding/interfaces.py
+++ b/laburnumpin/forwarding/interfaces.py
@@ -133,6 +133,24 @@
         """
 
 
+class EngineClient(Protocol):
+    """Calls to model engines beside requests."""
+
+    async def move_stream(
+        self, source_address: str, request_id: str, target_address: str
+    ) -> str | None:
+        """Stop a stream and copy its memory to another engine.
+
+        Return the source of the memory for the attempt that continues, None
+        if the engine does not run the request. When the copy fails the memory
+        stays at the engine that was stopped, under the same source.
+
+        Raises:
+            PlatformUnavailableError: Nothing was done.
+            PlatformAnswerLostError: The stream may have stopped.
+        """
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class CallerHead:
     """The head of a caller's request, as it came."""
@@ -186,6 +204,7 @@
         priority: int,
         body_bytes: int,
         resume_after: int | None,
+        kv_source: str | None,
     ) -> connections.Headers:
         """Return the headers of an attempt."""
 
@@ -238,3 +257,6 @@
         task_group: abc.TaskGroup,
     ) -> CloudClient:
         """Return the client of the cloud API."""
+
+    def engines(self, task_group: abc.TaskGroup) -> EngineClient:
+        """Return the client of the model engines."""
--- a/laburnumpin/forwarding/lifecycle.py
+++ b/laburnumpin/forwarding/lifecycle.py
@@ -63,7 +63,8 @@
     if not active.counted and request.customer is not None:
         state.usage.record(request.customer.name, event.wall_ms)
     active.counted = True
-    _release_pending(active)
+    active.first_ms = active.first_ms or event.now_ms
+    release_pending(active)
     choice = active.choice
     if choice is None or request.prompt is None:
         return []
@@ -95,7 +96,7 @@
     if active.choice is not None:
         upstream_id = active.choice.upstream.registration.upstream_id
         active.excluded.add(upstream_id)
-    _release(active)
+    release(active)
     reason = effects.Reason.UPSTREAM_FAILED
     if event.verdict is verdicts.Verdict.NOT_RUN:
         reason = effects.Reason.UPSTREAM_REJECTED
@@ -126,7 +127,7 @@
         return []
     if event.delivered and active.choice is not None:
         active.choice.upstream.record_success()
-    _release(active)
+    release(active)
     return []
 
 
@@ -229,14 +230,16 @@
             upstream.record_failure(event.now_ms, unreachable=False)
 
 
-def _release_pending(active: forwarding_state.Active) -> None:
+def release_pending(active: forwarding_state.Active) -> None:
+    """Take off the prompt tokens that the upstream no longer has to read."""
     if active.choice is not None:
         active.choice.upstream.own_pending_tokens -= active.pending_tokens
     active.pending_tokens = 0
 
 
-def _release(active: forwarding_state.Active) -> None:
-    _release_pending(active)
+def release(active: forwarding_state.Active) -> None:
+    """Take the request off its upstream."""
+    release_pending(active)
     if active.choice is not None:
         active.choice.upstream.own_streams -= 1
     active.choice = None
--- a/laburnumpin/forwarding/reducer.py
+++ b/laburnumpin/forwarding/reducer.py
@@ -6,6 +6,7 @@
 from laburnumpin.forwarding import events
 from laburnumpin.forwarding import gossip
 from laburnumpin.forwarding import lifecycle
+from laburnumpin.forwarding import moves
 from laburnumpin.forwarding import registry
 from laburnumpin.forwarding import state as forwarding_state
 
@@ -18,9 +19,14 @@
         case events.RequestArrived():
             return lifecycle.on_arrived(state, event)
         case events.FirstEvent():
-            return lifecycle.on_first_event(state, event)
+            lifecycle.on_first_event(state, event)
+            return moves.on_first_event(state, event)
         case events.AttemptFailed():
-            return lifecycle.on_failed(state, event)
+            return moves.on_failed(state, event) or lifecycle.on_failed(
+                state, event
+            )
+        case events.StreamMoved():
+            return moves.on_moved(state, event)
         case events.RequestEnded():
             return lifecycle.on_ended(state, event)
         case events.DeploymentRead():
@@ -28,7 +34,8 @@
         case events.UpstreamsListed():
             return registry.on_listed(state, event)
         case events.UpstreamChanged():
-            return registry.on_changed(state, event)
+            produced = registry.on_changed(state, event)
+            return produced + moves.on_upstream_changed(state, event)
         case events.UpstreamRemoved():
             return registry.on_removed(state, event)
         case events.DigestReceived():
--- a/laburnumpin/forwarding/shell.py
+++ b/laburnumpin/forwarding/shell.py
@@ -27,8 +27,10 @@
 
     __slots__ = (
         "clock",
+        "engines",
         "leaving",
         "metrics",
+        "movers",
         "on_digest",
         "on_fetch",
         "pool",
@@ -44,12 +46,16 @@
         upstream_pool: pool.Pool,
         runner: tasks.TaskRunner,
         own_clock: clock.Clock,
+        engines: interfaces.EngineClient,
     ) -> None:
         self.state = state
         self.wire = wire
         self.pool = upstream_pool
         self.tasks = runner
         self.clock = own_clock
+        self.engines = engines
+        # Called to move a stream, by request id.
+        self.movers: dict[str, Callable[[effects.MoveStream], None]] = {}
         self.metrics = metrics.Metrics()
         self.leaving = anyio.Event()
         self.on_digest: Callable[[effects.SendDigest], None] | None = None
@@ -87,6 +93,10 @@
             match effect:
                 case effects.Reject() | effects.Send() | effects.Abort():
                     awaited = effect
+                case effects.MoveStream():
+                    mover = self.movers.get(effect.request_id)
+                    if mover is not None:
+                        mover(effect)
                 case effects.Report():
                     logs.write(effect.message_type, "info", effect.fields)
                 case effects.CloseUpstream():
--- a/laburnumpin/forwarding/state.py
+++ b/laburnumpin/forwarding/state.py
@@ -22,7 +22,11 @@
         "choice",
         "counted",
         "excluded",
+        "first_ms",
+        "kv_source",
         "may_have_run",
+        "move_fallback",
+        "move_target",
         "pending_tokens",
         "request",
         "sends",
@@ -36,6 +40,13 @@
         self.excluded: set[str] = set()
         self.pending_tokens = 0
         self.sent_ms = 0
+        # When the first event came; 0 before.
+        self.first_ms = 0
+        # The engine that a stream is being moved to, and the one that it is
+        # left at if that fails.
+        self.move_target: upstreams.Upstream | None = None
+        self.move_fallback: upstreams.Upstream | None = None
+        self.kv_source = ""
         self.may_have_run = False
         # Whether a part of the answer has gone to the caller.
         self.began = False
--- a/laburnumpin/platform/clients.py
+++ b/laburnumpin/platform/clients.py
@@ -51,6 +51,7 @@
         document: dict[str, Any] | None = None,
         headers: connections.Headers | None = None,
         wait_ms: int = 0,
+        accepted: tuple[int, ...] = (),
     ) -> tuple[int, dict[str, Any]]:
         """Return the status and the document of the answer.
 
@@ -95,12 +96,17 @@
                     self._idle.append(connection)
                 else:
                     await connection.close()
-        if status in (429, 503):
+        if status in (429, 503) and status not in accepted:
             raise exceptions.PlatformUnavailableError(
                 f"{method} {target.partition('?')[0]}: status {status}"
             )
         return status, _document(text)
 
+    async def close(self) -> None:
+        """Close the kept connections."""
+        while self._idle:
+            await self._idle.pop().close()
+
     async def _connection(self) -> connections.ClientConnection:
         while self._idle:
             kept = self._idle.pop()
@@ -268,6 +274,37 @@
         ]
 
 
+class PlatformEngines:
+    """`EngineClient` on the runners' own calls."""
+
+    __slots__ = ("_task_group",)
+
+    def __init__(self, task_group: abc.TaskGroup) -> None:
+        self._task_group = task_group
+
+    async def move_stream(
+        self, source_address: str, request_id: str, target_address: str
+    ) -> str | None:
+        """Stop a stream and copy its memory to another engine."""
+        http = HttpClient(source_address, self._task_group)
+        try:
+            status, answer = await http.call(
+                "POST",
+                "/kv-move",
+                # `last` stops the run before the copy.
+                {"id": request_id, "to": target_address, "last": True},
+                accepted=(503,),
+            )
+        finally:
+            with anyio.CancelScope(shield=True):
+                await http.close()
+        # Named a handle, it is a text for the path after the address.
+        handle = answer.get("kv_handle")
+        if status not in (200, 503) or handle is None:
+            return None
+        return f"{source_address}/{handle}"
+
+
 class PlatformClients:
     """`Clients` of the platform."""
 
@@ -290,6 +327,10 @@
         http = HttpClient(settings.cloud_address, task_group)
         return PlatformCloud(http, settings.name)
 
+    def engines(self, task_group: abc.TaskGroup) -> interfaces.EngineClient:
+        """Return the client of the model engines."""
+        return PlatformEngines(task_group)
+
 
 def _document(text: bytes) -> dict[str, Any]:
     try:
--- a/laburnumpin/platform/documents.py
+++ b/laburnumpin/platform/documents.py
@@ -154,6 +154,7 @@
             slots=int(described["slots"]),
             kv_capacity_tokens=int(described["kv_capacity_tokens"]),
             kv_token_bytes=int(described.get("kv_token_bytes", 0)),
+            moves_streams=described.get("moves") is True,
         )
     autoscaling = None
     if fields.get("autoscaling"):
--- a/laburnumpin/platform/wire.py
+++ b/laburnumpin/platform/wire.py
@@ -105,6 +105,7 @@
         priority: int,
         body_bytes: int,
         resume_after: int | None,
+        kv_source: str | None,
     ) -> connections.Headers:
         """Return the headers of an attempt."""
         headers = _end_to_end(head.headers, _OWN)
@@ -130,6 +131,8 @@
                     str(max(0, min(9, priority))).encode(),
                 )
             )
+        if kv_source is not None:
+            headers.append((b"Kv-From", kv_source.encode()))
         if resume_after is not None:
             headers.append((b"Last-Event-Id", str(resume_after).encode()))
         return headers
--- a/laburnumpin/tests/forwarding_builders.py
+++ b/laburnumpin/tests/forwarding_builders.py
@@ -77,7 +77,7 @@
     customers: tuple[deployment.Customer, ...] = (),
     bounds: deployment.Autoscaling | None = None,
 ) -> deployment.Deployment:
-    engine = deployment.EngineProfile(64, 700_000, 163_840)
+    engine = deployment.EngineProfile(64, 700_000, 163_840, True)
     services = {
         ENGINES: deployment.Service(
             ENGINES, "/healthz", 300, engine, bounds or autoscaling()
--- /dev/null
+++ b/laburnumpin/tests/test_forwarding_moves.py
@@ -0,0 +1,97 @@
+"""Streams on engines that leave.
+
+The pattern: a zone's reclaimable engines are taken back on a notice that is
+shorter than the long streams on them.
+"""
+
+from __future__ import annotations
+
+from laburnumpin import verdict as verdicts
+from laburnumpin.forwarding import effects
+from laburnumpin.forwarding import events
+from laburnumpin.forwarding import reducer
+from laburnumpin.forwarding import requests
+from laburnumpin.forwarding import state as forwarding_state
+from laburnumpin.forwarding import upstreams
+from laburnumpin.tests import forwarding_builders as build
+
+LEAVING = upstreams.Lifecycle.LEAVING
+
+
+def _streaming(
+    output_tokens: int = 800, **changes: object
+) -> tuple[forwarding_state.ForwardingState, str, str]:
+    """Return a state with one stream, its engine and the other one."""
+    state = build.state(build.registration("u1"), build.registration("u2"))
+    prompt = requests.Prompt(1_000, output_tokens, ())
+    request = build.request(prompt=prompt, **changes)  # type: ignore[arg-type]
+    sent = reducer.reduce(state, events.RequestArrived(0, request))[-1]
+    assert isinstance(sent, effects.Send)
+    reducer.reduce(state, events.FirstEvent(100, 100, "r1"))
+    other = "u2" if sent.upstream_id == "u1" else "u1"
+    return state, sent.upstream_id, other
+
+
+def _leave(
+    state: forwarding_state.ForwardingState, upstream_id: str
+) -> list[effects.Effect]:
+    registration = build.registration(upstream_id, lifecycle=LEAVING)
+    event = events.UpstreamChanged(200, 2, registration)
+    return reducer.reduce(state, event)
+
+
+def _moves(produced: list[effects.Effect]) -> list[effects.MoveStream]:
+    return [e for e in produced if isinstance(e, effects.MoveStream)]
+
+
+def test_long_stream_is_moved_to_another_engine() -> None:
+    state, source, other = _streaming()
+    moved = _moves(_leave(state, source))
+    assert [m.source.upstream_id for m in moved] == [source]
+    assert [m.target.upstream_id for m in moved] == [other]
+    sent = reducer.reduce(state, events.StreamMoved(300, "r1", "a/1"))[-1]
+    assert isinstance(sent, effects.Send)
+    assert (sent.upstream_id, sent.kv_source) == (other, "a/1")
+
+
+def test_short_stream_is_left_to_end() -> None:
+    state, source, _ = _streaming(output_tokens=20)
+    assert not _moves(_leave(state, source))
+
+
+def test_stream_that_may_be_resumed_is_not_moved() -> None:
+    route = build.route(may_repeat=True, max_attempts=2)
+    state, source, _ = _streaming(route=route)
+    assert not _moves(_leave(state, source))
+
+
+def test_stream_without_another_engine_stays() -> None:
+    state, source, other = _streaming()
+    reducer.reduce(state, events.UpstreamRemoved(150, 2, other, False))
+    assert not _moves(_leave(state, source))
+
+
+def test_stream_that_begins_on_a_leaving_engine_is_moved() -> None:
+    state = build.state(build.registration("u1"), build.registration("u2"))
+    prompt = requests.Prompt(1_000, 800, ())
+    request = build.request(prompt=prompt)
+    sent = reducer.reduce(state, events.RequestArrived(0, request))[-1]
+    assert isinstance(sent, effects.Send)
+    assert not _moves(_leave(state, sent.upstream_id))
+    first = events.FirstEvent(300, 300, "r1")
+    assert _moves(reducer.reduce(state, first))
+
+
+def test_rejected_copy_goes_on_where_the_stream_stopped_once() -> None:
+    state, source, _ = _streaming()
+    _leave(state, source)
+    reducer.reduce(state, events.StreamMoved(300, "r1", "a/1"))
+    failed = events.AttemptFailed(
+        310, "r1", events.Ending.REJECTED, verdicts.Verdict.NOT_RUN, True
+    )
+    sent = reducer.reduce(state, failed)[-1]
+    assert isinstance(sent, effects.Send)
+    assert (sent.upstream_id, sent.kv_source) == (source, "a/1")
+    assert isinstance(reducer.reduce(state, failed)[-1], effects.Abort)
+    for upstream in state.upstreams.all():
+        assert upstream.streams() == 0
--- a/laburnumpin/tests/test_platform_wire.py
+++ b/laburnumpin/tests/test_platform_wire.py
@@ -26,6 +26,7 @@
         "priority": 3,
         "body_bytes": 2,
         "resume_after": None,
+        "kv_source": None,
         **changes,
     }
     headers = WIRE.upstream_headers(
