--- a/laburnumpin/forwarding/lifecycle.py
+++ b/laburnumpin/forwarding/lifecycle.py
@@ -224,6 +224,8 @@
             return  # A full upstream is sound.
         case events.Ending.DEADLINE if event.began:
             return
+        case events.Ending.ERROR_STATUS:
+            upstream.record_error()
         case events.Ending.UNREACHABLE | events.Ending.WRONG_UPSTREAM:
             upstream.record_failure(event.now_ms, unreachable=True)
         case _:
--- a/laburnumpin/forwarding/upstreams.py
+++ b/laburnumpin/forwarding/upstreams.py
@@ -12,8 +12,10 @@
 REGISTRATION_GRACE_MS = 2_000
 # Weight of the newest outcome in an upstream's failure rate.
 FAILURE_WEIGHT = 0.2
-# An upstream that could not be reached is left alone for this long, doubled
-# with each further failure.
+# An upstream that could not be reached, or that broke off or kept silent this
+# many times in a row, is left alone for a while, doubled with each further
+# failure.
+BROKEN_IN_A_ROW = 3
 FIRST_PAUSE_MS = 500
 MAX_PAUSE_MS = 4_000
 # Prompt parts that are remembered for one engine.
@@ -115,13 +117,20 @@
         self.consecutive_failures = 0
         self.paused_until_ms = 0
 
-    def record_failure(self, now_ms: int, *, unreachable: bool) -> None:
-        """Note a failed attempt; pause an upstream that was not reached."""
+    def record_error(self) -> None:
+        """Note an answer that tells of a failure."""
         self.failure_rate += (1 - self.failure_rate) * FAILURE_WEIGHT
+
+    def record_failure(self, now_ms: int, *, unreachable: bool) -> None:
+        """Note an attempt without an answer; pause the upstream if need be."""
+        self.record_error()
+        self.consecutive_failures += 1
+        in_a_row = self.consecutive_failures - 1
         if not unreachable:
+            in_a_row -= BROKEN_IN_A_ROW - 1
+        if in_a_row < 0:
             return
-        self.consecutive_failures += 1
-        doublings = min(self.consecutive_failures - 1, 5)
+        doublings = min(in_a_row, 5)
         pause_ms = min(FIRST_PAUSE_MS << doublings, MAX_PAUSE_MS)
         self.paused_until_ms = now_ms + pause_ms
 
--- a/laburnumpin/tests/test_forwarding_registry.py
+++ b/laburnumpin/tests/test_forwarding_registry.py
@@ -135,3 +135,19 @@
     counted.hear("e2/1", {2: {"acme": 5}})
     counted.hear("e2/2", {2: {"acme": 2}})
     assert counted.total(2) == {"acme": 8}
+
+
+def test_upstream_that_keeps_silent_is_left_alone() -> None:
+    # Found on trouble-3 (luvas): 98 requests waited for one mute upstream.
+    state = build.state(build.registration("u1"), build.registration("u2"))
+    mute = state.upstreams.get("u1")
+    assert mute is not None
+    for number in range(upstreams.BROKEN_IN_A_ROW):
+        assert mute in state.upstreams.usable(build.ENGINES, number)
+        mute.record_failure(number, unreachable=False)
+    now_ms = upstreams.BROKEN_IN_A_ROW
+    assert mute not in state.upstreams.usable(build.ENGINES, now_ms)
+    assert mute in state.upstreams.usable(build.ENGINES, 60_000)
+    mute.record_success()
+    mute.record_failure(61_000, unreachable=False)
+    assert mute in state.upstreams.usable(build.ENGINES, 61_000)
