--- a/laburnumpin/forwarding/budgets.py
+++ b/laburnumpin/forwarding/budgets.py
@@ -5,7 +5,6 @@
 import collections
 import dataclasses
 import math
-import random
 
 from laburnumpin.forwarding import deployment
 
@@ -27,6 +26,12 @@
 # A new process starts with this part of a burst: what was used before its
 # start is not known to it.
 START_BURST_SHARE = 0.5
+# Part of the wait for an entry's own part that callers are told: the parts that
+# other entries leave unused come to it too.
+SHARED_WAIT = 0.5
+# Part of the wait for an entry's own part that callers are told: the parts that
+# other entries leave unused come to it too.
+SHARED_WAIT = 0.5
 # While a quota is scarce nothing is admitted below this debt, in seconds of the
 # rate.
 LOWEST_SCARCE_S = 0.5
@@ -106,7 +111,6 @@
         "level",
         "own_level",
         "own_use",
-        "threshold",
         "updated_ms",
         "used",
     )
@@ -115,9 +119,6 @@
         self.level = level
         # This entry's own part while the quota is scarce.
         self.own_level = 0.0
-        # Part of a request that the own part has to cover. It is drawn anew for
-        # each, so that the entries do not overdraw their parts all at once.
-        self.threshold = 0.5
         # Units used lately here and everywhere, decaying exponentially.
         self.own_use = 0.0
         self.all_use = 0.0
@@ -140,10 +141,9 @@
     has a part of its own, which it may overdraw by one request.
     """
 
-    __slots__ = ("_accounts", "_peers", "_random")
+    __slots__ = ("_accounts", "_peers")
 
-    def __init__(self, generator: random.Random) -> None:
-        self._random = generator
+    def __init__(self) -> None:
         self._accounts: dict[str, _Account] = {}
         self._peers: dict[str, _Peer] = {}
 
@@ -162,16 +162,20 @@
         is_free = account.level > unseen + units
         lowest = -customer.rate_per_s * LOWEST_SCARCE_S
         if not is_free and (account.own_level < 0 or account.level < lowest):
-            rate = customer.rate_per_s * self._own_part(account)
-            missing = -account.own_level + units * 0.1
-            return max(1, math.ceil(missing * 1_000 / rate))
+            missing = max(0.0, -account.own_level) + units * 0.1
+            own_s = missing / (customer.rate_per_s * self._own_part(account))
+            # What others leave makes the wait shorter, down to the time that
+            # the whole quota needs.
+            all_s = max(0.0, lowest - account.level) / customer.rate_per_s
+            if self._peers:
+                own_s *= SHARED_WAIT
+            return max(1, math.ceil((all_s + own_s) * 1_000))
         account.level -= units
         account.used += units
         account.own_use += units
         account.all_use += units
         if not is_free:
             account.own_level -= units
-            account.threshold = self._random.random()
         return 0
 
     def give_back(self, customer: deployment.Customer, units: float) -> None:
@@ -258,7 +262,6 @@
         if account is None:
             level = customer.burst * START_BURST_SHARE
             account = _Account(level, now_ms)
-            account.threshold = self._random.random()
             self._accounts[customer.name] = account
             return account
         elapsed_ms = now_ms - account.updated_ms
--- a/laburnumpin/forwarding/reducer.py
+++ b/laburnumpin/forwarding/reducer.py
@@ -19,8 +19,7 @@
         case events.RequestArrived():
             return lifecycle.on_arrived(state, event)
         case events.FirstEvent():
-            lifecycle.on_first_event(state, event)
-            return moves.on_first_event(state, event)
+            return lifecycle.on_first_event(state, event)
         case events.AttemptFailed():
             return moves.on_failed(state, event) or lifecycle.on_failed(
                 state, event
@@ -41,4 +40,6 @@
         case events.DigestReceived():
             return gossip.on_digest(state, event)
         case events.Ticked():
-            return registry.on_tick(state, event) + gossip.on_tick(state, event)
+            produced = registry.on_tick(state, event)
+            produced += gossip.on_tick(state, event)
+            return produced + moves.on_tick(state, event)
--- a/laburnumpin/forwarding/state.py
+++ b/laburnumpin/forwarding/state.py
@@ -27,6 +27,7 @@
         "may_have_run",
         "move_fallback",
         "move_target",
+        "move_tried",
         "pending_tokens",
         "request",
         "sends",
@@ -46,6 +47,8 @@
         # left at if that fails.
         self.move_target: upstreams.Upstream | None = None
         self.move_fallback: upstreams.Upstream | None = None
+        # Whether a move off the present engine was asked for.
+        self.move_tried = False
         self.kv_source = ""
         self.may_have_run = False
         # Whether a part of the answer has gone to the caller.
@@ -102,7 +105,7 @@
         self.registry_read = False
         self.active: dict[str, Active] = {}
         self.budget = budgets.RepeatBudget(bound)
-        self.quotas = budgets.Quotas(generator)
+        self.quotas = budgets.Quotas()
         self.usage = usage.Usage(usage_window_ms)
         self.members = membership.Members(contact)
         self.lease_token = 0
--- a/laburnumpin/forwarding/upstreams.py
+++ b/laburnumpin/forwarding/upstreams.py
@@ -57,6 +57,7 @@
         "cached_parts",
         "consecutive_failures",
         "failure_rate",
+        "leaves_at_ms",
         "missing_since_ms",
         "own_kv_tokens",
         "own_pending_tokens",
@@ -72,6 +73,8 @@
         self.registration = registration
         self.seen_ms = now_ms
         self.missing_since_ms: int | None = None
+        # When the upstream will be gone, once it has announced that.
+        self.leaves_at_ms: int | None = None
         self.own_streams = 0
         self.own_pending_tokens = 0
         self.own_kv_tokens = 0
