Refuse malformed digests, durations and settings with a coded error

Cause: fuzzing with one wrong field at a time: a digest whose lists were of another type ended its reader's task with an AttributeError; durations that are not finite raised from the decoder of registrations and of settings. Ruled out: random documents as a whole (100 examples found nothing).

--- a/laburnumpin/commands/explain.py
+++ b/laburnumpin/commands/explain.py
@@ -35,6 +35,17 @@
 }
 
 
+# Reasons that lie in what the entry knew, and the lines that tell of it.
+_BELIEFS = ("not_ready", "no_route", "unknown_key", "no_upstream", "no_room")
+_CHANGES = (
+    "configuration_in_force",
+    "entry_started",
+    "store_lost",
+    "store_regained",
+    "upstream_changed",
+)
+
+
 def explain(
     request_id: str, files: tuple[pathlib.Path, ...], as_json: bool
 ) -> None:
@@ -81,11 +92,16 @@
     entries = {line.get("entry") for line in own}
     first_s = min(_time(line) for line in own) - BEFORE_S
     last_s = max(_time(line) for line in own) + AFTER_S
+    rejected = any(line.get("reason") in _BELIEFS for line in own)
     story = list(own)
     for line in lines:
-        if "request_id" in line or line.get("upstream") not in upstreams:
+        if "request_id" in line or line.get("entry") not in entries:
+            continue
+        if not first_s <= _time(line) <= last_s:
             continue
-        if line.get("entry") in entries and first_s <= _time(line) <= last_s:
+        known = line.get("upstream") in upstreams
+        changed = line.get("message_type") in _CHANGES
+        if known or (rejected and changed):
             story.append(line)
     story.sort(key=_time)
     return story
--- a/laburnumpin/forwarding/peer_link.py
+++ b/laburnumpin/forwarding/peer_link.py
@@ -12,6 +12,7 @@
 from anyio import abc
 import cbor2
 
+from laburnumpin import exceptions
 from laburnumpin.forwarding import connections
 from laburnumpin.forwarding import digests
 from laburnumpin.forwarding import effects
@@ -71,9 +72,11 @@
     def _receive(self, packet: bytes) -> digests.Digest | None:
         try:
             digest = decode(packet)
-        except (cbor2.CBORDecodeError, ValueError, TypeError, KeyError) as e:
+        except exceptions.MessageError as error:
             self._shell.state.counters.increment("digests_invalid")
-            logs.write("peer_message_invalid", "warning", {"reason": repr(e)})
+            logs.write(
+                "peer_message_invalid", "warning", {"reason": error.message}
+            )
             return None
         self._shell.apply(events.DigestReceived(self._shell.now_ms(), digest))
         return digest
@@ -157,12 +160,23 @@
     """Return the digest in a datagram.
 
     Raises:
-        ValueError: It has another format.
-        TypeError: A field has another type.
-        KeyError: A field is missing.
-        CBORDecodeError: It is not CBOR.
+        MessageError: It is malformed or has another format.
     """
-    fields: Any = cbor2.loads(packet)
+    try:
+        return _decode(cbor2.loads(packet))
+    except (
+        cbor2.CBORDecodeError,
+        ValueError,
+        TypeError,
+        KeyError,
+        AttributeError,
+        IndexError,
+        OverflowError,
+    ) as error:
+        raise exceptions.MessageError(repr(error)) from error
+
+
+def _decode(fields: Any) -> digests.Digest:
     if not isinstance(fields, dict) or fields.get("f") != FORMAT:
         raise ValueError("not a digest of this format")
     windows = {}
--- a/laburnumpin/platform/documents.py
+++ b/laburnumpin/platform/documents.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 import re
 from typing import Any
 
@@ -71,8 +72,6 @@
             return None
         if not _is_int(born):
             return None
-        cold = document.get("cold_remaining_ms")
-        leaves = document.get("leaves_ms")
         return upstreams.Registration(
             upstream_id=row.key,
             incarnation_ms=int(born),
@@ -82,13 +81,18 @@
             slots=int(str(slots)),
             lifecycle=lifecycle,
             reclaimable=document.get("spot") is True,
-            cold_ms=int(cold) if isinstance(cold, int | float) else 0,
-            leaves_in_ms=(
-                int(leaves) if isinstance(leaves, int | float) else None
-            ),
+            cold_ms=_duration_ms(document.get("cold_remaining_ms")) or 0,
+            leaves_in_ms=_duration_ms(document.get("leaves_ms")),
         )
 
 
+def _duration_ms(value: object) -> int | None:
+    """Return a duration; None where there is none that can be read."""
+    if isinstance(value, int | float) and math.isfinite(value):
+        return int(value)
+    return None
+
+
 def _is_int(value: object) -> bool:
     return isinstance(value, int) and not isinstance(value, bool)
 
--- a/laburnumpin/platform/settings.py
+++ b/laburnumpin/platform/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import pathlib
 import tomllib
 from typing import Any
@@ -37,9 +38,9 @@
         value = self._find(path)
         if value is None and default is not None:
             return default
-        is_number = isinstance(value, int | float)
-        if is_number and not isinstance(value, bool) and value >= 0:
-            return float(value)
+        if isinstance(value, int | float) and not isinstance(value, bool):
+            if math.isfinite(value) and value >= 0:
+                return float(value)
         self._fault(path, "a number that is not negative is expected")
         return 0.0
 
--- a/laburnumpin/tests/test_commands_explain.py
+++ b/laburnumpin/tests/test_commands_explain.py
@@ -49,6 +49,18 @@
     assert "had not run" in text
 
 
+def test_rejection_shows_what_the_entry_had_learnt() -> None:
+    story = _story(
+        _line(1.0, "upstream_changed", upstream="u7", change="leaving"),
+        _line(1.0, "peer_heard", peer="e2"),
+        _line(1.2, "request_rejected", request_id="r1", reason="no_upstream"),
+    )
+    assert [line["message_type"] for line in story] == [
+        "upstream_changed",
+        "request_rejected",
+    ]
+
+
 def test_stream_that_was_broken_off_by_a_reclaim() -> None:
     story = _story(
         _line(1.0, "request_sent", request_id="r1", upstream="u1", attempt=1),
