--- a/laburnumpin/forwarding/attempts.py
+++ b/laburnumpin/forwarding/attempts.py
@@ -365,11 +365,37 @@
         if self._request.route.is_stream and 200 <= status < 300:
             await self._relay_stream(connection, status, passed_on)
             return
-        body = await self._body_of(connection, head)
-        self._relay.runs()
-        await self._relay.whole(
-            Answer(status, _with_length(passed_on, body), body)
-        )
+        await self._relay_answer(connection, status, passed_on)
+
+    async def _relay_answer(
+        self,
+        connection: connections.ClientConnection,
+        status: int,
+        headers: connections.Headers,
+    ) -> None:
+        """Relay an answer, as a whole unless it is large."""
+        body = bytearray()
+        relay = self._relay
+        while True:
+            chunk = await connection.chunk()
+            if relay.began:
+                if not chunk:
+                    await relay.end()
+                    return
+                await relay.write(chunk)
+                continue
+            body += chunk
+            if chunk and len(body) <= BUFFERED_BYTES:
+                continue
+            relay.runs()
+            if chunk:
+                await relay.start(status, headers, bytes(body))
+                continue
+            whole = bytes(body)
+            await relay.whole(
+                Answer(status, _with_length(headers, whole), whole)
+            )
+            return
 
     async def _body_of(
         self, connection: connections.ClientConnection, head: h11.Response
--- a/laburnumpin/forwarding/caller.py
+++ b/laburnumpin/forwarding/caller.py
@@ -37,13 +37,6 @@
         )
         self.reader = connections.ReadAhead(stream)
 
-    @property
-    def answer_began(self) -> bool:
-        """Return whether a part of an answer was written."""
-        return self._h11.our_state is not h11.SEND_RESPONSE and (
-            self._h11.our_state is not h11.IDLE
-        )
-
     async def read_head(
         self, idle_timeout_ms: int, header_timeout_ms: int
     ) -> h11.Request | None:
--- a/laburnumpin/forwarding/frontend.py
+++ b/laburnumpin/forwarding/frontend.py
@@ -19,8 +19,6 @@
 from laburnumpin.server import logs
 
 BACKLOG = 512
-# Descriptors that stay free for upstreams, the platform and peers.
-RESERVED_SHARE = 0.5
 
 
 class Frontend:
--- a/laburnumpin/forwarding/lifecycle.py
+++ b/laburnumpin/forwarding/lifecycle.py
@@ -102,6 +102,8 @@
         reason = effects.Reason.UPSTREAM_REJECTED
     if event.ending is events.Ending.DEADLINE:
         return _end(state, active, effects.Reason.DEADLINE)
+    if event.began and not active.request.route.is_stream:
+        return _end(state, active, reason)  # Only streams can go on elsewhere.
     safe = request_may_be_sent(active)
     if not safe or now_ms + MIN_ATTEMPT_MS > active.request.deadline_ms:
         return _end(state, active, reason)
--- a/laburnumpin/soak/promises.py
+++ b/laburnumpin/soak/promises.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import enum
+import itertools
 
 from laburnumpin.platform import standins
 
@@ -66,7 +67,15 @@
 class History:
     """All that was seen during a soak."""
 
-    __slots__ = ("configs", "leaving", "outcomes", "runs", "spans")
+    __slots__ = (
+        "configs",
+        "leaving",
+        "missing",
+        "outcomes",
+        "runs",
+        "spans",
+        "written",
+    )
 
     def __init__(self) -> None:
         self.outcomes: list[Outcome] = []
@@ -77,6 +86,10 @@
         # Version that each entry's incarnation showed, with the time of the
         # probe's sending: (entry, incarnation, sent_ms, version).
         self.configs: list[tuple[str, int, int, int]] = []
+        # Probes of a version that was not in force: entry, time, version.
+        self.missing: list[tuple[str, int, int]] = []
+        # When the operator's write of each version was acknowledged.
+        self.written: dict[int, int] = {}
 
     def calm(self, start_ms: int, end_ms: int, *, planned: bool) -> bool:
         """Return whether no fault touches a span.
@@ -102,6 +115,7 @@
         lines.extend(_of_request(history, outcome, own))
     lines.extend(_of_leaving(history))
     lines.extend(_of_configurations(history))
+    lines.extend(_of_late_configurations(history))
     lines.extend(_of_duties(store))
     return lines
 
@@ -174,6 +188,24 @@
     return lines
 
 
+def _of_late_configurations(history: History) -> list[str]:
+    lines = []
+    newest = sorted(history.written)
+    following = dict(itertools.pairwise(newest))
+    for entry, sent_ms, version in history.missing:
+        late_ms = sent_ms - history.written[version] - CONFIG_MS
+        replaced_ms = history.written.get(following.get(version, 0))
+        if replaced_ms is not None and replaced_ms <= sent_ms + SLACK_MS:
+            continue
+        calm = history.calm(sent_ms, sent_ms, planned=False)
+        if late_ms > SLACK_MS and calm:
+            lines.append(
+                f"{entry}: configuration {version} not in force, "
+                f"{late_ms} ms late"
+            )
+    return lines
+
+
 def _of_duties(store: standins.Store) -> list[str]:
     lines = []
     for token, holders in store.holders.items():
--- a/laburnumpin/soak/proxy.py
+++ b/laburnumpin/soak/proxy.py
@@ -6,7 +6,6 @@
 from anyio import abc
 
 CHUNK_BYTES = 16_384
-POLL_S = 0.02
 
 
 class Proxy:
--- a/laburnumpin/soak/run.py
+++ b/laburnumpin/soak/run.py
@@ -119,6 +119,7 @@
         self._store.put(
             "op", "config", standins.configuration(self._version, "v1")
         )
+        self._history.written[self._version] = self._clock.now_ms()
         for service in ("engines", "desk"):
             for _ in range(3):
                 await self._add_runner(task_group, service)
@@ -282,7 +283,13 @@
                     None,
                     f"/v{version}/x",
                 )
-                if outcome.status == 200 and incarnation == entry.incarnation:
+                if incarnation != entry.incarnation:
+                    continue
+                if outcome.status == 404 and version == self._version:
+                    self._history.missing.append(
+                        (entry.name, outcome.sent_ms, version)
+                    )
+                if outcome.status == 200:
                     self._history.configs.append(
                         (entry.name, incarnation, outcome.sent_ms, version)
                     )
@@ -297,6 +304,7 @@
                 "config",
                 standins.configuration(self._version, f"v{self._version}"),
             )
+            self._history.written[self._version] = self._clock.now_ms()
 
     async def _inject(self, task_group: abc.TaskGroup) -> None:
         """Inject faults one after the other; two of these overlap."""
--- a/laburnumpin/tests/test_platform_relay.py
+++ b/laburnumpin/tests/test_platform_relay.py
@@ -309,6 +309,24 @@
     play(script, act, routes=ONCE)
 
 
+@pytest.mark.parametrize("cut", [False, True])
+def test_large_answer_is_passed_on_and_looks_cut_when_it_is(cut: bool) -> None:
+    body = b"x" * 400_000
+
+    async def script(peer: Peer) -> None:
+        await peer.request()
+        sent = _answer("r1", body)
+        await peer.stream.send(sent[:-10] if cut else sent)
+
+    async def act(world: World) -> None:
+        received = await world.call(_request())
+        assert _status(received) == 200
+        assert _complete(received) == (0 if cut else 1)
+        assert world.connections == 1
+
+    play(script, act, upstreams=2)
+
+
 def test_end_of_the_caller_ends_the_work_upstream() -> None:
     begun = []
 
--- a/laburnumpin/tests/test_soak.py
+++ b/laburnumpin/tests/test_soak.py
@@ -76,6 +76,15 @@
     assert promises.broken(history, _store())
 
 
+def test_configuration_that_comes_late_is_found() -> None:
+    history = _history()
+    history.written[3] = 0
+    history.missing.append(("entry-0", 9_000, 3))
+    assert promises.broken(history, _store())
+    history.written[4] = 9_100
+    assert not promises.broken(history, _store())
+
+
 def test_request_cut_by_a_planned_exit_is_found() -> None:
     history = _history()
     history.spans.append(promises.Span("entry-0", 0, 50, planned=True))
