Take one's own lease again at once; fetch a peer's state once

Luvas, 4 to 24 s: an entry that started after a removal never reached the version of its peers; the entries fetched whole states up to 20 times a second. Ruled out: a shorter lease (its length is in the settings).

--- a/laburnumpin/forwarding/duties.py
+++ b/laburnumpin/forwarding/duties.py
@@ -146,7 +146,7 @@
         """
         if not self._shell.is_ready():
             return False
-        if self._lease.holds(now_ms):
+        if self._lease.holds(now_ms) or not self._lease.was_read:
             return True
         state = self._shell.state
         names = [peer.name for peer in state.members.live(now_ms)]
--- a/laburnumpin/forwarding/lease.py
+++ b/laburnumpin/forwarding/lease.py
@@ -64,6 +64,7 @@
         "_version",
         "_writes",
         "fencing_token",
+        "was_read",
     )
 
     def __init__(self, name: str, lease_ms: int) -> None:
@@ -79,6 +80,8 @@
         self._busy_since_ms: int | None = None
         self._next_ms = 0
         self._writes = 0
+        # Whether the row was read since the start of the process.
+        self.was_read = False
 
     def may_act(self, now_ms: int) -> bool:
         """Return whether an order may be sent under the lease now."""
@@ -126,7 +129,9 @@
         take_ms = int(self._lease_ms * TAKE_SHARE)
         if seen is not None:
             lapsed = now_ms >= self._seen_ms + take_ms
-            if lapsed or seen.version == 0 or seen.holder == RELEASED:
+            # A row of this entry's own name is from a process before this one.
+            free = seen.version == 0 or seen.holder in (RELEASED, self._name)
+            if lapsed or free:
                 fencing_token = seen.fencing_token + 1
                 return self._write(
                     now_ms, seen.version, fencing_token, self._name
@@ -136,6 +141,7 @@
 
     def read(self, row: Row, now_ms: int) -> None:
         """Apply the row as the store showed it."""
+        self.was_read = True
         self._busy_since_ms = None
         self._next_ms = now_ms + PAUSE_MS
         pending = self._pending
@@ -154,7 +160,7 @@
         if seen is None or seen.version != row.version:
             self._seen = row
             self._seen_ms = now_ms
-            if row.version == 0 or row.holder == RELEASED:
+            if row.version == 0 or row.holder in (RELEASED, self._name):
                 self._next_ms = now_ms
 
     def written(self, version: int, now_ms: int) -> None:
--- a/laburnumpin/forwarding/synchronization.py
+++ b/laburnumpin/forwarding/synchronization.py
@@ -214,6 +214,7 @@
                 Table.OPERATOR,
                 interfaces.Rows(tuple(operator), operator_version),
                 False,
+                operator_version,
             )
         if version > self._versions[Table.UPSTREAMS]:
             logs.write(
@@ -221,8 +222,13 @@
                 "info",
                 {"table": "upstreams", "version": version},
             )
+            # A peer may have followed the store all the while; registrations
+            # that it lacks are in doubt only if this entry lost the store.
             self._apply_all(
-                Table.UPSTREAMS, interfaces.Rows(tuple(rows), version), True
+                Table.UPSTREAMS,
+                interfaces.Rows(tuple(rows), version),
+                bool(self._failing),
+                version,
             )
 
     def _apply_all(
@@ -230,12 +236,13 @@
         table: interfaces.Table,
         rows: interfaces.Rows,
         after_outage: bool,
+        known_version: int = 0,
     ) -> None:
         if rows.version < self._versions[table]:
             return  # A peer's snapshot was newer.
         newest = max([row.version for row in rows.rows], default=1)
         before = self._versions[table]
-        self._versions[table] = max(before, newest)
+        self._versions[table] = max(before, newest, known_version)
         now_ms = self._shell.now_ms()
         if table is Table.OPERATOR:
             self._operator_rows = {row.key: row for row in rows.rows}
--- a/laburnumpin/tests/test_forwarding_lease.py
+++ b/laburnumpin/tests/test_forwarding_lease.py
@@ -73,6 +73,21 @@
     assert second.fencing_token == 2
 
 
+def test_entry_that_starts_again_takes_its_own_lease_at_once() -> None:
+    # Found on an incident of Rigsafe: all processes were killed, and nobody
+    # ordered upstreams until the lease had lapsed.
+    first, store = leases.Lease("a", LEASE_MS), _Store()
+    for now_ms in range(0, 200, 50):
+        _step(first, store, now_ms)
+    again, other = leases.Lease("a", LEASE_MS), leases.Lease("b", LEASE_MS)
+    for now_ms in range(1_000, 1_300, 50):
+        _step(other, store, now_ms)
+        _step(again, store, now_ms)
+    assert again.may_act(1_300)
+    assert again.fencing_token == 2
+    assert not other.holds(1_300)
+
+
 def test_renewal_whose_answer_was_lost_is_found_by_its_token() -> None:
     lease, store = leases.Lease("a", LEASE_MS), _Store()
     for now_ms in range(0, 200, 50):
