--- a/laburnumpin/forwarding/lifecycle.py
+++ b/laburnumpin/forwarding/lifecycle.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from laburnumpin import verdict as verdicts
-from laburnumpin.forwarding import deployment
 from laburnumpin.forwarding import effects
 from laburnumpin.forwarding import events
 from laburnumpin.forwarding import selection
@@ -145,7 +144,7 @@
     reason: effects.Reason,
 ) -> list[effects.Effect]:
     request = active.request
-    service = _service(state, request.service)
+    service = state.service(request.service)
     candidates = state.upstreams.usable(request.service, now_ms)
     choice = None
     if service is not None and candidates:
@@ -247,11 +246,3 @@
     if active.choice is not None:
         active.choice.upstream.own_streams -= 1
     active.choice = None
-
-
-def _service(
-    state: forwarding_state.ForwardingState, name: str
-) -> deployment.Service | None:
-    if state.deployment is None:
-        return None
-    return state.deployment.services.get(name)
--- a/laburnumpin/forwarding/moves.py
+++ b/laburnumpin/forwarding/moves.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from laburnumpin import verdict as verdicts
-from laburnumpin.forwarding import deployment
 from laburnumpin.forwarding import effects
 from laburnumpin.forwarding import events
 from laburnumpin.forwarding import lifecycle
@@ -89,7 +88,7 @@
     now_ms: int,
 ) -> list[effects.Effect]:
     request, choice = active.request, active.choice
-    service = _service(state, request.service)
+    service = state.service(request.service)
     if service is None or service.engine is None or choice is None:
         return []
     movable = service.engine.moves_streams and request.prompt is not None
@@ -165,11 +164,3 @@
             kv_source=active.kv_source,
         )
     ]
-
-
-def _service(
-    state: forwarding_state.ForwardingState, name: str
-) -> deployment.Service | None:
-    if state.deployment is None:
-        return None
-    return state.deployment.services.get(name)
--- a/laburnumpin/forwarding/state.py
+++ b/laburnumpin/forwarding/state.py
@@ -118,6 +118,12 @@
         # Prompt parts read by upstreams since the last digest.
         self.new_parts: list[tuple[str, int]] = []
 
+    def service(self, name: str) -> deployment.Service | None:
+        """Return a service of the configuration in force, if it is there."""
+        if self.deployment is None:
+            return None
+        return self.deployment.services.get(name)
+
     def add_work(self, service: str, work_ms: float) -> None:
         """Count engine time that a request takes."""
         self.work_ms[service] = self.work_ms.get(service, 0.0) + work_ms
