--- a/laburnumpin/forwarding/attempts.py
+++ b/laburnumpin/forwarding/attempts.py
@@ -76,7 +76,6 @@
         "extra_headers",
         "failure",
         "last_event",
-        "partial",
         "status",
     )
 
@@ -96,8 +95,6 @@
         self.failure: Answer | None = None
         # The id of the last event that the caller has.
         self.last_event = resume_after
-        # Whether bytes went out that do not end with an event.
-        self.partial = False
 
     def runs(self) -> None:
         """Note that the upstream has begun to run the request."""
@@ -136,7 +133,6 @@
 
     __slots__ = (
         "_body",
-        "_connection",
         "_head",
         "_kv_source",
         "_move_ended",
@@ -161,7 +157,6 @@
         self._body = body
         self._send = send
         self._relay = relay
-        self._connection: connections.ClientConnection | None = None
         # Set while a move is under way, and the event after it.
         self._move_ended: anyio.Event | None = None
         self._kv_source: str | None = None
@@ -215,7 +210,6 @@
             raise AttemptError(
                 events.Ending.UNREACHABLE, NOT_RUN, str(error)
             ) from error
-        self._connection = connection
         complete = False
         try:
             await self._exchange(connection)
@@ -256,9 +250,7 @@
                     await self._read(connection)
                     return
                 async with anyio.create_task_group() as task_group:
-                    task_group.start_soon(
-                        self._write_quietly, connection, headers
-                    )
+                    task_group.start_soon(self._write, connection, headers)
                     await self._read(connection)
                     task_group.cancel_scope.cancel()
         except TimeoutError as error:
@@ -281,13 +273,6 @@
             # The upstream may have answered before it closed.
             return
 
-    async def _write_quietly(
-        self,
-        connection: connections.ClientConnection,
-        headers: connections.Headers,
-    ) -> None:
-        await self._write(connection, headers)
-
     async def _read(self, connection: connections.ClientConnection) -> None:
         try:
             head: h11.Response | None = None
--- a/laburnumpin/forwarding/events.py
+++ b/laburnumpin/forwarding/events.py
@@ -87,9 +87,7 @@
 class AttemptFailed:
     """An attempt ended without a complete answer.
 
-    `began` tells whether a part of the answer has gone to the caller;
-    `can_resume` whether the part ends between two events of a stream that
-    another upstream may continue.
+    `began` tells whether a part of the answer has gone to the caller.
     """
 
     now_ms: int
--- a/laburnumpin/forwarding/upstreams.py
+++ b/laburnumpin/forwarding/upstreams.py
@@ -59,7 +59,6 @@
         "failure_rate",
         "leaves_at_ms",
         "missing_since_ms",
-        "own_kv_tokens",
         "own_pending_tokens",
         "own_streams",
         "paused_until_ms",
@@ -77,7 +76,6 @@
         self.leaves_at_ms: int | None = None
         self.own_streams = 0
         self.own_pending_tokens = 0
-        self.own_kv_tokens = 0
         # Streams and pending prompt tokens of each peer, by its name.
         self.peer_load: dict[str, tuple[int, int]] = {}
         self.failure_rate = 0.0
