Bound idle connections by what an upstream accepts from all entries

With 74 entries and 24 kept connections each, a plain upstream that accepts 500 could be full of idle ones (found by reading; 24 x 74 = 1776). An entry now keeps its part of half of the declared connections. Upstreams that have just started are spared while they are slow, a pause of a stream is judged by the pause that its route declares, and a request before the first list of upstreams is told that the entry is not ready. The platform's names of prices and bounds are translated in the adapter; fields that nothing read are gone.

--- a/laburnumpin/forwarding/attempts.py
+++ b/laburnumpin/forwarding/attempts.py
@@ -24,9 +24,9 @@
 BUFFERED_BYTES = 131_072
 # A body over this size is sent while the answer is awaited.
 INLINE_BODY_BYTES = 4_096
-# A repeatable stream that pauses for longer than this many times its
-# objective is continued elsewhere.
-GAP_OBJECTIVES = 3.0
+# A repeatable stream that pauses for longer than this many times the pause that
+# its route declares is continued elsewhere, and not before this time.
+GAP_OBJECTIVES = 2.0
 MIN_GAP_MS = 800
 # A stream that stopped for a move waits this long for the copy.
 MOVE_TIMEOUT_S = 2.0
@@ -224,7 +224,11 @@
         finally:
             with anyio.CancelScope(shield=True):
                 if complete:
-                    await self._shell.pool.release(registration, connection)
+                    await self._shell.pool.release(
+                        registration,
+                        connection,
+                        self._shell.idle_limit(registration.service),
+                    )
                 else:
                     await connection.close()
 
@@ -402,7 +406,8 @@
         relay = self._relay
         is_first = True
         route = self._request.route
-        gap_ms = max(MIN_GAP_MS, int(route.objective_ms * GAP_OBJECTIVES))
+        declared_ms = route.gap_objective_ms or route.objective_ms
+        gap_ms = max(MIN_GAP_MS, int(declared_ms * GAP_OBJECTIVES))
         while True:
             wait_ms = self._send.silence_ms if is_first else gap_ms
             if not route.may_repeat:
--- a/laburnumpin/forwarding/autoscaling.py
+++ b/laburnumpin/forwarding/autoscaling.py
@@ -147,9 +147,9 @@
     """
     others = max(1, len(zones) - 1)
     each = math.ceil(needed / others)
-    if bounds.spot_price >= 1.0:
+    if bounds.reclaimable_price_share >= 1.0:
         each = 0
-    each = max(0, min(each, bounds.max_replicas - 1))
+    each = max(0, min(each, bounds.max_per_zone - 1))
     wanted = dict.fromkeys(zones, each)
     missing = needed_regular
     if each > 0:
@@ -161,7 +161,7 @@
     regular = _spread(max(0, missing), bounds, zones, supply)
     if each == 0:
         for zone in zones:
-            regular[zone] = max(regular[zone], bounds.min_replicas)
+            regular[zone] = max(regular[zone], bounds.min_per_zone)
     return Plan(wanted, regular)
 
 
@@ -173,11 +173,11 @@
 ) -> dict[str, int]:
     """Spread engines over the zones, cheaper ones first."""
     spread = dict.fromkeys(zones, 0)
-    by_price = sorted(zones, key=lambda z: bounds.zone_prices.get(z, 1.0))
-    for _ in range(bounds.max_replicas):
+    by_price = sorted(zones, key=lambda z: bounds.price_by_zone.get(z, 1.0))
+    for _ in range(bounds.max_per_zone):
         for zone in by_price:
             taken = supply.count(zone, reclaimable=True) + spread[zone]
-            if count <= 0 or taken >= bounds.max_replicas:
+            if count <= 0 or taken >= bounds.max_per_zone:
                 continue
             spread[zone] += 1
             count -= 1
@@ -274,7 +274,7 @@
         unheard = state.unheard_factor(now_ms)
         load *= unheard
         long_load *= unheard
-        zones = sorted(bounds.zone_prices)
+        zones = sorted(bounds.price_by_zone)
         supply = _supply(state, service.name)
         if supply.reclaimed:
             scaler.scarce_until_ms = now_ms + SCARCE_MS
--- a/laburnumpin/forwarding/budgets.py
+++ b/laburnumpin/forwarding/budgets.py
@@ -29,9 +29,6 @@
 # Part of the wait for an entry's own part that callers are told: the parts that
 # other entries leave unused come to it too.
 SHARED_WAIT = 0.5
-# Part of the wait for an entry's own part that callers are told: the parts that
-# other entries leave unused come to it too.
-SHARED_WAIT = 0.5
 # While a quota is scarce nothing is admitted below this debt, in seconds of the
 # rate.
 LOWEST_SCARCE_S = 0.5
--- a/laburnumpin/forwarding/deployment.py
+++ b/laburnumpin/forwarding/deployment.py
@@ -49,8 +49,6 @@
     """Constants of a service's model engines."""
 
     slots: int
-    kv_capacity_tokens: int
-    kv_token_bytes: int
     moves_streams: bool
 
 
@@ -58,15 +56,16 @@
 class Autoscaling:
     """Bounds and prices of the upstreams of a service, each per zone.
 
-    `spot_price` is the price of a reclaimable upstream as a share of the
-    price of another; 1.0 when there are none.
+    `price_by_zone` is relative to the other zones. `reclaimable_price_share`
+    is the price of a reclaimable upstream as a share of that of another; 1.0
+    when there are none.
     """
 
-    min_replicas: int
-    max_replicas: int
+    min_per_zone: int
+    max_per_zone: int
     boot_ms: int
-    spot_price: float
-    zone_prices: dict[str, float]
+    reclaimable_price_share: float
+    price_by_zone: dict[str, float]
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -77,7 +76,6 @@
     """
 
     name: str
-    health_path: str
     max_connections: int
     engine: EngineProfile | None
     autoscaling: Autoscaling | None
--- a/laburnumpin/forwarding/lifecycle.py
+++ b/laburnumpin/forwarding/lifecycle.py
@@ -161,6 +161,8 @@
     if choice is None:
         if not candidates:
             reason = effects.Reason.NO_UPSTREAM
+            if not state.registry_read:
+                reason = effects.Reason.NOT_READY
         return _end(state, active, reason)
     active.choice = choice
     active.sends += 1
--- a/laburnumpin/forwarding/pool.py
+++ b/laburnumpin/forwarding/pool.py
@@ -9,8 +9,11 @@
 from laburnumpin.forwarding import upstreams
 
 CONNECT_TIMEOUT_MS = 400
-# Idle connections of one upstream that are kept.
+# Idle connections of one upstream that are kept at most.
 MAX_IDLE = 24
+# Part of the connections that an upstream accepts that all entries together may
+# keep idle; the rest is for requests.
+IDLE_CONNECTIONS_SHARE = 0.5
 # Part of an announced idle timeout after which a connection is not used.
 IDLE_SHARE = 0.6
 # The same where none is announced.
@@ -68,10 +71,14 @@
         self,
         registration: upstreams.Registration,
         connection: connections.ClientConnection,
+        max_idle: int,
     ) -> None:
-        """Keep a connection after a complete response, if it can be."""
+        """Keep a connection after a complete response, if it can be.
+
+        At most `max_idle` are kept for one upstream.
+        """
         idle = self._idle.setdefault(_key(registration), [])
-        if not connection.finish() or len(idle) >= MAX_IDLE:
+        if not connection.finish() or len(idle) >= max_idle:
             await connection.close()
             return
         connection.idle_since_ms = self._clock.now_ms()
@@ -86,6 +93,15 @@
                 await connection.close()
 
 
+def idle_limit(max_connections: int, entries: int) -> int:
+    """Return the idle connections that one of the entries may keep.
+
+    `max_connections` is what the upstream accepts from all of them.
+    """
+    share = int(max_connections * IDLE_CONNECTIONS_SHARE / max(1, entries))
+    return max(1, min(MAX_IDLE, share))
+
+
 def _key(registration: upstreams.Registration) -> _Key:
     return (
         registration.upstream_id,
--- a/laburnumpin/forwarding/selection.py
+++ b/laburnumpin/forwarding/selection.py
@@ -24,6 +24,9 @@
 OTHER_ZONE_MS = 6.0
 # Score that is added for a failure rate of 1.
 FAILURE_SCORE_MS = 2_000.0
+# Factor on the score of an upstream that has just started, as the deployments'
+# data sheets give it for their plain services.
+COLD_FACTOR = 1.6
 # Score of preferring the engine that the other entries prefer too for the
 # same leading part, while none is known to have it.
 AFFINITY_MS = 10.0
@@ -82,6 +85,8 @@
             uncached = uncached_tokens(upstream, request, now_ms)
             predicted_ms = first_token_ms(upstream, uncached, streams)
         score_ms = predicted_ms * upstream.slowness
+        if now_ms < upstream.cold_until_ms:
+            score_ms *= COLD_FACTOR
         score_ms += upstream.failure_rate * FAILURE_SCORE_MS
         if registration.zone != zone:
             score_ms += OTHER_ZONE_MS
--- a/laburnumpin/forwarding/settings.py
+++ b/laburnumpin/forwarding/settings.py
@@ -11,9 +11,8 @@
 class ForwardingSettings:
     """Addresses, bounds and names of one process.
 
-    Addresses are `IP:PORT`. `drain_ms` is how long after the notice new work
-    may go to a leaving upstream; `exit_ms` is the time from the request to
-    exit until the process is killed.
+    Addresses are `IP:PORT`. `exit_ms` is the time from the request to exit
+    until the process is killed.
     """
 
     name: str
@@ -25,7 +24,6 @@
     store_address: str
     cloud_address: str
     duties: tuple[str, ...]
-    drain_ms: int
     exit_ms: int
     lease_ms: int
     repeat_bound: budgets.RepeatBound
--- a/laburnumpin/forwarding/shell.py
+++ b/laburnumpin/forwarding/shell.py
@@ -80,6 +80,14 @@
             return False
         return self.state.deployment is not None and self.state.registry_read
 
+    def idle_limit(self, service: str) -> int:
+        """Return how many idle connections to keep for one upstream."""
+        described = self.state.service(service)
+        if described is None:
+            return 0
+        entries = self.state.members.count()
+        return pool.idle_limit(described.max_connections, entries)
+
     def leave(self) -> None:
         """Start the exit: take no new work after a while."""
         if not self.leaving.is_set():
--- a/laburnumpin/forwarding/upstreams.py
+++ b/laburnumpin/forwarding/upstreams.py
@@ -34,8 +34,9 @@
     """One upstream as it is registered at the platform.
 
     `incarnation_ms` is the time of its start; an upstream that starts again
-    under its id knows nothing of before. `leaves_in_ms` is the notice of a
-    reclaim, None if there is none.
+    under its id knows nothing of before. It is slower than usual for another
+    `cold_ms` after its start. `leaves_in_ms` is the notice of a reclaim, None
+    if there is none.
     """
 
     upstream_id: str
@@ -55,6 +56,7 @@
 
     __slots__ = (
         "cached_parts",
+        "cold_until_ms",
         "consecutive_failures",
         "failure_rate",
         "leaves_at_ms",
@@ -71,6 +73,7 @@
     def __init__(self, registration: Registration, now_ms: int) -> None:
         self.registration = registration
         self.seen_ms = now_ms
+        self.cold_until_ms = now_ms + registration.cold_ms
         self.missing_since_ms: int | None = None
         # When the upstream will be gone, once it has announced that.
         self.leaves_at_ms: int | None = None
@@ -218,6 +221,7 @@
             return changes
         known.missing_since_ms = None
         known.seen_ms = now_ms
+        known.cold_until_ms = now_ms + registration.cold_ms
         if old.lifecycle is Lifecycle.LEAVING:
             # A leaving upstream does not come back in the same incarnation.
             registration = dataclasses.replace(
--- a/laburnumpin/platform/documents.py
+++ b/laburnumpin/platform/documents.py
@@ -156,27 +156,25 @@
         described = fields["engine"]
         engine = deployment.EngineProfile(
             slots=int(described["slots"]),
-            kv_capacity_tokens=int(described["kv_capacity_tokens"]),
-            kv_token_bytes=int(described.get("kv_token_bytes", 0)),
             moves_streams=described.get("moves") is True,
         )
     autoscaling = None
     if fields.get("autoscaling"):
         bounds = fields["autoscaling"]
         autoscaling = deployment.Autoscaling(
-            min_replicas=int(bounds["min_replicas"]),
-            max_replicas=int(bounds["max_replicas"]),
+            # Both bounds hold for each zone.
+            min_per_zone=int(bounds["min_replicas"]),
+            max_per_zone=int(bounds["max_replicas"]),
             boot_ms=int(float(bounds.get("boot_time_s", 5)) * 1_000),
             # Absent where there are no reclaimable upstreams.
-            spot_price=float(bounds.get("spot_price", 1.0)),
-            zone_prices={
+            reclaimable_price_share=float(bounds.get("spot_price", 1.0)),
+            price_by_zone={
                 str(zone): float(price)
                 for zone, price in bounds.get("zone_prices", {}).items()
             },
         )
     return deployment.Service(
         name=str(fields["name"]),
-        health_path=str(fields.get("health_path", "/")),
         max_connections=int(fields.get("max_connections", 100)),
         engine=engine,
         autoscaling=autoscaling,
--- a/laburnumpin/platform/settings.py
+++ b/laburnumpin/platform/settings.py
@@ -134,7 +134,6 @@
             else ""
         ),
         duties=tuple(duties),
-        drain_ms=int(reader.number("bounds", "drain_ms", default=2_000)),
         exit_ms=_seconds(reader, "grace_s", 8),
         lease_ms=int(reader.number("bounds", "lease_ms", default=3_000)),
         repeat_bound=bound,
--- a/laburnumpin/tests/forwarding_builders.py
+++ b/laburnumpin/tests/forwarding_builders.py
@@ -47,11 +47,11 @@
 
 def autoscaling(**changes: object) -> deployment.Autoscaling:
     fields: dict[str, object] = {
-        "min_replicas": 1,
-        "max_replicas": 4,
+        "min_per_zone": 1,
+        "max_per_zone": 4,
         "boot_ms": 4_000,
-        "spot_price": 0.18,
-        "zone_prices": {"a": 0.85, "b": 1.2, "c": 1.0},
+        "reclaimable_price_share": 0.18,
+        "price_by_zone": {"a": 0.85, "b": 1.2, "c": 1.0},
         **changes,
     }
     return deployment.Autoscaling(**fields)  # type: ignore[arg-type]
@@ -77,12 +77,12 @@
     customers: tuple[deployment.Customer, ...] = (),
     bounds: deployment.Autoscaling | None = None,
 ) -> deployment.Deployment:
-    engine = deployment.EngineProfile(64, 700_000, 163_840, True)
+    engine = deployment.EngineProfile(64, True)
     services = {
         ENGINES: deployment.Service(
-            ENGINES, "/healthz", 300, engine, bounds or autoscaling()
+            ENGINES, 300, engine, bounds or autoscaling()
         ),
-        DESK: deployment.Service(DESK, "/healthz", 96, None, None),
+        DESK: deployment.Service(DESK, 96, None, None),
     }
     if routes is None:
         routes = (route(), calls())
--- a/laburnumpin/tests/test_forwarding_autoscaling.py
+++ b/laburnumpin/tests/test_forwarding_autoscaling.py
@@ -159,7 +159,7 @@
 
 
 def test_orders_stay_within_the_bounds() -> None:
-    bounds = build.autoscaling(max_replicas=4)
+    bounds = build.autoscaling(max_per_zone=4)
     supply = autoscaling.Supply()
     plan = autoscaling.plan(40, 40, bounds, list(ZONES), supply, scarce=True)
     for zone in ZONES:
@@ -168,7 +168,7 @@
 
 
 def test_service_without_reclaimable_engines_keeps_its_least_number() -> None:
-    bounds = build.autoscaling(spot_price=1.0, min_replicas=1)
+    bounds = build.autoscaling(reclaimable_price_share=1.0, min_per_zone=1)
     supply = autoscaling.Supply()
     plan = autoscaling.plan(2, 2, bounds, list(ZONES), supply, scarce=False)
     assert sum(plan.reclaimable.values()) == 0
--- a/laburnumpin/tests/test_forwarding_lifecycle.py
+++ b/laburnumpin/tests/test_forwarding_lifecycle.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+
 import pytest
 
 from laburnumpin import verdict as verdicts
@@ -170,3 +172,14 @@
     reducer.reduce(state, events.RequestEnded(9, "r1", True))
     assert upstream.streams() == 0
     assert not state.active
+
+
+def test_request_before_the_first_list_of_upstreams_is_told_not_ready() -> None:
+    state = forwarding_state.ForwardingState(
+        build.contact("entry-1"), 1, build.BOUND, 5_000, random.Random(1)
+    )
+    reducer.reduce(state, events.DeploymentRead(0, build.configuration()))
+    rejected = _arrive(state)
+    assert isinstance(rejected, effects.Reject)
+    assert rejected.reason is effects.Reason.NOT_READY
+    assert rejected.not_run
