Hear an entry that starts again on an earlier clock

Cause: the incarnation is the VM's time of day at the start. A VM whose clock stepped back before the entry started again has a lower incarnation than before, and its peers took all its digests for late ones: 12 s without its quota use, its loads and its holding of the lease, and relays did not pass its digests on at all. Found by reading for the soak's clock steps. A lower incarnation is now late only within 2 s of the higher one's last digest. Tests fail on the code before: an entry, and a relay.

The soak steps clocks, kills all entries at once, reclaims runners under streams that outlast the notice, spreads entries over two zones, and checks quotas, repeated sends and the time of recovery.

--- a/laburnumpin/forwarding/digests.py
+++ b/laburnumpin/forwarding/digests.py
@@ -36,3 +36,27 @@
     parts: tuple[tuple[str, int], ...]
     contacts: tuple[str, ...]
     work_ms: dict[str, float]
+
+
+class Newest:
+    """The newest digest of each entry that was passed on."""
+
+    __slots__ = ("_marks",)
+
+    def __init__(self) -> None:
+        # Incarnation, number and time of the newest digest, by name.
+        self._marks: dict[str, tuple[int, int, int]] = {}
+
+    def accept(self, digest: Digest, now_ms: int) -> bool:
+        """Return whether a digest is newer than those before; note it."""
+        name = digest.contact.name
+        incarnation_ms, number, heard_ms = self._marks.get(name, (0, 0, 0))
+        if digest.incarnation_ms == incarnation_ms:
+            if digest.number <= number:
+                return False
+        elif membership.is_late_incarnation(
+            digest.incarnation_ms, incarnation_ms, now_ms - heard_ms
+        ):
+            return False
+        self._marks[name] = (digest.incarnation_ms, digest.number, now_ms)
+        return True
--- a/laburnumpin/forwarding/membership.py
+++ b/laburnumpin/forwarding/membership.py
@@ -9,6 +9,10 @@
 
 # A peer that has not been heard for this long is not counted any more.
 FORGET_MS = 12_000
+# A digest of a lower incarnation is a late one as long as the higher was heard
+# within this time, over two pauses between digests. After that the entry has
+# started again on an earlier time of day.
+LATE_DIGEST_MS = 2_000
 # Peers are told of addresses for this long after an entry was last heard.
 NEAR_MS = 4_000
 
@@ -60,6 +64,16 @@
             raise ValueError(f"a row of an entry: {error!r}") from error
 
 
+def is_late_incarnation(
+    incarnation_ms: int, known_ms: int, silent_ms: int
+) -> bool:
+    """Return whether a digest is of an incarnation that has ended.
+
+    `known_ms` is the incarnation that was last heard, `silent_ms` ago.
+    """
+    return incarnation_ms < known_ms and silent_ms <= LATE_DIGEST_MS
+
+
 class Peer:
     """What the digests of one entry said."""
 
@@ -208,12 +222,14 @@
     ) -> tuple[Peer | None, bool]:
         """Note a digest; return the peer and whether it is new.
 
-        A digest of an older incarnation is ignored: no peer is returned.
+        A late digest of an older incarnation is ignored: no peer is returned.
         """
         name, address = contact.name, contact.address
         known = self._by_name.get(name)
-        is_new = known is None or known.incarnation_ms < incarnation_ms
-        if known is not None and incarnation_ms < known.incarnation_ms:
+        is_new = known is None or known.incarnation_ms != incarnation_ms
+        if known is not None and is_late_incarnation(
+            incarnation_ms, known.incarnation_ms, now_ms - known.heard_ms
+        ):
             return None, False
         if known is None or is_new:
             if known is not None:
--- a/laburnumpin/forwarding/relay.py
+++ b/laburnumpin/forwarding/relay.py
@@ -76,8 +76,8 @@
     __slots__ = (
         "_bundle",
         "_links",
+        "_newest",
         "_receive",
-        "_seen",
         "_shell",
         "_synchronizer",
     )
@@ -94,8 +94,7 @@
         self._links: dict[str, _Link] = {}
         # Digests to pass on, by name, with the link that they came over.
         self._bundle: dict[str, tuple[bytes, _Link | None]] = {}
-        # The newest digest of each entry: incarnation and number.
-        self._seen: dict[str, tuple[int, int]] = {}
+        self._newest = digests.Newest()
         synchronizer.on_rows = self._on_rows
         synchronizer.relayed = self.is_relayed
 
@@ -243,13 +242,10 @@
         if digest is None:
             return
         name = digest.contact.name
-        mark = (digest.incarnation_ms, digest.number)
-        if name == self._shell.state.name or mark <= self._seen.get(
-            name, (0, 0)
-        ):
+        if name == self._shell.state.name:
             return
-        self._seen[name] = mark
-        self._bundle[name] = (packet, link)
+        if self._newest.accept(digest, self._shell.now_ms()):
+            self._bundle[name] = (packet, link)
 
     def _flush(self) -> None:
         """Send a bundle over each link."""
--- a/laburnumpin/platform/standins.py
+++ b/laburnumpin/platform/standins.py
@@ -24,6 +24,12 @@
 
 IDLE_TIMEOUT_MS = 60_000
 SEAL_HEADER = b"X-Laburnumpin-Response-Seal"
+# Key and rate of the customer with a quota, which counts requests.
+LIMITED_KEY = "key-2"
+LIMITED_RATE_PER_S = 20
+LIMITED_BURST = 20
+# Pause between two events of a stream.
+EVENT_PAUSE_S = 0.01
 
 Answer = tuple[int, list[tuple[bytes, bytes]], bytes]
 Handler = Callable[[callers.Caller, h11.Request, bytes], Awaitable[bool]]
@@ -239,7 +245,10 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Run:
-    """A request that a runner has begun to run."""
+    """A request that a runner has begun to run.
+
+    `first_event` is above 1 for a stream that goes on.
+    """
 
     request_id: str
     runner_id: str
@@ -247,6 +256,25 @@
     first_event: int
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Arrival:
+    """A request that reached a runner, whether it ran or not."""
+
+    request_id: str
+    service: str
+    at_ms: int
+
+
+class Stream:
+    """A stream that a runner generates; `stopped` once it is moved."""
+
+    __slots__ = ("last_event", "stopped")
+
+    def __init__(self, last_event: int) -> None:
+        self.last_event = last_event
+        self.stopped = False
+
+
 class Runner:
     """A runner that answers calls and streams.
 
@@ -267,15 +295,21 @@
         self._runs = runs
         self._now_ms = now_ms
         self._random = generator
+        self.arrivals: list[Arrival] = []
+        self._streams: dict[str, Stream] = {}
+        # Copies of streams that may be continued once, by their handle.
+        self.copies: dict[str, int] = {}
         self.reject_share = 0.0
         self.error_share = 0.0
         self.cut_share = 0.0
         self.work_ms = 20
-        self.events = 8
 
-    def registration(self, address: str, state: str) -> dict[str, Any]:
+    def registration(
+        self, address: str, state: str, *, reclaimable: bool = False
+    ) -> dict[str, Any]:
         """Return the document that the runner registers."""
         return {
+            "spot": reclaimable,
             "service": self.service,
             "address": address,
             "zone": "a",
@@ -291,6 +325,9 @@
         self, caller: callers.Caller, head: h11.Request, body: bytes
     ) -> bool:
         """Run one request; False closes the connection."""
+        if bytes(head.target) == b"/kv-move":
+            await caller.answer(*self._move(json.loads(body)))
+            return True
         headers = {n.lower(): v for n, v in head.headers}
         request_id = headers.get(wire.ATTEMPT_ID, b"").decode()
         expected = headers.get(b"x-laburnumpin-expect-instance", b"")
@@ -299,12 +336,15 @@
         if expected.decode() != self.runner_id:
             await caller.answer(421, echo + none, b"")
             return True
+        self.arrivals.append(Arrival(request_id, self.service, self._now_ms()))
+        resumed = int(headers.get(wire.LAST_EVENT_ID, b"0"))
         draw = self._random.random()
-        if draw < self.reject_share:
+        handle = headers.get(b"kv-from", b"").decode().rpartition("/")[2]
+        unknown = handle and self.copies.pop(handle, -1) < resumed
+        if draw < self.reject_share or unknown:
             mark = [(b"X-Laburnumpin-Not-Executed", b"1")]
             await caller.answer(503, echo + none + mark, b"")
             return True
-        resumed = int(headers.get(wire.LAST_EVENT_ID, b"0"))
         self._runs.append(
             Run(request_id, self.runner_id, self._now_ms(), resumed + 1)
         )
@@ -325,6 +365,18 @@
         await caller.answer(200, echo + seal + length, text)
         return True
 
+    def _move(self, fields: dict[str, Any]) -> Answer:
+        """Stop a stream; its copy is at all runners that share `copies`."""
+        stream = self._streams.get(fields["id"])
+        if stream is None or not fields.get("last"):
+            return _json(404, {})
+        stream.stopped = True
+        handle = f"{fields['id']}-{stream.last_event}"
+        self.copies[handle] = stream.last_event
+        return _json(
+            200, {"kv_handle": handle, "create_revision": stream.last_event}
+        )
+
     async def _stream(
         self,
         caller: callers.Caller,
@@ -332,16 +384,34 @@
         resumed: int,
         is_cut: bool,
     ) -> bool:
-        for number in range(resumed + 1, self.events + 1):
-            if is_cut and number > self.events // 2:
-                await caller.write(b"id: ")
-                return False
-            await caller.write(event(request_id, number))
-            await anyio.sleep(0.01)
+        stream = Stream(resumed)
+        self._streams[request_id] = stream
+        try:
+            for number in range(resumed + 1, event_count(request_id) + 1):
+                if is_cut and number > event_count(request_id) // 2:
+                    await caller.write(b"id: ")
+                    return False
+                stream.last_event = number
+                await caller.write(event(request_id, number))
+                await anyio.sleep(EVENT_PAUSE_S)
+                if stream.stopped:
+                    return False
+        finally:
+            if self._streams.get(request_id) is stream:
+                del self._streams[request_id]
         await caller.end_answer()
         return True
 
 
+def event_count(request_id: str) -> int:
+    """Return the events of the stream that answers a request.
+
+    Requests whose names begin with `long` have streams that outlast the
+    notice of a reclaim.
+    """
+    return 120 if request_id.startswith("long") else 8
+
+
 def answer_body(request_id: str) -> bytes:
     """Return the body of the answer to a call."""
     return f"answer to {request_id}".encode()
@@ -386,11 +456,23 @@
                 "name": "engines",
                 "health_path": "/healthz",
                 "max_connections": 300,
-                "engine": {"slots": 64, "kv_capacity_tokens": 700_000},
+                "engine": {
+                    "slots": 64,
+                    "kv_capacity_tokens": 700_000,
+                    "moves": True,
+                },
             },
         ],
         "limits": {},
-        "tenants": [{"name": "acme", "api_keys": [customer_key]}],
+        "tenants": [
+            {"name": "acme", "api_keys": [customer_key]},
+            {
+                "name": "limited",
+                "api_keys": [LIMITED_KEY],
+                "rate_per_s": LIMITED_RATE_PER_S,
+                "burst": LIMITED_BURST,
+            },
+        ],
     }
 
 
@@ -412,14 +494,19 @@
 
 
 def settings_text(
-    name: str, ip: str, ports: tuple[int, int, int, int], store: str
+    name: str,
+    ip: str,
+    ports: tuple[int, int, int, int],
+    store: str,
+    *,
+    zone: str = "a",
 ) -> str:
     """Return the text of a settings file for an entry on loopback."""
     frontend, readiness, inner, control = ports
     return f"""
 node_name = "{name}"
 ip = "{ip}"
-zone = "a"
+zone = "{zone}"
 internal_ports = [{inner}, {inner}]
 seeds = []
 [listen]
@@ -429,6 +516,9 @@
 [bounds]
 grace_s = 8
 lease_ms = 3000
+retry_budget_ratio = 0.2
+retry_window_s = 10
+retry_slack = 20
 usage_window_s = 2
 usage_late_s = 10
 [platform]
--- a/laburnumpin/soak/processes.py
+++ b/laburnumpin/soak/processes.py
@@ -13,6 +13,7 @@
 
 from laburnumpin.platform import settings
 from laburnumpin.platform import standins
+from laburnumpin.soak import skewed_entry
 
 KILL_TIMEOUT_S = 5.0
 
@@ -21,6 +22,7 @@
     """One entry as a separate process; `incarnation` counts its starts."""
 
     __slots__ = (
+        "_clock_path",
         "_directory",
         "_log",
         "_process",
@@ -31,7 +33,11 @@
     )
 
     def __init__(
-        self, name: str, directory: pathlib.Path, store_address: str
+        self,
+        name: str,
+        zone: str,
+        directory: pathlib.Path,
+        store_address: str,
     ) -> None:
         self.name = name
         self._directory = directory
@@ -39,23 +45,30 @@
         self.address = f"127.0.0.1:{ports[0]}"
         self._settings_path = directory / f"{name}.toml"
         self._settings_path.write_text(
-            standins.settings_text(name, "127.0.0.1", ports, store_address),
+            standins.settings_text(
+                name, "127.0.0.1", ports, store_address, zone=zone
+            ),
             encoding="utf-8",
         )
+        self._clock_path = directory / f"{name}.clock"
+        skewed_entry.write_offset(self._clock_path, 0)
         self._process: subprocess.Popen[bytes] | None = None
         self._log = directory / f"{name}.log"
         self.incarnation = 0
 
     def start(self) -> None:
-        """Start the process."""
+        """Start the process, unless it runs."""
+        if not self.has_ended():
+            return
         self.incarnation += 1
         environment = {
             **os.environ,
             settings.PATH_VARIABLE: str(self._settings_path),
+            skewed_entry.OFFSET_VARIABLE: str(self._clock_path),
         }
         with self._log.open("ab") as log:
             self._process = subprocess.Popen(
-                [sys.executable, "-m", "laburnumpin.platform"],
+                [sys.executable, "-m", "laburnumpin.soak.skewed_entry"],
                 stdout=log,
                 stderr=log,
                 env=environment,
@@ -67,6 +80,10 @@
             with contextlib.suppress(ProcessLookupError):
                 self._process.send_signal(number)
 
+    def step_clock(self, offset_ms: int) -> None:
+        """Move the time of day that the process reads."""
+        skewed_entry.write_offset(self._clock_path, offset_ms)
+
     def has_ended(self) -> bool:
         """Return whether the process has ended."""
         return self._process is None or self._process.poll() is not None
--- a/laburnumpin/soak/promises.py
+++ b/laburnumpin/soak/promises.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import bisect
 import dataclasses
 import enum
 import itertools
@@ -14,6 +15,16 @@
 CALM_MS = 4_000
 DRAIN_MS = 2_000
 CONFIG_MS = 2_000
+RECOVER_S = 15.0
+# The bounds of the settings and of the customer that has a quota.
+LIMITED = "limited"
+QUOTA_WINDOW_MS = 8_000
+QUOTA_OVERAGE = 0.1
+# Slack of the quota in seconds of its rate, as the deployments have it.
+QUOTA_SLACK_S = 4.0
+REPEAT_WINDOW_MS = 10_000
+REPEAT_RATIO = 0.2
+REPEAT_SLACK = 20
 # Room for the machine that plays the soak.
 SLACK_MS = 1_500
 
@@ -68,7 +79,9 @@
     """All that was seen during a soak."""
 
     __slots__ = (
+        "arrivals",
         "configs",
+        "found",
         "leaving",
         "missing",
         "outcomes",
@@ -80,6 +93,10 @@
     def __init__(self) -> None:
         self.outcomes: list[Outcome] = []
         self.runs: list[standins.Run] = []
+        # Requests that reached a runner, whether they ran or not.
+        self.arrivals: list[standins.Arrival] = []
+        # Promises that were seen broken while the soak ran.
+        self.found: list[str] = []
         self.spans: list[Span] = []
         # When each runner was registered as leaving.
         self.leaving: dict[str, int] = {}
@@ -106,7 +123,7 @@
 
 def broken(history: History, store: standins.Store) -> list[str]:
     """Return the broken promises, one line each."""
-    lines: list[str] = []
+    lines = list(history.found)
     runs: dict[str, list[standins.Run]] = {}
     for run in history.runs:
         runs.setdefault(run.request_id, []).append(run)
@@ -117,6 +134,8 @@
     lines.extend(_of_configurations(history))
     lines.extend(_of_late_configurations(history))
     lines.extend(_of_duties(store))
+    lines.extend(_of_quotas(history))
+    lines.extend(_of_repeats(history))
     return lines
 
 
@@ -125,7 +144,8 @@
 ) -> list[str]:
     lines = []
     name = f"{outcome.kind.value} {outcome.request_id} at {outcome.entry}"
-    if not outcome.kind.may_repeat and len(runs) > 1:
+    begun = [run for run in runs if run.first_event == 1]
+    if not outcome.kind.may_repeat and len(begun) > 1:
         lines.append(f"{name}: ran {len(runs)} times")
     if outcome.status in (429, 503, 408, 421) and runs:
         if not outcome.kind.may_repeat:
@@ -152,7 +172,7 @@
     if not outcome.kind.is_stream:
         return standins.answer_body(outcome.request_id)
     events = []
-    for number in range(1, 9):
+    for number in range(1, standins.event_count(outcome.request_id) + 1):
         events.append(standins.event(outcome.request_id, number))
     return b"".join(events)
 
@@ -217,3 +237,69 @@
         if counts != report.counts:
             lines.append(f"window {report.window}: two different reports")
     return lines
+
+
+def _of_quotas(history: History) -> list[str]:
+    times = []
+    for run in history.runs:
+        if run.request_id.startswith(LIMITED):
+            times.append(run.at_ms)
+    rate = standins.LIMITED_RATE_PER_S
+    allowed = rate * QUOTA_WINDOW_MS / 1_000 + standins.LIMITED_BURST
+    allowed = allowed * (1 + QUOTA_OVERAGE) + rate * QUOTA_SLACK_S
+    most = _most_within(times, QUOTA_WINDOW_MS)
+    if most <= allowed:
+        return []
+    return [f"quota: {most} runs in a window, {allowed:.0f} allowed"]
+
+
+def _of_repeats(history: History) -> list[str]:
+    lines = []
+    by_service: dict[str, list[standins.Arrival]] = {}
+    for arrival in history.arrivals:
+        by_service.setdefault(arrival.service, []).append(arrival)
+    for service, arrivals in by_service.items():
+        first: list[int] = []
+        repeated: list[int] = []
+        seen: set[str] = set()
+        for arrival in sorted(arrivals, key=lambda a: a.at_ms):
+            if arrival.request_id in seen:
+                repeated.append(arrival.at_ms)
+                continue
+            seen.add(arrival.request_id)
+            first.append(arrival.at_ms)
+        for end_ms in repeated:
+            window = REPEAT_WINDOW_MS
+            count = _count(repeated, end_ms - window, end_ms)
+            requests = 0
+            # The platform takes the best of three windows.
+            for back_ms in (0, window // 2, window):
+                until_ms = end_ms - back_ms
+                requests = max(
+                    requests, _count(first, until_ms - window, until_ms)
+                )
+            allowed = requests * REPEAT_RATIO + REPEAT_SLACK
+            if count > allowed:
+                lines.append(
+                    f"{service}: {count} repeated sends in a window, "
+                    f"{allowed:.0f} allowed"
+                )
+                break
+    return lines
+
+
+def _count(ordered_ms: list[int], after_ms: int, until_ms: int) -> int:
+    """Return how many times lie in a span that begins after `after_ms`."""
+    end = bisect.bisect_right(ordered_ms, until_ms)
+    return end - bisect.bisect_right(ordered_ms, after_ms)
+
+
+def _most_within(times_ms: list[int], window_ms: int) -> int:
+    """Return the highest number of times within any window."""
+    ordered = sorted(times_ms)
+    most = start = 0
+    for place, time_ms in enumerate(ordered):
+        while ordered[start] <= time_ms - window_ms:
+            start += 1
+        most = max(most, place - start + 1)
+    return most
--- a/laburnumpin/soak/run.py
+++ b/laburnumpin/soak/run.py
@@ -21,16 +21,33 @@
 START_TIMEOUT_S = 20.0
 CALLERS_PER_ENTRY = 3
 REQUEST_TIMEOUT_S = 8.0
+# Time after which an exit is taken to hang; the platform allows 8 s.
+EXIT_TIMEOUT_S = 12.0
 DEADLINE_MS = 4_000
 PROBE_PERIOD_S = 0.25
 CONFIG_PERIOD_S = 1.5
 KEY = "key-1"
+# Callers at each entry of the customer with a quota; together they ask for
+# several times its rate.
+LIMITED_CALLERS_PER_ENTRY = 2
+# Longest pause of a caller that was rejected.
+REJECTED_PAUSE_S = 0.1
+# Part of the streams that outlast the notice of a reclaim.
+LONG_SHARE = 0.2
+# From this many entries on they are in two zones.
+ONE_ZONE_ENTRIES = 4
+# Notice of a reclaim, the shortest that the deployments list.
+RECLAIM_NOTICE_S = 1.25
+# Steps of the time of day, ms.
+CLOCK_STEPS_MS = (-6_000, -2_000, 2_000, 6_000)
 
 FAULTS = (
     "kill",
     "pause",
+    "kill_all",
     "exit",
     "reload",
+    "clock_step",
     "store_reset",
     "store_busy",
     "store_silent",
@@ -45,6 +62,7 @@
     "runner_cuts",
     "runner_rejects",
     "runner_leaves",
+    "runner_reclaimed",
 )
 
 
@@ -86,6 +104,7 @@
         self._store = standins.Store(random.Random(f"{seed}/store"))
         self._entries: list[processes.EntryProcess] = []
         self._store_proxies: list[proxy.Proxy] = []
+        self._copies: dict[str, int] = {}
         self._runners: list[_Runner] = []
         self._names = itertools.count(1)
         self._version = 1
@@ -126,8 +145,11 @@
         for number in range(self._entry_count):
             before = proxy.Proxy(store)
             address = await task_group.start(before.serve)
+            zone = "a"
+            if self._entry_count > ONE_ZONE_ENTRIES and number % 2:
+                zone = "b"
             entry = processes.EntryProcess(
-                f"entry-{number}", self._directory, address
+                f"entry-{number}", zone, self._directory, address
             )
             self._entries.append(entry)
             self._store_proxies.append(before)
@@ -145,17 +167,23 @@
             self._clock.now_ms,
             random.Random(f"{self._seed}/{len(self._runners)}"),
         )
+        runner.arrivals = self._history.arrivals
+        runner.copies = self._copies
         target = await task_group.start(standins.serve, runner.handle)
         before = proxy.Proxy(target)
         address = await task_group.start(before.serve)
         self._runners.append(_Runner(runner, before, address))
         self._register(self._runners[-1], "ready")
 
-    def _register(self, runner: _Runner, state: str) -> None:
+    def _register(
+        self, runner: _Runner, state: str, *, reclaimable: bool = False
+    ) -> None:
         self._store.put(
             "servers",
             runner.runner.runner_id,
-            runner.runner.registration(runner.address, state),
+            runner.runner.registration(
+                runner.address, state, reclaimable=reclaimable
+            ),
         )
 
     async def _wait_until_serving(self, entry: processes.EntryProcess) -> None:
@@ -167,7 +195,10 @@
         with anyio.fail_after(START_TIMEOUT_S):
             while True:
                 outcome = await self._request(
-                    entry, promises.Kind.READ, "start", None
+                    entry,
+                    promises.Kind.READ,
+                    f"start{next(self._names)}",
+                    None,
                 )
                 if outcome.status == 200:
                     return
@@ -176,15 +207,19 @@
     async def _load(self, task_group: abc.TaskGroup) -> None:
         for entry in self._entries:
             for _ in range(CALLERS_PER_ENTRY):
-                task_group.start_soon(self._caller, entry)
+                task_group.start_soon(self._caller, entry, KEY)
+            for _ in range(LIMITED_CALLERS_PER_ENTRY):
+                task_group.start_soon(self._caller, entry, standins.LIMITED_KEY)
             task_group.start_soon(self._probe, entry)
         task_group.start_soon(self._operate)
         for _ in range(2):
             task_group.start_soon(self._inject, task_group)
 
-    async def _caller(self, entry: processes.EntryProcess) -> None:
+    async def _caller(self, entry: processes.EntryProcess, key: str) -> None:
         """Send requests on one connection until it ends, then on another."""
         kinds = list(promises.Kind)
+        if key == standins.LIMITED_KEY:
+            kinds = [promises.Kind.CALL, promises.Kind.READ]
         while True:
             async with anyio.create_task_group() as task_group:
                 connection: connections.ClientConnection | None = None
@@ -194,12 +229,14 @@
                     )
                     while connection.is_sound():
                         kind = self._random.choice(kinds)
-                        request_id = f"r{next(self._names)}"
                         outcome = await self._request(
-                            entry, kind, request_id, connection
+                            entry, kind, self._name(kind, key), connection, key
                         )
                         self._history.outcomes.append(outcome)
-                        await anyio.sleep(self._random.uniform(0.0, 0.05))
+                        pause_s = 0.05
+                        if outcome.status != 200:
+                            pause_s = REJECTED_PAUSE_S
+                        await anyio.sleep(self._random.uniform(0.0, pause_s))
                 except connections.ConnectionLostError:
                     await anyio.sleep(0.1)
                 finally:
@@ -208,12 +245,22 @@
                             await connection.close()
                 task_group.cancel_scope.cancel()
 
+    def _name(self, kind: promises.Kind, key: str) -> str:
+        """Return the id of a new request."""
+        number = next(self._names)
+        if key == standins.LIMITED_KEY:
+            return f"{promises.LIMITED}{number}"
+        if kind.is_stream and self._random.random() < LONG_SHARE:
+            return f"long{number}"
+        return f"r{number}"
+
     async def _request(
         self,
         entry: processes.EntryProcess,
         kind: promises.Kind,
         request_id: str,
         kept: connections.ClientConnection | None,
+        key: str = KEY,
         path: str = "",
     ) -> promises.Outcome:
         sent_ms = self._clock.now_ms()
@@ -233,7 +280,7 @@
                             *standins.request_headers(
                                 request_id,
                                 is_stream=kind.is_stream,
-                                key=KEY,
+                                key=key,
                                 deadline_ms=DEADLINE_MS,
                             ),
                             (b"Content-Length", b"2"),
@@ -281,7 +328,7 @@
                     promises.Kind.READ,
                     f"p{next(self._names)}",
                     None,
-                    f"/v{version}/x",
+                    path=f"/v{version}/x",
                 )
                 if incarnation != entry.incarnation:
                     continue
@@ -311,6 +358,8 @@
         while True:
             await anyio.sleep(self._random.uniform(0.2, 1.5))
             name = self._random.choice(FAULTS)
+            if name == "kill_all" and name in self._faults:
+                continue  # Once in a soak is enough to take all time.
             hold_s = self._random.uniform(0.3, 3.0)
             index = self._random.randrange(len(self._entries))
             runner = self._random.choice(self._runners)
@@ -324,8 +373,17 @@
             )
             if name in ("kill", "pause", "exit", "reload"):
                 await self._signal(name, self._entries[index], hold_s)
+            elif name == "kill_all":
+                await self._kill_all()
+            elif name == "clock_step":
+                step_ms = self._random.choice(CLOCK_STEPS_MS)
+                self._entries[index].step_clock(step_ms)
+                await anyio.sleep(hold_s)
+                self._entries[index].step_clock(0)
             elif name == "runner_leaves":
                 await self._replace_runner(runner, task_group)
+            elif name == "runner_reclaimed":
+                await self._reclaim_runner(runner, task_group)
             elif name.startswith("runner"):
                 await self._harm_runner(name, runner, hold_s)
             else:
@@ -345,19 +403,35 @@
             await anyio.sleep(hold_s)
             entry.signal(signal.SIGCONT)
             return
+        incarnation = entry.incarnation
         if name == "kill":
             entry.signal(signal.SIGKILL)
         else:
             entry.signal(signal.SIGTERM)
-        with anyio.move_on_after(12.0):
+        with anyio.move_on_after(EXIT_TIMEOUT_S):
             while not entry.has_ended():
                 await anyio.sleep(0.02)
+        if entry.incarnation != incarnation:
+            return  # Another fault has ended and started it meanwhile.
         if not entry.has_ended():
             entry.end()
         if name == "kill":
             await anyio.sleep(hold_s / 3)
         entry.start()
 
+    async def _kill_all(self) -> None:
+        """Kill all entries at once; all have to serve again in time."""
+        for entry in self._entries:
+            entry.signal(signal.SIGKILL)
+        for entry in self._entries:
+            entry.end()
+            entry.start()
+        with anyio.move_on_after(promises.RECOVER_S) as scope:
+            for entry in self._entries:
+                await self._wait_until_serving(entry)
+        if scope.cancelled_caught:
+            self._history.found.append("no recovery after the loss of all")
+
     async def _harm_runner(
         self, name: str, runner: _Runner, hold_s: float
     ) -> None:
@@ -397,6 +471,23 @@
         await anyio.sleep(2.0)
         self._store.remove("servers", runner_id)
 
+    async def _reclaim_runner(
+        self, runner: _Runner, task_group: abc.TaskGroup
+    ) -> None:
+        """Take a runner away at the end of a short notice."""
+        if runner.leaving:
+            return
+        runner.leaving = True
+        self._runners.remove(runner)
+        await self._add_runner(task_group, runner.runner.service)
+        runner_id = runner.runner.runner_id
+        self._history.leaving[runner_id] = self._clock.now_ms()
+        self._register(runner, "draining", reclaimable=True)
+        await anyio.sleep(RECLAIM_NOTICE_S)
+        runner.proxy.silent = True
+        await runner.proxy.reset_all()
+        self._store.remove("servers", runner_id)
+
     async def _harm_store(
         self, name: str, before: proxy.Proxy, hold_s: float
     ) -> None:
--- a/laburnumpin/tests/test_forwarding_registry.py
+++ b/laburnumpin/tests/test_forwarding_registry.py
@@ -151,3 +151,25 @@
     mute.record_success()
     mute.record_failure(61_000, unreachable=False)
     assert mute in state.upstreams.usable(build.ENGINES, 61_000)
+
+
+def test_peer_that_starts_again_on_an_earlier_clock_is_heard() -> None:
+    # A step of the VM's clock back before the start gives the new process a
+    # lower incarnation than the old one had.
+    state = build.state()
+    reducer.reduce(state, events.DigestReceived(0, _digest(incarnation_ms=9)))
+    late = _digest(incarnation_ms=5, config_version=0)
+    reducer.reduce(state, events.DigestReceived(500, late))
+    assert state.members.peers()[0].incarnation_ms == 9
+    reducer.reduce(state, events.DigestReceived(2_600, late))
+    assert state.members.peers()[0].incarnation_ms == 5
+
+
+def test_relay_passes_on_each_digest_once_and_no_late_one() -> None:
+    newest = digests.Newest()
+    assert newest.accept(_digest(incarnation_ms=9, number=4), 0)
+    assert not newest.accept(_digest(incarnation_ms=9, number=4), 10)
+    assert not newest.accept(_digest(incarnation_ms=5, number=90), 500)
+    # Started again on an earlier clock.
+    assert newest.accept(_digest(incarnation_ms=5, number=1), 2_600)
+    assert newest.accept(_digest(incarnation_ms=5, number=2), 2_700)
--- a/laburnumpin/tests/test_soak.py
+++ b/laburnumpin/tests/test_soak.py
@@ -91,3 +91,39 @@
     history.runs.append(standins.Run("r1", "u1", 1, 1))
     history.outcomes.append(_outcome(promises.Kind.CALL, 0, complete=False))
     assert promises.broken(history, _store())
+
+
+def test_use_beyond_a_quota_is_found() -> None:
+    history = _history()
+    for number in range(250):
+        run = standins.Run(f"limited{number}", "d1", 20 * number, 1)
+        history.runs.append(run)
+    assert not promises.broken(history, _store())
+    for number in range(250, 400):
+        run = standins.Run(f"limited{number}", "d1", 20 * number, 1)
+        history.runs.append(run)
+    assert promises.broken(history, _store())
+
+
+def test_too_many_repeated_sends_are_found() -> None:
+    history = _history()
+    for number in range(100):
+        first = standins.Arrival(f"r{number}", "desk", 10 * number)
+        history.arrivals.append(first)
+        if number < 35:
+            again = standins.Arrival(f"r{number}", "desk", 10 * number + 5)
+            history.arrivals.append(again)
+    assert not promises.broken(history, _store())
+    for number in range(35, 50):
+        again = standins.Arrival(f"r{number}", "desk", 10 * number + 5)
+        history.arrivals.append(again)
+    assert promises.broken(history, _store())
+
+
+def test_stream_that_goes_on_elsewhere_is_no_second_run() -> None:
+    history = _history()
+    body = b"".join(standins.event("r1", n) for n in range(1, 9))
+    history.outcomes.append(_outcome(promises.Kind.DRAFT, 200, body))
+    history.runs.append(standins.Run("r1", "u1", 1, 1))
+    history.runs.append(standins.Run("r1", "u2", 2, 5))
+    assert not promises.broken(history, _store())
