--- a/laburnumpin/tests/test_soak.py
+++ b/laburnumpin/tests/test_soak.py
@@ -108,14 +108,14 @@
 def test_too_many_repeated_sends_are_found() -> None:
     history = _history()
     for number in range(100):
-        first = standins.Arrival(f"r{number}", "desk", 10 * number)
+        first = standins.Arrival(f"r{number}", "desk", number)
         history.arrivals.append(first)
-        if number < 35:
-            again = standins.Arrival(f"r{number}", "desk", 10 * number + 5)
-            history.arrivals.append(again)
+    for number in range(35):
+        again = standins.Arrival(f"r{number}", "desk", 200 + number)
+        history.arrivals.append(again)
     assert not promises.broken(history, _store())
     for number in range(35, 50):
-        again = standins.Arrival(f"r{number}", "desk", 10 * number + 5)
+        again = standins.Arrival(f"r{number}", "desk", 200 + number)
         history.arrivals.append(again)
     assert promises.broken(history, _store())
 
