Count what the bound allows beyond a quota as room, and handle digests faster

A customer's few clients sit at few entries; each of these took its own use for that of all 74 and kept to 1/74 of the quota. Half of it is now room, in proportion to the entries that are heard, after 3 s. Entries that start while cut off count on those that they have read of. Tests: bursts below the quota at 4 of 74 entries are all admitted; pressure, sudden use, silent and restarted entries stay within the bound.

--- a/laburnumpin/forwarding/attempts.py
+++ b/laburnumpin/forwarding/attempts.py
@@ -409,11 +409,12 @@
         declared_ms = route.gap_objective_ms or route.objective_ms
         gap_ms = max(MIN_GAP_MS, int(declared_ms * GAP_OBJECTIVES))
         while True:
-            wait_ms = self._send.silence_ms if is_first else gap_ms
-            if not route.may_repeat:
-                wait_ms = self._request.route.timeout_ms
             chunk: bytes | None = None
-            with anyio.move_on_after(wait_ms / 1_000):
+            if route.may_repeat:
+                wait_ms = self._send.silence_ms if is_first else gap_ms
+                with anyio.move_on_after(wait_ms / 1_000):
+                    chunk = await connection.chunk()
+            else:  # The deadline of the attempt is the only limit.
                 chunk = await connection.chunk()
             if chunk is None:
                 raise AttemptError(
--- a/laburnumpin/forwarding/budgets.py
+++ b/laburnumpin/forwarding/budgets.py
@@ -32,6 +32,11 @@
 # While a quota is scarce nothing is admitted below this debt, in seconds of the
 # rate.
 LOWEST_SCARCE_S = 0.5
+# Part of what the bound allows beyond the quotas that is taken as room; the
+# rest covers sudden changes that the others do not know of yet.
+RESERVE_SHARE = 0.5
+# A new process has heard the others after this time.
+RESERVE_AFTER_MS = 3_000
 # Debt of a quota is bounded, in seconds of its rate: use beyond the rate that
 # was reported late delays later requests for at most this long.
 MAX_DEBT_S = 8.0
@@ -105,6 +110,7 @@
 
     __slots__ = (
         "all_use",
+        "flow_s",
         "level",
         "own_level",
         "own_use",
@@ -114,6 +120,8 @@
 
     def __init__(self, level: float, now_ms: int) -> None:
         self.level = level
+        # The flow from peers up to which the level is counted.
+        self.flow_s = 0.0
         # This entry's own part while the quota is scarce.
         self.own_level = 0.0
         # Units used lately here and everywhere, decaying exponentially.
@@ -135,14 +143,36 @@
     All copies show the same room, so that entries which all used it would
     take it many times over before the next digests. Room is taken freely only
     as long as more is left than all use in that time; after that each entry
-    has a part of its own, which it may overdraw by one request.
+    has a part of its own, which it may overdraw by one request. What the
+    bound allows beyond the quotas counts as room in part, as far as the other
+    entries are heard.
     """
 
-    __slots__ = ("_accounts", "_peers")
+    __slots__ = (
+        "_accounts",
+        "_expected",
+        "_flow_s",
+        "_peers",
+        "_reserve",
+        "_slack_units",
+        "_started_ms",
+    )
 
-    def __init__(self) -> None:
+    def __init__(self, slack_units: float = 0.0) -> None:
+        self._slack_units = slack_units
         self._accounts: dict[str, _Account] = {}
         self._peers: dict[str, _Peer] = {}
+        # Entries that there are as far as is known, heard or not.
+        self._expected = 1
+        # What may be taken beyond a quota, in units.
+        self._reserve = 0.0
+        # Parts of peers that have flowed in, in seconds of the whole rate.
+        self._flow_s = 0.0
+        self._started_ms: int | None = None
+
+    def expect(self, entries: int) -> None:
+        """Count on a number of entries although fewer are heard."""
+        self._expected = entries
 
     def admit(
         self, customer: deployment.Customer, units: float, now_ms: int
@@ -151,13 +181,16 @@
         if customer.rate_per_s <= 0:
             return 0
         self._leave_to_silent(now_ms)
+        self._set_reserve(now_ms)
         account = self._advance(customer, now_ms)
-        # What is not heard of yet may be more than before: as much as if every
-        # entry had begun to use what this one does.
-        use = max(account.all_use, account.own_use * self._entries())
+        use = account.all_use
+        if self._reserve <= 0:
+            # What is not heard of yet may be more than before: as much as if
+            # every entry had begun to use what this one does.
+            use = max(use, account.own_use * self._entries())
         unseen = use * self._silent_ms() / USE_WINDOW_MS
-        is_free = account.level > unseen + units
-        lowest = -customer.rate_per_s * LOWEST_SCARCE_S
+        is_free = account.level + self._reserve > unseen + units
+        lowest = self._lowest(customer)
         if not is_free and (account.own_level < 0 or account.level < lowest):
             missing = max(0.0, -account.own_level) + units * 0.1
             own_s = missing / (customer.rate_per_s * self._own_part(account))
@@ -202,6 +235,8 @@
         now_ms: int,
     ) -> None:
         """Take over what a peer has left of its part since its last digest."""
+        if self._started_ms is None:
+            self._started_ms = now_ms
         peer = self._peers.get(name)
         if peer is None:
             peer = _Peer(incarnation_ms, now_ms)
@@ -212,26 +247,41 @@
             peer.incarnation_ms = incarnation_ms
             peer.used = {}
         elapsed_s = (now_ms - peer.heard_ms) / 1_000
-        part = elapsed_s / self._entries()
-        for customer in customers.values():
-            if customer.rate_per_s <= 0:
+        self._flow_s += elapsed_s / self._entries()
+        for customer_name, units in used.items():
+            newly = units - peer.used.get(customer_name, 0.0)
+            customer = customers.get(customer_name)
+            if not newly or customer is None or customer.rate_per_s <= 0:
                 continue
             account = self._advance(customer, now_ms)
-            newly = used.get(customer.name, 0.0)
-            newly -= peer.used.get(customer.name, 0.0)
-            account.level += customer.rate_per_s * part - newly
+            account.level -= newly
             account.all_use += max(0.0, newly)
             _clip(account, customer)
         peer.heard_ms = now_ms
         peer.is_silent = False
-        peer.used = dict(used)
+        peer.used = used
 
     def _entries(self) -> int:
-        return len(self._peers) + 1
+        return max(len(self._peers) + 1, self._expected)
 
     def _silent_ms(self) -> int:
         return PEER_SILENT_MS + PEER_SILENT_MS_PER_ENTRY * self._entries()
 
+    def _lowest(self, customer: deployment.Customer) -> float:
+        """Return the level below which nothing is admitted."""
+        return -customer.rate_per_s * LOWEST_SCARCE_S - self._reserve
+
+    def _set_reserve(self, now_ms: int) -> None:
+        if self._started_ms is None:
+            self._started_ms = now_ms
+        if now_ms < self._started_ms + RESERVE_AFTER_MS:
+            return
+        hearing = 1
+        for peer in self._peers.values():
+            hearing += not peer.is_silent
+        heard_share = hearing / self._entries()
+        self._reserve = self._slack_units * RESERVE_SHARE * heard_share
+
     def _own_part(self, account: _Account) -> float:
         part = EQUAL_SHARE / self._entries()
         if account.all_use > 0:
@@ -255,27 +305,44 @@
                     account.level *= (hearing + 1) / (hearing + 2)
 
     def _advance(self, customer: deployment.Customer, now_ms: int) -> _Account:
+        if self._started_ms is None:
+            self._started_ms = now_ms
         account = self._accounts.get(customer.name)
         if account is None:
+            since_s = (now_ms - self._started_ms) / 1_000
             level = customer.burst * START_BURST_SHARE
-            account = _Account(level, now_ms)
+            level += customer.rate_per_s * since_s / self._entries()
+            level += customer.rate_per_s * self._flow_s
+            account = _Account(min(level, customer.burst), now_ms)
+            account.flow_s = self._flow_s
             self._accounts[customer.name] = account
             return account
+        flow_s = self._flow_s - account.flow_s
+        account.flow_s = self._flow_s
+        account.level += customer.rate_per_s * flow_s
         elapsed_ms = now_ms - account.updated_ms
-        if elapsed_ms <= 0:
-            return account
-        account.updated_ms = now_ms
+        if elapsed_ms > 0:
+            self._age(account, customer, elapsed_ms)
+            account.updated_ms = now_ms
+        _clip(account, customer)
+        return account
+
+    def _age(
+        self,
+        account: _Account,
+        customer: deployment.Customer,
+        elapsed_ms: int,
+    ) -> None:
+        """Let the own part of the rate flow in, and past use fade."""
         gained = customer.rate_per_s * elapsed_ms / 1_000
         account.level += gained / self._entries()
         decay = math.exp(-elapsed_ms / USE_WINDOW_MS)
         account.own_use *= decay
         account.all_use *= decay
         part = self._own_part(account)
-        if account.level > -customer.rate_per_s * LOWEST_SCARCE_S:
+        if account.level > self._lowest(customer):
             account.own_level += gained * part
         account.own_level = min(account.own_level, customer.burst * part)
-        _clip(account, customer)
-        return account
 
 
 def _clip(account: _Account, customer: deployment.Customer) -> None:
--- a/laburnumpin/forwarding/daemon.py
+++ b/laburnumpin/forwarding/daemon.py
@@ -25,7 +25,7 @@
 from laburnumpin.server import tasks
 
 # The process exits this long before it would be killed.
-EXIT_MARGIN_MS = 500
+EXIT_MARGIN_MS = 1_000
 # New requests are expected for this long after the request to exit.
 MIN_EXIT_MS = 3_200
 EXIT_POLL_S = 0.05
@@ -52,6 +52,7 @@
         settings.repeat_bound,
         settings.usage_window_ms,
         random.Random(f"{settings.name}/{incarnation_ms}"),
+        settings.quota_slack_units,
     )
     for seed in settings.seeds:
         state.members.add_contact(seed, boot_clock.now_ms())
--- a/laburnumpin/forwarding/duties.py
+++ b/laburnumpin/forwarding/duties.py
@@ -19,6 +19,8 @@
 
 LEASE_KEY = "lease"
 TICK_MS = 100
+# The same where there are many entries, whose digests are further apart.
+LARGE_TICK_MS = 200
 # Pause of the duties' loops while another entry holds the lease.
 IDLE_MS = 400
 # Time after the end of a window at which the entries' counts are complete.
@@ -87,14 +89,19 @@
                 self._shell.apply(
                     events.Ticked(self._shell.now_ms(), own_wall_ms)
                 )
-                await anyio.sleep(TICK_MS / 1_000)
+                await anyio.sleep(self._tick_ms() / 1_000)
+
+    def _tick_ms(self) -> int:
+        if self._shell.state.members.uses_relays():
+            return LARGE_TICK_MS
+        return TICK_MS
 
     def _may_act(self) -> bool:
         return self._lease.may_act(self._shell.now_ms())
 
     async def _keep_lease(self) -> None:
         while True:
-            await anyio.sleep(TICK_MS / 1_000)
+            await anyio.sleep(self._tick_ms() / 1_000)
             now_ms = self._shell.now_ms()
             self._note_holder(now_ms)
             members = self._shell.state.members
--- a/laburnumpin/forwarding/gossip.py
+++ b/laburnumpin/forwarding/gossip.py
@@ -5,6 +5,7 @@
 from laburnumpin.forwarding import digests
 from laburnumpin.forwarding import effects
 from laburnumpin.forwarding import events
+from laburnumpin.forwarding import membership
 from laburnumpin.forwarding import state as forwarding_state
 
 # Pause between two digests, and what each known entry adds to it, so that the
@@ -33,6 +34,7 @@
 ) -> list[effects.Effect]:
     """Send a digest when it is due, and forget silent peers."""
     now_ms = event.now_ms
+    state.quotas.expect(state.members.expected(now_ms))
     produced: list[effects.Effect] = []
     for peer in state.members.expire(now_ms):
         produced.append(effects.Report("peer_forgotten", {"peer": peer.name}))
@@ -84,12 +86,7 @@
         name, digest.incarnation_ms, digest.used, customers, now_ms
     )
     state.usage.hear(peer.source, digest.windows)
-    for upstream in state.upstreams.all():
-        load = digest.loads.get(upstream.registration.upstream_id)
-        if load is None:
-            upstream.peer_load.pop(name, None)
-            continue
-        upstream.peer_load[name] = load
+    _take_loads(state, peer, digest, is_new=is_new)
     for upstream_id, part_id in digest.parts:
         known = state.upstreams.get(upstream_id)
         if known is not None:
@@ -98,6 +95,28 @@
     return produced
 
 
+def _take_loads(
+    state: forwarding_state.ForwardingState,
+    peer: membership.Peer,
+    digest: digests.Digest,
+    *,
+    is_new: bool,
+) -> None:
+    """Replace what a peer was known to have at the upstreams."""
+    if is_new:
+        for upstream in state.upstreams.all():
+            upstream.drop_peer_load(peer.name)
+    for upstream_id in peer.loaded:
+        known = state.upstreams.get(upstream_id)
+        if known is not None and upstream_id not in digest.loads:
+            known.drop_peer_load(peer.name)
+    for upstream_id, (streams, tokens) in digest.loads.items():
+        known = state.upstreams.get(upstream_id)
+        if known is not None:
+            known.set_peer_load(peer.name, streams, tokens)
+    peer.loaded = tuple(digest.loads)
+
+
 def _fetch(
     state: forwarding_state.ForwardingState,
     address: str,
@@ -122,9 +141,9 @@
     age_ms = LOAD_AGE_MS + 2 * digest_period_ms(state.members.count())
     live = {p.name for p in state.members.live(now_ms, age_ms)}
     for upstream in state.upstreams.all():
-        for name in list(upstream.peer_load):
+        for name in upstream.loaded_peers():
             if name not in live:
-                del upstream.peer_load[name]
+                upstream.drop_peer_load(name)
 
 
 def _digest(
--- a/laburnumpin/forwarding/lifecycle.py
+++ b/laburnumpin/forwarding/lifecycle.py
@@ -109,7 +109,7 @@
     if active.sends >= active.request.route.max_attempts:
         state.counters.increment("retries_refused", "max_attempts")
         return _end(state, active, reason)
-    entries = state.members.count()
+    entries = state.members.expected(now_ms)
     if active.sends and not state.budget.take(
         active.request.service, now_ms, entries
     ):
--- a/laburnumpin/forwarding/membership.py
+++ b/laburnumpin/forwarding/membership.py
@@ -83,6 +83,7 @@
         "heard_ms",
         "incarnation_ms",
         "lease_token",
+        "loaded",
         "name",
         "registry_version",
         "wall_offset_ms",
@@ -98,6 +99,8 @@
         self.registry_version = 0
         self.wall_offset_ms = 0
         self.work_ms: dict[str, float] = {}
+        # Upstreams that its last digest named a load of.
+        self.loaded: tuple[str, ...] = ()
         # Fencing token while the peer holds the lease, else 0.
         self.lease_token = 0
 
@@ -114,6 +117,7 @@
         "_by_name",
         "_contacts",
         "_entries",
+        "_expected_until_ms",
         "_failed_relays",
         "_own",
         "_past_work_ms",
@@ -130,6 +134,8 @@
         self._past_work_ms: dict[str, float] = {}
         # Addresses to which digests go, with the time until which.
         self._contacts: dict[str, int] = {}
+        # Until when entries that are only read of are expected to be there.
+        self._expected_until_ms: int | None = None
 
     def peers(self) -> list[Peer]:
         """Return the known peers."""
@@ -147,6 +153,19 @@
         """Return the number of entries, this one included."""
         return len(self._by_name) + 1
 
+    def expected(self, now_ms: int) -> int:
+        """Return the number of entries that there are, heard or not.
+
+        A new process has not heard the others yet, and may be cut off from
+        them. Later an entry that is silent for long counts as gone.
+        """
+        if self._expected_until_ms is None:
+            self._expected_until_ms = now_ms + FORGET_MS
+        if now_ms >= self._expected_until_ms:
+            return self.count()
+        known = max(len(self._entries), len(self._contacts))
+        return max(self.count(), known + 1)
+
     def targets(self, now_ms: int) -> list[str]:
         """Return the addresses to which digests are sent."""
         targets = []
--- a/laburnumpin/forwarding/moves.py
+++ b/laburnumpin/forwarding/moves.py
@@ -106,7 +106,7 @@
         now_ms,
         state.random,
     )
-    entries = state.members.count()
+    entries = state.members.expected(now_ms)
     if target is None or not state.budget.take(
         request.service, now_ms, entries
     ):
--- a/laburnumpin/forwarding/relay.py
+++ b/laburnumpin/forwarding/relay.py
@@ -25,6 +25,9 @@
 
 # Pause between two bundles; they go out also when they are empty.
 BUNDLE_MS = 250
+# An entry that is no relay writes its own digests only, or an empty bundle
+# after this time.
+KEEP_ALIVE_MS = 700
 # A link without a message for this long has gone silent.
 SILENT_S = 1.5
 CONNECT_TIMEOUT_S = 0.7
@@ -75,6 +78,7 @@
 
     __slots__ = (
         "_bundle",
+        "_flushed_ms",
         "_links",
         "_newest",
         "_receive",
@@ -95,6 +99,7 @@
         # Digests to pass on, by name, with the link that they came over.
         self._bundle: dict[str, tuple[bytes, _Link | None]] = {}
         self._newest = digests.Newest()
+        self._flushed_ms = 0
         synchronizer.on_rows = self._on_rows
         synchronizer.relayed = self.is_relayed
 
@@ -123,7 +128,7 @@
             task_group.start_soon(self._keep, task_group)
             while True:
                 await anyio.sleep(BUNDLE_MS / 1_000)
-                if self._links:
+                if self._links and self._is_flush_due():
                     self._flush()
 
     async def accept(
@@ -247,8 +252,14 @@
         if self._newest.accept(digest, self._shell.now_ms()):
             self._bundle[name] = (packet, link)
 
+    def _is_flush_due(self) -> bool:
+        if any(k.side is Side.MEMBER for k in self._links.values()):
+            return True
+        return self._shell.now_ms() >= self._flushed_ms + KEEP_ALIVE_MS
+
     def _flush(self) -> None:
         """Send a bundle over each link."""
+        self._flushed_ms = self._shell.now_ms()
         bundle, self._bundle = self._bundle, {}
         direct = self._synchronizer.in_step()
         relays = [k for k in self._links.values() if k.side is not Side.MEMBER]
--- a/laburnumpin/forwarding/settings.py
+++ b/laburnumpin/forwarding/settings.py
@@ -12,7 +12,8 @@
     """Addresses, bounds and names of one process.
 
     Addresses are `IP:PORT`. `exit_ms` is the time from the request to exit
-    until the process is killed.
+    until the process is killed; `quota_slack_units` is what all entries may
+    admit of a customer beyond its quota in a window.
     """
 
     name: str
@@ -25,6 +26,7 @@
     cloud_address: str
     duties: tuple[str, ...]
     exit_ms: int
+    quota_slack_units: float
     lease_ms: int
     repeat_bound: budgets.RepeatBound
     usage_window_ms: int
--- a/laburnumpin/forwarding/state.py
+++ b/laburnumpin/forwarding/state.py
@@ -92,6 +92,7 @@
         bound: budgets.RepeatBound,
         usage_window_ms: int,
         generator: random.Random,
+        quota_slack_units: float = 0.0,
     ) -> None:
         self.contact = contact
         self.name = contact.name
@@ -105,7 +106,7 @@
         self.registry_read = False
         self.active: dict[str, Active] = {}
         self.budget = budgets.RepeatBudget(bound)
-        self.quotas = budgets.Quotas()
+        self.quotas = budgets.Quotas(quota_slack_units)
         self.usage = usage.Usage(usage_window_ms)
         self.members = membership.Members(contact)
         self.lease_token = 0
--- a/laburnumpin/forwarding/upstreams.py
+++ b/laburnumpin/forwarding/upstreams.py
@@ -55,6 +55,9 @@
     """An upstream with the work and the outcomes that this entry has seen."""
 
     __slots__ = (
+        "_peer_load",
+        "_peer_streams",
+        "_peer_tokens",
         "cached_parts",
         "cold_until_ms",
         "consecutive_failures",
@@ -64,7 +67,6 @@
         "own_pending_tokens",
         "own_streams",
         "paused_until_ms",
-        "peer_load",
         "registration",
         "seen_ms",
         "slowness",
@@ -80,7 +82,10 @@
         self.own_streams = 0
         self.own_pending_tokens = 0
         # Streams and pending prompt tokens of each peer, by its name.
-        self.peer_load: dict[str, tuple[int, int]] = {}
+        self._peer_load: dict[str, tuple[int, int]] = {}
+        # Their sums.
+        self._peer_streams = 0
+        self._peer_tokens = 0
         self.failure_rate = 0.0
         self.consecutive_failures = 0
         self.paused_until_ms = 0
@@ -101,12 +106,28 @@
 
     def streams(self) -> int:
         """Return the requests that all entries are known to have there."""
-        return self.own_streams + sum(n for n, _ in self.peer_load.values())
+        return self.own_streams + self._peer_streams
 
     def pending_tokens(self) -> int:
         """Return the prompt tokens that wait to be read there."""
-        pending = sum(tokens for _, tokens in self.peer_load.values())
-        return self.own_pending_tokens + pending
+        return self.own_pending_tokens + self._peer_tokens
+
+    def set_peer_load(self, peer: str, streams: int, tokens: int) -> None:
+        """Note what a peer has here."""
+        self.drop_peer_load(peer)
+        self._peer_load[peer] = (streams, tokens)
+        self._peer_streams += streams
+        self._peer_tokens += tokens
+
+    def drop_peer_load(self, peer: str) -> None:
+        """Forget what a peer has here."""
+        streams, tokens = self._peer_load.pop(peer, (0, 0))
+        self._peer_streams -= streams
+        self._peer_tokens -= tokens
+
+    def loaded_peers(self) -> list[str]:
+        """Return the peers that have requests here."""
+        return list(self._peer_load)
 
     def remember_part(self, part_id: int, now_ms: int) -> None:
         """Note that the engine has read a prompt part."""
--- a/laburnumpin/platform/settings.py
+++ b/laburnumpin/platform/settings.py
@@ -134,6 +134,7 @@
             else ""
         ),
         duties=tuple(duties),
+        quota_slack_units=reader.number("bounds", "quota_slack", default=0),
         exit_ms=_seconds(reader, "grace_s", 8),
         lease_ms=int(reader.number("bounds", "lease_ms", default=3_000)),
         repeat_bound=bound,
--- a/laburnumpin/tests/test_forwarding_budgets.py
+++ b/laburnumpin/tests/test_forwarding_budgets.py
@@ -26,12 +26,17 @@
     seed: int,
     units: float = 40.0,
     digest_ms: int = DIGEST_MS,
+    slack_units: float = 0.0,
+    jump: tuple[int, float] | None = None,
 ) -> list[tuple[int, float]]:
-    """Play entries that admit one customer's requests; return admissions."""
+    """Play entries that admit one customer's requests; return admissions.
+
+    `jump` is a time and the pressure from then on.
+    """
     generator = random.Random(seed)
     customer = build.customer(rate_per_s=1_000.0, burst=1_000.0)
     customers = {customer.name: customer}
-    quotas = [budgets.Quotas() for i in range(entries)]
+    quotas = [budgets.Quotas(slack_units) for i in range(entries)]
     admitted: list[tuple[int, float]] = []
     for now_ms in range(0, seconds * 1_000, 20):
         if now_ms % digest_ms == 0:
@@ -50,6 +55,8 @@
                         customers,
                         now_ms,
                     )
+        if jump is not None and now_ms == jump[0]:
+            pressure = jump[1]
         for quota in quotas:
             wanted = pressure * 1_000.0 / entries * 0.02
             if generator.random() * units < wanted:
@@ -216,3 +223,90 @@
     before = quota.level(customer.name)
     quota.hear("e1", 2, {customer.name: 50.0}, customers, 4_000)
     assert quota.level(customer.name) >= before - 50.0
+
+
+def _play_customers_at_few_entries(
+    slack_units: float, pressure: float
+) -> tuple[int, int]:
+    """Return how many requests were asked and refused.
+
+    Pattern: 74 entries, digests 740 ms apart; a customer's clients are hashed
+    to four of the entries and send in bursts.
+    """
+    generator = random.Random(8)
+    customer = build.customer(rate_per_s=1_000.0, burst=1_000.0)
+    customers = {customer.name: customer}
+    quotas = [budgets.Quotas(slack_units) for _ in range(74)]
+    asked = refused = 0
+    for now_ms in range(0, 16_000, 20):
+        if now_ms % 740 == 0:
+            for sender, receiver in itertools.permutations(range(74), 2):
+                quotas[receiver].hear(
+                    f"e{sender}", 1, quotas[sender].used(), customers, now_ms
+                )
+        if now_ms < 4_000:
+            continue
+        in_burst = now_ms % 2_000 < 500
+        wanted = pressure * 1_000.0 * 0.02 * (2.2 if in_burst else 0.6)
+        if generator.random() * 100.0 >= wanted:
+            continue
+        asked += 1
+        quota = generator.choice(quotas[:4])
+        refused += quota.admit(customer, 100.0, now_ms) > 0
+    return asked, refused
+
+
+def test_bursts_below_the_quota_are_admitted_at_few_of_many_entries() -> None:
+    # The deployments allow the use of four seconds beyond a quota.
+    asked, refused = _play_customers_at_few_entries(4_000.0, 0.8)
+    assert asked > 80
+    assert refused == 0
+
+
+@pytest.mark.parametrize("silent", [set(), {0, 1, 2}, set(range(20))])
+@pytest.mark.parametrize("pressure", [1.5, 8.0])
+def test_quota_with_slack_holds_over_many_entries(
+    pressure: float, silent: set[int]
+) -> None:
+    admitted = _play(
+        74,
+        16,
+        pressure,
+        silent=silent,
+        seed=4,
+        units=100.0,
+        digest_ms=740,
+        slack_units=4_000.0,
+    )
+    bound = (1_000.0 * 8 + 1_000.0) * 1.1 + 4_000.0
+    assert _most_in_window(admitted) <= bound
+
+
+def test_sudden_use_beyond_the_quota_holds_with_slack() -> None:
+    # Pattern: a customer uses half of its quota, then many times as much.
+    admitted = _play(
+        74,
+        20,
+        0.5,
+        silent=set(),
+        seed=4,
+        units=100.0,
+        digest_ms=740,
+        slack_units=4_000.0,
+        jump=(8_000, 5.0),
+    )
+    bound = (1_000.0 * 8 + 1_000.0) * 1.1 + 4_000.0
+    assert _most_in_window(admitted) <= bound
+
+
+def test_entries_that_start_while_cut_off_count_on_the_others() -> None:
+    # Pattern: 12 of 74 entries start again while they hear nobody.
+    customer = build.customer(rate_per_s=1_000.0, burst=1_000.0)
+    quotas = [budgets.Quotas(4_000.0) for _ in range(12)]
+    total = 0.0
+    for now_ms in range(0, 8_000, 20):
+        for quota in quotas:
+            quota.expect(74)
+            if quota.admit(customer, 50.0, now_ms) == 0:
+                total += 50.0
+    assert total <= (1_000.0 * 8 + 1_000.0) * 1.1 + 4_000.0
