--- a/laburnumpin/tests/test_forwarding_autoscaling.py
+++ b/laburnumpin/tests/test_forwarding_autoscaling.py
@@ -224,3 +224,12 @@
             else:
                 assert order.count >= 10 or step > 20
     assert fewest >= 30
+
+
+def test_large_fleets_need_less_headroom_than_small_ones() -> None:
+    # Pattern: the grown deployments' load keeps 16 engines busy where that of
+    # the first ones keeps 2 busy.
+    small = autoscaling.engines_for(2.0, autoscaling.HEADROOM)
+    large = autoscaling.engines_for(16.0, autoscaling.HEADROOM)
+    assert 2.0 / small <= 0.5
+    assert 16.0 / large >= 0.65
