--- a/laburnumpin/forwarding/autoscaling.py
+++ b/laburnumpin/forwarding/autoscaling.py
@@ -17,15 +17,18 @@
 from laburnumpin.forwarding import state as forwarding_state
 from laburnumpin.forwarding import upstreams
 
-# Engines beyond the load, times its square root (square-root staffing): the
-# fluctuations of a load grow slower than the load. Below it the wait for other
-# prompts exceeds the objectives of short requests.
+# Share of the engines' time that the prompts of a small load may take. Above it
+# the wait for other prompts exceeds the objectives of short requests.
+TARGET_UTILIZATION = 0.5
+# The fluctuations of a load grow with its square root. A large one needs this
+# many engines for each unit of the root beyond the load (square-root staffing).
 HEADROOM = 1.8
 # The load is the highest mean over spans of time: reclaimable engines follow
 # the short ones too, the costly others the long ones only.
 SPANS_MS = (1_500, 4_000, 8_000)
 LONG_SPANS_MS = (4_000, 8_000)
 # The same for the costly others.
+REGULAR_UTILIZATION = 0.7
 REGULAR_HEADROOM = 1.0
 # Engines are ordered for this many times the load, for waves rise while
 # ordered engines start.
@@ -139,9 +142,14 @@
         return total
 
 
-def engines_for(load_engines: float, headroom: float) -> int:
+def engines_for(
+    load_engines: float, utilization: float, headroom: float
+) -> int:
     """Return the engines that carry a load, given as engines kept busy."""
-    engines = load_engines + headroom * math.sqrt(load_engines)
+    engines = min(
+        load_engines / utilization,
+        load_engines + headroom * math.sqrt(load_engines),
+    )
     return max(MIN_ENGINES, math.ceil(engines))
 
 
@@ -306,8 +314,10 @@
         zones = sorted(bounds.price_by_zone)
         if supply.reclaimed:
             scaler.scarce_until_ms = now_ms + SCARCE_MS
-        needed = engines_for(load * GROWTH, HEADROOM)
-        needed_regular = engines_for(long_load, REGULAR_HEADROOM)
+        needed = engines_for(load * GROWTH, TARGET_UTILIZATION, HEADROOM)
+        needed_regular = engines_for(
+            long_load, REGULAR_UTILIZATION, REGULAR_HEADROOM
+        )
         if not scaler.seen_load:
             # Without load there is no telling what will come: what is there
             # stays.
