--- a/laburnumpin/forwarding/duties.py
+++ b/laburnumpin/forwarding/duties.py
@@ -33,6 +33,9 @@
 # more of them does.
 CANDIDATES = 3
 WIDEN_MS = 1_000
+# Entries that start together try for the lease within this time, one after the
+# other: the first one is heard by the rest.
+FIRST_TRY_MS = 800
 # Pause between two looks at the upstreams that are ordered.
 SCALE_PERIOD_MS = 500
 
@@ -44,6 +47,7 @@
 
     __slots__ = (
         "_cloud",
+        "_first_try_ms",
         "_held_ms",
         "_lease",
         "_next_scale_ms",
@@ -71,6 +75,9 @@
         self._next_scale_ms = 0
         # When the lease was last known to be held by anyone.
         self._held_ms = shell.now_ms()
+        self._first_try_ms = self._held_ms + int(
+            shell.state.random.uniform(0, FIRST_TRY_MS)
+        )
         # The newest window that is known to be reported.
         self._reported: int | None = None
         self._was_holder = False
@@ -151,7 +158,7 @@
         A few entries watch the row of a holder that is not heard; the longer
         it stays without one, the more of them.
         """
-        if not self._shell.is_ready():
+        if not self._shell.is_ready() or now_ms < self._first_try_ms:
             return False
         if self._lease.holds(now_ms) or not self._lease.was_read:
             return True
--- a/laburnumpin/forwarding/selection.py
+++ b/laburnumpin/forwarding/selection.py
@@ -135,9 +135,14 @@
     service: deployment.Service,
     view: View,
 ) -> tuple[list[upstreams.Upstream], list[upstreams.Upstream]]:
-    """Return the engines for the request's size, and the others."""
+    """Return the engines for the request's size, and the others.
+
+    A few entries know of each other's requests in time, and need no classes.
+    """
     if service.engine is None or view.shares is None:
         return candidates, []
+    if view.entries <= SMALL_FLEET:
+        return candidates, []
     if len(candidates) < size_classes.MIN_ENGINES:
         return candidates, []
     own: list[upstreams.Upstream] = []
--- a/laburnumpin/forwarding/synchronization.py
+++ b/laburnumpin/forwarding/synchronization.py
@@ -19,6 +19,9 @@
 CROWD = 8
 # Pause between two looks whether another entry still passes on the rows.
 RELAYED_POLL_S = 0.4
+# Pause after changes in a large fleet, whose upstreams change all the time: what
+# changes meanwhile comes with one call. Its relays ask out of step.
+CHANGES_PAUSE_S = 0.2
 # Longest wait of one call for changes; a connection that has gone silent is
 # noticed a little later.
 WAIT_MS = 2_500
@@ -103,6 +106,8 @@
                     if failing:
                         self._outage_ended_ms = self._shell.now_ms()
                     self._apply_changes(table, rows)
+                    if rows.rows and self._shell.state.members.uses_relays():
+                        await anyio.sleep(CHANGES_PAUSE_S)
                 after = rows.version
                 self._failing.discard(table)
             except interfaces.HistoryLostError:
