--- a/laburnumpin/forwarding/synchronization.py
+++ b/laburnumpin/forwarding/synchronization.py
@@ -19,8 +19,8 @@
 CROWD = 8
 # Pause between two looks whether another entry still passes on the rows.
 RELAYED_POLL_S = 0.4
-# Pause after changes in a large fleet, whose upstreams change all the time: what
-# changes meanwhile comes with one call. Its relays ask out of step.
+# Pause after changes in a large fleet, whose upstreams change all the time;
+# what changes meanwhile comes with one call. Its relays ask out of step.
 CHANGES_PAUSE_S = 0.2
 # Longest wait of one call for changes; a connection that has gone silent is
 # noticed a little later.
