--- a/laburnumpin/forwarding/caller.py
+++ b/laburnumpin/forwarding/caller.py
@@ -182,11 +182,7 @@
             with anyio.move_on_after(WRITE_TIMEOUT_S):
                 await self._stream.send(data)
                 written = True
-        except (
-            anyio.BrokenResourceError,
-            anyio.ClosedResourceError,
-            OSError,
-        ) as error:
+        except connections.LOST as error:
             raise CallerGoneError(str(error)) from error
         if not written:
             raise CallerGoneError("the caller does not read its answer")
--- a/laburnumpin/forwarding/connections.py
+++ b/laburnumpin/forwarding/connections.py
@@ -18,6 +18,10 @@
 KEEP_ALIVE_INTERVAL_S = 1
 KEEP_ALIVE_PROBES = 2
 
+# What `anyio` raises when a connection has ended; it passes on errors of the
+# socket such as ETIMEDOUT.
+LOST = (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError)
+
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -81,10 +85,7 @@
                 data = await self._stream.receive(READ_BYTES)
             except anyio.EndOfStream:
                 break
-            except (anyio.BrokenResourceError, anyio.ClosedResourceError):
-                self.was_reset = True
-                break
-            except OSError:  # `anyio` passes on errors such as ETIMEDOUT.
+            except LOST:
                 self.was_reset = True
                 break
             self._buffer += data
@@ -174,9 +175,7 @@
         data += self._h11.send(h11.EndOfMessage()) or b""
         try:
             await self._stream.send(data)
-        except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
-            raise ConnectionLostError(str(error)) from error
-        except OSError as error:
+        except LOST as error:
             raise ConnectionLostError(str(error)) from error
 
     async def head(self) -> h11.Response:
--- a/laburnumpin/platform/standins.py
+++ b/laburnumpin/platform/standins.py
@@ -431,12 +431,14 @@
 ) -> dict[str, Any]:
     """Return a configuration with a route that names its version."""
     routes = [
-        _route("calls", "/calls/", "non_idempotent", "desk"),
+        _route("calls", "/calls/", "non_idempotent", "desk", max_attempts=3),
         _route("reads", "/reads/", "idempotent", "desk", max_attempts=2),
         _route(probe_route, f"/{probe_route}/", "idempotent", "desk"),
     ]
     if drafts:
-        routes.append(_route("drafts", "/drafts/", "streaming", "engines"))
+        routes.append(
+            _route("drafts", "/drafts/", "streaming", "engines", max_attempts=2)
+        )
         routes.append(
             _route(
                 "notes",
--- a/laburnumpin/soak/proxy.py
+++ b/laburnumpin/soak/proxy.py
@@ -5,6 +5,8 @@
 import anyio
 from anyio import abc
 
+from laburnumpin.forwarding import connections
+
 CHUNK_BYTES = 16_384
 
 
@@ -99,10 +101,5 @@
                 lost = lost or (self.drop_back if back else self.drop_forward)
                 if not lost:
                     await sink.send(data)
-        except (
-            anyio.EndOfStream,
-            anyio.BrokenResourceError,
-            anyio.ClosedResourceError,
-            OSError,
-        ):
+        except (anyio.EndOfStream, *connections.LOST):
             return  # Either end is gone.
--- a/laburnumpin/soak/run.py
+++ b/laburnumpin/soak/run.py
@@ -36,6 +36,8 @@
 LONG_SHARE = 0.2
 # From this many entries on they are in two zones.
 ONE_ZONE_ENTRIES = 4
+# Time that a runner that is replaced still serves.
+LEAVING_S = 2.0
 # Notice of a reclaim, the shortest that the deployments list.
 RECLAIM_NOTICE_S = 1.25
 # Steps of the time of day, ms.
@@ -61,6 +63,8 @@
     "runner_errors",
     "runner_cuts",
     "runner_rejects",
+    "service_errors",
+    "service_rejects",
     "runner_leaves",
     "runner_reclaimed",
 )
@@ -384,6 +388,8 @@
                 await self._replace_runner(runner, task_group)
             elif name == "runner_reclaimed":
                 await self._reclaim_runner(runner, task_group)
+            elif name.startswith("service"):
+                await self._harm_service(name, runner.runner.service, hold_s)
             elif name.startswith("runner"):
                 await self._harm_runner(name, runner, hold_s)
             else:
@@ -457,36 +463,57 @@
         runner.runner.cut_share = 0.0
         runner.runner.reject_share = 0.0
 
+    async def _harm_service(
+        self, name: str, service: str, hold_s: float
+    ) -> None:
+        """Let all runners of a service fail or reject most requests."""
+        harmed = [
+            r.runner for r in self._runners if r.runner.service == service
+        ]
+        for runner in harmed:
+            if name == "service_errors":
+                runner.error_share = 0.8
+            else:
+                runner.reject_share = 0.8
+        await anyio.sleep(hold_s)
+        for runner in harmed:
+            runner.error_share = runner.reject_share = 0.0
+
     async def _replace_runner(
         self, runner: _Runner, task_group: abc.TaskGroup
     ) -> None:
-        if runner.leaving:
-            return
-        runner.leaving = True
-        self._runners.remove(runner)
-        await self._add_runner(task_group, runner.runner.service)
-        runner_id = runner.runner.runner_id
-        self._history.leaving[runner_id] = self._clock.now_ms()
-        self._register(runner, "draining")
-        await anyio.sleep(2.0)
-        self._store.remove("servers", runner_id)
+        """Let a runner leave in peace once another one is there."""
+        if await self._announce(runner, task_group, reclaimable=False):
+            await anyio.sleep(LEAVING_S)
+            self._store.remove("servers", runner.runner.runner_id)
 
     async def _reclaim_runner(
         self, runner: _Runner, task_group: abc.TaskGroup
     ) -> None:
         """Take a runner away at the end of a short notice."""
+        if await self._announce(runner, task_group, reclaimable=True):
+            await anyio.sleep(RECLAIM_NOTICE_S)
+            runner.proxy.silent = True
+            await runner.proxy.reset_all()
+            self._store.remove("servers", runner.runner.runner_id)
+
+    async def _announce(
+        self,
+        runner: _Runner,
+        task_group: abc.TaskGroup,
+        *,
+        reclaimable: bool,
+    ) -> bool:
+        """Register a runner as leaving; False if it is leaving already."""
         if runner.leaving:
-            return
+            return False
         runner.leaving = True
         self._runners.remove(runner)
         await self._add_runner(task_group, runner.runner.service)
         runner_id = runner.runner.runner_id
         self._history.leaving[runner_id] = self._clock.now_ms()
-        self._register(runner, "draining", reclaimable=True)
-        await anyio.sleep(RECLAIM_NOTICE_S)
-        runner.proxy.silent = True
-        await runner.proxy.reset_all()
-        self._store.remove("servers", runner_id)
+        self._register(runner, "draining", reclaimable=reclaimable)
+        return True
 
     async def _harm_store(
         self, name: str, before: proxy.Proxy, hold_s: float
