--- a/laburnumpin/platform/standins.py
+++ b/laburnumpin/platform/standins.py
@@ -28,6 +28,8 @@
 LIMITED_KEY = "key-2"
 LIMITED_RATE_PER_S = 20
 LIMITED_BURST = 20
+# Part of the resumed streams that begin with an event that was sent before.
+REPEATED_SHARE = 0.3
 # Pause between two events of a stream.
 EVENT_PAUSE_S = 0.01
 
@@ -357,6 +359,8 @@
         if wire.TOKEN_COUNT in headers:
             kind = [(b"Content-Type", b"text/event-stream")]
             await caller.start_answer(200, echo + seal + kind)
+            if resumed and self._random.random() < REPEATED_SHARE:
+                resumed -= 1
             return await self._stream(caller, request_id, resumed, is_cut)
         if is_cut:
             return False
