--- a/laburnumpin/forwarding/autoscaling.py
+++ b/laburnumpin/forwarding/autoscaling.py
@@ -40,9 +40,9 @@
 # After a reclaim there are mostly none to be had for this long, and other
 # zones may follow.
 SCARCE_MS = 15_000
-# Nothing is ordered before load is seen until the upstreams have been the same
-# for this long: those that start together register over several heartbeats,
-# and an order for fewer than there are takes some away.
+# Before load is seen, the number of costly upstreams is left alone until it has
+# been the same for this long: those that start together register over several
+# heartbeats, and an order for fewer than there are takes some away.
 SETTLE_MS = 3_000
 # A smaller number is ordered only after it has been enough for this long.
 SHRINK_MS = 4_000
@@ -129,10 +129,6 @@
         """Return the engines of one kind in a zone."""
         return self.ready.get((zone, reclaimable), 0)
 
-    def all(self) -> int:
-        """Return the number of engines."""
-        return sum(self.ready.values())
-
     def total(self, *, reclaimable: bool) -> int:
         """Return the engines of one kind in all zones."""
         total = 0
@@ -223,7 +219,7 @@
         # Engines that were there before any load was seen.
         self.initial = 0
         self.seen_load = False
-        # The number of upstreams, and since when it has been the same.
+        # The number of costly upstreams, and since when it has been the same.
         self.present = -1
         self.present_since_ms = 0
 
@@ -292,7 +288,7 @@
         scaler = self._services.setdefault(service.name, _ServiceScaler())
         scaler.meter.add(now_ms, state.total_work_ms(service.name))
         supply = _supply(state, service.name)
-        is_settled = scaler.is_settled(supply.all(), now_ms)
+        is_settled = scaler.is_settled(supply.total(reclaimable=False), now_ms)
         load = scaler.meter.engines(SPANS_MS)
         long_load = scaler.meter.engines(LONG_SPANS_MS)
         if load is None or long_load is None:
@@ -311,8 +307,6 @@
         if not scaler.seen_load:
             # Without load there is no telling what will come: what is there
             # stays.
-            if not is_settled and load <= 0.0:
-                return []
             scaler.initial = max(
                 scaler.initial, supply.total(reclaimable=False)
             )
@@ -332,6 +326,8 @@
             (True, wanted.reclaimable),
             (False, wanted.regular),
         ):
+            if not reclaimable and not is_settled and load <= 0.0:
+                continue
             for zone, count in by_zone.items():
                 order = Order(
                     service.name, zone, count, reclaimable, load, needed
