Do not send on a request whose caller has left while the entry was busy

The end is now looked for in the kernel before a request is sent. The test sends and closes before the event loop reads; it fails on the code before, for calls that may be repeated and for others.

--- a/laburnumpin/forwarding/connections.py
+++ b/laburnumpin/forwarding/connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import select
 import socket
 
 import anyio
@@ -75,6 +76,22 @@
         """Return whether bytes wait to be taken."""
         return bool(self._buffer)
 
+    def has_closed(self) -> bool:
+        """Return whether the peer has closed, be it read yet or not.
+
+        While the process is busy, what a peer sent and its end wait together,
+        and the end is read last.
+        """
+        if self.ended:
+            return True
+        try:
+            number = self._stream.extra(abc.SocketAttribute.raw_socket).fileno()
+            poll = select.poll()
+            poll.register(number, select.POLLRDHUP)
+            return bool(poll.poll(0))
+        except (*LOST, ValueError):
+            return True  # The socket is closed on this side already.
+
     async def run(self) -> None:
         """Read until the peer closes."""
         while True:
--- a/laburnumpin/forwarding/frontend.py
+++ b/laburnumpin/forwarding/frontend.py
@@ -208,10 +208,12 @@
             # Work whose caller is gone stops; a call that must not run twice
             # is left to finish, so that it is not cut half way.
             self._caller.reader.on_end = scope.cancel
-            if self._caller.reader.ended:
-                scope.cancel()
         kept = False
         try:
+            if self._caller.reader.has_closed():
+                raise callers.CallerGoneError(
+                    "gone before the request was sent"
+                )
             with scope:
                 kept = await self._attempts(request, resume_after)
         except callers.CallerGoneError:
--- a/laburnumpin/tests/test_platform_relay.py
+++ b/laburnumpin/tests/test_platform_relay.py
@@ -345,6 +345,31 @@
     play(script, act)
 
 
+@pytest.mark.parametrize("routes", [None, ONCE])
+def test_request_whose_caller_left_meanwhile_is_not_sent_on(
+    routes: tuple[deployment.Route, ...] | None,
+) -> None:
+    # Found on trouble-2 of grown Luvas (small twin): a busy entry read requests
+    # 1.7 s late, and the ends of their connections after them.
+    sent = []
+
+    async def script(peer: Peer) -> None:
+        sent.append(await peer.request())
+        await peer.answer("r1", b"late")
+
+    async def act(world: World) -> None:
+        host, _, port = world.address.rpartition(":")
+        caller = socket.create_connection((host, int(port)))
+        await anyio.sleep(0.1)
+        # Both arrive before the event loop reads again.
+        caller.sendall(_request())
+        caller.close()
+        await anyio.sleep(0.3)
+        assert not sent
+
+    play(script, act, routes=routes)
+
+
 def test_early_answer_to_a_long_request_reaches_the_caller() -> None:
     async def script(peer: Peer) -> None:
         await peer.stream.receive()
