--- a/laburnumpin/forwarding/duties.py
+++ b/laburnumpin/forwarding/duties.py
@@ -42,6 +42,32 @@
 Table = interfaces.Table
 
 
+async def fix_counts(
+    store: interfaces.StoreClient, window: int, counts: usage.Counts
+) -> usage.Counts:
+    """Return the counts of a window that every holder reports.
+
+    The first holder writes its counts to the store; a report is then repeated
+    by anyone without a difference.
+
+    Raises:
+        LaburnumpinError: The store cannot be used.
+    """
+    key = str(window)
+    try:
+        await store.write(Table.USAGE, key, json.dumps(counts).encode(), 0)
+    except interfaces.ConflictError:
+        rows = await store.read(Table.USAGE)
+        for row in rows.rows:
+            if row.key == key and row.value is not None:
+                return dict(json.loads(row.value))
+        raise
+    if window % KEPT_ROWS == 0:
+        old = range(window - 2 * KEPT_ROWS, window - KEPT_ROWS)
+        await store.remove(Table.USAGE, tuple(str(number) for number in old))
+    return counts
+
+
 class Duties:
     """Runs the lease, and the duties while it is held."""
 
@@ -226,7 +252,7 @@
         window = max(self._reported + 1, oldest)
         if window > newest:
             return
-        counts = await self._fixed_counts(window)
+        counts = await fix_counts(self._store, window, counted.total(window))
         if not self._may_act():
             return
         await self._cloud.report_usage(
@@ -243,31 +269,6 @@
             },
         )
 
-    async def _fixed_counts(self, window: int) -> usage.Counts:
-        """Return the counts of a window that every holder reports.
-
-        The first holder writes them to the store; a report is then repeated
-        by anyone without a difference.
-        """
-        counts = self._shell.state.usage.total(window)
-        key = str(window)
-        try:
-            await self._store.write(
-                Table.USAGE, key, json.dumps(counts).encode(), 0
-            )
-        except interfaces.ConflictError:
-            rows = await self._store.read(Table.USAGE)
-            for row in rows.rows:
-                if row.key == key and row.value is not None:
-                    return dict(json.loads(row.value))
-            raise
-        if window % KEPT_ROWS == 0:
-            old = range(window - 2 * KEPT_ROWS, window - KEPT_ROWS)
-            await self._store.remove(
-                Table.USAGE, tuple(str(number) for number in old)
-            )
-        return counts
-
     async def _order_upstreams(self) -> None:
         while True:
             pause_ms = TICK_MS if self._may_act() else IDLE_MS
--- /dev/null
+++ b/laburnumpin/tests/test_forwarding_duties.py
@@ -0,0 +1,68 @@
+"""Reports of usage by one holder of the lease after another."""
+
+from __future__ import annotations
+
+import anyio
+
+from laburnumpin.forwarding import duties
+from laburnumpin.forwarding import interfaces
+
+Table = interfaces.Table
+
+
+class _Store:
+    """Rows in memory; a row is written at the version that is expected."""
+
+    def __init__(self) -> None:
+        self._rows: dict[tuple[Table, str], interfaces.Row] = {}
+        self._version = 0
+
+    async def read(self, table: Table) -> interfaces.Rows:
+        rows = [row for (name, _), row in self._rows.items() if name is table]
+        return interfaces.Rows(tuple(rows), self._version)
+
+    async def changes(
+        self, table: Table, after: int, wait_ms: int
+    ) -> interfaces.Rows:
+        raise NotImplementedError
+
+    async def write(
+        self, table: Table, key: str, value: bytes, expected_version: int | None
+    ) -> int:
+        known = self._rows.get((table, key))
+        version = 0 if known is None else known.version
+        if expected_version is not None and expected_version != version:
+            raise interfaces.ConflictError(key)
+        self._version += 1
+        self._rows[table, key] = interfaces.Row(key, value, self._version)
+        return self._version
+
+    async def remove(self, table: Table, keys: tuple[str, ...]) -> None:
+        for key in keys:
+            self._rows.pop((table, key), None)
+
+    def keys(self) -> list[str]:
+        """Return the windows that are kept."""
+        return [key for _, key in self._rows]
+
+
+def test_second_holder_reports_the_counts_of_the_first() -> None:
+    store = _Store()
+
+    async def play() -> None:
+        first = await duties.fix_counts(store, 7, {"acme": 3})
+        second = await duties.fix_counts(store, 7, {"acme": 4, "late": 1})
+        assert first == second == {"acme": 3}
+
+    anyio.run(play)
+
+
+def test_counts_of_old_windows_are_removed() -> None:
+    store = _Store()
+
+    async def play() -> None:
+        for window in range(4 * duties.KEPT_ROWS + 1):
+            await duties.fix_counts(store, window, {})
+
+    anyio.run(play)
+    assert len(store.keys()) <= 3 * duties.KEPT_ROWS
