--- a/laburnumpin/forwarding/attempts.py
+++ b/laburnumpin/forwarding/attempts.py
@@ -279,14 +279,14 @@
 
     async def _read(self, connection: connections.ClientConnection) -> None:
         try:
-            head: h11.Response | None = None
+            found: tuple[h11.Response, interfaces.AnswerKind] | None = None
             with anyio.move_on_after(self._send.silence_ms / 1_000):
-                head = await self._own_head(connection)
-            if head is None:
+                found = await self._own_head(connection)
+            if found is None:
                 raise AttemptError(
                     events.Ending.SILENT, MAY_HAVE_RUN, "no answer in time"
                 )
-            await self._classified(connection, head)
+            await self._classified(connection, *found)
         except connections.ConnectionLostError as error:
             await self._raise_if_moved()
             raise AttemptError(
@@ -308,34 +308,33 @@
 
     async def _own_head(
         self, connection: connections.ClientConnection
-    ) -> h11.Response:
-        """Return the head of the answer to this request."""
+    ) -> tuple[h11.Response, interfaces.AnswerKind]:
+        """Return the head of the answer to this request, and its kind."""
         for _ in range(MAX_SKIPPED + 1):
             head = await connection.head()
-            kind = self._kind(head)
+            kind = self._shell.wire.classify(
+                self._request.request_id,
+                head.status_code,
+                list(head.headers),
+            )
             if kind is not interfaces.AnswerKind.OTHER_REQUEST:
-                return head
+                return head, kind
             await connection.skip_response()
         raise connections.ProtocolError("answers to other requests")
 
-    def _kind(self, head: h11.Response) -> interfaces.AnswerKind:
-        return self._shell.wire.classify(
-            self._request.request_id,
-            head.status_code,
-            list(head.headers),
-        )
-
     async def _classified(
-        self, connection: connections.ClientConnection, head: h11.Response
+        self,
+        connection: connections.ClientConnection,
+        head: h11.Response,
+        kind: interfaces.AnswerKind,
     ) -> None:
-        kind = self._kind(head)
         headers = list(head.headers)
         connection.keep_alive_ms = self._shell.wire.keep_alive_ms(headers)
         raw = list(head.headers.raw_items())
         passed_on = self._shell.wire.answer_headers(raw)
         status = head.status_code
         if kind is interfaces.AnswerKind.NOT_RUN:
-            await self._body_of(connection, head)
+            await connection.body()
             raise AttemptError(
                 events.Ending.REJECTED, NOT_RUN, f"rejected with {status}"
             )
@@ -345,7 +344,7 @@
             )
         if kind is interfaces.AnswerKind.FAILURE:
             self._relay.runs()
-            body = await self._body_of(connection, head)
+            body = await connection.body()
             answer = Answer(status, _with_length(passed_on, body), body)
             self._relay.failure = answer
             raise AttemptError(
@@ -386,16 +385,6 @@
             )
             return
 
-    async def _body_of(
-        self, connection: connections.ClientConnection, head: h11.Response
-    ) -> bytes:
-        body = bytearray()
-        while True:
-            chunk = await connection.chunk()
-            if not chunk:
-                return bytes(body)
-            body += chunk
-
     async def _relay_stream(
         self,
         connection: connections.ClientConnection,
--- a/laburnumpin/forwarding/budgets.py
+++ b/laburnumpin/forwarding/budgets.py
@@ -235,8 +235,7 @@
         now_ms: int,
     ) -> None:
         """Take over what a peer has left of its part since its last digest."""
-        if self._started_ms is None:
-            self._started_ms = now_ms
+        self._uptime_ms(now_ms)
         peer = self._peers.get(name)
         if peer is None:
             peer = _Peer(incarnation_ms, now_ms)
@@ -264,6 +263,16 @@
     def _entries(self) -> int:
         return max(len(self._peers) + 1, self._expected)
 
+    def _hearing(self) -> int:
+        """Return the entries that are heard, this one included."""
+        return 1 + sum(not peer.is_silent for peer in self._peers.values())
+
+    def _uptime_ms(self, now_ms: int) -> int:
+        """Return the time since the quotas were first used."""
+        if self._started_ms is None:
+            self._started_ms = now_ms
+        return now_ms - self._started_ms
+
     def _silent_ms(self) -> int:
         return PEER_SILENT_MS + PEER_SILENT_MS_PER_ENTRY * self._entries()
 
@@ -272,14 +281,9 @@
         return -customer.rate_per_s * LOWEST_SCARCE_S - self._reserve
 
     def _set_reserve(self, now_ms: int) -> None:
-        if self._started_ms is None:
-            self._started_ms = now_ms
-        if now_ms < self._started_ms + RESERVE_AFTER_MS:
+        if self._uptime_ms(now_ms) < RESERVE_AFTER_MS:
             return
-        hearing = 1
-        for peer in self._peers.values():
-            hearing += not peer.is_silent
-        heard_share = hearing / self._entries()
+        heard_share = self._hearing() / self._entries()
         self._reserve = self._slack_units * RESERVE_SHARE * heard_share
 
     def _own_part(self, account: _Account) -> float:
@@ -299,17 +303,15 @@
             if peer.is_silent or now_ms <= peer.heard_ms + silent_ms:
                 continue
             peer.is_silent = True
-            hearing = sum(1 for p in self._peers.values() if not p.is_silent)
+            hearing = self._hearing()
             for account in self._accounts.values():
                 if account.level > 0:
-                    account.level *= (hearing + 1) / (hearing + 2)
+                    account.level *= hearing / (hearing + 1)
 
     def _advance(self, customer: deployment.Customer, now_ms: int) -> _Account:
-        if self._started_ms is None:
-            self._started_ms = now_ms
         account = self._accounts.get(customer.name)
         if account is None:
-            since_s = (now_ms - self._started_ms) / 1_000
+            since_s = self._uptime_ms(now_ms) / 1_000
             level = customer.burst * START_BURST_SHARE
             level += customer.rate_per_s * since_s / self._entries()
             level += customer.rate_per_s * self._flow_s
--- a/laburnumpin/forwarding/caller.py
+++ b/laburnumpin/forwarding/caller.py
@@ -136,12 +136,7 @@
 
     def next_request(self) -> bool:
         """Get ready for the next request; False if there can be none."""
-        if self._h11.our_state is not h11.DONE:
-            return False
-        if self._h11.their_state is not h11.DONE:
-            return False
-        self._h11.start_next_cycle()
-        return True
+        return connections.start_next_cycle(self._h11)
 
     async def close(self) -> None:
         """Close after what was written has been handed to the kernel."""
--- a/laburnumpin/forwarding/connections.py
+++ b/laburnumpin/forwarding/connections.py
@@ -227,13 +227,26 @@
                 return b""
             raise ConnectionLostError("the connection was closed")
 
+    async def body(self) -> bytes:
+        """Return the rest of the body.
+
+        Raises:
+            ConnectionLostError: The connection ended inside the body.
+            ProtocolError: The peer sent something else.
+        """
+        read = bytearray()
+        while True:
+            chunk = await self.chunk()
+            if not chunk:
+                return bytes(read)
+            read += chunk
+
     async def skip_response(self) -> None:
         """Read the rest of a response that belongs to an earlier request.
 
         The next response is then the one to the request that was sent.
         """
-        while await self.chunk():
-            continue
+        await self.body()
         assert self._sent is not None
         rest = bytes(self._h11.trailing_data[0])
         if self._h11.their_state is h11.MUST_CLOSE:
@@ -256,12 +269,7 @@
             return False
         if self._reader.ended:
             return False
-        if self._h11.our_state is not h11.DONE:
-            return False
-        if self._h11.their_state is not h11.DONE:
-            return False
-        self._h11.start_next_cycle()
-        return True
+        return start_next_cycle(self._h11)
 
     async def close(self) -> None:
         """Close without waiting for the peer."""
@@ -282,6 +290,16 @@
             return event
 
 
+def start_next_cycle(connection: h11.Connection) -> bool:
+    """Make a connection ready for a next request; False if it cannot be."""
+    if connection.our_state is not h11.DONE:
+        return False
+    if connection.their_state is not h11.DONE:
+        return False
+    connection.start_next_cycle()
+    return True
+
+
 async def connect(
     address: str, task_group: abc.TaskGroup, timeout_ms: int
 ) -> ClientConnection:
--- a/laburnumpin/forwarding/frames.py
+++ b/laburnumpin/forwarding/frames.py
@@ -9,6 +9,8 @@
 from anyio.streams import buffered
 import cbor2
 
+from laburnumpin.forwarding import connections
+
 MAX_BYTES = 32_000_000
 # A peer that takes this long for a message is cut off.
 WRITE_TIMEOUT_S = 2.0
@@ -39,12 +41,7 @@
         try:
             with anyio.fail_after(WRITE_TIMEOUT_S):
                 await self._stream.send(frame)
-        except (
-            TimeoutError,
-            anyio.BrokenResourceError,
-            anyio.ClosedResourceError,
-            OSError,
-        ) as error:
+        except connections.LOST as error:  # A `TimeoutError` is an `OSError`.
             raise FrameError(repr(error)) from error
 
     async def read(self, timeout_s: float) -> dict[str, Any]:
@@ -62,12 +59,9 @@
                 data = await self._reader.receive_exactly(length)
             message = cbor2.loads(data)
         except (
-            TimeoutError,
+            *connections.LOST,
             anyio.EndOfStream,
             anyio.IncompleteRead,
-            anyio.BrokenResourceError,
-            anyio.ClosedResourceError,
-            OSError,
             cbor2.CBORDecodeError,
         ) as error:
             raise FrameError(repr(error)) from error
--- a/laburnumpin/forwarding/frontend.py
+++ b/laburnumpin/forwarding/frontend.py
@@ -19,6 +19,8 @@
 from laburnumpin.server import logs
 
 BACKLOG = 512
+# When a caller may return that came before the first configuration was read.
+NOT_READY_RETRY_MS = 200
 
 
 class Frontend:
@@ -42,8 +44,7 @@
             await listener.serve(self._handle)
 
     async def _handle(self, stream: abc.SocketStream) -> None:
-        current = self._shell.deployment()
-        limits = current.limits if current else deployment.CallerLimits()
+        limits = self._limits()
         caller = callers.Caller(stream, limits.max_header_bytes)
         self._open.add(caller)
         try:
@@ -68,10 +69,13 @@
             self._open.discard(caller)
             await caller.close()
 
+    def _limits(self) -> deployment.CallerLimits:
+        current = self._shell.deployment()
+        return current.limits if current else deployment.CallerLimits()
+
     async def _requests(self, caller: callers.Caller) -> None:
         while True:
-            current = self._shell.deployment()
-            limits = current.limits if current else deployment.CallerLimits()
+            limits = self._limits()
             try:
                 head = await caller.read_head(
                     limits.idle_timeout_ms, limits.header_timeout_ms
@@ -426,7 +430,7 @@
 def _rejection(request_id: str, reason: effects.Reason) -> effects.Reject:
     retry_after_ms = None
     if reason is effects.Reason.NOT_READY:
-        retry_after_ms = 200
+        retry_after_ms = NOT_READY_RETRY_MS
     return effects.Reject(request_id, reason, True, retry_after_ms)
 
 
--- a/laburnumpin/forwarding/lifecycle.py
+++ b/laburnumpin/forwarding/lifecycle.py
@@ -7,6 +7,7 @@
 from laburnumpin import verdict as verdicts
 from laburnumpin.forwarding import effects
 from laburnumpin.forwarding import events
+from laburnumpin.forwarding import requests
 from laburnumpin.forwarding import selection
 from laburnumpin.forwarding import size_classes
 from laburnumpin.forwarding import state as forwarding_state
@@ -53,10 +54,7 @@
             tokens = active.choice.uncached_tokens
         work_ms = tokens / selection.PREFILL_TOKENS_PER_MS
         state.add_work(request.service, work_ms)
-        number = size_classes.class_of(request)
-        state.add_work(
-            forwarding_state.class_name(request.service, number), work_ms
-        )
+        _add_class_work(state, request, work_ms)
     return produced
 
 
@@ -201,30 +199,41 @@
     if late_ms > 0:
         # Even the best upstream would answer after the deadline. What waits
         # there has been worked off by as much when the caller returns.
-        return _end(state, active, effects.Reason.TOO_LATE, late_ms)
+        retry_after_ms = max(RETRY_AFTER_MS, late_ms)
+        return _end(state, active, effects.Reason.TOO_LATE, retry_after_ms)
+    silence_ms = request.deadline_ms - now_ms
+    attempts = request.route.max_attempts
+    if request.route.may_repeat and _runs(active) + 1 < attempts:
+        patience = request.route.objective_ms * SILENCE_OBJECTIVES
+        silence_ms = min(silence_ms, max(MIN_SILENCE_MS, int(patience)))
+    return [attach(active, choice, now_ms, silence_ms)]
+
+
+def attach(
+    active: forwarding_state.Active,
+    choice: selection.Choice,
+    now_ms: int,
+    silence_ms: int,
+    kv_source: str | None = None,
+) -> effects.Send:
+    """Put a request on an upstream; return the effect that sends it there."""
+    request, upstream = active.request, choice.upstream
     active.choice = choice
     active.sends += 1
     active.sent_ms = now_ms
-    upstream = choice.upstream
     upstream.own_streams += 1
     active.pending_tokens = choice.uncached_tokens
     upstream.own_pending_tokens += choice.uncached_tokens
-    silence_ms = request.deadline_ms - now_ms
-    attempts = request.route.max_attempts
-    if request.route.may_repeat and _runs(active) < attempts:
-        patience = request.route.objective_ms * SILENCE_OBJECTIVES
-        silence_ms = min(silence_ms, max(MIN_SILENCE_MS, int(patience)))
-    return [
-        effects.Send(
-            request_id=request.request_id,
-            upstream_id=upstream.registration.upstream_id,
-            registration=upstream.registration,
-            priority=request.priority(),
-            silence_ms=silence_ms,
-            predicted_ms=choice.predicted_ms,
-            attempt=active.sends,
-        )
-    ]
+    return effects.Send(
+        request_id=request.request_id,
+        upstream_id=upstream.registration.upstream_id,
+        registration=upstream.registration,
+        priority=request.priority(),
+        silence_ms=silence_ms,
+        predicted_ms=choice.predicted_ms,
+        attempt=active.sends,
+        kv_source=kv_source,
+    )
 
 
 def _end(
@@ -243,12 +252,7 @@
         return [effects.Reject(request.request_id, reason, False, None)]
     if request.customer is not None:
         state.quotas.give_back(request.customer, request.units)
-    return _reject(
-        state,
-        request.request_id,
-        reason,
-        max(RETRY_AFTER_MS, retry_after_ms),
-    )
+    return _reject(state, request.request_id, reason, retry_after_ms)
 
 
 def _reject(
@@ -290,12 +294,18 @@
     if request.prompt is None or choice is None or not active.first_ms:
         return
     slots = max(1, choice.upstream.registration.slots)
-    state.add_work(
-        forwarding_state.class_name(
-            request.service, size_classes.class_of(request)
-        ),
-        (now_ms - active.first_ms) / slots,
-    )
+    _add_class_work(state, request, (now_ms - active.first_ms) / slots)
+
+
+def _add_class_work(
+    state: forwarding_state.ForwardingState,
+    request: requests.Request,
+    work_ms: float,
+) -> None:
+    """Count engine time for the class of a request's prompt size."""
+    number = size_classes.class_of(request)
+    name = forwarding_state.class_name(request.service, number)
+    state.add_work(name, work_ms)
 
 
 def _record_pace(
--- a/laburnumpin/forwarding/moves.py
+++ b/laburnumpin/forwarding/moves.py
@@ -66,7 +66,7 @@
     active.move_tried = False
     if active.choice is not None:
         active.move_fallback = active.choice.upstream
-    return _continue(state, active, target, event.now_ms)
+    return _continue(active, target, event.now_ms)
 
 
 def on_failed(
@@ -79,7 +79,7 @@
     fallback, active.move_fallback = active.move_fallback, None
     if event.verdict is not verdicts.Verdict.NOT_RUN:
         return []
-    return _continue(state, active, fallback, event.now_ms)
+    return _continue(active, fallback, event.now_ms)
 
 
 def _move(
@@ -143,25 +143,13 @@
 
 
 def _continue(
-    state: forwarding_state.ForwardingState,
     active: forwarding_state.Active,
     upstream: upstreams.Upstream,
     now_ms: int,
 ) -> list[effects.Effect]:
     lifecycle.release(active)
-    active.choice = selection.Choice(upstream, 0.0, 0.0, 0, upstream.streams())
-    upstream.own_streams += 1
-    active.sends += 1
-    request = active.request
+    choice = selection.Choice(upstream, 0.0, 0.0, 0, upstream.streams())
+    silence_ms = max(0, active.request.deadline_ms - now_ms)
     return [
-        effects.Send(
-            request_id=request.request_id,
-            upstream_id=upstream.registration.upstream_id,
-            registration=upstream.registration,
-            priority=request.priority(),
-            silence_ms=max(0, request.deadline_ms - now_ms),
-            predicted_ms=0.0,
-            attempt=active.sends,
-            kv_source=active.kv_source,
-        )
+        lifecycle.attach(active, choice, now_ms, silence_ms, active.kv_source)
     ]
--- a/laburnumpin/forwarding/relay.py
+++ b/laburnumpin/forwarding/relay.py
@@ -109,9 +109,9 @@
         members = self._shell.state.members
         if not members.uses_relays() or members.is_relay(now_ms):
             return False
-        links = self._links.values()
-        if any(link.side is Side.MEMBER for link in links):
+        if self._has_members():
             return False
+        links = self._links.values()
         return any(
             link.side is Side.OWN_RELAY and link.in_step for link in links
         )
@@ -119,7 +119,7 @@
     def pass_on(self, packet: bytes) -> None:
         """Send this entry's own digest over its links."""
         self._bundle[self._shell.state.name] = (packet, None)
-        if not any(k.side is Side.MEMBER for k in self._links.values()):
+        if not self._has_members():
             self._flush()
 
     async def run(self) -> None:
@@ -252,8 +252,13 @@
         if self._newest.accept(digest, self._shell.now_ms()):
             self._bundle[name] = (packet, link)
 
+    def _has_members(self) -> bool:
+        """Return whether this entry works as a relay for others."""
+        links = self._links.values()
+        return any(link.side is Side.MEMBER for link in links)
+
     def _is_flush_due(self) -> bool:
-        if any(k.side is Side.MEMBER for k in self._links.values()):
+        if self._has_members():
             return True
         return self._shell.now_ms() >= self._flushed_ms + KEEP_ALIVE_MS
 
--- a/laburnumpin/forwarding/selection.py
+++ b/laburnumpin/forwarding/selection.py
@@ -39,8 +39,6 @@
 # what was predicted, counts as slow; up to the second factor.
 SLOW_RATIO = 2.0
 MAX_SLOW_RATIO = 10.0
-# Streams beyond this share of an engine's slots wait.
-FULL_SHARE = 1.0
 # How long a prompt part counts as cached after its last use.
 CACHED_MS = 30_000
 
@@ -91,26 +89,20 @@
     """Return the candidate with the lowest score, None if all are full."""
     best: Choice | None = None
     own, others = _of_size(candidates, request, service, view)
+    # The preferred one is the same at all entries, so it may be full.
     preferred = _preferred(own, request)
+    own = _with_room(own, service, excluded)
+    others = _with_room(others, service, excluded)
     if view.entries > SMALL_FLEET and service.engine is not None:
-        sampled = _sample(own, service, excluded, preferred, generator, SAMPLED)
-        sampled_others = _sample(
-            others, service, excluded, "", generator, SAMPLED_OTHERS
-        )
-        if sampled or sampled_others:
-            candidates = sampled + sampled_others
-    other_ids = {upstream.registration.upstream_id for upstream in others}
-    for upstream in candidates:
+        own = _sample(own, preferred, generator, SAMPLED)
+        others = _sample(others, "", generator, SAMPLED_OTHERS)
+    for place, upstream in enumerate(own + others):
         registration = upstream.registration
-        if registration.upstream_id in excluded:
-            continue
         streams = upstream.streams()
         if service.engine is None:
             predicted_ms = _plain_ms(upstream, streams)
             uncached = 0
         else:
-            if streams >= _capacity(upstream, service):
-                continue
             uncached = uncached_tokens(upstream, request, now_ms)
             predicted_ms = first_token_ms(upstream, uncached, streams)
         score_ms = predicted_ms * _slow_ratio(upstream, view, now_ms)
@@ -121,7 +113,7 @@
             score_ms += OTHER_ZONE_MS
         if registration.upstream_id == preferred:
             score_ms -= AFFINITY_MS
-        if registration.upstream_id in other_ids:
+        if place >= len(own):
             score_ms += OTHER_SIZE_MS
         score_ms += generator.random()
         if best is None or score_ms < best.score_ms:
@@ -161,28 +153,40 @@
     return min(ratio, MAX_SLOW_RATIO)
 
 
-def _sample(
+def _with_room(
     candidates: list[upstreams.Upstream],
     service: deployment.Service,
     excluded: set[str],
+) -> list[upstreams.Upstream]:
+    """Return the candidates that can take the request."""
+    found = []
+    for upstream in candidates:
+        if upstream.registration.upstream_id in excluded:
+            continue
+        engine = service.engine
+        if engine is not None and upstream.streams() >= _slots(
+            upstream, engine
+        ):
+            continue
+        found.append(upstream)
+    return found
+
+
+def _sample(
+    candidates: list[upstreams.Upstream],
     preferred: str,
     generator: random.Random,
     most: int,
 ) -> list[upstreams.Upstream]:
-    """Return a random few candidates with room, and the preferred one."""
-    open_ones = []
+    """Return a random few candidates, and the preferred one."""
     sampled = []
+    rest = []
     for upstream in candidates:
-        if upstream.registration.upstream_id in excluded:
-            continue
-        if upstream.streams() >= _capacity(upstream, service):
-            continue
         if upstream.registration.upstream_id == preferred:
             sampled.append(upstream)
             continue
-        open_ones.append(upstream)
-    count = min(most, len(open_ones))
-    return sampled + generator.sample(open_ones, count)
+        rest.append(upstream)
+    return sampled + generator.sample(rest, min(most, len(rest)))
 
 
 def uncached_tokens(
@@ -216,13 +220,11 @@
     return PLAIN_SERVICE_MS * (1 + rounds + 0.2 * streams / slots)
 
 
-def _capacity(
-    upstream: upstreams.Upstream, service: deployment.Service
-) -> float:
+def _slots(
+    upstream: upstreams.Upstream, engine: deployment.EngineProfile
+) -> int:
     slots = upstream.registration.slots
-    if slots <= 0 and service.engine is not None:
-        slots = service.engine.slots
-    return slots * FULL_SHARE
+    return slots if slots > 0 else engine.slots
 
 
 def _preferred(
--- a/laburnumpin/forwarding/synchronization.py
+++ b/laburnumpin/forwarding/synchronization.py
@@ -105,7 +105,7 @@
                     rows = await self._store.changes(table, after, WAIT_MS)
                     if failing:
                         self._outage_ended_ms = self._shell.now_ms()
-                    self._apply_changes(table, rows)
+                    self.adopt_changes(table, rows)
                     if rows.rows and self._shell.state.members.uses_relays():
                         await anyio.sleep(CHANGES_PAUSE_S)
                 after = rows.version
@@ -181,12 +181,6 @@
         """Return whether this entry itself follows the store."""
         return not self._failing and all(self._versions.values())
 
-    def adopt_changes(
-        self, table: interfaces.Table, rows: interfaces.Rows
-    ) -> None:
-        """Apply changed rows that another entry passes on."""
-        self._apply_changes(table, rows)
-
     def snapshot(self) -> dict[str, Any]:
         """Return what this entry knows, for a peer that does not."""
         return {
@@ -209,31 +203,24 @@
             version = int(snapshot["upstreams_version"])
         except (KeyError, TypeError) as error:
             raise ValueError(f"malformed snapshot: {error!r}") from error
-        if operator_version > self._versions[Table.OPERATOR]:
-            logs.write(
-                "snapshot_adopted",
-                "info",
-                {"table": "operator", "version": operator_version},
-            )
-            self._apply_all(
-                Table.OPERATOR,
-                interfaces.Rows(tuple(operator), operator_version),
-                False,
-                operator_version,
-            )
-        if version > self._versions[Table.UPSTREAMS]:
+        for table, found, found_version in (
+            (Table.OPERATOR, operator, operator_version),
+            (Table.UPSTREAMS, rows, version),
+        ):
+            if found_version <= self._versions[table]:
+                continue
             logs.write(
                 "snapshot_adopted",
                 "info",
-                {"table": "upstreams", "version": version},
+                {"table": table.value, "version": found_version},
             )
             # A peer may have followed the store all the while; registrations
             # that it lacks are in doubt only if this entry lost the store.
             self._apply_all(
-                Table.UPSTREAMS,
-                interfaces.Rows(tuple(rows), version),
+                table,
+                interfaces.Rows(tuple(found), found_version),
                 bool(self._failing),
-                version,
+                found_version,
             )
 
     def _apply_all(
@@ -272,9 +259,10 @@
         )
         self._pass_on(table, rows, before, complete=True)
 
-    def _apply_changes(
+    def adopt_changes(
         self, table: interfaces.Table, rows: interfaces.Rows
     ) -> None:
+        """Apply changed rows, of the store or passed on by another entry."""
         if not rows.rows:
             return
         before = self._versions[table]
--- a/laburnumpin/forwarding/upstreams.py
+++ b/laburnumpin/forwarding/upstreams.py
@@ -261,10 +261,7 @@
 
     def mean_pace(self, service: str, now_ms: int) -> float:
         """Return the mean pace of a service's upstreams."""
-        paces = []
-        for upstream in self._by_id.values():
-            if upstream.registration.service == service:
-                paces.append(upstream.pace(now_ms))
+        paces = [u.pace(now_ms) for u in self.of_service(service)]
         return sum(paces) / len(paces) if paces else 0.0
 
     def update(self, registration: Registration, now_ms: int) -> Changes:
--- a/laburnumpin/platform/clients.py
+++ b/laburnumpin/platform/clients.py
@@ -76,11 +76,7 @@
                 )
                 head = await connection.head()
                 status = head.status_code
-                while True:
-                    chunk = await connection.chunk()
-                    if not chunk:
-                        break
-                    text += chunk
+                text = await connection.body()
             kept = connection.finish() and len(self._idle) < MAX_IDLE
         except (
             TimeoutError,
--- a/laburnumpin/platform/standins.py
+++ b/laburnumpin/platform/standins.py
@@ -120,10 +120,27 @@
         value = base64.b64encode(json.dumps(document).encode()).decode()
         self._write([(table, key, value)])
 
-    def remove(self, table: str, key: str) -> None:
-        """Remove a row."""
-        if (table, key) in self._rows:
-            self._write([(table, key, None)])
+    def configure(self, version: int, probe_route: str) -> None:
+        """Write a configuration as the operator does."""
+        self.put("op", "config", configuration(version, probe_route))
+
+    def register(
+        self,
+        runner: Runner,
+        address: str,
+        *,
+        leaving: bool = False,
+        reclaimable: bool = False,
+    ) -> None:
+        """Write the row of a runner that is reached at `address`."""
+        state = "draining" if leaving else "ready"
+        document = runner.registration(address, state, reclaimable=reclaimable)
+        self.put("servers", runner.runner_id, document)
+
+    def unregister(self, runner_id: str) -> None:
+        """Remove the row of a runner."""
+        if ("servers", runner_id) in self._rows:
+            self._write([("servers", runner_id, None)])
 
     def forget_history(self) -> None:
         """Drop the history of changes."""
--- a/laburnumpin/server/logs.py
+++ b/laburnumpin/server/logs.py
@@ -21,6 +21,8 @@
 
 import eliot
 
+from laburnumpin import token_bucket
+
 Fields = Mapping[str, str | int | float | bool | None]
 
 # Lines that wait for a reader that is slow.
@@ -36,26 +38,6 @@
 _RANKS = {"debug": 10, "info": 20, "warning": 30, "error": 40}
 
 
-class _Bucket:
-    """The lines of one type that may still be written."""
-
-    __slots__ = ("_lines", "_updated_s")
-
-    def __init__(self, now_s: float) -> None:
-        self._lines = BURST_LINES
-        self._updated_s = now_s
-
-    def take(self, now_s: float) -> bool:
-        """Take one line; False if there are none left."""
-        gained = (now_s - self._updated_s) * LINES_PER_S
-        self._lines = min(BURST_LINES, self._lines + gained)
-        self._updated_s = now_s
-        if self._lines < 1:
-            return False
-        self._lines -= 1
-        return True
-
-
 class Destination:
     """Writes messages of at least one level as JSON lines.
 
@@ -81,7 +63,7 @@
         self._limited = limited
         self._stream = stream
         self._dropped = 0
-        self._buckets: dict[str, _Bucket] = {}
+        self._buckets: dict[str, token_bucket.TokenBucket] = {}
         self._lines: queue.Queue[str | None] = queue.Queue(QUEUE_LINES)
         self._thread = threading.Thread(target=self._run, daemon=True)
         self._thread.start()
@@ -110,11 +92,12 @@
         if self._lines.qsize() > QUEUE_LINES * ROUTINE_SHARE:
             return False
         kind = str(message.get("message_type", ""))
-        now_s = time.monotonic()
+        now_ms = time.monotonic_ns() // 1_000_000
         bucket = self._buckets.get(kind)
         if bucket is None:
-            bucket = self._buckets[kind] = _Bucket(now_s)
-        return bucket.take(now_s)
+            bucket = token_bucket.TokenBucket(LINES_PER_S, BURST_LINES, now_ms)
+            self._buckets[kind] = bucket
+        return bucket.take(1, now_ms)
 
     def is_idle(self) -> bool:
         """Return whether no line waits."""
--- /dev/null
+++ b/laburnumpin/soak/calls.py
@@ -0,0 +1,86 @@
+"""One request to an entry, and what its caller saw of the answer."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import anyio
+from anyio import abc
+
+from laburnumpin.forwarding import connections
+from laburnumpin.platform import standins
+
+REQUEST_TIMEOUT_S = 8.0
+CONNECT_TIMEOUT_MS = 1_000
+DEADLINE_MS = 4_000
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Answer:
+    """An answer; `status` 0 if none came, `complete` if it ended in order."""
+
+    status: int
+    complete: bool
+    body: bytes
+
+
+async def connect(
+    address: str, task_group: abc.TaskGroup
+) -> connections.ClientConnection:
+    """Open a connection to an entry.
+
+    Raises:
+        ConnectionLostError: The entry was not reached.
+    """
+    return await connections.connect(address, task_group, CONNECT_TIMEOUT_MS)
+
+
+async def call(
+    address: str,
+    path: str,
+    request_id: str,
+    key: str,
+    *,
+    is_stream: bool = False,
+    kept: connections.ClientConnection | None = None,
+) -> Answer:
+    """Send a request on a kept connection or on one of its own.
+
+    A connection is closed unless it was kept and the answer is complete.
+    """
+    status, complete, body = 0, False, bytearray()
+    headers = standins.request_headers(
+        request_id, is_stream=is_stream, key=key, deadline_ms=DEADLINE_MS
+    )
+    async with anyio.create_task_group() as task_group:
+        connection = kept
+        try:
+            if connection is None:
+                connection = await connect(address, task_group)
+            with anyio.fail_after(REQUEST_TIMEOUT_S):
+                await connection.send(
+                    b"POST",
+                    path.encode(),
+                    [*headers, (b"Content-Length", b"2")],
+                    b"{}",
+                )
+                status = (await connection.head()).status_code
+                while True:
+                    chunk = await connection.chunk()
+                    if not chunk:
+                        break
+                    body += chunk
+            complete = True
+            connection.finish()
+        except (
+            connections.ConnectionLostError,
+            connections.ProtocolError,
+            TimeoutError,
+        ):
+            complete = False
+        finally:
+            if connection is not None and (kept is None or not complete):
+                with anyio.CancelScope(shield=True):
+                    await connection.close()
+        task_group.cancel_scope.cancel()
+    return Answer(status, complete, bytes(body))
--- a/laburnumpin/soak/promises.py
+++ b/laburnumpin/soak/promises.py
@@ -260,10 +260,12 @@
     for run in history.runs:
         if run.request_id.startswith(LIMITED):
             times.append(run.at_ms)
+    times.sort()
     rate = standins.LIMITED_RATE_PER_S
     allowed = rate * QUOTA_WINDOW_MS / 1_000 + standins.LIMITED_BURST
     allowed = allowed * (1 + QUOTA_OVERAGE) + rate * QUOTA_SLACK_S
-    most = _most_within(times, QUOTA_WINDOW_MS)
+    counts = [_count(times, end - QUOTA_WINDOW_MS, end) for end in times]
+    most = max(counts, default=0)
     if most <= allowed:
         return []
     return [f"quota: {most} runs in a window, {allowed:.0f} allowed"]
@@ -308,14 +310,3 @@
     """Return how many times lie in a span that begins after `after_ms`."""
     end = bisect.bisect_right(ordered_ms, until_ms)
     return end - bisect.bisect_right(ordered_ms, after_ms)
-
-
-def _most_within(times_ms: list[int], window_ms: int) -> int:
-    """Return the highest number of times within any window."""
-    ordered = sorted(times_ms)
-    most = start = 0
-    for place, time_ms in enumerate(ordered):
-        while ordered[start] <= time_ms - window_ms:
-            start += 1
-        most = max(most, place - start + 1)
-    return most
--- a/laburnumpin/soak/run.py
+++ b/laburnumpin/soak/run.py
@@ -14,23 +14,23 @@
 from laburnumpin import clock
 from laburnumpin.forwarding import connections
 from laburnumpin.platform import standins
+from laburnumpin.soak import calls
 from laburnumpin.soak import processes
 from laburnumpin.soak import promises
 from laburnumpin.soak import proxy
 
 START_TIMEOUT_S = 20.0
 CALLERS_PER_ENTRY = 3
-REQUEST_TIMEOUT_S = 8.0
 # Time after which an exit is taken to hang; the platform allows 8 s.
 EXIT_TIMEOUT_S = 12.0
-DEADLINE_MS = 4_000
 PROBE_PERIOD_S = 0.25
 CONFIG_PERIOD_S = 1.5
 KEY = "key-1"
 # Callers at each entry of the customer with a quota; together they ask for
 # several times its rate.
 LIMITED_CALLERS_PER_ENTRY = 2
-# Longest pause of a caller that was rejected.
+# Longest pauses of a caller that was served, and of one that was rejected.
+SERVED_PAUSE_S = 0.05
 REJECTED_PAUSE_S = 0.1
 # Part of the streams that outlast the notice of a reclaim.
 LONG_SHARE = 0.2
@@ -39,6 +39,11 @@
 # Time that a runner that is replaced still serves, beyond the time by which
 # entries have to stop sending.
 LEAVING_S = 5.0
+# Part of the requests that a harmed runner fails, and one of a harmed service.
+RUNNER_HARM_SHARE = 0.5
+SERVICE_HARM_SHARE = 0.8
+# Part of the writes that the store does and does not answer.
+LOST_ANSWER_SHARE = 0.5
 # Notice of a reclaim, the shortest that the deployments list.
 RECLAIM_NOTICE_S = 1.25
 # Steps of the time of day, ms.
@@ -123,8 +128,7 @@
                 with anyio.move_on_after(duration_s):
                     async with anyio.create_task_group() as load:
                         await self._load(load)
-                with anyio.move_on_after(promises.SETTLE_MS / 1_000):
-                    await anyio.sleep_forever()
+                await anyio.sleep(promises.SETTLE_MS / 1_000)
                 task_group.cancel_scope.cancel()
         finally:
             for entry in self._entries:
@@ -140,9 +144,7 @@
 
     async def _start(self, task_group: abc.TaskGroup) -> None:
         store = await task_group.start(standins.serve, self._store.handle)
-        self._store.put(
-            "op", "config", standins.configuration(self._version, "v1")
-        )
+        self._store.configure(self._version, "v1")
         self._history.written[self._version] = self._clock.now_ms()
         for service in ("engines", "desk"):
             for _ in range(3):
@@ -178,18 +180,7 @@
         before = proxy.Proxy(target)
         address = await task_group.start(before.serve)
         self._runners.append(_Runner(runner, before, address))
-        self._register(self._runners[-1], "ready")
-
-    def _register(
-        self, runner: _Runner, state: str, *, reclaimable: bool = False
-    ) -> None:
-        self._store.put(
-            "servers",
-            runner.runner.runner_id,
-            runner.runner.registration(
-                runner.address, state, reclaimable=reclaimable
-            ),
-        )
+        self._store.register(runner, address)
 
     async def _wait_until_serving(self, entry: processes.EntryProcess) -> None:
         """Wait until an entry answers a request.
@@ -229,16 +220,14 @@
             async with anyio.create_task_group() as task_group:
                 connection: connections.ClientConnection | None = None
                 try:
-                    connection = await connections.connect(
-                        entry.address, task_group, 1_000
-                    )
+                    connection = await calls.connect(entry.address, task_group)
                     while connection.is_sound():
                         kind = self._random.choice(kinds)
                         outcome = await self._request(
                             entry, kind, self._name(kind, key), connection, key
                         )
                         self._history.outcomes.append(outcome)
-                        pause_s = 0.05
+                        pause_s = SERVED_PAUSE_S
                         if outcome.status != 200:
                             pause_s = REJECTED_PAUSE_S
                         await anyio.sleep(self._random.uniform(0.0, pause_s))
@@ -269,57 +258,23 @@
         path: str = "",
     ) -> promises.Outcome:
         sent_ms = self._clock.now_ms()
-        status, complete, body = 0, False, bytearray()
-        async with anyio.create_task_group() as task_group:
-            connection = kept
-            try:
-                if connection is None:
-                    connection = await connections.connect(
-                        entry.address, task_group, 1_000
-                    )
-                with anyio.fail_after(REQUEST_TIMEOUT_S):
-                    await connection.send(
-                        b"POST",
-                        (path or f"/{kind.value}/x").encode(),
-                        [
-                            *standins.request_headers(
-                                request_id,
-                                is_stream=kind.is_stream,
-                                key=key,
-                                deadline_ms=DEADLINE_MS,
-                            ),
-                            (b"Content-Length", b"2"),
-                        ],
-                        b"{}",
-                    )
-                    status = (await connection.head()).status_code
-                    while True:
-                        chunk = await connection.chunk()
-                        if not chunk:
-                            break
-                        body += chunk
-                complete = True
-                connection.finish()
-            except (
-                connections.ConnectionLostError,
-                connections.ProtocolError,
-                TimeoutError,
-            ):
-                complete = False
-            finally:
-                if connection is not None and (kept is None or not complete):
-                    with anyio.CancelScope(shield=True):
-                        await connection.close()
-            task_group.cancel_scope.cancel()
+        answer = await calls.call(
+            entry.address,
+            path or f"/{kind.value}/x",
+            request_id,
+            key,
+            is_stream=kind.is_stream,
+            kept=kept,
+        )
         return promises.Outcome(
             request_id,
             kind,
             entry.name,
             sent_ms,
             self._clock.now_ms(),
-            status,
-            complete,
-            bytes(body),
+            answer.status,
+            answer.complete,
+            answer.body,
         )
 
     async def _probe(self, entry: processes.EntryProcess) -> None:
@@ -351,11 +306,7 @@
         while True:
             await anyio.sleep(self._random.uniform(0.3, 2 * CONFIG_PERIOD_S))
             self._version += self._random.randint(1, 3)
-            self._store.put(
-                "op",
-                "config",
-                standins.configuration(self._version, f"v{self._version}"),
-            )
+            self._store.configure(self._version, f"v{self._version}")
             self._history.written[self._version] = self._clock.now_ms()
 
     async def _inject(self, task_group: abc.TaskGroup) -> None:
@@ -453,11 +404,11 @@
             case "runner_silent":
                 runner.proxy.silent = True
             case "runner_errors":
-                runner.runner.error_share = 0.5
+                runner.runner.error_share = RUNNER_HARM_SHARE
             case "runner_cuts":
-                runner.runner.cut_share = 0.5
+                runner.runner.cut_share = RUNNER_HARM_SHARE
             case "runner_rejects":
-                runner.runner.reject_share = 0.5
+                runner.runner.reject_share = RUNNER_HARM_SHARE
         await anyio.sleep(hold_s)
         runner.proxy.heal()
         runner.runner.error_share = 0.0
@@ -473,9 +424,9 @@
         ]
         for runner in harmed:
             if name == "service_errors":
-                runner.error_share = 0.8
+                runner.error_share = SERVICE_HARM_SHARE
             else:
-                runner.reject_share = 0.8
+                runner.reject_share = SERVICE_HARM_SHARE
         await anyio.sleep(hold_s)
         for runner in harmed:
             runner.error_share = runner.reject_share = 0.0
@@ -489,7 +440,7 @@
 
     async def _remove_later(self, runner: _Runner) -> None:
         await anyio.sleep(LEAVING_S)
-        self._store.remove("servers", runner.runner.runner_id)
+        self._store.unregister(runner.runner.runner_id)
 
     async def _reclaim_runner(
         self, runner: _Runner, task_group: abc.TaskGroup
@@ -499,7 +450,7 @@
             await anyio.sleep(RECLAIM_NOTICE_S)
             runner.proxy.silent = True
             await runner.proxy.reset_all()
-            self._store.remove("servers", runner.runner.runner_id)
+            self._store.unregister(runner.runner.runner_id)
 
     async def _announce(
         self,
@@ -516,7 +467,12 @@
         await self._add_runner(task_group, runner.runner.service)
         runner_id = runner.runner.runner_id
         self._history.leaving[runner_id] = self._clock.now_ms()
-        self._register(runner, "draining", reclaimable=reclaimable)
+        self._store.register(
+            runner.runner,
+            runner.address,
+            leaving=True,
+            reclaimable=reclaimable,
+        )
         return True
 
     async def _harm_store(
@@ -530,7 +486,7 @@
             case "store_silent":
                 self._store.mode = "silent"
             case "store_lost":
-                self._store.lost_share = 0.5
+                self._store.lost_share = LOST_ANSWER_SHARE
             case "store_history":
                 self._store.forget_history()
                 return
--- a/laburnumpin/standins/platform.py
+++ b/laburnumpin/standins/platform.py
@@ -11,13 +11,13 @@
 from starlette import routing
 
 from laburnumpin import clock
+from laburnumpin import token_bucket
 from laburnumpin.standins import cloud
 from laburnumpin.standins import documents
 from laburnumpin.standins import faults
 from laburnumpin.standins import objects
 from laburnumpin.standins import platform_documents
 from laburnumpin.standins import tables
-from laburnumpin.standins import token_bucket
 
 MAX_ROWS_PER_TRANSACTION = 100
 MAX_SCAN_ROWS = 1_000
--- a/laburnumpin/tests/test_standins_platform_parts.py
+++ b/laburnumpin/tests/test_standins_platform_parts.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
+from laburnumpin import token_bucket
 from laburnumpin.core import events
 from laburnumpin.core import store
 from laburnumpin.standins import cloud
 from laburnumpin.standins import tables
-from laburnumpin.standins import token_bucket
 
 
 def _row(vm_id: str, zone: str, reclaimable: bool = True) -> events.VmRow:
