--- a/laburnumpin/forwarding/attempts.py
+++ b/laburnumpin/forwarding/attempts.py
@@ -2,22 +2,21 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-import dataclasses
-
 import anyio
 import h11
 
 from laburnumpin import exceptions
 from laburnumpin import verdict as verdicts
-from laburnumpin.forwarding import caller as callers
+from laburnumpin.forwarding import answers
 from laburnumpin.forwarding import connections
 from laburnumpin.forwarding import effects
 from laburnumpin.forwarding import event_stream
 from laburnumpin.forwarding import events
 from laburnumpin.forwarding import interfaces
+from laburnumpin.forwarding import lifecycle
 from laburnumpin.forwarding import requests
 from laburnumpin.forwarding import shell as shells
+from laburnumpin.forwarding import stall_timer
 from laburnumpin.server import logs
 
 # Answers up to this size are received completely before the first byte is
@@ -33,6 +32,10 @@
 # A stream that was stopped for a move waits this long for the copy of its KV
 # cache.
 MOVE_TIMEOUT_S = 2.0
+# Length of the body of a failure, and of an event, beyond which the upstream is
+# taken to send bytes without end.
+MAX_FAILURE_BYTES = 1_048_576
+MAX_EVENT_BYTES = 1_048_576
 # Answers to earlier requests that may be skipped on one connection.
 MAX_SKIPPED_ANSWERS = 2
 
@@ -66,86 +69,6 @@
         self.kv_source = kv_source
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Answer:
-    """An upstream's complete answer."""
-
-    status: int
-    headers: connections.Headers
-    body: bytes
-
-
-class AnswerRelay:
-    """Relays the answer to one caller, over one or more attempts.
-
-    `extra_headers` are added to the upstream's headers; `on_running` is called
-    when an upstream has begun to run the request; `resume_after` is the id of
-    the last event that the caller has received, None for a new request.
-    """
-
-    __slots__ = (
-        "_caller",
-        "_on_running",
-        "answer_started",
-        "extra_headers",
-        "failure",
-        "last_event_id",
-        "status",
-    )
-
-    def __init__(
-        self,
-        caller: callers.Caller,
-        extra_headers: connections.Headers,
-        on_running: Callable[[], None],
-        resume_after: int | None,
-    ) -> None:
-        self._caller = caller
-        self._on_running = on_running
-        self.extra_headers = extra_headers
-        # Whether a part of the answer has been sent to the caller.
-        self.answer_started = False
-        self.status = 0
-        # An upstream's error answer, relayed if no later attempt succeeds.
-        self.failure: Answer | None = None
-        # The id of the last event that was sent to the caller.
-        self.last_event_id = resume_after
-
-    def mark_running(self) -> None:
-        """Report that the upstream has begun to run the request."""
-        self._on_running()
-
-    async def send_complete(self, answer: Answer) -> None:
-        """Send a complete answer."""
-        self.answer_started = True
-        self.status = answer.status
-        headers = answer.headers + self.extra_headers
-        await self._caller.answer(answer.status, headers, answer.body)
-
-    async def start(
-        self, status: int, headers: connections.Headers, first: bytes
-    ) -> None:
-        """Send the head of an answer with the first part of its body.
-
-        A later attempt only continues the body.
-        """
-        self.status = status
-        if self.answer_started:
-            await self._caller.write(first)
-            return
-        self.answer_started = True
-        head = headers + self.extra_headers
-        await self._caller.start_answer(status, head, first)
-
-    async def write(self, data: bytes) -> None:
-        """Send a part of the body."""
-        await self._caller.write(data)
-
-    async def end(self) -> None:
-        """Send the end of the body."""
-        await self._caller.end_answer()
-
-
 class Attempt:
     """One attempt of a request at the upstream named by a `Send` effect."""
 
@@ -167,7 +90,7 @@
         request_head: interfaces.CallerHead,
         body: bytes,
         send_effect: effects.Send,
-        relay: AnswerRelay,
+        relay: answers.AnswerRelay,
     ) -> None:
         self._shell = shell
         self._request = request
@@ -243,15 +166,14 @@
             )
             raise
         finally:
-            with anyio.CancelScope(shield=True):
-                if complete:
-                    await self._shell.pool.release(
-                        registration,
-                        connection,
-                        self._shell.idle_limit(registration.service),
-                    )
-                else:
-                    await connection.close()
+            if complete:
+                self._shell.pool.release(
+                    registration,
+                    connection,
+                    self._shell.idle_limit(registration.service),
+                )
+            else:
+                connection.close()
 
     async def _exchange(self, connection: connections.ClientConnection) -> None:
         request = self._request
@@ -306,19 +228,17 @@
             return
 
     async def _read(self, connection: connections.ClientConnection) -> None:
+        stall = stall_timer.StallTimer(
+            self._shell.clock,
+            self._send_effect.first_byte_timeout_ms,
+            self._resend_delay_ms,
+        )
+        if self._request.route.may_repeat:
+            stall.start()
         try:
-            matched: tuple[h11.Response, interfaces.AnswerKind] | None = None
-            with anyio.move_on_after(
-                self._send_effect.first_byte_timeout_ms / 1_000
-            ):
-                matched = await self._matching_head(connection)
-            if matched is None:
-                raise AttemptError(
-                    events.Ending.SILENT,
-                    MAY_HAVE_RUN,
-                    "timed out waiting for the head of the answer",
-                )
-            await self._handle_answer(connection, *matched)
+            with stall.scope:
+                head, kind = await self._matching_head(connection)
+                await self._handle_answer(connection, head, kind, stall)
         except connections.ConnectionLostError as error:
             await self._raise_if_moved()
             raise AttemptError(
@@ -328,6 +248,19 @@
             raise AttemptError(
                 events.Ending.MALFORMED, MAY_HAVE_RUN, str(error)
             ) from error
+        finally:
+            stall.stop()
+        if stall.scope.cancelled_caught:
+            raise AttemptError(
+                events.Ending.SILENT,
+                MAY_HAVE_RUN,
+                "timed out waiting for the upstream",
+            )
+
+    def _resend_delay_ms(self) -> float | None:
+        return lifecycle.resend_delay_ms(
+            self._shell.state, self._request.request_id, self._shell.now_ms()
+        )
 
     async def _raise_if_moved(self) -> None:
         """Raise `StreamMovedError` if the stream stopped for a move."""
@@ -361,6 +294,7 @@
         connection: connections.ClientConnection,
         head: h11.Response,
         kind: interfaces.AnswerKind,
+        stall: stall_timer.StallTimer,
     ) -> None:
         headers = list(head.headers)
         connection.keep_alive_ms = self._shell.wire.keep_alive_ms(headers)
@@ -368,7 +302,7 @@
         caller_headers = self._shell.wire.answer_headers(raw_headers)
         status = head.status_code
         if kind is interfaces.AnswerKind.NOT_RUN:
-            await connection.body()
+            await _read_discarded(connection)
             raise AttemptError(
                 events.Ending.REJECTED, NOT_RUN, f"rejected with {status}"
             )
@@ -380,15 +314,20 @@
             )
         if kind is interfaces.AnswerKind.FAILURE:
             self._relay.mark_running()
-            body = await connection.body()
-            answer = Answer(status, _with_length(caller_headers, body), body)
-            self._relay.failure = answer
+            stall.stop()
+            body = await _read_discarded(connection)
+            if body is not None:
+                self._relay.failure = answers.Answer(
+                    status, _with_length(caller_headers, body), body
+                )
             raise AttemptError(
                 events.Ending.ERROR_STATUS, RAN, f"answered with {status}"
             )
         if self._request.route.is_stream and 200 <= status < 300:
-            await self._relay_stream(connection, status, caller_headers)
+            stall.record_progress()
+            await self._relay_stream(connection, status, caller_headers, stall)
             return
+        stall.stop()
         await self._relay_answer(connection, status, caller_headers)
 
     async def _relay_answer(
@@ -417,7 +356,7 @@
                 continue
             complete_body = bytes(body)
             await relay.send_complete(
-                Answer(
+                answers.Answer(
                     status, _with_length(headers, complete_body), complete_body
                 )
             )
@@ -428,57 +367,45 @@
         connection: connections.ClientConnection,
         status: int,
         headers: connections.Headers,
+        stall: stall_timer.StallTimer,
     ) -> None:
-        """Relay a stream, without events that the caller has already."""
+        """Relay a stream, without events that the caller has already.
+
+        Only whole events count as progress: an upstream that sends a byte or a
+        comment now and then has stalled.
+        """
         splitter = event_stream.Splitter()
         relay = self._relay
         is_first = True
-        route = self._request.route
-        declared_pause_ms = route.gap_objective_ms or route.objective_ms
-        gap_timeout_ms = max(
-            MIN_GAP_TIMEOUT_MS, int(declared_pause_ms * GAP_OBJECTIVE_FACTOR)
-        )
         while True:
-            chunk: bytes | None = None
-            if route.may_repeat:
-                wait_ms = (
-                    self._send_effect.first_byte_timeout_ms
-                    if is_first
-                    else gap_timeout_ms
-                )
-                with anyio.move_on_after(wait_ms / 1_000):
-                    chunk = await connection.chunk()
-            else:  # The deadline of the attempt is the only limit.
-                chunk = await connection.chunk()
-            if chunk is None:
+            chunk = await connection.chunk()
+            if not chunk:
+                break
+            complete = splitter.feed(chunk)
+            if len(splitter.incomplete_event) > MAX_EVENT_BYTES:
                 raise AttemptError(
-                    events.Ending.SILENT,
+                    events.Ending.MALFORMED,
                     MAY_HAVE_RUN,
-                    "timed out waiting for the next data of the stream",
+                    "an event of the stream is too long",
                 )
-            if not chunk:
-                break
-            new_events = []
-            for event in splitter.feed(chunk):
-                event_id = event_stream.event_id(event)
-                last_event_id = relay.last_event_id
-                if (
-                    event_id is not None
-                    and last_event_id is not None
-                    and event_id <= last_event_id
-                ):
-                    continue
-                if event_id is not None:
-                    relay.last_event_id = event_id
-                new_events.append(event)
+            if not complete:
+                continue
+            if any(event_stream.has_fields(event) for event in complete):
+                stall.record_progress()
+            new_events = _new_events(complete, relay)
             if not new_events:
                 continue
+            if is_first:
+                stall.set_limit(self._gap_limit_ms())
+            stall.pause()  # A caller may read slowly.
             if is_first:
                 is_first = False
                 relay.mark_running()
                 await relay.start(status, headers, b"".join(new_events))
-                continue
-            await relay.write(b"".join(new_events))
+            else:
+                await relay.write(b"".join(new_events))
+            stall.resume()
+        stall.stop()
         if is_first:
             relay.mark_running()
             await relay.start(status, headers, splitter.incomplete_event)
@@ -486,6 +413,43 @@
             await relay.write(splitter.incomplete_event)
         await relay.end()
 
+    def _gap_limit_ms(self) -> int:
+        """Return the pause after which a stream counts as stalled."""
+        route = self._request.route
+        declared_pause_ms = route.gap_objective_ms or route.objective_ms
+        return max(
+            MIN_GAP_TIMEOUT_MS, int(declared_pause_ms * GAP_OBJECTIVE_FACTOR)
+        )
+
+
+async def _read_discarded(
+    connection: connections.ClientConnection,
+) -> bytes | None:
+    """Return the body of a failure, None if it is too long or incomplete.
+
+    The head alone states what became of the request.
+    """
+    try:
+        return await connection.body(MAX_FAILURE_BYTES)
+    except (connections.ProtocolError, connections.ConnectionLostError):
+        return None
+
+
+def _new_events(
+    complete: list[bytes], relay: answers.AnswerRelay
+) -> list[bytes]:
+    """Return the events that the caller has not received yet."""
+    new_events = []
+    for event in complete:
+        event_id = event_stream.event_id(event)
+        last_event_id = relay.last_event_id
+        if event_id is not None:
+            if last_event_id is not None and event_id <= last_event_id:
+                continue
+            relay.last_event_id = event_id
+        new_events.append(event)
+    return new_events
+
 
 def _with_length(
     headers: connections.Headers, body: bytes
--- a/laburnumpin/forwarding/budgets.py
+++ b/laburnumpin/forwarding/budgets.py
@@ -81,8 +81,8 @@
             now_ms
         )
 
-    def take(self, service: str, now_ms: int, entries: int) -> bool:
-        """Take one retry out of the budget; return False if it is spent.
+    def has_room(self, service: str, now_ms: int, entries: int) -> bool:
+        """Return whether the budget allows one more retry.
 
         `entries` is the number of entries that share the slack.
         """
@@ -92,9 +92,13 @@
         retry_times = self._times_in_window(self._retry_times, service, now_ms)
         allowed = self._limit.ratio * len(request_times)
         allowed += self._limit.slack / max(1, entries)
-        if len(retry_times) + 1 > allowed * RETRY_LIMIT_SHARE:
+        return len(retry_times) + 1 <= allowed * RETRY_LIMIT_SHARE
+
+    def take(self, service: str, now_ms: int, entries: int) -> bool:
+        """Take one retry out of the budget; return False if it is spent."""
+        if not self.has_room(service, now_ms, entries):
             return False
-        retry_times.append(now_ms)
+        self._times_in_window(self._retry_times, service, now_ms).append(now_ms)
         return True
 
     def _times_in_window(
--- a/laburnumpin/forwarding/caller.py
+++ b/laburnumpin/forwarding/caller.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import anyio
-from anyio import abc
 import h11
 
+from laburnumpin.forwarding import byte_stream
 from laburnumpin.forwarding import connections
 
 # A caller that does not read its response for this long counts as disconnected.
@@ -29,19 +29,17 @@
 
 
 class Caller:
-    """Reads requests from one connection and writes their responses.
+    """Reads requests from one connection and writes their responses."""
 
-    `reader.run` has to run in a task of the connection.
-    """
-
-    __slots__ = ("_h11", "_stream", "reader")
+    __slots__ = ("_h11", "stream")
 
-    def __init__(self, stream: abc.SocketStream, max_header_bytes: int) -> None:
-        self._stream = stream
+    def __init__(
+        self, stream: byte_stream.ByteStream, max_header_bytes: int
+    ) -> None:
+        self.stream = stream
         self._h11 = h11.Connection(
             h11.SERVER, max_incomplete_event_size=max_header_bytes
         )
-        self.reader = connections.ReadAhead(stream)
 
     async def read_head(
         self, idle_timeout_ms: int, header_timeout_ms: int
@@ -55,27 +53,30 @@
             CallerInputError: The head is malformed, too long or late.
             CallerDisconnectedError: The connection was reset.
         """
-        timeout_ms = idle_timeout_ms
+        header_deadline_s: float | None = None
         while True:
             event = self._parse()
             if isinstance(event, h11.Request):
                 return event
             if isinstance(event, h11.ConnectionClosed):
                 return None
-            data: bytes | None = None
-            with anyio.move_on_after(timeout_ms / 1_000):
-                data = await self._read_bytes()
-            if data is None:
-                if (
-                    timeout_ms == idle_timeout_ms
-                    and not self._has_partial_head()
-                ):
+            if header_deadline_s is None and self._has_partial_head():
+                header_deadline_s = anyio.current_time() + (
+                    header_timeout_ms / 1_000
+                )
+            timeout_ms = idle_timeout_ms
+            if header_deadline_s is not None:
+                remaining_s = header_deadline_s - anyio.current_time()
+                timeout_ms = max(1, int(remaining_s * 1_000))
+            try:
+                data = await self._read_bytes(timeout_ms)
+            except TimeoutError:
+                if header_deadline_s is None:
                     return None
                 raise CallerInputError(
                     408, "timed out reading the request head"
-                )
+                ) from None
             self._feed_parser(data)
-            timeout_ms = header_timeout_ms
 
     async def read_body(self, max_bytes: int, timeout_ms: int) -> bytes:
         """Return the whole body of the current request.
@@ -156,14 +157,13 @@
         """Reset for the next request; return False if none can follow."""
         return connections.start_next_cycle(self._h11)
 
-    async def close(self) -> None:
+    def close(self) -> None:
         """Close once the written bytes have been handed to the kernel."""
-        with anyio.CancelScope(shield=True), anyio.move_on_after(1.0):
-            await self._stream.aclose()
+        self.stream.close()
 
-    async def abort(self) -> None:
+    def abort(self) -> None:
         """Close at once, so that a started response is seen as incomplete."""
-        await anyio.aclose_forcefully(self._stream)
+        self.stream.abort()
 
     def _has_partial_head(self) -> bool:
         return bool(self._h11.trailing_data[0])
@@ -181,23 +181,24 @@
         except h11.RemoteProtocolError as error:
             raise CallerInputError(400, str(error)) from error
 
-    async def _read_bytes(self) -> bytes:
+    async def _read_bytes(self, timeout_ms: int | None = None) -> bytes:
         try:
-            return await self.reader.receive()
-        except connections.ConnectionLostError as error:
+            return await self.stream.receive(timeout_ms)
+        except byte_stream.StreamClosedError as error:
             raise CallerDisconnectedError(str(error)) from error
 
     async def _write(self, data: bytes) -> None:
         if not data:
             return
-        written = False
         try:
+            self.stream.write(data)
+            if not self.stream.unsent_bytes:
+                return
             with anyio.move_on_after(WRITE_TIMEOUT_S):
-                await self._stream.send(data)
-                written = True
-        except connections.CONNECTION_ERRORS as error:
+                await self.stream.drain()
+                return
+        except byte_stream.StreamClosedError as error:
             raise CallerDisconnectedError(str(error)) from error
-        if not written:
-            raise CallerDisconnectedError(
-                "write timed out: the caller does not read the response"
-            )
+        raise CallerDisconnectedError(
+            "write timed out: the caller does not read the response"
+        )
--- a/laburnumpin/forwarding/connections.py
+++ b/laburnumpin/forwarding/connections.py
@@ -1,36 +1,18 @@
-"""HTTP/1.1 connections over `anyio`, with a reader task for each.
-
-The task detects a close or reset by the peer even while no data is awaited.
-"""
+"""HTTP/1.1 client connections to upstreams and to the platform."""
 
 from __future__ import annotations
 
-from collections.abc import Callable
-import select
-import socket
-
 import anyio
-from anyio import abc
 import h11
 
-READ_BYTES = 65_536
-# Reading pauses while this many bytes are buffered, so that flow control stops
-# the peer.
-READ_AHEAD_BYTES = 262_144
-# Time that sent bytes may stay unacknowledged before the kernel closes the
-# connection.
-TCP_USER_TIMEOUT_MS = 2_500
-TCP_KEEP_ALIVE_IDLE_S = 2
-TCP_KEEP_ALIVE_INTERVAL_S = 1
-TCP_KEEP_ALIVE_PROBES = 2
-
-# Exceptions of `anyio` for a connection that has ended. It passes on errors of
-# the socket, such as ETIMEDOUT, as `OSError`.
-CONNECTION_ERRORS = (
-    anyio.BrokenResourceError,
-    anyio.ClosedResourceError,
-    OSError,
-)
+from laburnumpin.forwarding import byte_stream
+
+# Longest body that `ClientConnection.body` reads, and the longest one that it
+# skips.
+MAX_BODY_BYTES = 67_108_864
+MAX_SKIPPED_BODY_BYTES = 1_048_576
+# Interim responses (1xx) before a final one.
+MAX_INFORMATIONAL_RESPONSES = 16
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -43,105 +25,6 @@
     """The peer sent bytes that are not valid HTTP/1.1."""
 
 
-def set_socket_options(stream: abc.SocketStream) -> None:
-    """Detect a dead peer by kernel timeouts, and send small writes at once."""
-    raw = stream.extra(abc.SocketAttribute.raw_socket)
-    tcp = socket.IPPROTO_TCP
-    raw.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    raw.setsockopt(tcp, socket.TCP_NODELAY, 1)
-    raw.setsockopt(tcp, socket.TCP_KEEPIDLE, TCP_KEEP_ALIVE_IDLE_S)
-    raw.setsockopt(tcp, socket.TCP_KEEPINTVL, TCP_KEEP_ALIVE_INTERVAL_S)
-    raw.setsockopt(tcp, socket.TCP_KEEPCNT, TCP_KEEP_ALIVE_PROBES)
-    raw.setsockopt(tcp, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
-
-
-class ReadAhead:
-    """Buffers the bytes of a stream, which `run` reads in a separate task.
-
-    `on_end` is called once, when the peer has closed or reset the connection.
-    """
-
-    __slots__ = (
-        "_buffer",
-        "_data_available",
-        "_space_available",
-        "_stream",
-        "ended",
-        "on_end",
-        "was_reset",
-    )
-
-    def __init__(self, stream: abc.SocketStream) -> None:
-        self._stream = stream
-        self._buffer = bytearray()
-        self._data_available = anyio.Event()
-        self._space_available = anyio.Event()
-        self.ended = False
-        self.was_reset = False
-        self.on_end: Callable[[], None] | None = None
-
-    @property
-    def has_bytes(self) -> bool:
-        """Return whether bytes are buffered."""
-        return bool(self._buffer)
-
-    def has_closed(self) -> bool:
-        """Return whether the peer has closed, even if that is unread yet.
-
-        While the process is busy, data and the close of a peer queue up in
-        the socket, and the close is read last.
-        """
-        if self.ended:
-            return True
-        try:
-            descriptor = self._stream.extra(
-                abc.SocketAttribute.raw_socket
-            ).fileno()
-            poll = select.poll()
-            poll.register(descriptor, select.POLLRDHUP)
-            return bool(poll.poll(0))
-        except (*CONNECTION_ERRORS, ValueError):
-            return True  # This side has closed the socket already.
-
-    async def run(self) -> None:
-        """Read until the peer closes or resets the connection."""
-        while True:
-            if len(self._buffer) >= READ_AHEAD_BYTES:
-                self._space_available = anyio.Event()
-                await self._space_available.wait()
-            try:
-                data = await self._stream.receive(READ_BYTES)
-            except anyio.EndOfStream:
-                break
-            except CONNECTION_ERRORS:
-                self.was_reset = True
-                break
-            self._buffer += data
-            self._data_available.set()
-        self.ended = True
-        self._data_available.set()
-        if self.on_end is not None:
-            self.on_end()
-
-    async def receive(self) -> bytes:
-        """Return the next bytes; none when the peer has closed normally.
-
-        Raises:
-            ConnectionLostError: The connection was reset.
-        """
-        while not self._buffer:
-            if self.was_reset:
-                raise ConnectionLostError("the connection was reset")
-            if self.ended:
-                return b""
-            self._data_available = anyio.Event()
-            await self._data_available.wait()
-        data = bytes(self._buffer)
-        self._buffer.clear()
-        self._space_available.set()
-        return data
-
-
 class ClientConnection:
     """An HTTP/1.1 client connection to an upstream or to the platform.
 
@@ -152,37 +35,26 @@
     __slots__ = (
         "_h11",
         "_last_request",
-        "_read_scope",
-        "_reader",
         "_stream",
         "idle_since_ms",
         "keep_alive_ms",
         "requests_sent",
     )
 
-    def __init__(
-        self, stream: abc.SocketStream, task_group: abc.TaskGroup
-    ) -> None:
+    def __init__(self, stream: byte_stream.ByteStream) -> None:
         self._stream = stream
         self._h11 = h11.Connection(h11.CLIENT)
-        self._reader = ReadAhead(stream)
-        self._read_scope = anyio.CancelScope()
         self._last_request: tuple[bytes, bytes, Headers] | None = None
         self.idle_since_ms = 0
         self.keep_alive_ms: int | None = None
         self.requests_sent = 0
-        task_group.start_soon(self._read)
-
-    async def _read(self) -> None:
-        with self._read_scope:
-            await self._reader.run()
 
     def is_reusable(self) -> bool:
         """Return whether another request may be sent.
 
         The connection has to be open and idle, without unsolicited bytes.
         """
-        if self._reader.ended or self._reader.has_bytes:
+        if self._stream.ended or self._stream.has_bytes:
             return False
         return (
             self._h11.our_state is h11.IDLE
@@ -210,7 +82,7 @@
         data += self._h11.send(h11.EndOfMessage()) or b""
         try:
             await self._stream.send(data)
-        except CONNECTION_ERRORS as error:
+        except byte_stream.StreamClosedError as error:
             raise ConnectionLostError(str(error)) from error
 
     async def head(self) -> h11.Response:
@@ -220,13 +92,14 @@
             ConnectionLostError: The connection ended before the head.
             ProtocolError: The peer did not send a valid response.
         """
-        while True:
+        for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 return event
             if isinstance(event, h11.InformationalResponse):
                 continue
             raise ConnectionLostError("the connection was closed")
+        raise ProtocolError("too many informational responses")
 
     async def chunk(self) -> bytes:
         """Return the next bytes of the body; none at its end.
@@ -245,12 +118,13 @@
                 return b""
             raise ConnectionLostError("the connection was closed")
 
-    async def body(self) -> bytes:
+    async def body(self, max_bytes: int = MAX_BODY_BYTES) -> bytes:
         """Return the rest of the body.
 
         Raises:
             ConnectionLostError: The connection ended inside the body.
-            ProtocolError: The peer did not send a valid response.
+            ProtocolError: The peer did not send a valid response, or a body
+                that is too long.
         """
         read = bytearray()
         while True:
@@ -258,6 +132,8 @@
             if not chunk:
                 return bytes(read)
             read += chunk
+            if len(read) > max_bytes:
+                raise ProtocolError("the body is too long")
 
     async def skip_response(self) -> None:
         """Discard a response that belongs to an earlier request.
@@ -269,7 +145,7 @@
             ConnectionLostError: The connection ended with that response.
             ProtocolError: The peer did not send a valid response.
         """
-        await self.body()
+        await self.body(MAX_SKIPPED_BODY_BYTES)
         assert self._last_request is not None
         unparsed = bytes(self._h11.trailing_data[0])
         if self._h11.their_state is h11.MUST_CLOSE:
@@ -288,26 +164,28 @@
 
     def finish(self) -> bool:
         """Reset for the next request; return False if none can follow."""
-        if self._h11.trailing_data[0] or self._reader.has_bytes:
+        if self._h11.trailing_data[0] or self._stream.has_bytes:
             return False
-        if self._reader.ended:
+        if self._stream.ended:
             return False
         return start_next_cycle(self._h11)
 
-    async def close(self) -> None:
+    def close(self) -> None:
         """Close without waiting for the peer."""
-        self._read_scope.cancel()
-        await anyio.aclose_forcefully(self._stream)
+        self._stream.abort()
 
     async def _next_event(self) -> object:
         while True:
             try:
                 event = self._h11.next_event()
                 if event is h11.NEED_DATA:
-                    self._h11.receive_data(await self._reader.receive())
+                    data = await self._stream.receive()
+                    self._h11.receive_data(data)
                     continue
+            except byte_stream.StreamClosedError as error:
+                raise ConnectionLostError(str(error)) from error
             except h11.RemoteProtocolError as error:
-                if self._reader.ended and not self._reader.has_bytes:
+                if self._stream.ended and not self._stream.has_bytes:
                     raise ConnectionLostError(str(error)) from error
                 raise ProtocolError(str(error)) from error
             return event
@@ -326,26 +204,18 @@
     return True
 
 
-async def connect(
-    address: str, task_group: abc.TaskGroup, timeout_ms: int
-) -> ClientConnection:
+async def connect(address: str, timeout_ms: int) -> ClientConnection:
     """Open a connection to `address`, given as `IP:PORT`.
 
     Raises:
         ConnectionLostError: The connection was refused or timed out.
     """
-    host, _, port = address.rpartition(":")
-    stream: abc.SocketStream | None = None
+    stream: byte_stream.ByteStream | None = None
     try:
         with anyio.move_on_after(timeout_ms / 1_000):
-            stream = await anyio.connect_tcp(host, int(port))
+            stream = await byte_stream.connect(address)
     except OSError as error:
         raise ConnectionLostError(f"{address}: {error}") from error
     if stream is None:
         raise ConnectionLostError(f"{address}: connect timed out")
-    try:
-        set_socket_options(stream)
-    except OSError as error:
-        await anyio.aclose_forcefully(stream)
-        raise ConnectionLostError(f"{address}: {error}") from error
-    return ClientConnection(stream, task_group)
+    return ClientConnection(stream)
--- a/laburnumpin/forwarding/daemon.py
+++ b/laburnumpin/forwarding/daemon.py
@@ -58,13 +58,13 @@
         state.members.add_contact(seed_address, boot_clock.now_ms())
     async with anyio.create_task_group() as task_group:
         runner = tasks.TaskRunner(task_group)
-        upstream_pool = pool.Pool(boot_clock, task_group)
-        engines = clients.engines(task_group)
+        upstream_pool = pool.Pool(boot_clock)
+        engines = clients.engines()
         shell = shells.Shell(
             state, wire, upstream_pool, runner, boot_clock, engines
         )
-        store = clients.store(settings, task_group)
-        cloud = clients.cloud(settings, task_group)
+        store = clients.store(settings)
+        cloud = clients.cloud(settings)
         synchronizer = synchronization.Synchronizer(shell, store, documents)
         peer_exchange = peer_link.PeerLink(
             shell, synchronizer, settings.peer_address
@@ -77,7 +77,9 @@
         runner.start(synchronizer.watch_table, interfaces.Table.UPSTREAMS)
         runner.start(synchronizer.register_and_poll_entries, own_contact)
         runner.start(peer_exchange.maintain_relay_links)
-        duty_runner = duties.Duties(shell, store, cloud, settings)
+        duty_runner = duties.Duties(
+            shell, store, cloud, settings, synchronizer.on_tick
+        )
         runner.start(duty_runner.run)
         logs.write(
             "entry_started",
--- a/laburnumpin/forwarding/duties.py
+++ b/laburnumpin/forwarding/duties.py
@@ -6,10 +6,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import json
 import time
 
 import anyio
+from anyio import abc
 
 from laburnumpin import exceptions
 from laburnumpin.forwarding import autoscaling
@@ -28,8 +30,6 @@
 # Period of the ticks and checks in fleets that use relays, whose digests are
 # further apart.
 LARGE_FLEET_TICK_MS = 200
-# Pause of the duties' loops while this entry may not act under the lease.
-STANDBY_PAUSE_MS = 400
 # Time after the end of a usage window until the entries' counts are complete.
 USAGE_SETTLE_MS = 2_500
 # A window is not reported later than this before the platform's time limit.
@@ -81,10 +81,13 @@
     __slots__ = (
         "_cloud",
         "_first_election_ms",
+        "_holder_event",
+        "_is_lease_call_running",
         "_last_held_ms",
         "_last_reported_window",
         "_lease",
         "_next_scale_ms",
+        "_on_tick",
         "_scaler",
         "_settings",
         "_shell",
@@ -98,8 +101,11 @@
         store: interfaces.StoreClient,
         cloud: interfaces.CloudClient,
         settings: forwarding_settings.ForwardingSettings,
+        on_tick: Callable[[], None],
     ) -> None:
         self._shell = shell
+        # Called after each tick.
+        self._on_tick = on_tick
         self._store = store
         self._cloud = cloud
         self._settings = settings
@@ -114,11 +120,13 @@
         # The newest window that this holder has reported or skipped.
         self._last_reported_window: int | None = None
         self._was_holder = False
+        # Set while this entry holds the lease.
+        self._holder_event = anyio.Event()
+        self._is_lease_call_running = False
 
     async def run(self) -> None:
-        """Run the lease, the set duties and the ticks until cancelled."""
+        """Run the ticks, the lease and the set duties until cancelled."""
         async with anyio.create_task_group() as task_group:
-            task_group.start_soon(self._keep_lease)
             if "usage" in self._settings.duties:
                 task_group.start_soon(self._report_usage)
             if "upstreams" in self._settings.duties:
@@ -129,6 +137,8 @@
                 self._shell.apply(
                     events.Ticked(self._shell.now_ms(), own_wall_ms)
                 )
+                self._check_lease(task_group)
+                self._on_tick()
                 await anyio.sleep(self._tick_ms() / 1_000)
 
     def _tick_ms(self) -> int:
@@ -139,53 +149,64 @@
     def _may_act(self) -> bool:
         return self._lease.may_act(self._shell.now_ms())
 
-    async def _keep_lease(self) -> None:
-        while True:
-            await anyio.sleep(self._tick_ms() / 1_000)
-            now_ms = self._shell.now_ms()
-            self._update_holder(now_ms)
-            members = self._shell.state.members
-            holder_is_live = members.holder_is_live(
-                now_ms, self._settings.lease_ms
+    def _check_lease(self, task_group: abc.TaskGroup) -> None:
+        """Note a change of the holder, and start the next call if one is due.
+
+        At most one call runs at a time.
+        """
+        now_ms = self._shell.now_ms()
+        self._update_holder(now_ms)
+        members = self._shell.state.members
+        holder_is_live = members.holder_is_live(now_ms, self._settings.lease_ms)
+        if holder_is_live or self._lease.holds(now_ms):
+            self._last_held_ms = now_ms
+        if self._is_lease_call_running:
+            return
+        call = self._lease.next_call(
+            now_ms,
+            eligible=self._is_contender(now_ms),
+            holder_is_live=holder_is_live,
+        )
+        if call is not None:
+            self._is_lease_call_running = True
+            task_group.start_soon(self._call_lease_row, call)
+
+    async def _call_lease_row(
+        self, call: leases.ReadLease | leases.WriteLease
+    ) -> None:
+        """Read or write the row of the lease."""
+        try:
+            if isinstance(call, leases.ReadLease):
+                row = await self._read_lease()
+                self._lease.apply_read(row, self._shell.now_ms())
+                return
+            value = json.dumps(
+                {
+                    "fencing_token": call.row.fencing_token,
+                    "holder": call.row.holder,
+                    "token": call.row.token,
+                }
             )
-            if holder_is_live or self._lease.holds(now_ms):
-                self._last_held_ms = now_ms
-            call = self._lease.next_call(
-                now_ms,
-                eligible=self._is_contender(now_ms),
-                holder_is_live=holder_is_live,
+            version = await self._store.write(
+                Table.DUTIES,
+                LEASE_KEY,
+                value.encode(),
+                call.expected_version,
             )
-            if call is None:
-                continue
-            try:
-                if isinstance(call, leases.ReadLease):
-                    row = await self._read_lease()
-                    self._lease.apply_read(row, self._shell.now_ms())
-                    continue
-                value = json.dumps(
-                    {
-                        "fencing_token": call.row.fencing_token,
-                        "holder": call.row.holder,
-                        "token": call.row.token,
-                    }
-                )
-                version = await self._store.write(
-                    Table.DUTIES,
-                    LEASE_KEY,
-                    value.encode(),
-                    call.expected_version,
-                )
-                self._lease.apply_write(version, self._shell.now_ms())
-            except interfaces.ConflictError:
-                self._lease.apply_conflict(self._shell.now_ms())
-                logs.write("lease_conflict", "info", {})
-            except exceptions.LaburnumpinError as error:
-                self._lease.apply_failure(self._shell.now_ms())
-                logs.write(
-                    "lease_call_failed",
-                    "info",
-                    {"code": error.code, "reason": error.message},
-                )
+            self._lease.apply_write(version, self._shell.now_ms())
+        except interfaces.ConflictError:
+            self._lease.apply_conflict(self._shell.now_ms())
+            logs.write("lease_conflict", "info", {})
+        except exceptions.LaburnumpinError as error:
+            self._lease.apply_failure(self._shell.now_ms())
+            logs.write(
+                "lease_call_failed",
+                "info",
+                {"code": error.code, "reason": error.message},
+            )
+        finally:
+            self._is_lease_call_running = False
+            self._update_holder(self._shell.now_ms())
 
     def _is_contender(self, now_ms: int) -> bool:
         """Return whether this entry may hold the lease or contend for it.
@@ -209,13 +230,7 @@
         for row in rows.rows:
             if row.key != LEASE_KEY or row.value is None:
                 continue
-            fields = json.loads(row.value)
-            return leases.Row(
-                row.version,
-                int(fields["fencing_token"]),
-                str(fields["holder"]),
-                str(fields["token"]),
-            )
+            return _decode_lease_row(row.version, row.value)
         return leases.Row(0, 0, "", "")
 
     def _update_holder(self, now_ms: int) -> None:
@@ -226,6 +241,10 @@
         if holds == self._was_holder:
             return
         self._was_holder = holds
+        if holds:
+            self._holder_event.set()
+        else:
+            self._holder_event = anyio.Event()
         self._last_reported_window = None
         self._scaler = autoscaling.Autoscaler()
         logs.write(
@@ -236,8 +255,8 @@
 
     async def _report_usage(self) -> None:
         while True:
-            pause_ms = TICK_MS if self._may_act() else STANDBY_PAUSE_MS
-            await anyio.sleep(pause_ms / 1_000)
+            await self._holder_event.wait()
+            await anyio.sleep(TICK_MS / 1_000)
             if not self._may_act():
                 continue
             try:
@@ -284,8 +303,8 @@
 
     async def _order_upstreams(self) -> None:
         while True:
-            pause_ms = TICK_MS if self._may_act() else STANDBY_PAUSE_MS
-            await anyio.sleep(pause_ms / 1_000)
+            await self._holder_event.wait()
+            await anyio.sleep(TICK_MS / 1_000)
             now_ms = self._shell.now_ms()
             if not self._may_act() or now_ms < self._next_scale_ms:
                 continue
@@ -334,3 +353,24 @@
             {"fencing_token": self._lease.fencing_token},
         )
         self._lease.revoke()
+
+
+def _decode_lease_row(version: int, value: bytes) -> leases.Row:
+    """Return the row of the lease.
+
+    Raises:
+        DocumentError: The row is malformed. It is not overwritten, since its
+            fencing token is unknown.
+    """
+    try:
+        fields = json.loads(value)
+        return leases.Row(
+            version,
+            int(fields["fencing_token"]),
+            str(fields["holder"]),
+            str(fields["token"]),
+        )
+    except (ValueError, KeyError, TypeError) as error:
+        raise exceptions.DocumentError(
+            f"malformed lease row: {error!r}"
+        ) from error
--- a/laburnumpin/forwarding/event_stream.py
+++ b/laburnumpin/forwarding/event_stream.py
@@ -5,6 +5,8 @@
 import re
 
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
+# A line that is neither blank nor a comment.
+_FIELD_LINE = re.compile(rb"(?m)^[^:\r\n]")
 _ID_FIELD = re.compile(rb"(?m)^id:[ \t]*(\d+)\r?$")
 
 
@@ -40,3 +42,8 @@
     """Return the numeric id of an event; None if it has none."""
     match = _ID_FIELD.search(event)
     return None if match is None else int(match.group(1))
+
+
+def has_fields(event: bytes) -> bool:
+    """Return whether an event is more than a comment."""
+    return _FIELD_LINE.search(event) is not None
--- a/laburnumpin/forwarding/frontend.py
+++ b/laburnumpin/forwarding/frontend.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import anyio
-from anyio import abc
 import h11
 
 from laburnumpin import exceptions
+from laburnumpin.forwarding import answers
 from laburnumpin.forwarding import attempts
+from laburnumpin.forwarding import byte_stream
 from laburnumpin.forwarding import caller as callers
 from laburnumpin.forwarding import connections
 from laburnumpin.forwarding import deployment
@@ -38,38 +39,25 @@
 
     async def serve(self, address: str) -> None:
         """Accept connections until cancelled."""
-        host, _, port = address.rpartition(":")
-        listener = await anyio.create_tcp_listener(
-            local_host=host, local_port=int(port), backlog=LISTEN_BACKLOG
-        )
-        async with listener:
-            await listener.serve(self._handle)
+        await byte_stream.serve(address, LISTEN_BACKLOG, self._handle)
 
-    async def _handle(self, stream: abc.SocketStream) -> None:
+    async def _handle(self, stream: byte_stream.ByteStream) -> None:
         limits = self._limits()
         caller = callers.Caller(stream, limits.max_header_bytes)
         self._open_callers.add(caller)
         try:
-            connections.set_socket_options(stream)
-            async with anyio.create_task_group() as task_group:
-                task_group.start_soon(caller.reader.run)
-                await self._serve_requests(caller)
-                task_group.cancel_scope.cancel()
-        except BaseExceptionGroup as errors:
-            unexpected = errors.split(_is_disconnect)[1]
-            if unexpected is not None:
-                logs.write(
-                    "caller_connection_error",
-                    "error",
-                    {"reason": repr(unexpected.exceptions[0])},
-                )
-        except OSError as error:
+            await self._serve_requests(caller)
+        except callers.CallerDisconnectedError as error:
             logs.write(
                 "caller_connection_lost", "debug", {"reason": str(error)}
             )
+        except Exception as error:
+            logs.write(
+                "caller_connection_error", "error", {"reason": repr(error)}
+            )
         finally:
             self._open_callers.discard(caller)
-            await caller.close()
+            caller.close()
 
     def _limits(self) -> deployment.CallerLimits:
         configuration = self._shell.deployment()
@@ -217,10 +205,10 @@
         if cancels_with_caller:
             # Stops the work when the caller disconnects. A call that must not
             # run twice finishes, so that it is not interrupted half way.
-            self._caller.reader.on_end = scope.cancel
+            self._caller.stream.on_end = scope.cancel
         keep_alive = False
         try:
-            if self._caller.reader.has_closed():
+            if self._caller.stream.has_closed():
                 raise callers.CallerDisconnectedError(
                     "caller disconnected before the request was sent"
                 )
@@ -229,7 +217,7 @@
         except callers.CallerDisconnectedError:
             self._outcome = self._outcome or "caller_gone"
         finally:
-            self._caller.reader.on_end = None
+            self._caller.stream.on_end = None
             self._shell.stream_movers.pop(request.request_id, None)
             self._shell.apply(
                 events.RequestEnded(
@@ -242,7 +230,7 @@
     async def _run_attempts(
         self, request: requests.Request, resume_after: int | None
     ) -> bool:
-        relay = attempts.AnswerRelay(
+        relay = answers.AnswerRelay(
             self._caller,
             self._connection_headers(),
             self._on_first_event,
@@ -256,7 +244,7 @@
                 return await self._answer_failure(effect, relay)
             if not isinstance(effect, effects.Send):
                 self._outcome = "cut"
-                await self._caller.abort()
+                self._caller.abort()
                 return False
             self._log_send(effect)
             attempt = attempts.Attempt(
@@ -309,7 +297,7 @@
         )
 
     async def _answer_failure(
-        self, effect: effects.Reject, relay: attempts.AnswerRelay
+        self, effect: effects.Reject, relay: answers.AnswerRelay
     ) -> bool:
         """Answer a request that no upstream has served successfully.
 
@@ -450,10 +438,3 @@
     if reason is effects.Reason.NOT_READY:
         retry_after_ms = NOT_READY_RETRY_MS
     return effects.Reject(request_id, reason, True, retry_after_ms)
-
-
-def _is_disconnect(error: BaseException) -> bool:
-    return isinstance(
-        error,
-        callers.CallerDisconnectedError | OSError | anyio.ClosedResourceError,
-    )
--- a/laburnumpin/forwarding/interfaces.py
+++ b/laburnumpin/forwarding/interfaces.py
@@ -10,8 +10,6 @@
 import enum
 from typing import Protocol
 
-from anyio import abc
-
 from laburnumpin import exceptions
 from laburnumpin.forwarding import connections
 from laburnumpin.forwarding import deployment
@@ -264,18 +262,14 @@
     """Creates the clients of one platform."""
 
     def store(
-        self,
-        settings: forwarding_settings.ForwardingSettings,
-        task_group: abc.TaskGroup,
+        self, settings: forwarding_settings.ForwardingSettings
     ) -> StoreClient:
         """Return the client of the store."""
 
     def cloud(
-        self,
-        settings: forwarding_settings.ForwardingSettings,
-        task_group: abc.TaskGroup,
+        self, settings: forwarding_settings.ForwardingSettings
     ) -> CloudClient:
         """Return the client of the cloud API."""
 
-    def engines(self, task_group: abc.TaskGroup) -> EngineClient:
+    def engines(self) -> EngineClient:
         """Return the client of the model engines."""
--- a/laburnumpin/forwarding/lifecycle.py
+++ b/laburnumpin/forwarding/lifecycle.py
@@ -178,6 +178,53 @@
     return active.request.route.may_repeat or not active.may_have_run
 
 
+def resend_delay_ms(
+    state: forwarding_state.ForwardingState, request_id: str, now_ms: int
+) -> float | None:
+    """Predict the time to the first byte if a request were sent elsewhere.
+
+    None if it may not be sent again, or no other upstream could answer in time.
+    """
+    active = state.active.get(request_id)
+    if active is None or active.choice is None or not may_retry(active):
+        return None
+    request = active.request
+    if _counted_attempts(active) >= request.route.max_attempts:
+        return None
+    entries = state.members.expected_count(now_ms)
+    if not state.budget.has_room(request.service, now_ms, entries):
+        return None
+    current_id = active.choice.upstream.registration.upstream_id
+    choice = _choose(state, active, active.excluded | {current_id}, now_ms)
+    if choice is None or now_ms + choice.predicted_ms > request.deadline_ms:
+        return None
+    return choice.predicted_ms
+
+
+def _choose(
+    state: forwarding_state.ForwardingState,
+    active: forwarding_state.ActiveRequest,
+    excluded: set[str],
+    now_ms: int,
+) -> selection.Choice | None:
+    """Choose an upstream that is not excluded; None if there is none."""
+    request = active.request
+    service = state.service(request.service)
+    candidates = state.upstreams.usable(request.service, now_ms)
+    if service is None or not candidates:
+        return None
+    return selection.choose(
+        candidates,
+        request,
+        service,
+        state.zone,
+        excluded,
+        now_ms,
+        state.random,
+        state.view(request.service),
+    )
+
+
 def _send_or_reject(
     state: forwarding_state.ForwardingState,
     active: forwarding_state.ActiveRequest,
@@ -191,22 +238,9 @@
     all are full or excluded.
     """
     request = active.request
-    service = state.service(request.service)
-    candidates = state.upstreams.usable(request.service, now_ms)
-    choice = None
-    if service is not None and candidates:
-        choice = selection.choose(
-            candidates,
-            request,
-            service,
-            state.zone,
-            active.excluded,
-            now_ms,
-            state.random,
-            state.view(request.service),
-        )
+    choice = _choose(state, active, active.excluded, now_ms)
     if choice is None:
-        if not candidates:
+        if not state.upstreams.usable(request.service, now_ms):
             reason = effects.Reason.NO_UPSTREAM
             if not state.registry_read:
                 reason = effects.Reason.NOT_READY
--- a/laburnumpin/forwarding/peer_link.py
+++ b/laburnumpin/forwarding/peer_link.py
@@ -15,7 +15,7 @@
 import cbor2
 
 from laburnumpin import exceptions
-from laburnumpin.forwarding import connections
+from laburnumpin.forwarding import byte_stream
 from laburnumpin.forwarding import digests
 from laburnumpin.forwarding import effects
 from laburnumpin.forwarding import events
@@ -28,6 +28,7 @@
 
 DIGEST_FORMAT = 1
 FETCH_TIMEOUT_S = 1.5
+LISTEN_BACKLOG = 256
 
 
 class PeerLink:
@@ -63,18 +64,19 @@
     async def serve(self) -> None:
         """Receive digests and serve snapshots and links until cancelled."""
         host, _, port = self._address.rpartition(":")
-        listener = await anyio.create_tcp_listener(
-            local_host=host, local_port=int(port)
-        )
         async with (
             await anyio.create_udp_socket(
                 local_host=host, local_port=int(port)
             ) as udp,
-            listener,
             anyio.create_task_group() as task_group,
         ):
             self._socket = udp
-            task_group.start_soon(listener.serve, self._serve_connection)
+            task_group.start_soon(
+                byte_stream.serve,
+                self._address,
+                LISTEN_BACKLOG,
+                self._serve_connection,
+            )
             async for encoded, _ in udp:
                 self._receive_digest(encoded)
 
@@ -115,33 +117,37 @@
                 # An unreachable peer is detected by the age of its last digest.
                 self._shell.state.counters.increment("digests_not_sent")
 
-    async def _serve_connection(self, stream: abc.SocketStream) -> None:
-        async with stream:
-            frame_stream = frames.FrameStream(stream)
-            try:
-                hello = await frame_stream.read(FETCH_TIMEOUT_S)
-                if hello.get("kind") == "link":
-                    connections.set_socket_options(stream)
-                    await self._relay_links.accept(frame_stream, hello)
-                    return
-                await frame_stream.write(self._synchronizer.snapshot())
-            except (frames.FrameError, OSError) as error:
-                logs.write("peer_lost", "debug", {"reason": str(error)})
+    async def _serve_connection(self, stream: byte_stream.ByteStream) -> None:
+        frame_stream = frames.FrameStream(stream)
+        try:
+            hello = await frame_stream.read(FETCH_TIMEOUT_S)
+            if hello.get("kind") == "link":
+                await self._relay_links.accept(frame_stream, hello)
+                return
+            frame_stream.write(self._synchronizer.snapshot())
+            await frame_stream.drain(FETCH_TIMEOUT_S)
+        except frames.FrameError as error:
+            logs.write("peer_lost", "debug", {"reason": str(error)})
+        finally:
+            stream.close()
 
     async def _fetch_snapshot(self, address: str) -> None:
+        stream: byte_stream.ByteStream | None = None
         try:
             stream = await frames.connect(address, FETCH_TIMEOUT_S)
-            async with stream:
-                frame_stream = frames.FrameStream(stream)
-                await frame_stream.write({"kind": "fetch"})
-                snapshot = await frame_stream.read(FETCH_TIMEOUT_S)
+            frame_stream = frames.FrameStream(stream)
+            frame_stream.write({"kind": "fetch"})
+            snapshot = await frame_stream.read(FETCH_TIMEOUT_S)
             self._synchronizer.apply_snapshot(snapshot)
-        except (frames.FrameError, ValueError, OSError) as error:
+        except (frames.FrameError, ValueError) as error:
             logs.write(
                 "peer_fetch_failed",
                 "info",
                 {"peer": address, "reason": str(error)},
             )
+        finally:
+            if stream is not None:
+                stream.close()
 
 
 def encode(digest: digests.Digest) -> bytes:
--- a/laburnumpin/forwarding/pool.py
+++ b/laburnumpin/forwarding/pool.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from anyio import abc
-
 from laburnumpin import clock
 from laburnumpin.forwarding import connections
 from laburnumpin.forwarding import upstreams
@@ -34,13 +32,10 @@
     `reused` the idle ones that it has returned.
     """
 
-    __slots__ = ("_boot_clock", "_idle", "_task_group", "opened", "reused")
+    __slots__ = ("_boot_clock", "_idle", "opened", "reused")
 
-    def __init__(
-        self, boot_clock: clock.Clock, task_group: abc.TaskGroup
-    ) -> None:
+    def __init__(self, boot_clock: clock.Clock) -> None:
         self._boot_clock = boot_clock
-        self._task_group = task_group
         self._idle: dict[_Key, list[connections.ClientConnection]] = {}
         self.opened = 0
         self.reused = 0
@@ -70,13 +65,13 @@
             if connection.is_reusable() and idle_ms <= limit_ms:
                 self.reused += 1
                 return connection
-            await connection.close()
+            connection.close()
         self.opened += 1
         return await connections.connect(
-            registration.address, self._task_group, CONNECT_TIMEOUT_MS
+            registration.address, CONNECT_TIMEOUT_MS
         )
 
-    async def release(
+    def release(
         self,
         registration: upstreams.Registration,
         connection: connections.ClientConnection,
@@ -89,18 +84,18 @@
         """
         idle = self._idle.setdefault(_key(registration), [])
         if not connection.finish() or len(idle) >= max_idle:
-            await connection.close()
+            connection.close()
             return
         connection.idle_since_ms = self._boot_clock.now_ms()
         idle.append(connection)
 
-    async def close_upstream(self, upstream_id: str) -> None:
+    def close_upstream(self, upstream_id: str) -> None:
         """Close all idle connections to an upstream."""
         for key in list(self._idle):
             if key[0] != upstream_id:
                 continue
             for connection in self._idle.pop(key):
-                await connection.close()
+                connection.close()
 
 
 def idle_limit(max_connections: int, entries: int) -> int:
--- a/laburnumpin/forwarding/probes.py
+++ b/laburnumpin/forwarding/probes.py
@@ -2,15 +2,15 @@
 
 from __future__ import annotations
 
-import anyio
-from anyio import abc
 import h11
 
+from laburnumpin.forwarding import byte_stream
 from laburnumpin.forwarding import caller as callers
 from laburnumpin.forwarding import shell as shells
 from laburnumpin.server import metrics
 
 METRICS_PATH = b"/metrics"
+LISTEN_BACKLOG = 64
 IDLE_TIMEOUT_MS = 30_000
 HEADER_TIMEOUT_MS = 2_000
 MAX_HEADER_BYTES = 8_192
@@ -22,21 +22,13 @@
     Each path other than that of the metrics is a readiness probe, with status
     200 or 503.
     """
-    host, _, port = address.rpartition(":")
-    listener = await anyio.create_tcp_listener(
-        local_host=host, local_port=int(port)
-    )
 
-    async def handle(stream: abc.SocketStream) -> None:
+    async def handle(stream: byte_stream.ByteStream) -> None:
         caller = callers.Caller(stream, MAX_HEADER_BYTES)
-        async with anyio.create_task_group() as task_group:
-            task_group.start_soon(caller.reader.run)
-            await _serve_requests(shell, caller)
-            task_group.cancel_scope.cancel()
-        await caller.close()
+        await _serve_requests(shell, caller)
+        caller.close()
 
-    async with listener:
-        await listener.serve(handle)
+    await byte_stream.serve(address, LISTEN_BACKLOG, handle)
 
 
 async def _serve_requests(shell: shells.Shell, caller: callers.Caller) -> None:
--- a/laburnumpin/forwarding/relay.py
+++ b/laburnumpin/forwarding/relay.py
@@ -14,7 +14,7 @@
 import anyio
 from anyio import abc
 
-from laburnumpin.forwarding import connections
+from laburnumpin.forwarding import byte_stream
 from laburnumpin.forwarding import digests
 from laburnumpin.forwarding import frames
 from laburnumpin.forwarding import interfaces
@@ -27,14 +27,12 @@
 BUNDLE_PERIOD_MS = 250
 # An entry without members sends only its own digests, or an empty bundle after
 # this time without one.
-KEEP_ALIVE_PERIOD_MS = 700
+KEEP_ALIVE_PERIOD_MS = 500
 # A link that delivers no message for this long counts as failed.
 LINK_TIMEOUT_S = 1.5
 CONNECT_TIMEOUT_S = 0.7
 # Pause between two checks of which links should be open.
-LINK_CHECK_PERIOD_S = 0.5
-# Messages that are queued for a slow peer; bundles beyond them are dropped.
-MAX_QUEUED_MESSAGES = 64
+LINK_CHECK_PERIOD_MS = 500
 
 
 class PeerRole(enum.Enum):
@@ -57,28 +55,34 @@
     so through another relay.
     """
 
-    __slots__ = ("_queue", "in_sync", "name", "peer_role", "scope")
+    __slots__ = ("_frame_stream", "in_sync", "name", "peer_role", "scope")
 
-    def __init__(self, name: str, peer_role: PeerRole) -> None:
+    def __init__(
+        self, name: str, peer_role: PeerRole, frame_stream: frames.FrameStream
+    ) -> None:
         self.name = name
         self.peer_role = peer_role
         self.scope = anyio.CancelScope()
         self.in_sync = False
-        self._queue = anyio.create_memory_object_stream[dict[str, Any]](
-            MAX_QUEUED_MESSAGES
-        )
+        self._frame_stream = frame_stream
 
-    def enqueue(self, message: dict[str, Any]) -> bool:
-        """Queue a message; return False if the queue is full."""
-        try:
-            self._queue[0].send_nowait(message)
-        except (anyio.WouldBlock, anyio.BrokenResourceError):
+    def send(self, frame: bytes) -> bool:
+        """Send an encoded message; return False if the peer is too slow."""
+        if self._frame_stream.is_slow():
             return False
+        try:
+            self._frame_stream.write_frame(frame)
+        except frames.FrameError:
+            return False  # The reader of the link detects its end, too.
         return True
 
-    async def dequeue(self) -> dict[str, Any]:
-        """Wait for the next message to write."""
-        return await self._queue[1].receive()
+    async def read(self) -> dict[str, Any]:
+        """Wait for the next message.
+
+        Raises:
+            FrameError: The link failed.
+        """
+        return await self._frame_stream.read(LINK_TIMEOUT_S)
 
 
 class RelayLinks:
@@ -137,10 +141,18 @@
 
     async def run(self) -> None:
         """Maintain the links and send bundles until cancelled."""
+        opening_names: set[str] = set()
+        next_check_ms = 0
         async with anyio.create_task_group() as task_group:
-            task_group.start_soon(self._maintain_links, task_group)
             while True:
-                await anyio.sleep(BUNDLE_PERIOD_MS / 1_000)
+                period_ms = BUNDLE_PERIOD_MS
+                if not self._has_member_links():
+                    period_ms = LINK_CHECK_PERIOD_MS
+                await anyio.sleep(period_ms / 1_000)
+                now_ms = self._shell.now_ms()
+                if now_ms >= next_check_ms:
+                    next_check_ms = now_ms + LINK_CHECK_PERIOD_MS
+                    self._check_links(task_group, opening_names)
                 if self._links and self._is_bundle_due():
                     self._send_bundles()
 
@@ -154,28 +166,28 @@
         """
         name = str(hello.get("name", ""))
         peer_role = PeerRole.RELAY if hello.get("relay") else PeerRole.MEMBER
-        await self._serve_link(frame_stream, _Link(name, peer_role))
+        await self._serve_link(_Link(name, peer_role, frame_stream))
 
-    async def _maintain_links(self, task_group: abc.TaskGroup) -> None:
-        opening_names: set[str] = set()
-        while True:
-            await anyio.sleep(LINK_CHECK_PERIOD_S)
-            members = self._shell.state.members
-            now_ms = self._shell.now_ms()
-            wanted_contacts: dict[str, membership.Contact] = {}
-            if members.uses_relays():
-                wanted_contacts = {c.name: c for c in members.links(now_ms)}
-            for name, link in list(self._links.items()):
-                if (
-                    name not in wanted_contacts
-                    and link.peer_role is PeerRole.OWN_RELAY
-                ):
-                    link.scope.cancel()
-            for name, contact in wanted_contacts.items():
-                if name in self._links or name in opening_names:
-                    continue
-                opening_names.add(name)
-                task_group.start_soon(self._open_link, contact, opening_names)
+    def _check_links(
+        self, task_group: abc.TaskGroup, opening_names: set[str]
+    ) -> None:
+        """Open the missing links, and close those to former relays."""
+        members = self._shell.state.members
+        now_ms = self._shell.now_ms()
+        wanted_contacts: dict[str, membership.Contact] = {}
+        if members.uses_relays():
+            wanted_contacts = {c.name: c for c in members.links(now_ms)}
+        for name, link in list(self._links.items()):
+            if (
+                name not in wanted_contacts
+                and link.peer_role is PeerRole.OWN_RELAY
+            ):
+                link.scope.cancel()
+        for name, contact in wanted_contacts.items():
+            if name in self._links or name in opening_names:
+                continue
+            opening_names.add(name)
+            task_group.start_soon(self._open_link, contact, opening_names)
 
     async def _open_link(
         self, contact: membership.Contact, opening_names: set[str]
@@ -183,19 +195,16 @@
         state = self._shell.state
         is_relay = state.members.is_relay(self._shell.now_ms())
         peer_role = PeerRole.RELAY if is_relay else PeerRole.OWN_RELAY
+        stream: byte_stream.ByteStream | None = None
         try:
             stream = await frames.connect(contact.address, CONNECT_TIMEOUT_S)
-            async with stream:
-                connections.set_socket_options(stream)
-                frame_stream = frames.FrameStream(stream)
-                await frame_stream.write(
-                    {"kind": "link", "name": state.name, "relay": is_relay}
-                )
-                opening_names.discard(contact.name)
-                await self._serve_link(
-                    frame_stream, _Link(contact.name, peer_role)
-                )
-        except (frames.FrameError, OSError) as error:
+            frame_stream = frames.FrameStream(stream)
+            frame_stream.write(
+                {"kind": "link", "name": state.name, "relay": is_relay}
+            )
+            opening_names.discard(contact.name)
+            await self._serve_link(_Link(contact.name, peer_role, frame_stream))
+        except frames.FrameError as error:
             state.members.record_relay_failure(
                 contact.name, self._shell.now_ms()
             )
@@ -206,10 +215,10 @@
             )
         finally:
             opening_names.discard(contact.name)
+            if stream is not None:
+                stream.abort()
 
-    async def _serve_link(
-        self, frame_stream: frames.FrameStream, link: _Link
-    ) -> None:
+    async def _serve_link(self, link: _Link) -> None:
         replaced = self._links.get(link.name)
         if replaced is not None:
             replaced.scope.cancel()
@@ -219,30 +228,19 @@
             "info",
             {"peer": link.name, "to": link.peer_role.value},
         )
-        link.enqueue({"kind": "snapshot", **self._synchronizer.snapshot()})
+        link.send(self._snapshot_frame())
         try:
             with link.scope:
-                async with anyio.create_task_group() as task_group:
-                    task_group.start_soon(
-                        self._write_messages, frame_stream, link
-                    )
-                    while True:
-                        message = await frame_stream.read(LINK_TIMEOUT_S)
-                        self._on_message(link, message)
-        except BaseExceptionGroup as errors:
-            error: BaseException = errors
-            while isinstance(error, BaseExceptionGroup):
-                error = error.exceptions[0]
-            raise error from errors
+                while True:
+                    self._on_message(link, await link.read())
         finally:
             if self._links.get(link.name) is link:
                 del self._links[link.name]
 
-    async def _write_messages(
-        self, frame_stream: frames.FrameStream, link: _Link
-    ) -> None:
-        while True:
-            await frame_stream.write(await link.dequeue())
+    def _snapshot_frame(self) -> bytes:
+        return frames.encode(
+            {"kind": "snapshot", **self._synchronizer.snapshot()}
+        )
 
     def _on_message(self, link: _Link, message: dict[str, Any]) -> None:
         try:
@@ -308,30 +306,21 @@
         members_in_sync = own_in_sync or any(
             link.in_sync for link in relay_links
         )
+        local_digests = []
+        for encoded, source_link in bundle.values():
+            if source_link is None or (
+                source_link.peer_role is PeerRole.MEMBER
+            ):
+                local_digests.append(encoded)
+        # A member gets its own digest back and ignores it, so that one message
+        # serves all members.
+        member_frame = _bundle_frame(
+            [encoded for encoded, _ in bundle.values()], members_in_sync
+        )
+        relay_frame = _bundle_frame(local_digests, own_in_sync)
         for link in self._links.values():
-            encoded_digests = []
-            for encoded, source_link in bundle.values():
-                if source_link is link:
-                    continue
-                from_relay = source_link is not None and (
-                    source_link.peer_role is not PeerRole.MEMBER
-                )
-                if from_relay and link.peer_role is not PeerRole.MEMBER:
-                    continue
-                encoded_digests.append(encoded)
-            in_sync = (
-                members_in_sync
-                if link.peer_role is PeerRole.MEMBER
-                else own_in_sync
-            )
-            sent = link.enqueue(
-                {
-                    "kind": "bundle",
-                    "in_step": in_sync,
-                    "digests": encoded_digests,
-                }
-            )
-            if not sent:
+            is_member = link.peer_role is PeerRole.MEMBER
+            if not link.send(member_frame if is_member else relay_frame):
                 self._shell.state.counters.increment("bundles_dropped")
 
     def _on_rows(
@@ -339,16 +328,25 @@
     ) -> None:
         if not self._links:
             return
-        message: dict[str, Any] = {
-            "kind": "rows",
-            "table": table.value,
-            "rows": synchronization.encode_rows(rows.rows),
-            "version": rows.version,
-        }
         if complete:
-            message = {"kind": "snapshot", **self._synchronizer.snapshot()}
+            frame = self._snapshot_frame()
+        else:
+            frame = frames.encode(
+                {
+                    "kind": "rows",
+                    "table": table.value,
+                    "rows": synchronization.encode_rows(rows.rows),
+                    "version": rows.version,
+                }
+            )
         for link in self._links.values():
-            if not link.enqueue(message):
+            if not link.send(frame):
                 # The peer does not read; it receives a snapshot over a new
                 # link.
                 link.scope.cancel()
+
+
+def _bundle_frame(encoded_digests: list[bytes], in_sync: bool) -> bytes:
+    return frames.encode(
+        {"kind": "bundle", "in_step": in_sync, "digests": encoded_digests}
+    )
--- a/laburnumpin/forwarding/shell.py
+++ b/laburnumpin/forwarding/shell.py
@@ -115,9 +115,7 @@
                 case effects.Report():
                     logs.write(effect.message_type, "info", effect.fields)
                 case effects.CloseUpstream():
-                    self.tasks.start(
-                        self.pool.close_upstream, effect.upstream_id
-                    )
+                    self.pool.close_upstream(effect.upstream_id)
                 case effects.SendDigest():
                     if self.send_digest is not None:
                         self.send_digest(effect)
--- a/laburnumpin/forwarding/synchronization.py
+++ b/laburnumpin/forwarding/synchronization.py
@@ -18,8 +18,6 @@
 # With more entries than this, each one retries a failing store less often, so
 # that their total call rate stays the same.
 UNSCALED_RETRY_ENTRIES = 8
-# Pause between two checks whether a relay still keeps this entry in sync.
-RELAY_CHECK_PERIOD_S = 0.4
 # Pause after changes in a fleet that uses relays. Its upstreams change all the
 # time, and one call returns all changes that were made during the pause. The
 # relays call the store at different times.
@@ -54,6 +52,7 @@
         "_failing_tables",
         "_operator_rows",
         "_outage_ended_ms",
+        "_relay_lost",
         "_shell",
         "_store",
         "_tombstone_versions",
@@ -81,6 +80,8 @@
         # change of an older version must not undo a removal.
         self._tombstone_versions: dict[str, int] = {}
         self._outage_ended_ms: int | None = None
+        # Set while no relay keeps this entry in sync.
+        self._relay_lost = anyio.Event()
         # Tables whose last call failed.
         self._failing_tables: set[interfaces.Table] = set()
         # Called with new rows, and whether they are the whole table.
@@ -99,10 +100,11 @@
         after: int | None = None
         is_failing = False
         while True:
-            if self.is_synced_by_relay() and self._versions[table]:
+            if self._versions[table] and self.is_synced_by_relay():
                 is_failing = False
                 self._failing_tables.discard(table)
-                await anyio.sleep(RELAY_CHECK_PERIOD_S)
+                self.on_tick()
+                await self._relay_lost.wait()
                 continue
             try:
                 if after is None:
@@ -147,6 +149,14 @@
             is_failing = False
             pause_ms = MIN_RETRY_PAUSE_MS
 
+    def on_tick(self) -> None:
+        """Check whether a relay still keeps this entry in sync."""
+        is_synced = self.is_synced_by_relay()
+        if is_synced and self._relay_lost.is_set():
+            self._relay_lost = anyio.Event()
+        elif not is_synced:
+            self._relay_lost.set()
+
     async def register_and_poll_entries(
         self, own_contact: membership.Contact
     ) -> None:
--- a/laburnumpin/platform/clients.py
+++ b/laburnumpin/platform/clients.py
@@ -9,7 +9,6 @@
 import urllib.parse
 
 import anyio
-from anyio import abc
 
 from laburnumpin import exceptions
 from laburnumpin.forwarding import connections
@@ -37,11 +36,10 @@
 class HttpClient:
     """Calls one address with JSON bodies and reuses its connections."""
 
-    __slots__ = ("_address", "_idle", "_task_group")
+    __slots__ = ("_address", "_idle")
 
-    def __init__(self, address: str, task_group: abc.TaskGroup) -> None:
+    def __init__(self, address: str) -> None:
         self._address = address
-        self._task_group = task_group
         self._idle: list[connections.ClientConnection] = []
 
     async def call(
@@ -94,32 +92,29 @@
                 f"{method} {target.partition('?')[0]}: {error!r}"
             ) from error
         finally:
-            with anyio.CancelScope(shield=True):
-                if is_reusable:
-                    self._idle.append(connection)
-                else:
-                    await connection.close()
+            if is_reusable:
+                self._idle.append(connection)
+            else:
+                connection.close()
         if status in (429, 503) and status not in accepted_statuses:
             raise exceptions.PlatformUnavailableError(
                 f"{method} {target.partition('?')[0]}: status {status}"
             )
         return status, _decode_object(response_body)
 
-    async def close(self) -> None:
+    def close(self) -> None:
         """Close the idle connections."""
         while self._idle:
-            await self._idle.pop().close()
+            self._idle.pop().close()
 
     async def _acquire_connection(self) -> connections.ClientConnection:
         while self._idle:
             idle = self._idle.pop()
             if idle.is_reusable():
                 return idle
-            await idle.close()
+            idle.close()
         try:
-            return await connections.connect(
-                self._address, self._task_group, CONNECT_TIMEOUT_MS
-            )
+            return await connections.connect(self._address, CONNECT_TIMEOUT_MS)
         except connections.ConnectionLostError as error:
             raise exceptions.PlatformUnavailableError(str(error)) from error
 
@@ -293,16 +288,13 @@
 class PlatformEngines:
     """Implements `EngineClient` on the HTTP API of the model engines."""
 
-    __slots__ = ("_task_group",)
-
-    def __init__(self, task_group: abc.TaskGroup) -> None:
-        self._task_group = task_group
+    __slots__ = ()
 
     async def move_stream(
         self, source_address: str, request_id: str, target_address: str
     ) -> str | None:
         """Stop a stream and copy its KV cache to another engine."""
-        http = HttpClient(source_address, self._task_group)
+        http = HttpClient(source_address)
         try:
             status, answer = await http.call(
                 "POST",
@@ -312,8 +304,7 @@
                 accepted_statuses=(503,),
             )
         finally:
-            with anyio.CancelScope(shield=True):
-                await http.close()
+            http.close()
         # Despite its name the handle is a path below the engine's address.
         handle = answer.get("kv_handle")
         if status not in (200, 503) or handle is None:
@@ -327,25 +318,21 @@
     __slots__ = ()
 
     def store(
-        self,
-        settings: forwarding_settings.ForwardingSettings,
-        task_group: abc.TaskGroup,
+        self, settings: forwarding_settings.ForwardingSettings
     ) -> interfaces.StoreClient:
         """Return the client of the store."""
-        return PlatformStore(HttpClient(settings.store_address, task_group))
+        return PlatformStore(HttpClient(settings.store_address))
 
     def cloud(
-        self,
-        settings: forwarding_settings.ForwardingSettings,
-        task_group: abc.TaskGroup,
+        self, settings: forwarding_settings.ForwardingSettings
     ) -> interfaces.CloudClient:
         """Return the client of the cloud API."""
-        http = HttpClient(settings.cloud_address, task_group)
+        http = HttpClient(settings.cloud_address)
         return PlatformCloud(http, settings.name)
 
-    def engines(self, task_group: abc.TaskGroup) -> interfaces.EngineClient:
+    def engines(self) -> interfaces.EngineClient:
         """Return the client of the model engines."""
-        return PlatformEngines(task_group)
+        return PlatformEngines()
 
 
 def _decode_object(body: bytes) -> dict[str, Any]:
--- a/laburnumpin/platform/standins.py
+++ b/laburnumpin/platform/standins.py
@@ -19,6 +19,7 @@
 from anyio import abc
 import h11
 
+from laburnumpin.forwarding import byte_stream
 from laburnumpin.forwarding import caller as callers
 from laburnumpin.platform import wire
 
@@ -39,31 +40,17 @@
 
 async def serve(handler: Handler, *, task_status: abc.TaskStatus[str]) -> None:
     """Serve a handler on a free loopback port; report its address."""
-    listener = await anyio.create_tcp_listener(
-        local_host="127.0.0.1", local_port=0, backlog=256
-    )
-    port = listener.extra(abc.SocketAttribute.local_port)
-    task_status.started(f"127.0.0.1:{port}")
 
-    async def handle(stream: abc.SocketStream) -> None:
+    async def handle(stream: byte_stream.ByteStream) -> None:
         caller = callers.Caller(stream, 65_536)
         try:
-            async with anyio.create_task_group() as task_group:
-                task_group.start_soon(caller.reader.run)
-                await _serve_requests(caller, handler)
-                task_group.cancel_scope.cancel()
-        except* (
-            callers.CallerDisconnectedError,
-            OSError,
-            h11.LocalProtocolError,
-        ):
+            await _serve_requests(caller, handler)
+        except (callers.CallerDisconnectedError, h11.LocalProtocolError):
             pass  # The entry has closed the connection.
         finally:
-            with anyio.CancelScope(shield=True):
-                await caller.abort()
+            caller.abort()
 
-    async with listener:
-        await listener.serve(handle)
+    await byte_stream.serve("127.0.0.1:0", 256, handle, task_status=task_status)
 
 
 async def _serve_requests(caller: callers.Caller, handler: Handler) -> None:
@@ -76,7 +63,7 @@
         except callers.CallerInputError:
             return
         if not await handler(caller, head, body):
-            await caller.abort()
+            caller.abort()
             return
         if not caller.prepare_next_request():
             return
--- a/laburnumpin/soak/calls.py
+++ b/laburnumpin/soak/calls.py
@@ -5,7 +5,6 @@
 import dataclasses
 
 import anyio
-from anyio import abc
 
 from laburnumpin.forwarding import connections
 from laburnumpin.platform import standins
@@ -28,15 +27,13 @@
     body: bytes
 
 
-async def connect(
-    address: str, task_group: abc.TaskGroup
-) -> connections.ClientConnection:
+async def connect(address: str) -> connections.ClientConnection:
     """Open a connection to an entry.
 
     Raises:
         ConnectionLostError: The entry could not be reached.
     """
-    return await connections.connect(address, task_group, CONNECT_TIMEOUT_MS)
+    return await connections.connect(address, CONNECT_TIMEOUT_MS)
 
 
 async def call(
@@ -57,37 +54,34 @@
     headers = standins.request_headers(
         request_id, is_stream=is_stream, key=key, deadline_ms=DEADLINE_MS
     )
-    async with anyio.create_task_group() as task_group:
-        connection = reused_connection
-        try:
-            if connection is None:
-                connection = await connect(address, task_group)
-            with anyio.fail_after(REQUEST_TIMEOUT_S):
-                await connection.send(
-                    b"POST",
-                    path.encode(),
-                    [*headers, (b"Content-Length", b"2")],
-                    b"{}",
-                )
-                status = (await connection.head()).status_code
-                while True:
-                    chunk = await connection.chunk()
-                    if not chunk:
-                        break
-                    body += chunk
-            complete = True
-            connection.finish()
-        except (
-            connections.ConnectionLostError,
-            connections.ProtocolError,
-            TimeoutError,
+    connection = reused_connection
+    try:
+        if connection is None:
+            connection = await connect(address)
+        with anyio.fail_after(REQUEST_TIMEOUT_S):
+            await connection.send(
+                b"POST",
+                path.encode(),
+                [*headers, (b"Content-Length", b"2")],
+                b"{}",
+            )
+            status = (await connection.head()).status_code
+            while True:
+                chunk = await connection.chunk()
+                if not chunk:
+                    break
+                body += chunk
+        complete = True
+        connection.finish()
+    except (
+        connections.ConnectionLostError,
+        connections.ProtocolError,
+        TimeoutError,
+    ):
+        complete = False
+    finally:
+        if connection is not None and (
+            reused_connection is None or not complete
         ):
-            complete = False
-        finally:
-            if connection is not None and (
-                reused_connection is None or not complete
-            ):
-                with anyio.CancelScope(shield=True):
-                    await connection.close()
-        task_group.cancel_scope.cancel()
+            connection.close()
     return Answer(status, complete, bytes(body))
--- a/laburnumpin/soak/proxy.py
+++ b/laburnumpin/soak/proxy.py
@@ -5,8 +5,6 @@
 import anyio
 from anyio import abc
 
-from laburnumpin.forwarding import connections
-
 CHUNK_BYTES = 16_384
 
 
@@ -109,5 +107,10 @@
                 )
                 if not is_dropping:
                     await sink.send(data)
-        except (anyio.EndOfStream, *connections.CONNECTION_ERRORS):
+        except (
+            anyio.EndOfStream,
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+            OSError,
+        ):
             return  # One of the two connections has closed.
--- a/laburnumpin/soak/run.py
+++ b/laburnumpin/soak/run.py
@@ -232,31 +232,28 @@
         if key == standins.LIMITED_KEY:
             kinds = [promises.RequestKind.CALL, promises.RequestKind.READ]
         while True:
-            async with anyio.create_task_group() as task_group:
-                connection: connections.ClientConnection | None = None
-                try:
-                    connection = await calls.connect(entry.address, task_group)
-                    while connection.is_reusable():
-                        kind = self._random.choice(kinds)
-                        outcome = await self._send_request(
-                            entry,
-                            kind,
-                            self._next_request_id(kind, key),
-                            connection,
-                            key,
-                        )
-                        self._history.outcomes.append(outcome)
-                        pause_s = MAX_PAUSE_AFTER_SUCCESS_S
-                        if outcome.status != 200:
-                            pause_s = MAX_PAUSE_AFTER_REJECTION_S
-                        await anyio.sleep(self._random.uniform(0.0, pause_s))
-                except connections.ConnectionLostError:
-                    await anyio.sleep(0.1)
-                finally:
-                    if connection is not None:
-                        with anyio.CancelScope(shield=True):
-                            await connection.close()
-                task_group.cancel_scope.cancel()
+            connection: connections.ClientConnection | None = None
+            try:
+                connection = await calls.connect(entry.address)
+                while connection.is_reusable():
+                    kind = self._random.choice(kinds)
+                    outcome = await self._send_request(
+                        entry,
+                        kind,
+                        self._next_request_id(kind, key),
+                        connection,
+                        key,
+                    )
+                    self._history.outcomes.append(outcome)
+                    pause_s = MAX_PAUSE_AFTER_SUCCESS_S
+                    if outcome.status != 200:
+                        pause_s = MAX_PAUSE_AFTER_REJECTION_S
+                    await anyio.sleep(self._random.uniform(0.0, pause_s))
+            except connections.ConnectionLostError:
+                await anyio.sleep(0.1)
+            finally:
+                if connection is not None:
+                    connection.close()
 
     def _next_request_id(self, kind: promises.RequestKind, key: str) -> str:
         """Return the id of a new request."""
--- a/laburnumpin/tests/test_forwarding_synchronization.py
+++ b/laburnumpin/tests/test_forwarding_synchronization.py
@@ -89,7 +89,7 @@
         shell = shells.Shell(
             build.state(),
             cast(interfaces.Wire, None),
-            pool.Pool(boot_clock, task_group),
+            pool.Pool(boot_clock),
             cast(tasks.TaskRunner, _NoTasks()),
             boot_clock,
             cast(interfaces.EngineClient, None),
--- a/laburnumpin/tests/test_platform_relay.py
+++ b/laburnumpin/tests/test_platform_relay.py
@@ -214,10 +214,10 @@
     shell = shells.Shell(
         state,
         wire.PlatformWire(),
-        pool.Pool(boot_clock, task_group),
+        pool.Pool(boot_clock),
         tasks.TaskRunner(task_group),
         boot_clock,
-        clients.PlatformEngines(task_group),
+        clients.PlatformEngines(),
     )
     task_group.start_soon(frontend.Frontend(shell).serve, harness.address)
     while True:
