Admit only an entry's own share of a quota until the fleet is known

Cause: after a loss of all entries each started as if it were alone. Before digests arrived, the recent use of the fleet seemed to be its own, so its share of the rate was over one half; each had half of the burst, and overdrew it by one request.

Change: until a digest of a long-running peer or the digests of half of the entries have arrived, a new process has only its part of the initial burst, its share of the rate is one of N, and for the first 3 s it does not overdraw. The tables are read only after the list of entries.

--- a/laburnumpin/forwarding/budgets.py
+++ b/laburnumpin/forwarding/budgets.py
@@ -30,6 +30,15 @@
 # A new process starts with this share of a burst, since it has no record of the
 # units used before its start.
 INITIAL_BURST_SHARE = 0.5
+# A peer that has run for this long has seen what the fleet used in any window
+# of a quota. A new process that knows no such peer may have been started
+# together with all others, so it takes only its part of the initial burst.
+WARM_UPTIME_MS = 10_000
+# Requests that are refused until then are to return after this time, in which
+# the first digests should arrive.
+COLD_START_RETRY_MS = 500
+# Share of the entries whose digests replace such a peer.
+KNOWN_ENTRIES_SHARE = 0.5
 # Rejected callers are to retry after this share of the wait for the entry's own
 # quota share, since units that other entries leave unused become available here
 # too.
@@ -137,11 +146,16 @@
         "total_usage",
         "updated_ms",
         "used",
+        "withheld_units",
     )
 
-    def __init__(self, level: float, now_ms: int) -> None:
+    def __init__(
+        self, level: float, withheld_units: float, now_ms: int
+    ) -> None:
         # Units left; negative when in debt.
         self.level = level
+        # The peers' parts of the initial burst, until the fleet is known.
+        self.withheld_units = withheld_units
         # `Quotas._peer_refill_s` as of the last refill.
         self.peer_refill_s = 0.0
         # Units left of this entry's own share while the quota is scarce.
@@ -175,6 +189,7 @@
     __slots__ = (
         "_buckets",
         "_expected_entries",
+        "_knows_fleet",
         "_overdraft_units",
         "_peer_refill_s",
         "_peers",
@@ -188,6 +203,8 @@
         self._peers: dict[str, _PeerUsage] = {}
         # Known entries, including those that have sent no digest.
         self._expected_entries = 1
+        # Whether digests show how much of the quotas the fleet uses.
+        self._knows_fleet = False
         # Units that may be admitted beyond a quota.
         self._overdraft_units = 0.0
         # Shares of peers added since the start, in seconds of the whole rate.
@@ -220,6 +237,8 @@
             bucket.level + self._overdraft_units > unreported_use + units
         )
         min_level = self._min_level(customer)
+        if not is_plentiful and self._may_be_cold_start(now_ms):
+            return COLD_START_RETRY_MS
         if not is_plentiful and (
             bucket.own_level < 0 or bucket.level < min_level
         ):
@@ -268,12 +287,15 @@
         used: dict[str, float],
         customers: dict[str, deployment.Customer],
         now_ms: int,
+        peer_uptime_ms: int = 0,
     ) -> None:
         """Add what a peer has left unused of its share since its last digest.
 
         `used` are the units that it has admitted since its start.
         """
         self._uptime_ms(now_ms)
+        if peer_uptime_ms >= WARM_UPTIME_MS:
+            self._knows_fleet = True
         peer = self._peers.get(name)
         if peer is None:
             peer = _PeerUsage(incarnation_ms, now_ms)
@@ -297,6 +319,18 @@
         peer.last_digest_ms = now_ms
         peer.is_timed_out = False
         peer.used = used
+        if len(self._peers) + 1 >= KNOWN_ENTRIES_SHARE * self._entry_count():
+            self._knows_fleet = True
+
+    def _may_be_cold_start(self, now_ms: int) -> bool:
+        """Return whether all entries may have started at the same time.
+
+        If each of many overdrew its share by one request then, the quota would
+        be exceeded.
+        """
+        if self._knows_fleet or self._entry_count() == 1:
+            return False
+        return self._uptime_ms(now_ms) < OVERDRAFT_AFTER_MS
 
     def _entry_count(self) -> int:
         return max(len(self._peers) + 1, self._expected_entries)
@@ -329,7 +363,9 @@
     def _own_share(self, bucket: _Bucket) -> float:
         """Return this entry's share of a scarce quota, from 0 to 1."""
         share = EQUAL_SHARE / self._entry_count()
-        if bucket.total_usage > 0:
+        # Before digests have arrived, the recent use of all entries seems to be
+        # this entry's own.
+        if self._knows_fleet and bucket.total_usage > 0:
             used_share = min(1.0, bucket.own_usage / bucket.total_usage)
             return share + (1 - EQUAL_SHARE) * used_share
         return share * 2
@@ -354,13 +390,17 @@
         bucket = self._buckets.get(customer.name)
         if bucket is None:
             uptime_s = self._uptime_ms(now_ms) / 1_000
-            level = customer.burst * INITIAL_BURST_SHARE
+            burst_units = customer.burst * INITIAL_BURST_SHARE
+            level = burst_units / self._entry_count()
+            withheld_units = burst_units - level
             level += customer.rate_per_s * uptime_s / self._entry_count()
             level += customer.rate_per_s * self._peer_refill_s
-            bucket = _Bucket(min(level, customer.burst), now_ms)
+            bucket = _Bucket(min(level, customer.burst), withheld_units, now_ms)
             bucket.peer_refill_s = self._peer_refill_s
             self._buckets[customer.name] = bucket
-            return bucket
+        if self._knows_fleet and bucket.withheld_units:
+            bucket.level += bucket.withheld_units
+            bucket.withheld_units = 0.0
         peer_refill_s = self._peer_refill_s - bucket.peer_refill_s
         bucket.peer_refill_s = self._peer_refill_s
         bucket.level += customer.rate_per_s * peer_refill_s
--- a/laburnumpin/forwarding/gossip.py
+++ b/laburnumpin/forwarding/gossip.py
@@ -87,7 +87,12 @@
     if state.deployment is not None:
         customers = state.deployment.customers
     state.quotas.apply_peer_usage(
-        name, digest.incarnation_ms, digest.used, customers, now_ms
+        name,
+        digest.incarnation_ms,
+        digest.used,
+        customers,
+        now_ms,
+        digest.wall_ms - digest.incarnation_ms,
     )
     state.usage.record_peer_counts(peer.incarnation_name, digest.windows)
     _update_peer_loads(state, peer, digest, is_new=is_new)
--- a/laburnumpin/forwarding/synchronization.py
+++ b/laburnumpin/forwarding/synchronization.py
@@ -49,6 +49,7 @@
 
     __slots__ = (
         "_documents",
+        "_entries_read",
         "_failing_tables",
         "_operator_rows",
         "_outage_ended_ms",
@@ -82,6 +83,8 @@
         self._outage_ended_ms: int | None = None
         # Set while no relay keeps this entry in sync.
         self._relay_lost = anyio.Event()
+        # Set once the list of entries was read.
+        self._entries_read = anyio.Event()
         # Tables whose last call failed.
         self._failing_tables: set[interfaces.Table] = set()
         # Called with new rows, and whether they are the whole table.
@@ -94,8 +97,11 @@
     async def watch_table(self, table: interfaces.Table) -> None:
         """Apply the rows and changes of a table until cancelled.
 
-        The store is not called while a relay keeps this entry in sync.
+        The store is not called while a relay keeps this entry in sync, nor
+        before the list of entries was read: an entry that served requests
+        without it would take the customers' whole quotas for its own share.
         """
+        await self._entries_read.wait()
         pause_ms = MIN_RETRY_PAUSE_MS
         after: int | None = None
         is_failing = False
@@ -163,23 +169,20 @@
         """Register this entry, then read the rows of all entries repeatedly."""
         registered = False
         reads = 0
+        pause_ms = MIN_RETRY_PAUSE_MS
         members = self._shell.state.members
         while True:
             try:
                 if not registered:
-                    await self._store.write(
-                        Table.ENTRIES,
-                        own_contact.name,
-                        own_contact.encode(),
-                        None,
-                    )
-                    registered = True
+                    registered = await self._register(own_contact)
                 rows = await self._store.read(Table.ENTRIES)
             except exceptions.LaburnumpinError as error:
                 logs.write(
                     "entries_not_read", "info", {"reason": error.message}
                 )
-                await anyio.sleep(1.0)
+                pause_factor = self._shell.state.random.uniform(0.5, 1.5)
+                await anyio.sleep(pause_ms * pause_factor / 1_000)
+                pause_ms = min(pause_ms * 2, MAX_RETRY_PAUSE_MS)
                 continue
             now_ms = self._shell.now_ms()
             for row in rows.rows:
@@ -195,6 +198,10 @@
                     )
                     continue
                 members.add_entry(contact, now_ms)
+            self._shell.state.quotas.set_expected_entries(
+                members.expected_count(now_ms)
+            )
+            self._entries_read.set()
             if reads < len(INITIAL_ENTRY_READ_PAUSES_S):
                 await anyio.sleep(INITIAL_ENTRY_READ_PAUSES_S[reads])
                 reads += 1
@@ -203,6 +210,19 @@
             pause_s += ENTRY_READ_PERIOD_S_PER_ENTRY * len(rows.rows)
             await anyio.sleep(pause_s)
 
+    async def _register(self, own_contact: membership.Contact) -> bool:
+        """Write this entry's row; return whether that succeeded."""
+        try:
+            await self._store.write(
+                Table.ENTRIES, own_contact.name, own_contact.encode(), None
+            )
+        except exceptions.LaburnumpinError as error:
+            logs.write(
+                "entry_not_registered", "info", {"reason": error.message}
+            )
+            return False
+        return True
+
     def is_in_sync(self) -> bool:
         """Return whether both tables were read and none is failing."""
         return not self._failing_tables and all(self._versions.values())
--- a/laburnumpin/tests/test_forwarding_budgets.py
+++ b/laburnumpin/tests/test_forwarding_budgets.py
@@ -326,3 +326,48 @@
             if quota.admit(customer, 50.0, now_ms) == 0:
                 total += 50.0
     assert total <= (1_000.0 * 8 + 1_000.0) * 1.1 + 4_000.0
+
+
+@pytest.mark.parametrize("entries", [14, 74])
+def test_quota_holds_when_all_entries_restart(entries: int) -> None:
+    # Found by the soak (seed 3 with 14 entries): all entries were killed and
+    # started again, and received no digests for half a second. Each admitted
+    # requests as if it were alone.
+    generator = random.Random(3)
+    customer = build.customer(rate_per_s=1_000.0, burst=1_000.0)
+    customers = {customer.name: customer}
+    admitted: list[tuple[int, float]] = []
+    quotas: list[budgets.Quotas] = []
+    restart_ms = 8_000
+    for now_ms in range(0, 20_000, 20):
+        incarnation_ms = 0 if now_ms < restart_ms else restart_ms
+        if now_ms == incarnation_ms:
+            quotas = [budgets.Quotas() for _ in range(entries)]
+            for quota in quotas:
+                quota.set_expected_entries(entries)
+        has_digests = now_ms >= incarnation_ms + 500
+        if has_digests and now_ms % DIGEST_PERIOD_MS == 0:
+            for sender, receiver in itertools.permutations(range(entries), 2):
+                quotas[receiver].apply_peer_usage(
+                    f"e{sender}",
+                    incarnation_ms,
+                    quotas[sender].used(),
+                    customers,
+                    now_ms,
+                )
+        for quota in quotas:
+            if generator.random() < 8.0 * 20.0 / 50.0 / entries:
+                if quota.admit(customer, 50.0, now_ms) == 0:
+                    admitted.append((now_ms, 50.0))
+    bound = (1_000.0 * 8 + 1_000.0) * 1.1 + 1_000.0
+    assert _most_in_window(admitted) <= bound
+
+
+def test_restarted_entry_of_a_running_fleet_has_the_burst_again() -> None:
+    customer = build.customer(rate_per_s=1_000.0, burst=1_000.0)
+    customers = {customer.name: customer}
+    quota = budgets.Quotas()
+    quota.set_expected_entries(20)
+    quota.apply_peer_usage("e1", 1, {}, customers, 0, peer_uptime_ms=60_000)
+    assert quota.admit(customer, 200.0, 10) == 0
+    assert quota.admit(customer, 200.0, 20) == 0
--- a/laburnumpin/tests/test_forwarding_synchronization.py
+++ b/laburnumpin/tests/test_forwarding_synchronization.py
@@ -52,8 +52,16 @@
     def __init__(self) -> None:
         self.listed = interfaces.Rows((), 1)
         self.changed: list[interfaces.Rows | exceptions.LaburnumpinError] = []
+        self.failing_entry_reads = 0
+        self.read_tables: list[interfaces.Table] = []
 
     async def read(self, table: interfaces.Table) -> interfaces.Rows:
+        self.read_tables.append(table)
+        if table is interfaces.Table.ENTRIES:
+            if self.failing_entry_reads:
+                self.failing_entry_reads -= 1
+                raise exceptions.PlatformUnavailableError("no entries")
+            return interfaces.Rows((), 1)
         return self.listed
 
     async def changes(
@@ -96,6 +104,9 @@
         )
         synchronizer = synchronization.Synchronizer(shell, store, _Documents())
         task_group.start_soon(synchronizer.watch_table, UPSTREAMS)
+        task_group.start_soon(
+            synchronizer.register_and_poll_entries, build.contact("entry-1")
+        )
         with anyio.move_on_after(0.4):
             await anyio.sleep_forever()
         task_group.cancel_scope.cancel()
@@ -177,3 +188,14 @@
     ]
     synchronizer = anyio.run(_synchronize, store)
     assert _upstream_keys(synchronizer) == {"u1", "u2"}
+
+
+def test_list_of_entries_is_read_before_the_tables() -> None:
+    # Found by the soak (14 entries): all entries were started again while the
+    # store failed at times. They read the configuration but not the list of
+    # entries, and each admitted the whole of a customer's quota.
+    store = _Store()
+    store.failing_entry_reads = 2
+    anyio.run(_synchronize, store)
+    entries = interfaces.Table.ENTRIES
+    assert store.read_tables == [entries, entries, entries, UPSTREAMS]
