--- a/laburnumpin/soak/processes.py
+++ b/laburnumpin/soak/processes.py
@@ -5,6 +5,7 @@
 import contextlib
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -16,6 +17,11 @@
 from laburnumpin.soak import skewed_entry
 
 KILL_TIMEOUT_S = 5.0
+LOWEST_PORT = 10_000
+# The first and the last port that the kernel gives to outgoing connections.
+EPHEMERAL_PORTS_PATH = pathlib.Path("/proc/sys/net/ipv4/ip_local_port_range")
+
+_returned_ports: set[int] = set()
 
 
 class EntryProcess:
@@ -41,7 +47,7 @@
     ) -> None:
         self.name = name
         self._directory = directory
-        ports = _free_ports()
+        ports = free_ports()
         self.address = f"127.0.0.1:{ports[0]}"
         self._settings_path = directory / f"{name}.toml"
         self._settings_path.write_text(
@@ -100,18 +106,23 @@
             time.sleep(0.01)
 
 
-def _free_ports() -> tuple[int, int, int, int]:
-    """Return free ports.
+def free_ports() -> tuple[int, int, int, int]:
+    """Return free ports that this process has not returned before.
 
-    Their sockets are closed again, so another process may bind a port before
-    the entry does.
+    They are outside the range from which the kernel takes the ports of
+    outgoing connections, so that none of those binds one before the entry does.
     """
-    sockets = []
-    for _ in range(4):
-        bound_socket = socket.socket()
-        bound_socket.bind(("127.0.0.1", 0))
-        sockets.append(bound_socket)
-    ports = [bound_socket.getsockname()[1] for bound_socket in sockets]
-    for bound_socket in sockets:
-        bound_socket.close()
+    ports: list[int] = []
+    while len(ports) < 4:
+        port = random.randrange(LOWEST_PORT, _lowest_ephemeral_port())
+        if port in _returned_ports:
+            continue
+        _returned_ports.add(port)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            ports.append(port)
     return ports[0], ports[1], ports[2], ports[3]
+
+
+def _lowest_ephemeral_port() -> int:
+    return int(EPHEMERAL_PORTS_PATH.read_text(encoding="ascii").split()[0])
--- a/laburnumpin/tests/test_soak.py
+++ b/laburnumpin/tests/test_soak.py
@@ -8,6 +8,7 @@
 import pytest
 
 from laburnumpin.platform import standins
+from laburnumpin.soak import processes
 from laburnumpin.soak import promises
 from laburnumpin.soak import run
 
@@ -27,6 +28,13 @@
     assert result.served > 0
 
 
+def test_entries_never_share_a_port() -> None:
+    # Ports whose sockets were closed again were returned a second time, or
+    # taken by an outgoing connection.
+    returned = [port for _ in range(300) for port in processes.free_ports()]
+    assert len(set(returned)) == len(returned)
+
+
 def _history() -> promises.History:
     return promises.History()
 
