--- a/laburnumpin/forwarding/autoscaling.py
+++ b/laburnumpin/forwarding/autoscaling.py
@@ -51,9 +51,6 @@
 # Stabilization window: a lower count is ordered only after it has sufficed for
 # this long.
 SCALE_DOWN_DELAY_MS = 4_000
-# While the load has not been seen for the longest window, on-demand engines are
-# ordered for this many times the load seen so far, as it may still rise.
-EARLY_LOAD_FACTOR = 1.5
 # An order whose outcome is unknown is repeated after this time.
 UNKNOWN_ORDER_RETRY_MS = 1_500
 # Time by which an ordered upstream may exceed its declared boot time.
@@ -360,12 +357,7 @@
                 scaler.initial_on_demand, supply.total(reclaimable=False)
             )
             needed_engines = max(needed_engines, scaler.initial_on_demand)
-            needed_on_demand = max(
-                needed_on_demand,
-                _early_on_demand(
-                    scaler.initial_on_demand, load / on_demand_utilization
-                ),
-            )
+            needed_on_demand = max(needed_on_demand, scaler.initial_on_demand)
             scaler.had_load = scaler.load_meter.has_sustained_load()
         planned = plan(
             needed_engines,
@@ -417,25 +409,10 @@
         if order.count >= ordered_count:
             scaler.lower_since_ms.pop(key, None)
             return order.count > ordered_count
-        if order.load_engines <= 0.0:
-            # There is no load that could rise again within the window.
-            return True
         since_ms = scaler.lower_since_ms.setdefault(key, now_ms)
         return now_ms >= since_ms + SCALE_DOWN_DELAY_MS
 
 
-def _early_on_demand(initial_on_demand: int, load_engines: float) -> int:
-    """Return the on-demand engines to have before the load is established.
-
-    Without load its size cannot be estimated, so the ones that were running at
-    the start are replaced one by one. `load_engines` is the number of engines
-    for the load seen so far.
-    """
-    if load_engines <= 0.0:
-        return initial_on_demand
-    return min(initial_on_demand, math.ceil(load_engines * EARLY_LOAD_FACTOR))
-
-
 def _supply(state: forwarding_state.ForwardingState, service: str) -> Supply:
     """Count the ready upstreams of a service."""
     supply = Supply()
