Take no response without the attempt id for the next answer

Cause: a late copy of an earlier response was recognized by its id. One without an id was skipped only if it was a success; an error, a failure and even the statement that a request has not run were taken for the answer to the next request on the connection.

The test of the classification gave some responses no id although upstreams echo it; they have it now, and the cases without one are added.

--- a/laburnumpin/platform/wire.py
+++ b/laburnumpin/platform/wire.py
@@ -164,8 +164,10 @@
     ) -> interfaces.AnswerKind:
         """Classify an upstream's response by its status and headers."""
         values = {name.lower(): value for name, value in headers}
-        echoed = values.get(ATTEMPT_ID)
-        if echoed is not None and echoed != request_id.encode("latin-1"):
+        if values.get(ATTEMPT_ID) != request_id.encode("latin-1"):
+            # Upstreams echo the attempt id, so a response without it, such as
+            # a late copy, may belong to another request. Even its statement
+            # that a request has not run may be about that one.
             return interfaces.AnswerKind.OTHER_REQUEST
         if status == MISDIRECTED_STATUS:
             return interfaces.AnswerKind.WRONG_UPSTREAM
@@ -173,10 +175,6 @@
             return interfaces.AnswerKind.NOT_RUN
         if status >= 500:
             return interfaces.AnswerKind.FAILURE
-        if echoed is None and status < 300:
-            # A success without the attempt id could belong to another request
-            # and is not forwarded.
-            return interfaces.AnswerKind.OTHER_REQUEST
         return interfaces.AnswerKind.ANSWER
 
     def answer_headers(
--- a/laburnumpin/tests/test_platform_trickles.py
+++ b/laburnumpin/tests/test_platform_trickles.py
@@ -72,9 +72,15 @@
 @pytest.mark.parametrize(
     ("status", "extra", "expected"),
     [
-        pytest.param(500, b"", 502, id="failure"),
         pytest.param(
-            503, b"X-Laburnumpin-Not-Executed: 1\r\n", 503, id="not executed"
+            500, b"X-Laburnumpin-Attempt-Id: r1\r\n", 502, id="failure"
+        ),
+        pytest.param(
+            503,
+            b"X-Laburnumpin-Attempt-Id: r1\r\n"
+            b"X-Laburnumpin-Not-Executed: 1\r\n",
+            503,
+            id="not executed",
         ),
         pytest.param(
             200, b"X-Laburnumpin-Attempt-Id: r0\r\n", 502, id="other request"
@@ -232,3 +238,61 @@
         assert relay._status_code(received) == 408
 
     relay.run_with_frontend(script, run_callers)
+
+
+@pytest.mark.parametrize(
+    "late",
+    [
+        pytest.param(b"HTTP/1.1 404 Not Found\r\n", id="error"),
+        pytest.param(b"HTTP/1.1 500 Failed\r\n", id="failure"),
+        pytest.param(
+            b"HTTP/1.1 503 Full\r\nX-Laburnumpin-Not-Executed: 1\r\n",
+            id="not executed",
+        ),
+    ],
+)
+@pytest.mark.parametrize("split", [False, True])
+def test_late_copy_without_an_id_is_not_the_next_answer(
+    late: bytes, split: bool
+) -> None:
+    copy = late + b"Content-Length: 5\r\n\r\nstale"
+
+    async def script(connection: relay.UpstreamConnection) -> None:
+        await connection.read_request()
+        await connection.send_answer("r1", b"one")
+        await connection.read_request()
+        if split:
+            await connection.stream.send(copy[:20])
+            await anyio.sleep(0.05)
+            await connection.stream.send(copy[20:])
+        else:
+            await connection.stream.send(copy)
+        await connection.send_answer("r2", b"two")
+        await connection.stream.receive()
+
+    async def run_callers(harness: relay.Harness) -> None:
+        await harness.call(relay._encode_request("r1"))
+        received = await harness.call(relay._encode_request("r2"))
+        assert relay._status_code(received) == 200
+        assert received.endswith(b"two")
+        assert harness.connection_count == 1
+
+    relay.run_with_frontend(script, run_callers, routes=SINGLE_CALL)
+
+
+def test_late_copy_on_an_idle_connection_ends_its_use() -> None:
+    async def script(connection: relay.UpstreamConnection) -> None:
+        await connection.read_request()
+        await connection.send_answer("r1", b"one")
+        await anyio.sleep(0.05)
+        await connection.send_answer("r1", b"one")
+        await connection.read_request()
+
+    async def run_callers(harness: relay.Harness) -> None:
+        await harness.call(relay._encode_request("r1"))
+        await anyio.sleep(0.2)
+        received = await harness.call(relay._encode_request("r1"))
+        assert received.endswith(b"one")
+        assert harness.connection_count == 2
+
+    relay.run_with_frontend(script, run_callers)
--- a/laburnumpin/tests/test_platform_wire.py
+++ b/laburnumpin/tests/test_platform_wire.py
@@ -116,17 +116,29 @@
     assert forwarded[b"content-length"] == b"2"
 
 
+OWN_ID = (b"X-Laburnumpin-Attempt-Id", b"r1")
+OTHER_ID = (b"X-Laburnumpin-Attempt-Id", b"r0")
+NOT_EXECUTED = (b"X-Laburnumpin-Not-Executed", b"1")
+
+
 @pytest.mark.parametrize(
     ("status", "headers", "kind"),
     [
-        (200, [(b"X-Laburnumpin-Attempt-Id", b"r1")], "answer"),
-        (200, [(b"X-Laburnumpin-Attempt-Id", b"r0")], "other_request"),
+        (200, [OWN_ID], "answer"),
+        (404, [OWN_ID], "answer"),
+        (421, [OWN_ID], "wrong_upstream"),
+        (503, [OWN_ID, NOT_EXECUTED], "not_run"),
+        (429, [OWN_ID, NOT_EXECUTED], "not_run"),
+        (503, [OWN_ID], "failure"),
+        (500, [OWN_ID], "failure"),
+        # Late copies of the response to an earlier request.
+        (200, [OTHER_ID], "other_request"),
+        (503, [OTHER_ID, NOT_EXECUTED], "other_request"),
         (200, [], "other_request"),
-        (421, [], "wrong_upstream"),
-        (503, [(b"X-Laburnumpin-Not-Executed", b"1")], "not_run"),
-        (429, [(b"X-Laburnumpin-Not-Executed", b"1")], "not_run"),
-        (503, [], "failure"),
-        (500, [(b"X-Laburnumpin-Attempt-Id", b"r1")], "failure"),
+        (404, [], "other_request"),
+        (421, [], "other_request"),
+        (500, [], "other_request"),
+        (503, [NOT_EXECUTED], "other_request"),
     ],
 )
 def test_responses_are_classified(
