--- a/laburnumpin/forwarding/attempts.py
+++ b/laburnumpin/forwarding/attempts.py
@@ -302,7 +302,8 @@
         caller_headers = self._shell.wire.answer_headers(raw_headers)
         status = head.status_code
         if kind is interfaces.AnswerKind.NOT_RUN:
-            await _read_discarded(connection)
+            # A connection can be used again after the whole answer.
+            await _read_failure_body(connection)
             raise AttemptError(
                 events.Ending.REJECTED, NOT_RUN, f"rejected with {status}"
             )
@@ -315,7 +316,7 @@
         if kind is interfaces.AnswerKind.FAILURE:
             self._relay.mark_running()
             stall.stop()
-            body = await _read_discarded(connection)
+            body = await _read_failure_body(connection)
             if body is not None:
                 self._relay.failure = answers.Answer(
                     status, _with_length(caller_headers, body), body
@@ -422,7 +423,7 @@
         )
 
 
-async def _read_discarded(
+async def _read_failure_body(
     connection: connections.ClientConnection,
 ) -> bytes | None:
     """Return the body of a failure, None if it is too long or incomplete.
--- a/laburnumpin/forwarding/events.py
+++ b/laburnumpin/forwarding/events.py
@@ -20,8 +20,8 @@
     """How an attempt at an upstream ended without a complete answer.
 
     `REJECTED` is an answer which states that the request has not run, `BROKEN`
-    a lost connection, `SILENT` a timeout before the first byte or between two
-    reads of a stream, and `ERROR_STATUS` a complete error answer.
+    a lost connection, `SILENT` an attempt without progress while another
+    upstream would have been faster, and `ERROR_STATUS` an error answer.
     """
 
     UNREACHABLE = "unreachable"
