Log how an upstream's answer showed its end

The line of a request that ended did not tell an answer with a length or chunks from one that ended with its connection, so the hypotheses could not be told apart from the logs. The log line request_ended has the framing of the upstream's last answer now; no behaviour changes.

--- a/laburnumpin/forwarding/attempts.py
+++ b/laburnumpin/forwarding/attempts.py
@@ -8,6 +8,7 @@
 from laburnumpin import exceptions
 from laburnumpin import verdict as verdicts
 from laburnumpin.forwarding import answers
+from laburnumpin.forwarding import completeness
 from laburnumpin.forwarding import connections
 from laburnumpin.forwarding import effects
 from laburnumpin.forwarding import event_stream
@@ -73,7 +74,7 @@
     """One attempt of a request at the upstream named by a `Send` effect.
 
     `received` is how much of the answer has arrived: `nothing`, its `head`, or
-    `events` of a stream.
+    `events` of a stream. `framing` is that of the answer, None before its head.
     """
 
     __slots__ = (
@@ -86,6 +87,7 @@
         "_send_effect",
         "_sent_ms",
         "_shell",
+        "framing",
         "received",
     )
 
@@ -106,6 +108,7 @@
         self._relay = relay
         self._sent_ms = shell.now_ms()
         self.received = "nothing"
+        self.framing: completeness.Framing | None = None
         # Set once the copy of the KV cache succeeded or failed; None unless a
         # move was started.
         self._move_done: anyio.Event | None = None
@@ -311,6 +314,9 @@
         caller_headers = self._shell.wire.answer_headers(raw_headers)
         self._note_limit(headers)
         status = head.status_code
+        self.framing = completeness.find_framing(
+            self._request_head.method, status, headers
+        )
         if kind is interfaces.AnswerKind.NOT_RUN:
             # A connection can be used again after the whole answer.
             await _read_failure_body(connection)
--- a/laburnumpin/forwarding/frontend.py
+++ b/laburnumpin/forwarding/frontend.py
@@ -10,6 +10,7 @@
 from laburnumpin.forwarding import attempts
 from laburnumpin.forwarding import byte_stream
 from laburnumpin.forwarding import caller as callers
+from laburnumpin.forwarding import completeness
 from laburnumpin.forwarding import connections
 from laburnumpin.forwarding import deployment
 from laburnumpin.forwarding import effects
@@ -121,6 +122,7 @@
         "_caller",
         "_delivered",
         "_first_event_ms",
+        "_framing",
         "_outcome",
         "_request",
         "_request_head",
@@ -147,6 +149,8 @@
         self._request: requests.Request | None = None
         self._first_event_ms = 0
         self._delivered = False
+        # How the upstream's last answer showed its end.
+        self._framing: completeness.Framing | None = None
         self._outcome = ""
 
     async def run(self) -> bool:
@@ -284,6 +288,8 @@
                     )
                 )
                 continue
+            finally:
+                self._framing = attempt.framing or self._framing
             self._delivered = relay.status < 500
             self._outcome = f"status_{relay.status}"
             return not self._shell.leaving.is_set()
@@ -447,6 +453,7 @@
             {
                 "request_id": request.request_id,
                 "outcome": self._outcome or "caller_gone",
+                "framing": self._framing.value if self._framing else None,
                 "first_ms": first_ms,
                 "total_ms": total_ms,
             },
