Close the listener of a proxy that ends before its connections

Cause, by reading: Proxy.end cancelled the tasks of the open connections first, and the listener was closed after the last of them. An entry that checked the engine in between got a connection, so it did not count the engine as ended.

The listener is closed first now.

--- a/laburnumpin/soak/proxy.py
+++ b/laburnumpin/soak/proxy.py
@@ -17,6 +17,7 @@
     """
 
     __slots__ = (
+        "_listener",
         "_open_streams",
         "_scope",
         "delay_ms",
@@ -34,6 +35,7 @@
         self.silent = False
         self._open_streams: set[abc.SocketStream] = set()
         self._scope = anyio.CancelScope()
+        self._listener: abc.AsyncResource | None = None
 
     async def serve(self, *, task_status: abc.TaskStatus[str]) -> None:
         """Serve on a free loopback port; report its address."""
@@ -42,9 +44,13 @@
         )
         port = listener.extra(abc.SocketAttribute.local_port)
         task_status.started(f"127.0.0.1:{port}")
+        self._listener = listener
         with self._scope:
             async with listener:
-                await listener.serve(self._handle)
+                try:
+                    await listener.serve(self._handle)
+                except* anyio.ClosedResourceError:
+                    pass  # `end` has closed the listener.
 
     def clear_faults(self) -> None:
         """End all faults; connections that have lost bytes stay broken."""
@@ -57,7 +63,13 @@
             await anyio.aclose_forcefully(stream)
 
     async def end(self) -> None:
-        """Refuse new connections from now on, and reset the open ones."""
+        """Refuse new connections from now on, and reset the open ones.
+
+        The listener is closed first, as the kernel does for a process that ends
+        with its listener as the oldest socket.
+        """
+        if self._listener is not None:
+            await self._listener.aclose()
         self._scope.cancel()
         await self.reset_all()
 
