Claim no more certainty of an answer's end than its upstream gave

Cause: the end of a connection was taken for the end of the answer. Between two events, and in calls, failures and continuations, the entry still turned the close into the end of chunks or into a length.

Now one place, completeness.py, decides for every path what the end of an answer shows. One that is not proved is passed on without length and chunks; until its end is written, whatever closes the caller's connection resets it, the end of the entry's process included, and so it does for callers of HTTP/1.0. It counts as broken if it has no content, if its upstream has ended unannounced (newer incarnation, or a connection is refused), or if the response is in chunks.

--- a/laburnumpin/commands/explain.py
+++ b/laburnumpin/commands/explain.py
@@ -185,6 +185,7 @@
                 f"; {rejection.get('engine_losses')} engines ended under "
                 f"{rejection.get('prompt_parts')}"
             )
+    text += _describe_end(request_id, related)
     if failure is not None:
         upstream = str(failure.get("upstream"))
         text += (
@@ -196,6 +197,19 @@
     return text
 
 
+def _describe_end(request_id: str, related: list[LogLine]) -> str:
+    """Return what to say of an answer that is not proved to be whole."""
+    for line in related:
+        if line.get("request_id") != request_id:
+            continue
+        if line.get("end") == "unproved":
+            return (
+                "; nothing but the end of the connection of "
+                f"{line.get('upstream')} showed that its answer was whole"
+            )
+    return ""
+
+
 def _read_lines(files: tuple[pathlib.Path, ...]) -> Iterable[LogLine]:
     if not files:
         yield from _parse_lines(sys.stdin)
--- a/laburnumpin/forwarding/answers.py
+++ b/laburnumpin/forwarding/answers.py
@@ -11,11 +11,15 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Answer:
-    """An upstream's complete answer."""
+    """An upstream's answer.
+
+    Without `has_length`, nothing but the end of the connection shows its end.
+    """
 
     status: int
     headers: connections.Headers
     body: bytes
+    has_length: bool = True
 
 
 class AnswerRelay:
@@ -28,6 +32,7 @@
 
     __slots__ = (
         "_caller",
+        "_ends_with_connection",
         "_on_running",
         "answer_started",
         "extra_headers",
@@ -48,6 +53,8 @@
         self.extra_headers = extra_headers
         # Whether a part of the answer has been sent to the caller.
         self.answer_started = False
+        # Whether only the end of its connection shows the end of the response.
+        self._ends_with_connection = False
         self.status = 0
         # An upstream's error answer, relayed if no later attempt succeeds.
         self.failure: Answer | None = None
@@ -63,22 +70,43 @@
         self.answer_started = True
         self.status = answer.status
         headers = answer.headers + self.extra_headers
-        await self._caller.answer(answer.status, headers, answer.body)
+        if answer.has_length:
+            await self._caller.answer(answer.status, headers, answer.body)
+            return
+        self._ends_with_connection = True
+        await self._caller.start_answer(
+            answer.status, headers, answer.body, ends_with_connection=True
+        )
+        await self._caller.end_answer()
 
     async def start(
-        self, status: int, headers: connections.Headers, first: bytes
+        self,
+        status: int,
+        headers: connections.Headers,
+        first: bytes,
+        *,
+        ends_with_connection: bool = False,
     ) -> None:
         """Send the head of an answer with the first part of its body.
 
-        A later attempt only continues the body.
+        A later attempt only continues the body. With `ends_with_connection`,
+        nothing else will show the end of the body.
         """
         self.status = status
         if self.answer_started:
             await self._caller.write(first)
             return
         self.answer_started = True
+        self._ends_with_connection = ends_with_connection
         head = headers + self.extra_headers
-        await self._caller.start_answer(status, head, first)
+        await self._caller.start_answer(
+            status, head, first, ends_with_connection=ends_with_connection
+        )
+
+    @property
+    def may_be_unproved(self) -> bool:
+        """Return whether the response may leave open where it ends."""
+        return self._ends_with_connection or not self.answer_started
 
     async def write(self, data: bytes) -> None:
         """Send a part of the body."""
--- a/laburnumpin/forwarding/attempts.py
+++ b/laburnumpin/forwarding/attempts.py
@@ -335,20 +335,17 @@
             body = await _read_failure_body(connection)
             if body is not None:
                 self._relay.failure = answers.Answer(
-                    status, _with_length(caller_headers, body), body
+                    status,
+                    self._with_length(caller_headers, len(body)),
+                    body,
+                    has_length=not self._ends_with_connection,
                 )
             raise AttemptError(
                 events.Ending.ERROR_STATUS, RAN, f"answered with {status}"
             )
         if self._request.route.is_stream and 200 <= status < 300:
             stall.record_progress()
-            await self._relay_stream(
-                connection,
-                status,
-                caller_headers,
-                stall,
-                is_framed=_is_framed(headers),
-            )
+            await self._relay_stream(connection, status, caller_headers, stall)
             return
         stall.stop()
         await self._relay_answer(connection, status, caller_headers)
@@ -396,6 +393,7 @@
             chunk = await connection.chunk()
             if relay.answer_started:
                 if not chunk:
+                    await self._judge_end(has_content=True)
                     await relay.end()
                     return
                 await relay.write(chunk)
@@ -403,14 +401,23 @@
             body += chunk
             if chunk and len(body) <= MAX_BUFFERED_ANSWER_BYTES:
                 continue
-            relay.mark_running()
             if chunk:
-                await relay.start(status, headers, bytes(body))
+                relay.mark_running()
+                await relay.start(
+                    status,
+                    headers,
+                    bytes(body),
+                    ends_with_connection=self._ends_with_connection,
+                )
                 continue
-            complete_body = bytes(body)
+            await self._judge_end(has_content=bool(body))
+            relay.mark_running()
             await relay.send_complete(
                 answers.Answer(
-                    status, _with_length(headers, complete_body), complete_body
+                    status,
+                    self._with_length(headers, len(body)),
+                    bytes(body),
+                    has_length=not self._ends_with_connection,
                 )
             )
             return
@@ -421,14 +428,11 @@
         status: int,
         headers: connections.Headers,
         stall: stall_timer.StallTimer,
-        *,
-        is_framed: bool,
     ) -> None:
         """Relay a stream, without events that the caller has already.
 
         Only whole events count as progress: an upstream that sends a byte or a
-        comment now and then has stalled. Without a length or chunks, the end of
-        the connection alone does not show that the stream is complete.
+        comment now and then has stalled.
         """
         splitter = event_stream.Splitter()
         relay = self._relay
@@ -460,25 +464,93 @@
                 is_first = False
                 self.received = "events"
                 relay.mark_running()
-                await relay.start(status, headers, b"".join(new_events))
+                await relay.start(
+                    status,
+                    headers,
+                    b"".join(new_events),
+                    ends_with_connection=self._ends_with_connection,
+                )
             else:
                 await relay.write(b"".join(new_events))
             stall.resume()
         stall.stop()
-        is_empty = not has_events and not is_framed
-        if splitter.incomplete_event.strip() or is_empty:
-            raise AttemptError(
-                events.Ending.BROKEN,
-                MAY_HAVE_RUN,
-                "the stream ended inside an event or before the first one",
-            )
+        await self._judge_end(
+            has_content=has_events,
+            is_inside_event=bool(splitter.incomplete_event.strip()),
+        )
         if is_first:
             relay.mark_running()
-            await relay.start(status, headers, splitter.incomplete_event)
+            await relay.start(
+                status,
+                headers,
+                splitter.incomplete_event,
+                ends_with_connection=self._ends_with_connection,
+            )
         elif splitter.incomplete_event:
             await relay.write(splitter.incomplete_event)
         await relay.end()
 
+    @property
+    def _ends_with_connection(self) -> bool:
+        return self.framing is completeness.Framing.CLOSE
+
+    async def _judge_end(
+        self, *, has_content: bool, is_inside_event: bool = False
+    ) -> None:
+        """Decide what the end of the answer shows.
+
+        Raises:
+            AttemptError: The answer is not whole, or the response to the caller
+                would claim that it is although nothing shows that.
+        """
+        assert self.framing is not None
+        registration = self._send_effect.registration
+        has_upstream_ended = False
+        if self._ends_with_connection and has_content and not is_inside_event:
+            has_upstream_ended = await self._shell.has_upstream_ended(
+                registration
+            )
+        end, reason = completeness.judge(
+            completeness.Evidence(
+                self.framing,
+                is_inside_event,
+                has_content,
+                has_upstream_ended,
+                self._relay.may_be_unproved,
+            )
+        )
+        if end is completeness.End.PROVED:
+            return
+        self._shell.state.counters.increment("answer_ends", end.value)
+        logs.write(
+            "answer_end_judged",
+            "info",
+            {
+                "request_id": self._request.request_id,
+                "upstream": registration.upstream_id,
+                "framing": self.framing.value,
+                "end": end.value,
+                "reason": reason,
+                "upstream_ended": has_upstream_ended,
+            },
+        )
+        if end is completeness.End.BROKEN:
+            raise AttemptError(events.Ending.BROKEN, MAY_HAVE_RUN, reason)
+
+    def _with_length(
+        self, headers: connections.Headers, body_bytes: int
+    ) -> connections.Headers:
+        """Return the headers of an answer that was received to its end.
+
+        Only a proved end becomes a length.
+        """
+        if self._ends_with_connection:
+            return headers
+        return [
+            *((n, v) for n, v in headers if n.lower() != b"content-length"),
+            (b"Content-Length", str(body_bytes).encode()),
+        ]
+
     def _gap_limit_ms(self) -> int:
         """Return the pause after which a stream counts as stalled."""
         route = self._request.route
@@ -488,12 +560,6 @@
         )
 
 
-def _is_framed(headers: connections.Headers) -> bool:
-    """Return whether an answer has a length or is sent in chunks."""
-    names = {name.lower() for name, _ in headers}
-    return b"content-length" in names or b"transfer-encoding" in names
-
-
 async def _read_failure_body(
     connection: connections.ClientConnection,
 ) -> bytes | None:
@@ -523,15 +589,6 @@
     return new_events
 
 
-def _with_length(
-    headers: connections.Headers, body: bytes
-) -> connections.Headers:
-    other_headers = [
-        (n, v) for n, v in headers if n.lower() != b"content-length"
-    ]
-    return [*other_headers, (b"Content-Length", str(len(body)).encode())]
-
-
 def _first_error(group: BaseExceptionGroup[BaseException]) -> BaseException:
     """Return the exception of a task group with one failing task."""
     error: BaseException = group
--- a/laburnumpin/forwarding/byte_stream.py
+++ b/laburnumpin/forwarding/byte_stream.py
@@ -9,8 +9,10 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Coroutine
+import contextlib
 import select
 import socket
+import struct
 from typing import Any
 
 import anyio
@@ -216,6 +218,19 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def set_reset_on_close(self, enabled: bool) -> None:
+        """Set whether any end of this side resets the connection.
+
+        The kernel does so even if the process is killed.
+        """
+        if self._transport is None:
+            return
+        seconds = 0
+        linger = struct.pack("ii", int(enabled), seconds)
+        raw = self._transport.get_extra_info("socket")
+        with contextlib.suppress(OSError):  # The peer has reset it already.
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
     async def _wait_for_data(self, timeout_ms: int | None) -> None:
         """Wait for bytes or for the end of the connection."""
         self._reader = self._loop.create_future()
--- a/laburnumpin/forwarding/caller.py
+++ b/laburnumpin/forwarding/caller.py
@@ -109,13 +109,26 @@
         raise CallerInputError(408, "timed out reading the request body")
 
     async def start_answer(
-        self, status: int, headers: connections.Headers, first: bytes = b""
+        self,
+        status: int,
+        headers: connections.Headers,
+        first: bytes = b"",
+        *,
+        ends_with_connection: bool = False,
     ) -> None:
         """Write the head of a response, with the first part of its body.
 
+        With `ends_with_connection` the response gets neither a length nor
+        chunks, as for a caller of HTTP/1.0. Until `end_answer`, whatever ends
+        the connection resets it, the end of this process included.
+
         Raises:
             CallerDisconnectedError: The caller closed or stopped reading.
         """
+        if ends_with_connection:
+            self._h11.their_http_version = b"1.0"
+        if self._h11.their_http_version == b"1.0":
+            self.stream.set_reset_on_close(True)
         head = h11.Response(status_code=status, headers=headers)
         data = self._h11.send(head) or b""
         if first:
@@ -136,6 +149,8 @@
         Raises:
             CallerDisconnectedError: The caller closed or stopped reading.
         """
+        if self._h11.their_http_version == b"1.0":
+            self.stream.set_reset_on_close(False)
         await self._write(self._h11.send(h11.EndOfMessage()) or b"")
 
     async def answer(
--- a/laburnumpin/forwarding/completeness.py
+++ b/laburnumpin/forwarding/completeness.py
@@ -1,12 +1,32 @@
-"""What shows where an upstream's answer ends."""
+"""What shows that an upstream's answer is whole.
+
+An upstream that ends closes its connections in the same way as one that has
+finished its answers. Every path decides here what the end of an answer shows,
+so that a caller's response claims no more than that.
+"""
 
 from __future__ import annotations
 
+import dataclasses
 import enum
 
 from laburnumpin.forwarding import connections
 
 _STATUSES_WITHOUT_BODY = (204, 304)
+# As long as the check of an upstream whose connections have broken.
+DEFAULT_END_CHECK_TIMEOUT_MS = 400
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class AnswerSettings:
+    """Settings for the ends of upstreams' answers.
+
+    `end_check_timeout_ms` is the longest time for which the end of an answer
+    without length waits for a connection to its upstream, which shows whether
+    that has ended; with 0 no connection is tried.
+    """
+
+    end_check_timeout_ms: int = DEFAULT_END_CHECK_TIMEOUT_MS
 
 
 class Framing(enum.Enum):
@@ -33,3 +53,52 @@
     if b"content-length" in names:
         return Framing.LENGTH
     return Framing.CLOSE
+
+
+class End(enum.Enum):
+    """What is known when an answer has ended.
+
+    `PROVED`: its framing shows that it is whole. `UNPROVED`: its connection was
+    closed normally and nothing shows that anything is missing. `BROKEN`: it is
+    not whole, or is not known to be and the caller's response could not say so.
+    """
+
+    PROVED = "proved"
+    UNPROVED = "unproved"
+    BROKEN = "broken"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Evidence:
+    """What is known of an answer whose upstream has sent all it will send.
+
+    `is_inside_event` is whether a stream ended in the middle of an event, and
+    `has_content` whether a stream had an event, or another body a byte.
+    `has_upstream_ended` is whether the upstream ended unannounced at that time.
+    `may_be_unproved` is whether the response to the caller leaves open where
+    it ends, or has not begun.
+    """
+
+    framing: Framing
+    is_inside_event: bool
+    has_content: bool
+    has_upstream_ended: bool
+    may_be_unproved: bool
+
+
+def judge(evidence: Evidence) -> tuple[End, str]:
+    """Return what is known of the end of an answer, and the reason for it."""
+    if evidence.is_inside_event:
+        return End.BROKEN, "the stream ended inside an event"
+    if evidence.framing is not Framing.CLOSE:
+        return End.PROVED, "framing"
+    if not evidence.has_content:
+        return End.BROKEN, "an answer without length ended before its content"
+    if evidence.has_upstream_ended:
+        return End.BROKEN, "the upstream ended with an answer without length"
+    if not evidence.may_be_unproved:
+        return (
+            End.BROKEN,
+            "an answer without length cannot end a response in chunks",
+        )
+    return End.UNPROVED, "the connection was closed normally"
--- a/laburnumpin/forwarding/daemon.py
+++ b/laburnumpin/forwarding/daemon.py
@@ -65,6 +65,7 @@
         shell = shells.Shell(
             state, wire, upstream_pool, runner, boot_clock, engines
         )
+        shell.end_check_timeout_ms = settings.answers.end_check_timeout_ms
         store = clients.store(settings)
         cloud = clients.cloud(settings)
         withheld_parts = withholding_store.WithholdingStore(shell, store)
--- a/laburnumpin/forwarding/pool.py
+++ b/laburnumpin/forwarding/pool.py
@@ -77,13 +77,14 @@
         connection: connections.ClientConnection,
         max_idle: int,
     ) -> None:
-        """Return a connection to the pool after a complete response.
+        """Return a new connection, or one after a complete response.
 
         Close it instead if it cannot be reused, or if `max_idle` connections
         to the upstream are idle already.
         """
         idle = self._idle.setdefault(_key(registration), [])
-        if not connection.finish() or len(idle) >= max_idle:
+        is_idle = not connection.requests_sent or connection.finish()
+        if not is_idle or len(idle) >= max_idle:
             connection.close()
             return
         connection.idle_since_ms = self._boot_clock.now_ms()
--- a/laburnumpin/forwarding/settings.py
+++ b/laburnumpin/forwarding/settings.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 from laburnumpin.forwarding import budgets
+from laburnumpin.forwarding import completeness
 from laburnumpin.forwarding import part_losses
 
 
@@ -19,7 +20,8 @@
     admit of a customer beyond its quota in a window. `retry_limit` limits the
     retries to each service. A usage window has to be reported within
     `usage_late_ms` of its end. `link_mbps` is the bandwidth of the entry's
-    network link. `withholding` is for prompts that end engines.
+    network link. `withholding` is for prompts that end engines, and `answers`
+    for the ends of upstreams' answers.
     """
 
     name: str
@@ -41,3 +43,6 @@
     withholding: part_losses.WithholdingSettings = dataclasses.field(
         default_factory=part_losses.WithholdingSettings
     )
+    answers: completeness.AnswerSettings = dataclasses.field(
+        default_factory=completeness.AnswerSettings
+    )
--- a/laburnumpin/forwarding/shell.py
+++ b/laburnumpin/forwarding/shell.py
@@ -16,6 +16,7 @@
 from laburnumpin.forwarding import pool
 from laburnumpin.forwarding import reducer
 from laburnumpin.forwarding import state as forwarding_state
+from laburnumpin.forwarding import upstreams
 from laburnumpin.server import logs
 from laburnumpin.server import metrics
 from laburnumpin.server import tasks
@@ -34,6 +35,7 @@
 
     __slots__ = (
         "clock",
+        "end_check_timeout_ms",
         "engines",
         "fetch_from_peer",
         "leaving",
@@ -61,6 +63,9 @@
         self.tasks = runner
         self.clock = boot_clock
         self.engines = engines
+        # Longest time for which the end of an answer without length waits for
+        # a check of its upstream.
+        self.end_check_timeout_ms = CHECK_TIMEOUT_MS
         # Callbacks that move a stream, by request id.
         self.stream_movers: dict[str, Callable[[effects.MoveStream], None]] = {}
         self.metrics = metrics.Metrics()
@@ -131,21 +136,56 @@
 
     async def _check_upstream(self, effect: effects.CheckUpstream) -> None:
         """Try a connection to an upstream, and report whether it is open."""
-        is_open, is_refused = False, False
-        try:
-            connection = await connections.connect(
-                effect.registration.address, CHECK_TIMEOUT_MS
-            )
-            connection.close()
-            is_open = True
-        except connections.ConnectionLostError as error:
-            is_refused = isinstance(error.__cause__, ConnectionRefusedError)
+        is_open, is_refused = await self._try_connection(
+            effect.registration, CHECK_TIMEOUT_MS
+        )
         self.apply(
             events.UpstreamChecked(
                 self.now_ms(), effect.registration, is_open, is_refused
             )
         )
 
+    async def has_upstream_ended(
+        self, registration: upstreams.Registration
+    ) -> bool:
+        """Return whether an upstream has ended without having announced it.
+
+        An upstream that leaves may end right after its last answer, so its end
+        tells nothing about that.
+        """
+        upstream = self.state.upstreams.get(registration.upstream_id)
+        if upstream is None:
+            return False
+        current = upstream.registration
+        if current.lifecycle is upstreams.Lifecycle.LEAVING:
+            return False
+        if current.incarnation_ms > registration.incarnation_ms:
+            return True
+        if not self.end_check_timeout_ms:
+            return False
+        _, is_refused = await self._try_connection(
+            registration, self.end_check_timeout_ms
+        )
+        return is_refused
+
+    async def _try_connection(
+        self, registration: upstreams.Registration, timeout_ms: int
+    ) -> tuple[bool, bool]:
+        """Return whether a new connection is accepted, and whether refused.
+
+        An accepted one is kept for the next request.
+        """
+        try:
+            connection = await connections.connect(
+                registration.address, timeout_ms
+            )
+        except connections.ConnectionLostError as error:
+            return False, isinstance(error.__cause__, ConnectionRefusedError)
+        self.pool.release(
+            registration, connection, self.idle_limit(registration.service)
+        )
+        return True, False
+
     def observe(self, name: str, duration_ms: int) -> None:
         """Record a duration in a histogram."""
         self.metrics.observe_ms(name, duration_ms)
--- a/laburnumpin/platform/settings.py
+++ b/laburnumpin/platform/settings.py
@@ -9,6 +9,7 @@
 
 from laburnumpin import exceptions
 from laburnumpin.forwarding import budgets
+from laburnumpin.forwarding import completeness
 from laburnumpin.forwarding import part_losses
 from laburnumpin.forwarding import settings as forwarding_settings
 
@@ -17,6 +18,8 @@
 
 # One engine that ends does not show that its requests are the cause.
 MIN_ENGINE_LOSSES = 2
+# A longer check would hold up the end of each answer without length.
+MAX_END_CHECK_TIMEOUT_S = 2.0
 
 # Maps the platform's names of duties to those of `ForwardingSettings`.
 _DUTY_BY_PLATFORM_NAME = {"usage_report": "usage", "autoscale": "upstreams"}
@@ -154,6 +157,7 @@
         usage_late_ms=_bound_ms(reader, "usage_late_s", 10),
         link_mbps=reader.number("limits", "link_mbps", default=0),
         withholding=withholding,
+        answers=_read_answers(reader),
     )
     if reader.errors:
         raise exceptions.ConfigurationError(reader.errors)
@@ -186,6 +190,23 @@
     return part_losses.WithholdingSettings(int(min_losses), *times_ms)
 
 
+def _read_answers(reader: _Reader) -> completeness.AnswerSettings:
+    """Return the optional `answers` table, which is the project's own."""
+    default = completeness.AnswerSettings()
+    timeout_s = reader.number(
+        "answers",
+        "end_check_timeout_s",
+        default=default.end_check_timeout_ms / 1_000,
+    )
+    if not 0 <= timeout_s <= MAX_END_CHECK_TIMEOUT_S:
+        reader.add_error(
+            ("answers", "end_check_timeout_s"),
+            f"a number from 0 to {MAX_END_CHECK_TIMEOUT_S} is expected",
+        )
+        return default
+    return completeness.AnswerSettings(int(timeout_s * 1_000))
+
+
 def _bound_ms(reader: _Reader, name: str, default: float) -> int:
     """Return a field of the `bounds` table, given in seconds, in ms."""
     return int(reader.number("bounds", name, default=default) * 1_000)
--- a/laburnumpin/tests/test_commands_explain.py
+++ b/laburnumpin/tests/test_commands_explain.py
@@ -140,3 +140,19 @@
     printed = json.loads(capsys.readouterr().out)
     assert printed["cause"] == "the caller closed its connection"
     assert len(printed["lines"]) == 1
+
+
+def test_short_answer_without_length() -> None:
+    """Guards against a short answer that is explained as proved."""
+    related = _related(
+        _line(
+            1.0,
+            "answer_end_judged",
+            request_id="r1",
+            upstream="u1",
+            end="unproved",
+        ),
+        _line(1.1, "request_ended", request_id="r1", outcome="status_200"),
+    )
+    text = explain.cause("r1", related)
+    assert "nothing but the end of the connection of u1" in text
--- a/laburnumpin/tests/test_platform_crashes.py
+++ b/laburnumpin/tests/test_platform_crashes.py
@@ -106,22 +106,32 @@
 
     async def run_callers(harness: relay.Harness) -> None:
         received = await harness.call(encode_stream_request())
-        assert received.endswith(b"\r\n0\r\n\r\n")
-        assert received.count(b"data: one") == 1
-        assert received.count(b"data: two") == 1
+        _, _, body = received.partition(b"\r\n\r\n")
+        assert body == EVENT + b"id: 2\ndata: two\n\n"
+        assert b"transfer-encoding" not in received.lower()
+        assert not harness.was_reset
 
     relay.run_with_frontend(script, run_callers, routes=routes, upstreams=2)
 
 
-def test_whole_stream_without_length_is_complete() -> None:
+# Incident ORDER: the end of its connection was passed on as the end of chunks,
+# also for a stream whose engine had ended between two events.
+def test_stream_without_length_ends_with_the_connection_for_its_caller() -> (
+    None
+):
     async def script(connection: relay.UpstreamConnection) -> None:
         await connection.read_request()
         await connection.stream.send(UNFRAMED_HEAD + EVENT)
 
     async def run_callers(harness: relay.Harness) -> None:
         received = await harness.call(encode_stream_request())
-        assert received.startswith(b"HTTP/1.1 200")
-        assert received.endswith(b"\r\n0\r\n\r\n")
+        head, _, body = received.partition(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 200")
+        assert b"transfer-encoding" not in head.lower()
+        assert b"content-length" not in head.lower()
+        assert b"connection: close" in head.lower()
+        assert body == EVENT
+        assert not harness.was_reset
 
     relay.run_with_frontend(script, run_callers, routes=STREAM_ROUTES)
 
--- a/laburnumpin/tests/test_platform_documents.py
+++ b/laburnumpin/tests/test_platform_documents.py
@@ -149,3 +149,21 @@
     with pytest.raises(exceptions.ConfigurationError) as raised:
         _decode_withholding({field: value})
     assert f"withholding.{field}" in str(raised.value)
+
+
+def _decode_end_check(timeout_s: object) -> Any:
+    text = standins.settings_text("e", "127.0.0.1", (1, 2, 3, 4), "127.0.0.1:5")
+    answers = {"end_check_timeout_s": timeout_s}
+    return settings.decode({**tomllib.loads(text), "answers": answers})
+
+
+def test_timeout_of_the_end_check_is_decoded_in_ms() -> None:
+    assert _decode_end_check(0.25).answers.end_check_timeout_ms == 250
+    assert _decode_end_check(0).answers.end_check_timeout_ms == 0
+
+
+@pytest.mark.parametrize("value", [-1, 3, "soon", float("nan")])
+def test_malformed_timeout_of_the_end_check_is_reported(value: object) -> None:
+    with pytest.raises(exceptions.ConfigurationError) as raised:
+        _decode_end_check(value)
+    assert "answers.end_check_timeout_s" in str(raised.value)
--- a/laburnumpin/tests/test_platform_relay.py
+++ b/laburnumpin/tests/test_platform_relay.py
@@ -78,7 +78,9 @@
     """A frontend before scripted upstreams.
 
     `connection_count` counts the connections to the upstreams, and
-    `connection_ended` is set when the first of them has ended.
+    `connection_ended` is set when the first of them has ended. `was_reset` is
+    whether the last caller's connection was. Closing one of `listeners` ends an
+    upstream.
     """
 
     def __init__(
@@ -89,6 +91,8 @@
         self.requests: list[bytes] = []
         self.connection_count = 0
         self.connection_ended = anyio.Event()
+        self.was_reset = False
+        self.listeners: list[abc.Listener[abc.SocketStream]] = []
 
     async def call(self, text: bytes, *, answers: int = 1) -> bytes:
         """Send bytes and return the bytes of that many complete answers.
@@ -99,11 +103,14 @@
         async with await anyio.connect_tcp(host, int(port)) as stream:
             await stream.send(text)
             received = b""
-            with contextlib.suppress(
-                anyio.EndOfStream, anyio.BrokenResourceError
-            ):
+            self.was_reset = False
+            try:
                 while _count_complete_answers(received) < answers:
                     received += await stream.receive()
+            except anyio.EndOfStream:
+                pass
+            except anyio.BrokenResourceError:
+                self.was_reset = True
             return received
 
 
@@ -198,7 +205,8 @@
     for number in range(upstreams):
         listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
         address = f"127.0.0.1:{listener.extra(abc.SocketAttribute.local_port)}"
-        task_group.start_soon(listener.serve, handle)
+        harness.listeners.append(listener)
+        task_group.start_soon(_serve_until_closed, listener, handle)
         for service in (build.PLAIN_SERVICE, build.ENGINES):
             registrations.append(
                 build.registration(
@@ -232,6 +240,16 @@
     await run_callers(harness)
 
 
+async def _serve_until_closed(
+    listener: abc.Listener[abc.SocketStream],
+    handle: Callable[[abc.SocketStream], Awaitable[None]],
+) -> None:
+    try:
+        await listener.serve(handle)
+    except* anyio.ClosedResourceError:
+        pass
+
+
 def _status_code(received: bytes) -> int:
     return int(received.split(b" ", 2)[1])
 
