Keep the error of a continuation out of the stream that it should continue

An answer continues a stream now only if it is a success of the same media type; anything else is a failed attempt, so the stream is continued elsewhere or visibly truncated. A rejection by the entry itself no longer reaches the writer of a response that has begun either.

--- a/laburnumpin/forwarding/answers.py
+++ b/laburnumpin/forwarding/answers.py
@@ -38,6 +38,7 @@
         "extra_headers",
         "failure",
         "last_event_id",
+        "started_headers",
         "status",
     )
 
@@ -53,6 +54,8 @@
         self.extra_headers = extra_headers
         # Whether a part of the answer has been sent to the caller.
         self.answer_started = False
+        # The headers of the upstream's answer that the caller has.
+        self.started_headers: connections.Headers = []
         # Whether only the end of its connection shows the end of the response.
         self._ends_with_connection = False
         self.status = 0
@@ -98,6 +101,7 @@
             return
         self.answer_started = True
         self._ends_with_connection = ends_with_connection
+        self.started_headers = headers
         head = headers + self.extra_headers
         await self._caller.start_answer(
             status, head, first, ends_with_connection=ends_with_connection
--- a/laburnumpin/forwarding/attempts.py
+++ b/laburnumpin/forwarding/attempts.py
@@ -343,6 +343,14 @@
             raise AttemptError(
                 events.Ending.ERROR_STATUS, RAN, f"answered with {status}"
             )
+        if self._relay.answer_started and not completeness.may_continue(
+            status, headers, self._relay.started_headers
+        ):
+            raise AttemptError(
+                events.Ending.ERROR_STATUS,
+                RAN,
+                f"answered with {status}, which does not continue the stream",
+            )
         if self._request.route.is_stream and 200 <= status < 300:
             stall.record_progress()
             await self._relay_stream(connection, status, caller_headers, stall)
--- a/laburnumpin/forwarding/completeness.py
+++ b/laburnumpin/forwarding/completeness.py
@@ -55,6 +55,28 @@
     return Framing.CLOSE
 
 
+def may_continue(
+    status: int,
+    headers: connections.Headers,
+    started_headers: connections.Headers,
+) -> bool:
+    """Return whether an answer continues a stream that has begun.
+
+    `started_headers` are those of the answer with which it began. An error of
+    the next upstream, or a document, is no part of that stream.
+    """
+    return 200 <= status < 300 and _media_type(headers) == _media_type(
+        started_headers
+    )
+
+
+def _media_type(headers: connections.Headers) -> bytes:
+    for name, value in headers:
+        if name.lower() == b"content-type":
+            return value.partition(b";")[0].strip().lower()
+    return b""
+
+
 class End(enum.Enum):
     """What is known when an answer has ended.
 
--- a/laburnumpin/forwarding/frontend.py
+++ b/laburnumpin/forwarding/frontend.py
@@ -247,7 +247,7 @@
             events.RequestArrived(self._shell.now_ms(), request)
         )
         while True:
-            if isinstance(effect, effects.Reject):
+            if isinstance(effect, effects.Reject) and not relay.answer_started:
                 return await self._answer_failure(effect, relay)
             if not isinstance(effect, effects.Send):
                 self._outcome = "cut"
--- a/laburnumpin/tests/test_platform_completeness.py
+++ b/laburnumpin/tests/test_platform_completeness.py
@@ -277,3 +277,38 @@
     framing: completeness.Framing,
 ) -> None:
     assert completeness.find_framing(method, status, headers) is framing
+
+
+# A first attempt broke off; the error of the next engine was written into the
+# middle of the stream, or an empty one ended it as complete.
+@pytest.mark.parametrize("may_repeat", [False, True])
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"HTTP/1.1 404 Not Found\r\n",
+        b"HTTP/1.1 400 Bad Request\r\n",
+        b"HTTP/1.1 302 Found\r\n",
+        b"HTTP/1.1 500 Failed\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n",
+    ],
+)
+@pytest.mark.parametrize("body", [b"", b"an error"])
+def test_error_of_a_continuation_stays_out_of_the_stream(
+    answer: bytes, body: bytes, may_repeat: bool
+) -> None:
+    identity = HEAD.partition(b"\r\n")[2]
+    length = f"Content-Length: {len(body)}\r\n\r\n".encode()
+
+    async def script(connection: relay.UpstreamConnection) -> None:
+        request = await connection.read_request()
+        if b"Last-Event-Id: 1" in request:
+            await connection.stream.send(answer + identity + length + body)
+            return
+        await connection.stream.send(CHUNKED_STREAM + _chunk(EVENT_1))
+
+    async def run_callers(harness: relay.Harness) -> None:
+        _, received = _split(await harness.call(STREAM))
+        assert received == _chunk(EVENT_1)
+
+    routes = REPEATABLE_STREAM if may_repeat else SINGLE_STREAM
+    relay.run_with_frontend(script, run_callers, routes=routes, upstreams=2)
