Treat a success without an upstream's receipt as a failed attempt

The receipt is the upstream's own statement that it ran the request; the platform counts a success without it as none, and as an answer that is not the upstream's. The entry passed such answers on.

A success whose receipt is missing or empty is a malformed answer now: repeated if the request allows it, else 502. test_success_without_a_receipt_is_no_result and two cases of test_responses_are_classified fail before. The scripted upstreams of older tests did not send receipts, though upstreams do; their heads have one now, and their checks are unchanged.

--- a/laburnumpin/forwarding/attempts.py
+++ b/laburnumpin/forwarding/attempts.py
@@ -338,6 +338,12 @@
                 NOT_RUN,
                 "another upstream answers at this address",
             )
+        if kind is interfaces.AnswerKind.WITHOUT_RECEIPT:
+            raise AttemptError(
+                events.Ending.MALFORMED,
+                MAY_HAVE_RUN,
+                f"answered with {status} without a receipt",
+            )
         if kind is interfaces.AnswerKind.FAILURE:
             self._relay.mark_running()
             stall.stop()
--- a/laburnumpin/forwarding/interfaces.py
+++ b/laburnumpin/forwarding/interfaces.py
@@ -192,7 +192,8 @@
     `NOT_RUN` is a rejection before the request ran, and `FAILURE` an error of
     the upstream. `WRONG_UPSTREAM` shows that another upstream answers at the
     address, `OTHER_REQUEST` that the response is not known to belong to this
-    request; it may be that to an earlier one on the connection.
+    request; it may be that to an earlier one on the connection. A success
+    `WITHOUT_RECEIPT` is not known to be a result of the upstream.
     """
 
     ANSWER = "answer"
@@ -200,6 +201,7 @@
     NOT_RUN = "not_run"
     WRONG_UPSTREAM = "wrong_upstream"
     OTHER_REQUEST = "other_request"
+    WITHOUT_RECEIPT = "without_receipt"
 
 
 class Wire(Protocol):
--- a/laburnumpin/platform/wire.py
+++ b/laburnumpin/platform/wire.py
@@ -26,6 +26,8 @@
 LAST_EVENT_ID = b"last-event-id"
 NOT_EXECUTED = HEADER_PREFIX + b"not-executed"
 MISDIRECTED_STATUS = 421
+# The upstream's signature of a result; a success without it is none.
+RECEIPT = HEADER_PREFIX + b"response-seal"
 # Requests a second, a decimal number, that an upstream takes from all entries.
 SERVER_LIMIT = b"server-limit"
 # Values above this are malformed.
@@ -184,6 +186,8 @@
             return interfaces.AnswerKind.NOT_RUN
         if status >= 500:
             return interfaces.AnswerKind.FAILURE
+        if 200 <= status < 300 and not values.get(RECEIPT):
+            return interfaces.AnswerKind.WITHOUT_RECEIPT
         return interfaces.AnswerKind.ANSWER
 
     def answer_headers(
--- a/laburnumpin/tests/test_platform_completeness.py
+++ b/laburnumpin/tests/test_platform_completeness.py
@@ -423,3 +423,18 @@
 
     routes = (build.calls(may_repeat=False, max_attempts=2),)
     relay.run_with_frontend(script, run_callers, routes=routes)
+
+
+# A success without the receipt of an upstream was passed on as its result.
+@pytest.mark.parametrize("receipt", [b"", b"X-Laburnumpin-Response-Seal:\r\n"])
+def test_success_without_a_receipt_is_no_result(receipt: bytes) -> None:
+    head = HEAD.replace(b"X-Laburnumpin-Response-Seal: s\r\n", receipt)
+
+    async def script(connection: relay.UpstreamConnection) -> None:
+        await connection.read_request()
+        await connection.stream.send(head + b"Content-Length: 2\r\n\r\nno")
+
+    async def run_callers(harness: relay.Harness) -> None:
+        assert relay._status_code(await harness.call(CALL)) == 502
+
+    relay.run_with_frontend(script, run_callers, routes=SINGLE_CALL)
--- a/laburnumpin/tests/test_platform_relay.py
+++ b/laburnumpin/tests/test_platform_relay.py
@@ -310,7 +310,10 @@
 
 
 def test_answer_without_length_is_complete_at_a_normal_close() -> None:
-    head = b"HTTP/1.1 200 OK\r\nX-Laburnumpin-Attempt-Id: r1\r\n\r\n"
+    head = (
+        b"HTTP/1.1 200 OK\r\nX-Laburnumpin-Attempt-Id: r1\r\n"
+        b"X-Laburnumpin-Response-Seal: s\r\n\r\n"
+    )
 
     async def script(connection: UpstreamConnection) -> None:
         await connection.read_request()
@@ -325,7 +328,10 @@
 
 
 def test_answer_without_length_is_incomplete_at_a_reset() -> None:
-    head = b"HTTP/1.1 200 OK\r\nX-Laburnumpin-Attempt-Id: r1\r\n\r\n"
+    head = (
+        b"HTTP/1.1 200 OK\r\nX-Laburnumpin-Attempt-Id: r1\r\n"
+        b"X-Laburnumpin-Response-Seal: s\r\n\r\n"
+    )
 
     async def script(connection: UpstreamConnection) -> None:
         await connection.read_request()
@@ -463,6 +469,7 @@
         requests_received.append(await connection.read_request())
         await connection.stream.send(
             b"HTTP/1.1 200 OK\r\nX-Laburnumpin-Attempt-Id: r1\r\n"
+            b"X-Laburnumpin-Response-Seal: s\r\n"
             b"Transfer-Encoding: chunked\r\n\r\n"
         )
         texts = [b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\nid: 3\nda"]
@@ -499,6 +506,7 @@
         event = b"id: 1\ndata: a\n\n"
         await connection.stream.send(
             b"HTTP/1.1 200 OK\r\nX-Laburnumpin-Attempt-Id: r1\r\n"
+            b"X-Laburnumpin-Response-Seal: s\r\n"
             b"Transfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n"
             % (len(event), event)
         )
--- a/laburnumpin/tests/test_platform_trickles.py
+++ b/laburnumpin/tests/test_platform_trickles.py
@@ -13,6 +13,7 @@
 
 HEAD = (
     b"HTTP/1.1 200 OK\r\nX-Laburnumpin-Attempt-Id: r1\r\n"
+    b"X-Laburnumpin-Response-Seal: s\r\n"
     b"Transfer-Encoding: chunked\r\n"
 )
 MAX_GROWTH_KB = 40_000
--- a/laburnumpin/tests/test_platform_wire.py
+++ b/laburnumpin/tests/test_platform_wire.py
@@ -118,13 +118,17 @@
 
 OWN_ID = (b"X-Laburnumpin-Attempt-Id", b"r1")
 OTHER_ID = (b"X-Laburnumpin-Attempt-Id", b"r0")
+RECEIPT = (b"X-Laburnumpin-Response-Seal", b"s")
+EMPTY_RECEIPT = (b"X-Laburnumpin-Response-Seal", b"")
 NOT_EXECUTED = (b"X-Laburnumpin-Not-Executed", b"1")
 
 
 @pytest.mark.parametrize(
     ("status", "headers", "kind"),
     [
-        (200, [OWN_ID], "answer"),
+        (200, [OWN_ID, RECEIPT], "answer"),
+        (200, [OWN_ID], "without_receipt"),
+        (206, [OWN_ID, EMPTY_RECEIPT], "without_receipt"),
         (404, [OWN_ID], "answer"),
         (421, [OWN_ID], "wrong_upstream"),
         (503, [OWN_ID, NOT_EXECUTED], "not_run"),
