Let the soak's runners send answers without length, some of them short

The soak knew ORDER only for answers with a length or chunks. A response may be short only if it has no length either and its runner gave none.

--- a/laburnumpin/soak/calls.py
+++ b/laburnumpin/soak/calls.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from laburnumpin.forwarding import completeness
 from laburnumpin.forwarding import connections
 from laburnumpin.platform import standins
 
@@ -19,12 +20,14 @@
     """A response as the caller received it.
 
     `status` is 0 if none arrived; `complete` is true if the response ended
-    without an error.
+    without an error. `is_open_ended` is whether it had neither a length nor
+    chunks.
     """
 
     status: int
     complete: bool
     body: bytes
+    is_open_ended: bool
 
 
 async def connect(address: str) -> connections.ClientConnection:
@@ -52,6 +55,7 @@
     closed.
     """
     status, complete, body = 0, False, bytearray()
+    is_open_ended = False
     headers = standins.request_headers(
         request_id,
         is_stream=is_stream,
@@ -70,7 +74,12 @@
                 [*headers, (b"Content-Length", b"2")],
                 b"{}",
             )
-            status = (await connection.head()).status_code
+            head = await connection.head()
+            status = head.status_code
+            framing = completeness.find_framing(
+                b"POST", status, list(head.headers)
+            )
+            is_open_ended = framing is completeness.Framing.CLOSE
             while True:
                 chunk = await connection.chunk()
                 if not chunk:
@@ -89,4 +98,4 @@
             reused_connection is None or not complete
         ):
             connection.close()
-    return Answer(status, complete, bytes(body))
+    return Answer(status, complete, bytes(body), is_open_ended)
--- a/laburnumpin/soak/promises.py
+++ b/laburnumpin/soak/promises.py
@@ -81,7 +81,8 @@
     """One request and its response, as the caller observed them.
 
     `status` is 0 if none arrived; `complete` is true if the response ended
-    without an error.
+    without an error. `is_open_ended` is whether it had neither a length nor
+    chunks.
     """
 
     request_id: str
@@ -92,6 +93,7 @@
     status: int
     complete: bool
     body: bytes
+    is_open_ended: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -129,6 +131,7 @@
         "fault_spans",
         "leaving_since_ms",
         "limit_spans",
+        "open_ended_ids",
         "outcomes",
         "versions_in_force",
         "versions_not_in_force",
@@ -144,6 +147,9 @@
         # Times at which a runner ended under a request.
         self.crashes_ms: list[int] = []
         self.limit_spans: list[LimitSpan] = []
+        # Ids of the requests that a runner answered with neither a length nor
+        # chunks, perhaps not to the end.
+        self.open_ended_ids: set[str] = set()
         # Violations that were found while the soak ran.
         self.violations: list[str] = []
         self.fault_spans: list[FaultSpan] = []
@@ -218,8 +224,7 @@
         if not outcome.kind.may_repeat:
             lines.append(f"{name}: answered {outcome.status}, but ran")
     if outcome.status == 200 and outcome.complete:
-        if outcome.body != _expected_body(outcome):
-            lines.append(f"{name}: complete response has a wrong body")
+        lines.extend(_check_end(history, outcome, name))
     if outcome.status == 200 and not outcome.complete:
         if outcome.kind.is_stream:
             if not _expected_body(outcome).startswith(outcome.body):
@@ -237,6 +242,24 @@
     return lines
 
 
+def _check_end(history: History, outcome: Outcome, name: str) -> list[str]:
+    """Check a response that ended without an error.
+
+    Only one without length or chunks may be short, if a runner's answer was.
+    """
+    expected = _expected_body(outcome)
+    if not outcome.is_open_ended:
+        if outcome.body != expected:
+            return [f"{name}: complete response has a wrong body"]
+        return []
+    lines = []
+    if outcome.request_id not in history.open_ended_ids:
+        lines.append(f"{name}: lost the length of its answer")
+    if not outcome.body or not expected.startswith(outcome.body):
+        lines.append(f"{name}: response without length has a wrong body")
+    return lines
+
+
 def _expected_body(outcome: Outcome) -> bytes:
     if not outcome.kind.is_stream:
         return standins.answer_body(outcome.request_id)
--- a/laburnumpin/soak/run.py
+++ b/laburnumpin/soak/run.py
@@ -59,6 +59,12 @@
 LIMITS_PER_S = (1.0, 3.5, 10.0)
 MIN_LIMITED_S = 5.0
 MAX_LIMITED_S = 9.0
+# Share of the soaks with runners that send answers without length, the share of
+# these among a runner's answers, and for how long it sends them.
+OPEN_ENDED_SOAK_SHARE = 0.5
+OPEN_ENDED_SHARE = 0.6
+MIN_OPEN_ENDED_S = 1.0
+MAX_OPEN_ENDED_S = 4.0
 # Offsets by which a `clock_step` moves the wall clock, ms.
 CLOCK_OFFSETS_MS = (-6_000, -2_000, 2_000, 6_000)
 
@@ -136,6 +142,7 @@
         self._random = random.Random(seed)
         self._crash_random = random.Random(f"{seed}/crash")
         self._limit_random = random.Random(f"{seed}/limit")
+        self._open_ended_random = random.Random(f"{seed}/open-ended")
         self._seed = seed
         self._entry_count = entries
         self._directory = directory
@@ -211,6 +218,7 @@
         )
         runner.arrivals = self._history.arrivals
         runner.kv_copies = self._kv_copies
+        runner.open_ended_ids = self._history.open_ended_ids
         runner_address = await task_group.start(standins.serve, runner.handle)
         runner_proxy = proxy.Proxy(runner_address)
         address = await task_group.start(runner_proxy.serve)
@@ -278,6 +286,8 @@
             task_group.start_soon(self._run_crashing_caller)
         if self._limit_random.random() < LIMITED_SOAK_SHARE or is_calm:
             task_group.start_soon(self._limit_runners)
+        if self._open_ended_random.random() < OPEN_ENDED_SOAK_SHARE:
+            task_group.start_soon(self._send_open_ended_answers)
         if is_calm:
             return
         for _ in range(2):
@@ -350,6 +360,7 @@
             answer.status,
             answer.complete,
             answer.body,
+            answer.is_open_ended,
         )
 
     async def _limit_runners(self) -> None:
@@ -375,6 +386,16 @@
                     )
                 )
 
+    async def _send_open_ended_answers(self) -> None:
+        """Let one runner after the other send answers without length."""
+        rng = self._open_ended_random
+        while True:
+            await anyio.sleep(rng.uniform(0.1, 1.0))
+            runner = rng.choice(self._runners).runner
+            runner.open_ended_share = OPEN_ENDED_SHARE
+            await anyio.sleep(rng.uniform(MIN_OPEN_ENDED_S, MAX_OPEN_ENDED_S))
+            runner.open_ended_share = 0.0
+
     async def _run_crashing_caller(self) -> None:
         """Send requests that end the runners that answer them."""
         while True:
--- a/laburnumpin/tests/test_soak.py
+++ b/laburnumpin/tests/test_soak.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import pathlib
 import random
 
@@ -75,6 +76,28 @@
     assert promises.find_violations(history, _store())
 
 
+@pytest.mark.parametrize(
+    ("body", "was_sent_so", "is_allowed"),
+    [
+        (b"answer", True, True),
+        (b"answer", False, False),
+        (b"other", True, False),
+        (b"", True, False),
+    ],
+)
+def test_short_response_is_found_unless_its_runner_gave_no_length(
+    body: bytes, was_sent_so: bool, is_allowed: bool
+) -> None:
+    history = _history()
+    call = _outcome(promises.RequestKind.CALL, 200, body)
+    history.outcomes.append(dataclasses.replace(call, is_open_ended=True))
+    if was_sent_so:
+        history.open_ended_ids.add("r1")
+    assert (not promises.find_violations(history, _store())) is is_allowed
+    history.outcomes.append(call)
+    assert promises.find_violations(history, _store())
+
+
 def test_rejection_of_an_executed_call_is_found() -> None:
     history = _history()
     history.outcomes.append(_outcome(promises.RequestKind.CALL, 503))
