Treat a call's answer without length as truncated in the own interface

Streams have an end event there; calls have no other end, so such an answer is truncated now, and may have run. test_plain_answer_without_length_is_truncated fails before.

--- a/laburnumpin/server/upstream_client.py
+++ b/laburnumpin/server/upstream_client.py
@@ -21,6 +21,7 @@
 from laburnumpin.core import effects
 from laburnumpin.core import events
 from laburnumpin.core import messages
+from laburnumpin.forwarding import completeness
 from laburnumpin.server import bridge as bridges
 from laburnumpin.server import documents
 from laburnumpin.server import http_calls
@@ -298,6 +299,14 @@
             if not 200 <= response.status_code < 300:
                 # Any other 4xx answer is the result of the service.
                 await _raise_rejection(response, verdict.Verdict.RAN)
+            framing = completeness.find_framing(
+                b"POST", response.status_code, response.headers.raw
+            )
+            if framing is completeness.Framing.CLOSE:
+                raise _AttemptError(
+                    events.AttemptFailure.TRUNCATED,
+                    "the answer has neither a length nor chunks",
+                )
             self._restart_timer(attempt)
             answer = await http_calls.read_body(response, MAX_ANSWER_BYTES)
         # Waiting for a full event queue must not time out the upstream.
--- a/laburnumpin/tests/test_server_upstream_client.py
+++ b/laburnumpin/tests/test_server_upstream_client.py
@@ -235,6 +235,14 @@
     assert len(connections) == 1
 
 
+async def test_plain_answer_without_length_is_truncated() -> None:
+    """Guards against a short answer of a service that ended as a whole one."""
+    answer = b"HTTP/1.1 200 OK\r\n\r\nhalf of"
+    async with _raw_server(answer, True) as (address, _):
+        result = await _failure(_dispatch(address, PLAIN))
+    assert result == (Failure.TRUNCATED, MAY_HAVE_RUN)
+
+
 async def test_plain_answer_is_one_chunk() -> None:
     """Guards against an answer whose end the core cannot recognise."""
 
