Read and log the era that the store names

Observability for a store that is restored from an older copy: rows and writes carry the era of the store, and store_era_changed says when it rises and which versions were known before. Without it, a restored store looks the same in the logs as one that was away. A read in several pages during which the era changes is repeated. No decision depends on the era yet.

--- a/laburnumpin/forwarding/duties.py
+++ b/laburnumpin/forwarding/duties.py
@@ -187,13 +187,14 @@
                     "token": call.row.token,
                 }
             )
-            version = await self._store.write(
+            position = await self._store.write(
                 Table.DUTIES,
                 LEASE_KEY,
                 value.encode(),
                 call.expected_version,
             )
-            self._lease.apply_write(version, self._shell.now_ms())
+            self._shell.note_store_era(position.era)
+            self._lease.apply_write(position.version, self._shell.now_ms())
         except interfaces.ConflictError:
             self._lease.apply_conflict(self._shell.now_ms())
             logs.write("lease_conflict", "info", {})
@@ -227,6 +228,7 @@
 
     async def _read_lease(self) -> leases.Row:
         rows = await self._store.read(Table.DUTIES)
+        self._shell.note_store_era(rows.era)
         for row in rows.rows:
             if row.key != LEASE_KEY or row.value is None:
                 continue
--- a/laburnumpin/forwarding/events.py
+++ b/laburnumpin/forwarding/events.py
@@ -57,6 +57,14 @@
     after_outage: bool
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class StoreEraSeen:
+    """The store, or a peer that has read it, named the era of the store."""
+
+    now_ms: int
+    era: int
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class UpstreamChanged:
     """A changed registration was read."""
@@ -188,6 +196,7 @@
 
 Event = (
     DeploymentRead
+    | StoreEraSeen
     | UpstreamsListed
     | UpstreamChanged
     | UpstreamRemoved
--- a/laburnumpin/forwarding/interfaces.py
+++ b/laburnumpin/forwarding/interfaces.py
@@ -63,12 +63,25 @@
     version: int
 
 
+@dataclasses.dataclass(slots=True, frozen=True, order=True)
+class Position:
+    """A version of the store, which is only unique within an era.
+
+    A store that is restored from an older copy starts a new era, in which it
+    gives the versions after the copy out again. `era` is 0 if it names none.
+    """
+
+    era: int
+    version: int
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Rows:
-    """Rows and the version of the store at which they were read."""
+    """Rows, and the version and era of the store at which they were read."""
 
     rows: tuple[Row, ...]
     version: int
+    era: int = 0
 
 
 class StoreClient(Protocol):
@@ -92,7 +105,7 @@
 
     async def write(
         self, table: Table, key: str, value: bytes, expected_version: int | None
-    ) -> int:
+    ) -> Position:
         """Write a row and return its new version.
 
         If `expected_version` is given, the row must have that version; 0
--- a/laburnumpin/forwarding/reducer.py
+++ b/laburnumpin/forwarding/reducer.py
@@ -32,6 +32,8 @@
             return upstream_limits.on_limit_seen(state, event)
         case events.DeploymentRead():
             return registry.on_deployment(state, event)
+        case events.StoreEraSeen():
+            return registry.on_store_era(state, event)
         case events.UpstreamsListed():
             return registry.on_listed(state, event)
         case events.UpstreamChanged():
--- a/laburnumpin/forwarding/registry.py
+++ b/laburnumpin/forwarding/registry.py
@@ -37,6 +37,34 @@
     ]
 
 
+def on_store_era(
+    state: forwarding_state.ForwardingState, event: events.StoreEraSeen
+) -> list[effects.Effect]:
+    """Record a new era of the store, which was restored from an older copy."""
+    if event.era <= state.store_era:
+        return []
+    previous = state.store_era
+    state.store_era = event.era
+    state.store_era_since_ms = event.now_ms
+    lost_version = state.registry_version
+    if previous:
+        state.has_seen_restore = True
+        state.counters.increment("store_restored")
+    return [
+        effects.Report(
+            "store_era_changed",
+            {
+                "era": event.era,
+                "previous": previous,
+                "registry_version": lost_version,
+                "configuration": state.deployment.version
+                if state.deployment
+                else 0,
+            },
+        )
+    ]
+
+
 def on_listed(
     state: forwarding_state.ForwardingState, event: events.UpstreamsListed
 ) -> list[effects.Effect]:
--- a/laburnumpin/forwarding/shell.py
+++ b/laburnumpin/forwarding/shell.py
@@ -186,6 +186,11 @@
         )
         return True, False
 
+    def note_store_era(self, era: int) -> None:
+        """Apply the era that the store named in an answer."""
+        if era > self.state.store_era:
+            self.apply(events.StoreEraSeen(self.now_ms(), era))
+
     def observe(self, name: str, duration_ms: int) -> None:
         """Record a duration in a histogram."""
         self.metrics.observe_ms(name, duration_ms)
--- a/laburnumpin/forwarding/state.py
+++ b/laburnumpin/forwarding/state.py
@@ -108,6 +108,8 @@
         "digests_sent",
         "early_digests",
         "fetch_due_ms",
+        "has_seen_restore",
+        "highest_lease_token",
         "incarnation_ms",
         "lease_token",
         "leaving_since_ms",
@@ -123,6 +125,8 @@
         "registry_read",
         "registry_version",
         "reported_withheld",
+        "store_era",
+        "store_era_since_ms",
         "upstreams",
         "usage",
         "work_ms",
@@ -150,8 +154,17 @@
         self.counters = counters.Counters()
         self.deployment: deployment.Deployment | None = None
         self.upstreams = upstreams.UpstreamTable()
+        # The newest era of the store that is known, 0 if it names none, and
+        # when it was first heard of here.
+        self.store_era = 0
+        self.store_era_since_ms = 0
+        # Whether the store was restored while this process ran.
+        self.has_seen_restore = False
+        # Version of the registrations, in that era.
         self.registry_version = 0
         self.registry_read = False
+        # Highest fencing token of any holder of the lease.
+        self.highest_lease_token = 0
         self.active: dict[str, ActiveRequest] = {}
         self.budget = budgets.RetryBudget(retry_limit)
         self.quotas = budgets.Quotas(quota_slack_units)
--- a/laburnumpin/forwarding/synchronization.py
+++ b/laburnumpin/forwarding/synchronization.py
@@ -121,11 +121,13 @@
             try:
                 if after is None:
                     rows = await self._store.read(table)
+                    self._shell.note_store_era(rows.era)
                     self._apply_all_rows(table, rows, is_failing)
                 else:
                     rows = await self._store.changes(
                         table, after, CHANGES_WAIT_MS
                     )
+                    self._shell.note_store_era(rows.era)
                     if is_failing:
                         self._outage_ended_ms = self._shell.now_ms()
                     self.apply_changes(table, rows)
@@ -156,7 +158,11 @@
                 logs.write(
                     "store_regained",
                     "info",
-                    {"table": table.value, "version": rows.version},
+                    {
+                        "table": table.value,
+                        "version": rows.version,
+                        "era": rows.era,
+                    },
                 )
             is_failing = False
             pause_ms = MIN_RETRY_PAUSE_MS
@@ -182,6 +188,7 @@
                 if not registered:
                     registered = await self._register(own_contact)
                 rows = await self._store.read(Table.ENTRIES)
+                self._shell.note_store_era(rows.era)
             except exceptions.LaburnumpinError as error:
                 logs.write(
                     "entries_not_read", "info", {"reason": error.message}
--- a/laburnumpin/platform/clients.py
+++ b/laburnumpin/platform/clients.py
@@ -4,6 +4,7 @@
 
 import base64
 import binascii
+import dataclasses
 import json
 from typing import Any
 import urllib.parse
@@ -22,6 +23,9 @@
 
 DUTY_HOLDER_HEADER = b"X-Laburnumpin-Duty-Holder"
 FENCING_TOKEN_HEADER = b"X-Laburnumpin-Fencing-Token"
+# Rises when the store has been restored from an older copy.
+STORE_ERA_HEADER = b"store-era"
+MAX_ERA_DIGITS = 9
 
 # The platform defines the first two tables; the entries own the others.
 _TABLE_NAMES = {
@@ -34,6 +38,24 @@
 }
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Response:
+    """A complete response of the platform."""
+
+    status: int
+    headers: connections.Headers
+    body: bytes
+
+    def document(self) -> dict[str, Any]:
+        """Return the JSON object of the body, empty if it is none."""
+        try:
+            document = json.loads(self.body or b"{}")
+        except ValueError:
+            # Error responses may have another body; callers check the status.
+            return {}
+        return document if isinstance(document, dict) else {}
+
+
 class HttpClient:
     """Calls one address with JSON bodies and reuses its connections."""
 
@@ -51,11 +73,10 @@
         headers: connections.Headers | None = None,
         wait_ms: int = 0,
         accepted_statuses: tuple[int, ...] = (),
-    ) -> tuple[int, dict[str, Any]]:
-        """Return the status and the JSON object of the response.
+    ) -> Response:
+        """Return the response.
 
-        The object is empty if the body is not a JSON object. `wait_ms` is the
-        wait of a long poll and extends the timeout.
+        `wait_ms` is the wait of a long poll and extends the timeout.
 
         Raises:
             PlatformUnavailableError: No connection, or a status of 429 or 503
@@ -72,6 +93,7 @@
             *(headers or []),
         ]
         status, response_body = 0, b""
+        response_headers: connections.Headers = []
         is_reusable = False
         try:
             with anyio.fail_after((CALL_TIMEOUT_MS + wait_ms) / 1_000):
@@ -80,6 +102,7 @@
                 )
                 head = await connection.head()
                 status = head.status_code
+                response_headers = list(head.headers)
                 response_body = await connection.body()
             is_reusable = (
                 connection.finish() and len(self._idle) < MAX_IDLE_CONNECTIONS
@@ -101,7 +124,7 @@
             raise exceptions.PlatformUnavailableError(
                 f"{method} {target.partition('?')[0]}: status {status}"
             )
-        return status, _decode_object(response_body)
+        return Response(status, response_headers, response_body)
 
     def close(self) -> None:
         """Close the idle connections."""
@@ -131,13 +154,19 @@
     async def read(self, table: interfaces.Table) -> interfaces.Rows:
         """Return all rows of a table."""
         rows: list[interfaces.Row] = []
+        pages: list[interfaces.Rows] = []
         query = {"table": _TABLE_NAMES[table], "part": ""}
         while True:
-            document = await self._get("/rows-get", query, 0)
-            page = _decode_rows(document)
+            document, era = await self._get("/rows-get", query, 0)
+            page = _decode_rows(document, era)
+            if pages and page.era != pages[0].era:
+                raise exceptions.PlatformUnavailableError(
+                    "/rows-get: the store was restored between two pages"
+                )
+            pages.append(page)
             rows.extend(page.rows)
             if not document.get("truncated") or not page.rows:
-                return interfaces.Rows(tuple(rows), page.version)
+                return interfaces.Rows(tuple(rows), page.version, page.era)
             # Keys are in byte order; the next page starts after the last key.
             query["from"] = page.rows[-1].key + "\x00"
 
@@ -151,7 +180,8 @@
             "after_revision": str(after),
             "wait_ms": str(wait_ms),
         }
-        return _decode_rows(await self._get("/rows-feed", query, wait_ms))
+        document, era = await self._get("/rows-feed", query, wait_ms)
+        return _decode_rows(document, era)
 
     async def write(
         self,
@@ -159,7 +189,7 @@
         key: str,
         value: bytes,
         expected_version: int | None,
-    ) -> int:
+    ) -> interfaces.Position:
         """Write a row and return its version.
 
         If `expected_version` is given, the row must have that version; 0
@@ -174,14 +204,14 @@
         if expected_version is not None:
             conditions.append({**row, "ver": expected_version})
         encoded = base64.b64encode(value).decode()
-        document = await self._transact(
+        document, era = await self._transact(
             {
                 "expected_revision": conditions,
                 "set_keys": [{**row, "value": encoded}],
                 "remove": [],
             }
         )
-        return _decode_version(document)
+        return interfaces.Position(era, _decode_version(document))
 
     async def remove(
         self, table: interfaces.Table, keys: tuple[str, ...]
@@ -198,26 +228,30 @@
 
     async def _get(
         self, path: str, query: dict[str, str], wait_ms: int
-    ) -> dict[str, Any]:
+    ) -> tuple[dict[str, Any], int]:
+        """Return the document and the store's era."""
         target = f"{path}?{urllib.parse.urlencode(query)}"
-        status, document = await self._http.call("GET", target, wait_ms=wait_ms)
-        if status == 410:
+        response = await self._http.call("GET", target, wait_ms=wait_ms)
+        if response.status == 410:
             raise interfaces.HistoryLostError(f"{path}: status 410")
-        if status != 200:
+        if response.status != 200:
             raise exceptions.PlatformUnavailableError(
-                f"{path}: status {status}"
+                f"{path}: status {response.status}"
             )
-        return document
-
-    async def _transact(self, document: dict[str, Any]) -> dict[str, Any]:
-        status, answer = await self._http.call("POST", "/rows-tx", document)
-        if status == 412:
+        return response.document(), _decode_era(response)
+
+    async def _transact(
+        self, document: dict[str, Any]
+    ) -> tuple[dict[str, Any], int]:
+        """Return the answer and the store's era."""
+        response = await self._http.call("POST", "/rows-tx", document)
+        if response.status == 412:
             raise interfaces.ConflictError("/rows-tx: status 412")
-        if status != 200:
+        if response.status != 200:
             raise exceptions.PlatformUnavailableError(
-                f"/rows-tx: status {status}"
+                f"/rows-tx: status {response.status}"
             )
-        return answer
+        return response.document(), _decode_era(response)
 
 
 class PlatformCloud:
@@ -233,17 +267,17 @@
         self, fencing_token: int, window: int, counts: dict[str, int]
     ) -> None:
         """Report how many requests of each customer began in a window."""
-        status, answer = await self._http.call(
+        response = await self._http.call(
             "POST",
             "/usage",
             {"window_id": window, "counts": counts},
             self._duty_headers(fencing_token),
         )
-        if status == 409:
-            raise interfaces.FencedError(f"/usage: {answer}")
-        if status != 200:
+        if response.status == 409:
+            raise interfaces.FencedError(f"/usage: {response.document()}")
+        if response.status != 200:
             raise exceptions.PlatformUnavailableError(
-                f"/usage: status {status}"
+                f"/usage: status {response.status}"
             )
 
     async def order_upstreams(
@@ -266,17 +300,17 @@
         }
         if reclaimable:
             document["spot"] = True
-        status, answer = await self._http.call(
+        response = await self._http.call(
             "POST", "/scale", document, self._duty_headers(fencing_token)
         )
-        if status == 409:
+        if response.status == 409:
             # The platform also answers 409 if it has seen a higher fencing
             # token. An entry that has lost the lease detects that from the
             # lease row.
-            raise interfaces.OrderRefusedError(f"/scale: {answer}")
-        if status != 200:
+            raise interfaces.OrderRefusedError(f"/scale: {response.document()}")
+        if response.status != 200:
             raise exceptions.PlatformUnavailableError(
-                f"/scale: status {status} {answer}"
+                f"/scale: status {response.status} {response.document()}"
             )
 
     def _duty_headers(self, fencing_token: int) -> connections.Headers:
@@ -297,7 +331,7 @@
         """Stop a stream and copy its KV cache to another engine."""
         http = HttpClient(source_address)
         try:
-            status, answer = await http.call(
+            response = await http.call(
                 "POST",
                 "/kv-move",
                 # `last` stops the generation before the copy.
@@ -307,8 +341,8 @@
         finally:
             http.close()
         # Despite its name the handle is a path below the engine's address.
-        handle = answer.get("kv_handle")
-        if status not in (200, 503) or handle is None:
+        handle = response.document().get("kv_handle")
+        if response.status not in (200, 503) or handle is None:
             return None
         return f"{source_address}/{handle}"
 
@@ -336,15 +370,6 @@
         return PlatformEngines()
 
 
-def _decode_object(body: bytes) -> dict[str, Any]:
-    try:
-        document = json.loads(body or b"{}")
-    except ValueError:
-        # Error responses may have another body; callers check the status.
-        return {}
-    return document if isinstance(document, dict) else {}
-
-
 def _decode_version(document: dict[str, Any]) -> int:
     version = document.get("ver")
     if not isinstance(version, int):
@@ -354,7 +379,25 @@
     return version
 
 
-def _decode_rows(document: dict[str, Any]) -> interfaces.Rows:
+def _decode_era(response: Response) -> int:
+    """Return the era of the store, 0 if it names none.
+
+    Raises:
+        PlatformAnswerLostError: The era is malformed, so what the response
+            says belongs to no known history.
+    """
+    for name, value in response.headers:
+        if name.lower() != STORE_ERA_HEADER:
+            continue
+        if value.isdigit() and len(value) <= MAX_ERA_DIGITS:
+            return int(value)
+        raise exceptions.PlatformAnswerLostError(
+            "the store-era header is not a number"
+        )
+    return 0
+
+
+def _decode_rows(document: dict[str, Any], era: int) -> interfaces.Rows:
     rows = []
     for row in document.get("rows", []):
         value: bytes | None = None
@@ -364,4 +407,4 @@
             except (binascii.Error, TypeError):
                 value = b""  # The decoder of the row rejects an empty value.
         rows.append(interfaces.Row(str(row["key"]), value, int(row["ver"])))
-    return interfaces.Rows(tuple(rows), _decode_version(document))
+    return interfaces.Rows(tuple(rows), _decode_version(document), era)
--- a/laburnumpin/tests/test_forwarding_duties.py
+++ b/laburnumpin/tests/test_forwarding_duties.py
@@ -28,14 +28,14 @@
 
     async def write(
         self, table: Table, key: str, value: bytes, expected_version: int | None
-    ) -> int:
+    ) -> interfaces.Position:
         current_row = self._rows.get((table, key))
         version = 0 if current_row is None else current_row.version
         if expected_version is not None and expected_version != version:
             raise interfaces.ConflictError(key)
         self._version += 1
         self._rows[table, key] = interfaces.Row(key, value, self._version)
-        return self._version
+        return interfaces.Position(0, self._version)
 
     async def remove(self, table: Table, keys: tuple[str, ...]) -> None:
         for key in keys:
--- a/laburnumpin/tests/test_forwarding_synchronization.py
+++ b/laburnumpin/tests/test_forwarding_synchronization.py
@@ -76,8 +76,8 @@
 
     async def write(
         self, table: interfaces.Table, key: str, value: bytes, expected: Any
-    ) -> int:
-        return 1
+    ) -> interfaces.Position:
+        return interfaces.Position(0, 1)
 
     async def remove(
         self, table: interfaces.Table, keys: tuple[str, ...]
--- a/laburnumpin/tests/test_forwarding_withholding_store.py
+++ b/laburnumpin/tests/test_forwarding_withholding_store.py
@@ -34,10 +34,10 @@
 
     async def write(
         self, table: interfaces.Table, key: str, value: bytes, expected: Any
-    ) -> int:
+    ) -> interfaces.Position:
         self.value = value
         self.written.set()
-        return 1
+        return interfaces.Position(0, 1)
 
 
 def _shell() -> shells.Shell:
