Compare versions of the store within one era only

Cause: a restored store gives its versions out again.

Now each position is a pair of era and version. A new era means a full read of both tables. What holds across eras is each writer's own order: an older configuration of the operator, or an older registration of an upstream, never replaces a newer one; a registration that was removed is used again only if it has been written since, or stays in the store for longer than the platform keeps that of an upstream that is gone. Entries without the store learn of the era from digests and links; rows of peers of the release before, which name no era, are applied until the store is restored. Each entry writes its own row again.

--- a/laburnumpin/commands/explain.py
+++ b/laburnumpin/commands/explain.py
@@ -56,7 +56,11 @@
 )
 _STATE_CHANGES = (
     "configuration_in_force",
+    "configuration_kept",
     "entry_started",
+    "registration_held",
+    "rows_of_lost_era",
+    "store_era_changed",
     "store_lost",
     "store_regained",
     "upstream_changed",
--- a/laburnumpin/forwarding/digests.py
+++ b/laburnumpin/forwarding/digests.py
@@ -35,7 +35,9 @@
     the start, by service, and by service and prompt size class.
     `contacts` are addresses of other entries, `part_losses` the ends of engines
     under prompt parts (None from an entry of an earlier release, which does not
-    report them), and `limits` the limits that upstreams named.
+    report them), and `limits` the limits that upstreams named. `store_era` is
+    the era of the store that `registry_version` belongs to, 0 from an entry of
+    an earlier release.
     """
 
     contact: membership.Contact
@@ -54,6 +56,7 @@
     work_ms: dict[str, float]
     part_losses: tuple[part_losses.Row, ...] | None = ()
     limits: tuple[LimitRow, ...] = ()
+    store_era: int = 0
 
 
 class DigestFilter:
--- a/laburnumpin/forwarding/events.py
+++ b/laburnumpin/forwarding/events.py
@@ -37,10 +37,15 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class DeploymentRead:
-    """A version of the configuration was read from the store or a peer."""
+    """A version of the configuration was read from the store or a peer.
+
+    `is_rewritten` is whether its contents were written in a later era of the
+    store than those of the same version that were read before.
+    """
 
     now_ms: int
     deployment: deployment.Deployment
+    is_rewritten: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/laburnumpin/forwarding/gossip.py
+++ b/laburnumpin/forwarding/gossip.py
@@ -6,6 +6,7 @@
 from laburnumpin.forwarding import effects
 from laburnumpin.forwarding import events
 from laburnumpin.forwarding import membership
+from laburnumpin.forwarding import registry
 from laburnumpin.forwarding import state as forwarding_state
 from laburnumpin.forwarding import upstream_limits
 from laburnumpin.forwarding import withholding
@@ -96,6 +97,9 @@
     peer.wall_offset_ms = digest.wall_ms - now_ms
     peer.work_ms = digest.work_ms
     peer.lease_token = digest.lease_token
+    state.highest_lease_token = max(
+        state.highest_lease_token, digest.lease_token
+    )
     peer.config_version = digest.config_version
     peer.registry_version = digest.registry_version
     for address in digest.contacts:
@@ -125,6 +129,11 @@
     peer.reports_losses = digest.part_losses is not None
     if digest.part_losses:
         produced.extend(withholding.merge(state, digest.part_losses, now_ms))
+    produced.extend(
+        registry.on_store_era(
+            state, events.StoreEraSeen(now_ms, digest.store_era)
+        )
+    )
     produced.extend(_fetch_if_behind(state, peer.address, digest, now_ms))
     return produced
 
@@ -163,7 +172,12 @@
     current = state.deployment
     own_version = 0 if current is None else current.version
     is_behind = digest.config_version > own_version
-    is_behind = is_behind or digest.registry_version > state.registry_version
+    # The era of a peer of an earlier release is not known; its version can be
+    # compared only as long as the store was not restored.
+    if digest.store_era == state.store_era or (
+        not digest.store_era and not state.has_seen_restore
+    ):
+        is_behind |= digest.registry_version > state.registry_version
     if not is_behind:
         return []
     state.fetch_due_ms = now_ms + FETCH_PERIOD_MS
@@ -223,4 +237,5 @@
         work_ms=dict(state.work_ms),
         part_losses=state.part_losses.rows(now_ms, repeats_all=repeats_all),
         limits=upstream_limits.rows(state, now_ms, repeats_all=repeats_all),
+        store_era=state.store_era,
     )
--- a/laburnumpin/forwarding/peer_link.py
+++ b/laburnumpin/forwarding/peer_link.py
@@ -166,6 +166,7 @@
             "w": digest.wall_ms,
             "c": digest.config_version,
             "r": digest.registry_version,
+            "v": digest.store_era,
             "l": digest.lease_token,
             "u": {k: int(v) for k, v in digest.used.items()},
             "k": digest.windows,
@@ -253,4 +254,5 @@
         if "q" in fields
         else None,
         limits=upstream_limits.decode_rows(fields.get("h", ())),
+        store_era=int(fields.get("v", 0)),
     )
--- a/laburnumpin/forwarding/registry.py
+++ b/laburnumpin/forwarding/registry.py
@@ -13,11 +13,18 @@
 def on_deployment(
     state: forwarding_state.ForwardingState, event: events.DeploymentRead
 ) -> list[effects.Effect]:
-    """Apply a configuration if it is newer than the current one."""
+    """Apply a configuration if it is newer than the current one.
+
+    One of the same version replaces it if it was written again in a later era
+    of the store.
+    """
     current = state.deployment
     version = event.deployment.version
-    if current is not None and version <= current.version:
-        return []
+    if current is not None:
+        if version < current.version:
+            return []
+        if version == current.version and not event.is_rewritten:
+            return []
     state.deployment = event.deployment
     changed = []
     for customer in event.deployment.customers.values():
@@ -40,7 +47,7 @@
 def on_store_era(
     state: forwarding_state.ForwardingState, event: events.StoreEraSeen
 ) -> list[effects.Effect]:
-    """Record a new era of the store, which was restored from an older copy."""
+    """Start a new era of the store: versions of earlier ones mean nothing."""
     if event.era <= state.store_era:
         return []
     previous = state.store_era
@@ -49,6 +56,9 @@
     lost_version = state.registry_version
     if previous:
         state.has_seen_restore = True
+        state.registry_version = 0
+        # Peers without access to the store learn of it by a digest.
+        state.request_early_digest()
         state.counters.increment("store_restored")
     return [
         effects.Report(
--- a/laburnumpin/forwarding/relay.py
+++ b/laburnumpin/forwarding/relay.py
@@ -52,10 +52,18 @@
 
     `name` is that of the peer, and cancelling `scope` closes the link.
     `in_sync` is whether the peer is in sync with the store; an own relay may be
-    so through another relay.
+    so through another relay. `era` is the era of the store in which it is in
+    sync, 0 if it is of an earlier release.
     """
 
-    __slots__ = ("_frame_stream", "in_sync", "name", "peer_role", "scope")
+    __slots__ = (
+        "_frame_stream",
+        "era",
+        "in_sync",
+        "name",
+        "peer_role",
+        "scope",
+    )
 
     def __init__(
         self, name: str, peer_role: PeerRole, frame_stream: frames.FrameStream
@@ -64,6 +72,7 @@
         self.peer_role = peer_role
         self.scope = anyio.CancelScope()
         self.in_sync = False
+        self.era = 0
         self._frame_stream = frame_stream
 
     def send(self, frame: bytes) -> bool:
@@ -126,10 +135,20 @@
             return False
         links = self._links.values()
         return any(
-            link.peer_role is PeerRole.OWN_RELAY and link.in_sync
+            link.peer_role is PeerRole.OWN_RELAY
+            and link.in_sync
+            and self._has_current_era(link, now_ms)
             for link in links
         )
 
+    def _has_current_era(self, link: _Link, now_ms: int) -> bool:
+        """Return whether a relay is in the newest era, or soon may be."""
+        state = self._shell.state
+        if not state.has_seen_restore or link.era == state.store_era:
+            return True
+        waited_ms = now_ms - state.store_era_since_ms
+        return waited_ms < synchronization.RELAY_ERA_GRACE_MS
+
     def send_own_digest(self, encoded: bytes) -> None:
         """Send this entry's own digest over its links.
 
@@ -247,14 +266,16 @@
             kind = message["kind"]
             if kind == "bundle":
                 link.in_sync = bool(message["in_step"])
+                link.era = int(message.get("era", 0))
                 for encoded in message["digests"]:
                     self._on_digest(link, bytes(encoded))
             elif kind == "rows":
                 table = interfaces.Table(message["table"])
                 rows = synchronization.decode_rows(message["rows"])
                 version = int(message["version"])
-                self._synchronizer.apply_changes(
-                    table, interfaces.Rows(tuple(rows), version)
+                era = int(message.get("era", 0))
+                self._synchronizer.apply_peer_changes(
+                    table, interfaces.Rows(tuple(rows), version, era)
                 )
             elif kind == "snapshot":
                 self._synchronizer.apply_snapshot(message)
@@ -314,10 +335,11 @@
                 local_digests.append(encoded)
         # A member gets its own digest back and ignores it, so that one message
         # serves all members.
+        era = self._synchronizer.era()
         member_frame = _bundle_frame(
-            [encoded for encoded, _ in bundle.values()], members_in_sync
+            [encoded for encoded, _ in bundle.values()], members_in_sync, era
         )
-        relay_frame = _bundle_frame(local_digests, own_in_sync)
+        relay_frame = _bundle_frame(local_digests, own_in_sync, era)
         for link in self._links.values():
             is_member = link.peer_role is PeerRole.MEMBER
             if not link.send(member_frame if is_member else relay_frame):
@@ -337,6 +359,7 @@
                     "table": table.value,
                     "rows": synchronization.encode_rows(rows.rows),
                     "version": rows.version,
+                    "era": rows.era,
                 }
             )
         for link in self._links.values():
@@ -346,7 +369,14 @@
                 link.scope.cancel()
 
 
-def _bundle_frame(encoded_digests: list[bytes], in_sync: bool) -> bytes:
+def _bundle_frame(
+    encoded_digests: list[bytes], in_sync: bool, era: int
+) -> bytes:
     return frames.encode(
-        {"kind": "bundle", "in_step": in_sync, "digests": encoded_digests}
+        {
+            "kind": "bundle",
+            "in_step": in_sync,
+            "era": era,
+            "digests": encoded_digests,
+        }
     )
--- a/laburnumpin/forwarding/synchronization.py
+++ b/laburnumpin/forwarding/synchronization.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import dataclasses
 from typing import Any
 
 import anyio
@@ -40,28 +41,61 @@
 # Pause between later reads of the entries' rows, and what each entry adds.
 ENTRY_READ_PERIOD_S = 10.0
 ENTRY_READ_PERIOD_S_PER_ENTRY = 1.0
+# In a new era of the store, each entry writes its row again at a random time;
+# the span grows by this much with each entry.
+ENTRY_WRITE_SPREAD_S = 0.01
 # Removed registrations whose version is kept.
 MAX_TOMBSTONES = 1_000
+# In a new era of the store, entries that a relay keeps in sync wait this long
+# for the relay's rows before they read the store themselves.
+RELAY_ERA_GRACE_MS = 2_000
+# A registration that was removed before a restore and is in the restored copy
+# is used again if it stays there this long: three heartbeats of an upstream,
+# after which the platform removes it, and a margin.
+RESTORED_HOLD_MS = 5_000
 
 Table = interfaces.Table
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Tombstone:
+    """A removed registration.
+
+    `position` is that of the removal, `written` the upstream's own order of its
+    last registration.
+    """
+
+    position: interfaces.Position
+    written: tuple[int, int]
+
+
 class Synchronizer:
-    """Keeps the state in sync with the store, directly or through peers."""
+    """Keeps the state in sync with the store, directly or through peers.
+
+    Versions are compared within one era of the store only. Across eras, the
+    operator's own configuration versions and the upstreams' own order of their
+    registrations decide, so that no value of an older copy replaces a newer
+    one.
+    """
 
     __slots__ = (
+        "_configuration_era",
         "_documents",
         "_entries_read",
+        "_era_changed",
         "_failing_tables",
+        "_held_rows",
+        "_ignored_eras",
+        "_noted_era",
         "_on_entries_read",
         "_operator_rows",
         "_outage_ended_ms",
+        "_positions",
         "_relay_lost",
         "_shell",
         "_store",
-        "_tombstone_versions",
+        "_tombstones",
         "_upstream_rows",
-        "_versions",
         "is_synced_by_relay",
         "on_rows",
     )
@@ -81,11 +115,24 @@
         # Rows of the store, for snapshots to peers that cannot reach it.
         self._operator_rows: dict[str, interfaces.Row] = {}
         self._upstream_rows: dict[str, interfaces.Row] = {}
-        # Version of the newest change that was applied, by table.
-        self._versions = {Table.OPERATOR: 0, Table.UPSTREAMS: 0}
-        # Versions of removals, by the key of the removed registration. A late
-        # change of an older version must not undo a removal.
-        self._tombstone_versions: dict[str, int] = {}
+        # Position of the newest change that was applied, by table.
+        self._positions = {
+            Table.OPERATOR: interfaces.Position(0, 0),
+            Table.UPSTREAMS: interfaces.Position(0, 0),
+        }
+        # By the key of the removed registration. A late change of an older
+        # version must not undo a removal, nor must an older copy of the store.
+        self._tombstones: dict[str, _Tombstone] = {}
+        # Rows of a restored store that may belong to upstreams that have ended,
+        # and since when they are held, by key.
+        self._held_rows: dict[str, tuple[interfaces.Row, int]] = {}
+        # Era in which the configuration in force was read.
+        self._configuration_era = 0
+        # Set when the store's era has changed since `_noted_era`.
+        self._era_changed = anyio.Event()
+        self._noted_era = 0
+        # Tables and eras whose ignored rows were logged.
+        self._ignored_eras: set[tuple[interfaces.Table, int]] = set()
         self._outage_ended_ms: int | None = None
         # Set while no relay keeps this entry in sync.
         self._relay_lost = anyio.Event()
@@ -109,10 +156,10 @@
         """
         await self._entries_read.wait()
         pause_ms = MIN_RETRY_PAUSE_MS
-        after: int | None = None
+        after: interfaces.Position | None = None
         is_failing = False
         while True:
-            if self._versions[table] and self.is_synced_by_relay():
+            if self._positions[table].version and self._is_synced(table):
                 is_failing = False
                 self._failing_tables.discard(table)
                 self.on_tick()
@@ -125,15 +172,20 @@
                     self._apply_all_rows(table, rows, is_failing)
                 else:
                     rows = await self._store.changes(
-                        table, after, CHANGES_WAIT_MS
+                        table, after.version, CHANGES_WAIT_MS
                     )
                     self._shell.note_store_era(rows.era)
+                    if rows.era != after.era:
+                        # The store was restored: the cursor is from a history
+                        # that it has lost, and changes before it are missing.
+                        after = None
+                        continue
                     if is_failing:
                         self._outage_ended_ms = self._shell.now_ms()
                     self.apply_changes(table, rows)
                     if rows.rows and self._shell.state.members.uses_relays():
                         await anyio.sleep(CHANGES_PAUSE_S)
-                after = rows.version
+                after = interfaces.Position(rows.era, rows.version)
                 self._failing_tables.discard(table)
             except interfaces.HistoryLostError:
                 logs.write("store_history_lost", "info", {"table": table.value})
@@ -168,13 +220,32 @@
             pause_ms = MIN_RETRY_PAUSE_MS
 
     def on_tick(self) -> None:
-        """Check whether a relay still keeps this entry in sync."""
-        is_synced = self.is_synced_by_relay()
+        """Check whether a relay keeps this entry in sync, and held rows."""
+        self._release_held_rows(self._shell.now_ms())
+        if self._shell.state.store_era > self._noted_era:
+            self._noted_era = self._shell.state.store_era
+            self._era_changed.set()
+            self._era_changed = anyio.Event()
+        is_synced = all(self._is_synced(table) for table in self._positions)
         if is_synced and self._relay_lost.is_set():
             self._relay_lost = anyio.Event()
         elif not is_synced:
             self._relay_lost.set()
 
+    def _is_synced(self, table: interfaces.Table) -> bool:
+        """Return whether a relay keeps a table in sync, in the newest era."""
+        if not self.is_synced_by_relay():
+            return False
+        state = self._shell.state
+        if self._positions[table].era >= state.store_era:
+            return True
+        waited_ms = self._shell.now_ms() - state.store_era_since_ms
+        return waited_ms < RELAY_ERA_GRACE_MS
+
+    def era(self) -> int:
+        """Return the era of the store that both tables are in."""
+        return min(position.era for position in self._positions.values())
+
     async def register_and_poll_entries(
         self, own_contact: membership.Contact
     ) -> None:
@@ -217,13 +288,30 @@
             if self._on_entries_read is not None:
                 await self._on_entries_read()
             self._entries_read.set()
+            registered = any(row.key == own_contact.name for row in rows.rows)
             if reads < len(INITIAL_ENTRY_READ_PAUSES_S):
-                await anyio.sleep(INITIAL_ENTRY_READ_PAUSES_S[reads])
+                registered &= await self._wait_in_era(
+                    INITIAL_ENTRY_READ_PAUSES_S[reads]
+                )
                 reads += 1
                 continue
             pause_s = ENTRY_READ_PERIOD_S
             pause_s += ENTRY_READ_PERIOD_S_PER_ENTRY * len(rows.rows)
-            await anyio.sleep(pause_s)
+            registered &= await self._wait_in_era(pause_s)
+
+    async def _wait_in_era(self, pause_s: float) -> bool:
+        """Wait; return False early if the store has started a new era.
+
+        Rows of this entry may be lost then. The entries of a large fleet write
+        theirs again one after the other.
+        """
+        with anyio.move_on_after(pause_s) as scope:
+            await self._era_changed.wait()
+        if scope.cancelled_caught:
+            return True
+        spread_s = ENTRY_WRITE_SPREAD_S * self._shell.state.members.count()
+        await anyio.sleep(self._shell.state.random.uniform(0.0, spread_s))
+        return False
 
     async def _register(self, own_contact: membership.Contact) -> bool:
         """Write this entry's row; return whether that succeeded."""
@@ -240,15 +328,19 @@
 
     def is_in_sync(self) -> bool:
         """Return whether both tables were read and none is failing."""
-        return not self._failing_tables and all(self._versions.values())
+        return not self._failing_tables and all(
+            position.version for position in self._positions.values()
+        )
 
     def snapshot(self) -> dict[str, Any]:
         """Return all rows and the table versions, for a peer that is behind."""
         return {
             "operator": encode_rows(tuple(self._operator_rows.values())),
             "upstreams": encode_rows(tuple(self._upstream_rows.values())),
-            "operator_version": self._versions[Table.OPERATOR],
-            "upstreams_version": self._versions[Table.UPSTREAMS],
+            "operator_version": self._positions[Table.OPERATOR].version,
+            "upstreams_version": self._positions[Table.UPSTREAMS].version,
+            "operator_era": self._positions[Table.OPERATOR].era,
+            "upstreams_era": self._positions[Table.UPSTREAMS].era,
             "part_losses": part_losses.encode_rows(
                 self._shell.state.part_losses.all_rows(self._shell.now_ms())
             ),
@@ -265,6 +357,8 @@
             upstream_rows = decode_rows(snapshot["upstreams"])
             operator_version = int(snapshot["operator_version"])
             upstreams_version = int(snapshot["upstreams_version"])
+            operator_era = int(snapshot.get("operator_era", 0))
+            upstreams_era = int(snapshot.get("upstreams_era", 0))
             # Entries of an earlier release do not send these.
             losses = part_losses.decode_rows(snapshot.get("part_losses", ()))
         except (KeyError, TypeError) as error:
@@ -273,27 +367,71 @@
             self._shell.apply(
                 events.PartLossesRead(self._shell.now_ms(), losses)
             )
-        for table, rows, snapshot_version in (
-            (Table.OPERATOR, operator_rows, operator_version),
-            (Table.UPSTREAMS, upstream_rows, upstreams_version),
+        for table, rows, snapshot_version, snapshot_era in (
+            (Table.OPERATOR, operator_rows, operator_version, operator_era),
+            (Table.UPSTREAMS, upstream_rows, upstreams_version, upstreams_era),
         ):
-            if snapshot_version <= self._versions[table]:
+            era = self._resolve_era(snapshot_era)
+            if era is None:
+                self._ignore_rows(table, snapshot_era, snapshot_version)
+                if table is Table.OPERATOR:
+                    self._adopt_configuration({row.key: row for row in rows})
                 continue
+            position = interfaces.Position(era, snapshot_version)
+            if position <= self._positions[table]:
+                if table is Table.OPERATOR:
+                    # The peer may keep what the store has lost.
+                    self._adopt_configuration({row.key: row for row in rows})
+                continue
+            self._shell.note_store_era(era)
             logs.write(
                 "snapshot_adopted",
                 "info",
-                {"table": table.value, "version": snapshot_version},
+                {
+                    "table": table.value,
+                    "version": snapshot_version,
+                    "era": era,
+                },
             )
             # The peer may have had access to the store all the time. Missing
             # registrations count as possibly expired in an outage only while
             # this entry's own calls to the store fail.
             self._apply_all_rows(
                 table,
-                interfaces.Rows(tuple(rows), snapshot_version),
+                interfaces.Rows(tuple(rows), snapshot_version, era),
                 bool(self._failing_tables),
                 snapshot_version,
             )
 
+    def _resolve_era(self, era: int) -> int | None:
+        """Return the era of a peer's rows; None if it is not known.
+
+        Entries of the release before name none. Their rows are of the store's
+        only era, unless it was restored since this process started.
+        """
+        state = self._shell.state
+        if era or not state.has_seen_restore:
+            return era or state.store_era
+        return None
+
+    def _ignore_rows(
+        self, table: interfaces.Table, era: int, version: int
+    ) -> None:
+        self._shell.state.counters.increment("rows_of_lost_era", table.value)
+        if (table, self._shell.state.store_era) in self._ignored_eras:
+            return
+        self._ignored_eras.add((table, self._shell.state.store_era))
+        logs.write(
+            "rows_of_lost_era",
+            "info",
+            {
+                "table": table.value,
+                "version": version,
+                "era": era,
+                "store_era": self._shell.state.store_era,
+            },
+        )
+
     def _apply_all_rows(
         self,
         table: interfaces.Table,
@@ -301,53 +439,81 @@
         after_outage: bool,
         snapshot_version: int = 0,
     ) -> None:
-        if rows.version < self._versions[table]:
+        previous = self._positions[table]
+        if rows.era < previous.era:
+            self._ignore_rows(table, rows.era, rows.version)
+            return
+        is_restored = rows.era > previous.era and previous.version > 0
+        if not is_restored and rows.version < previous.version:
             return  # A newer snapshot of a peer has been applied.
         newest_version = max([row.version for row in rows.rows], default=1)
-        previous_version = self._versions[table]
-        self._versions[table] = max(
-            previous_version, newest_version, snapshot_version
-        )
-        now_ms = self._shell.now_ms()
+        newest_version = max(newest_version, snapshot_version)
+        if rows.era == previous.era:
+            newest_version = max(newest_version, previous.version)
+        self._positions[table] = interfaces.Position(rows.era, newest_version)
+        by_key = {row.key: row for row in rows.rows}
         if table is Table.OPERATOR:
-            self._operator_rows = {row.key: row for row in rows.rows}
-            self._apply_configuration(rows.version)
-            self._publish_rows(table, rows, previous_version, complete=True)
+            self._apply_operator_rows(by_key)
+            self._publish_rows(table, rows, previous, complete=True)
             return
-        self._upstream_rows = {row.key: row for row in rows.rows}
+        now_ms = self._shell.now_ms()
+        if is_restored:
+            # What upstreams registered after the copy was made is missing until
+            # they register again.
+            after_outage = True
+            self._held_rows.clear()
+            self._keep_newer_registrations(by_key)
+        by_key = self._hold_ended(by_key, now_ms)
+        self._upstream_rows = by_key
         if after_outage:
             self._outage_ended_ms = now_ms
         registrations: list[upstreams.Registration] = []
-        for row in rows.rows:
+        for row in by_key.values():
             registration = self._documents.decode_registration(row)
             if registration is not None:
                 registrations.append(registration)
         self._shell.apply(
             events.UpstreamsListed(
                 now_ms,
-                self._versions[table],
+                newest_version,
                 tuple(registrations),
                 after_outage,
             )
         )
-        self._publish_rows(table, rows, previous_version, complete=True)
+        self._publish_rows(table, rows, previous, complete=True)
+
+    def apply_peer_changes(
+        self, table: interfaces.Table, rows: interfaces.Rows
+    ) -> None:
+        """Apply changed rows from a relay link, if their era is known."""
+        era = self._resolve_era(rows.era)
+        if era is None or era < self._positions[table].era:
+            self._ignore_rows(table, rows.era, rows.version)
+            return
+        self._shell.note_store_era(era)
+        if era > self._positions[table].era:
+            return  # The whole table of the new era comes first.
+        self.apply_changes(table, dataclasses.replace(rows, era=era))
 
     def apply_changes(
         self, table: interfaces.Table, rows: interfaces.Rows
     ) -> None:
-        """Apply changed rows from the store or from a relay link."""
+        """Apply changed rows of the era that the table is in."""
         if not rows.rows:
             return
-        previous_version = self._versions[table]
+        previous = self._positions[table]
         newest_version = max(row.version for row in rows.rows)
-        self._versions[table] = max(previous_version, newest_version)
+        self._positions[table] = max(
+            previous, interfaces.Position(rows.era, newest_version)
+        )
         if table is Table.OPERATOR:
+            changed = dict(self._operator_rows)
             for row in rows.rows:
-                current_row = self._operator_rows.get(row.key)
+                current_row = changed.get(row.key)
                 if current_row is None or row.version > current_row.version:
-                    self._operator_rows[row.key] = row
-            self._apply_configuration(rows.version)
-            self._publish_rows(table, rows, previous_version, complete=False)
+                    changed[row.key] = row
+            self._apply_operator_rows(changed)
+            self._publish_rows(table, rows, previous, complete=False)
             return
         now_ms = self._shell.now_ms()
         ended_ms = self._outage_ended_ms
@@ -356,65 +522,205 @@
         )
         for row in rows.rows:
             self._apply_row(row, now_ms, after_outage)
-        self._shell.state.registry_version = self._versions[table]
-        self._publish_rows(table, rows, previous_version, complete=False)
+        self._shell.state.registry_version = self._positions[table].version
+        self._publish_rows(table, rows, previous, complete=False)
 
     def _apply_row(
         self, row: interfaces.Row, now_ms: int, after_outage: bool
     ) -> None:
+        era = self._positions[Table.UPSTREAMS].era
         current_row = self._upstream_rows.get(row.key)
-        known_version = self._tombstone_versions.get(row.key, 0)
+        known = interfaces.Position(era, 0)
         if current_row is not None:
-            known_version = current_row.version
-        if row.version <= known_version:
+            known = interfaces.Position(era, current_row.version)
+        elif row.key in self._tombstones:
+            known = self._tombstones[row.key].position
+        if known.era == era and row.version <= known.version:
             return  # A peer has delivered this or a newer change.
         registration = self._documents.decode_registration(row)
         if registration is None:
-            self._upstream_rows.pop(row.key, None)
-            self._tombstone_versions[row.key] = row.version
-            if len(self._tombstone_versions) > MAX_TOMBSTONES:
-                del self._tombstone_versions[
-                    next(iter(self._tombstone_versions))
-                ]
+            self._remove_row(row, era)
             self._shell.apply(
                 events.UpstreamRemoved(
                     now_ms, row.version, row.key, after_outage
                 )
             )
             return
-        self._tombstone_versions.pop(row.key, None)
+        if self._is_held(row, registration, now_ms):
+            return
+        self._tombstones.pop(row.key, None)
         self._upstream_rows[row.key] = row
         self._shell.apply(
             events.UpstreamChanged(now_ms, row.version, registration)
         )
 
+    def _remove_row(self, row: interfaces.Row, era: int) -> None:
+        """Remove a row, and remember that it was removed."""
+        self._held_rows.pop(row.key, None)
+        removed = self._upstream_rows.pop(row.key, None)
+        written = (0, 0)
+        if row.key in self._tombstones:
+            written = self._tombstones[row.key].written
+        if removed is not None:
+            last = self._documents.decode_registration(removed)
+            written = max(written, (0, 0) if last is None else last.written)
+        self._tombstones[row.key] = _Tombstone(
+            interfaces.Position(era, row.version), written
+        )
+        if len(self._tombstones) > MAX_TOMBSTONES:
+            del self._tombstones[next(iter(self._tombstones))]
+
+    def _keep_newer_registrations(
+        self, rows: dict[str, interfaces.Row]
+    ) -> None:
+        """Replace an older copy's values by newer ones of the upstreams."""
+        for key, row in rows.items():
+            known_row = self._upstream_rows.get(key)
+            if known_row is None:
+                continue
+            known = self._documents.decode_registration(known_row)
+            copied = self._documents.decode_registration(row)
+            if known is None or copied is None:
+                continue
+            if known.written > copied.written:
+                rows[key] = dataclasses.replace(known_row, version=row.version)
+
+    def _hold_ended(
+        self, rows: dict[str, interfaces.Row], now_ms: int
+    ) -> dict[str, interfaces.Row]:
+        """Return the rows of a restored store, without those to be held."""
+        for key in list(self._held_rows):
+            if key not in rows:
+                del self._held_rows[key]
+        kept: dict[str, interfaces.Row] = {}
+        for key, row in rows.items():
+            registration = self._documents.decode_registration(row)
+            if registration is not None and self._is_held(
+                row, registration, now_ms
+            ):
+                continue
+            kept[key] = row
+        return kept
+
+    def _is_held(
+        self,
+        row: interfaces.Row,
+        registration: upstreams.Registration,
+        now_ms: int,
+    ) -> bool:
+        """Hold a row that may have come back only with an older copy.
+
+        Its registration was removed in an earlier era, and nothing shows that
+        the upstream has written it since.
+        """
+        tombstone = self._tombstones.get(row.key)
+        if tombstone is None:
+            return False
+        if tombstone.position.era == self._positions[Table.UPSTREAMS].era:
+            return False
+        if registration.written > tombstone.written:
+            return False
+        _, since_ms = self._held_rows.get(row.key, (row, now_ms))
+        if row.key not in self._held_rows:
+            self._shell.state.counters.increment("registrations_held")
+            logs.write(
+                "registration_held",
+                "info",
+                {"upstream": row.key, "hold_ms": RESTORED_HOLD_MS},
+            )
+        self._held_rows[row.key] = (row, since_ms)
+        return True
+
+    def _release_held_rows(self, now_ms: int) -> None:
+        """Use the held registrations that have stayed in the store."""
+        for key, (row, since_ms) in list(self._held_rows.items()):
+            if now_ms < since_ms + RESTORED_HOLD_MS:
+                continue
+            del self._held_rows[key]
+            self._tombstones.pop(key, None)
+            self._apply_row(row, now_ms, after_outage=False)
+            if self.on_rows is not None:
+                position = self._positions[Table.UPSTREAMS]
+                self.on_rows(
+                    Table.UPSTREAMS,
+                    interfaces.Rows((row,), position.version, position.era),
+                    False,
+                )
+
     def _publish_rows(
         self,
         table: interfaces.Table,
         rows: interfaces.Rows,
-        previous_version: int,
+        previous: interfaces.Position,
         *,
         complete: bool,
     ) -> None:
-        if (
-            self.on_rows is not None
-            and self._versions[table] > previous_version
-        ):
+        if self.on_rows is not None and self._positions[table] > previous:
             self.on_rows(table, rows, complete)
 
-    def _apply_configuration(self, version: int) -> None:
-        rows = interfaces.Rows(tuple(self._operator_rows.values()), version)
+    def _apply_operator_rows(self, rows: dict[str, interfaces.Row]) -> None:
+        """Apply the configuration of the store, or keep a newer one.
+
+        An older one comes from an older copy of the store. The newer one stays
+        in force and in snapshots, until the operator has written it again.
+        """
+        found = self._adopt_configuration(rows)
+        current = self._shell.state.deployment
+        if current is None or found is None or found >= current.version:
+            return
+        self._keep_configuration(found, current.version)
+
+    def _adopt_configuration(
+        self, rows: dict[str, interfaces.Row]
+    ) -> int | None:
+        """Apply the configuration in the operator's rows if it is newest.
+
+        Return its version, 0 if there is none, None if it is invalid.
+        """
+        position = self._positions[Table.OPERATOR]
         try:
-            configuration = self._documents.decode_deployment(rows)
+            configuration = self._documents.decode_deployment(
+                interfaces.Rows(tuple(rows.values()), position.version)
+            )
         except exceptions.DocumentError as error:
             logs.write(
                 "configuration_invalid", "error", {"reason": error.message}
             )
-            return
+            return None
+        current = self._shell.state.deployment
+        found = 0 if configuration is None else configuration.version
+        if current is not None and found < current.version:
+            return found
         if configuration is not None:
+            # The operator may write a lost version again with other contents.
+            is_rewritten = position.era > self._configuration_era > 0 and (
+                _values(rows) != _values(self._operator_rows)
+            )
+            self._configuration_era = position.era
             self._shell.apply(
-                events.DeploymentRead(self._shell.now_ms(), configuration)
+                events.DeploymentRead(
+                    self._shell.now_ms(), configuration, is_rewritten
+                )
             )
+        self._operator_rows = rows
+        return found
+
+    def _keep_configuration(self, found: int, kept: int) -> None:
+        # The versions of the kept rows belong to a lost history.
+        self._operator_rows = {
+            key: dataclasses.replace(row, version=0)
+            for key, row in self._operator_rows.items()
+        }
+        self._shell.state.counters.increment("configurations_kept")
+        logs.write(
+            "configuration_kept",
+            "warning",
+            {
+                "version": kept,
+                "in_store": found,
+                "era": self._positions[Table.OPERATOR].era,
+            },
+        )
 
     def _log_store_lost(
         self, table: interfaces.Table, error: exceptions.LaburnumpinError
@@ -427,11 +733,15 @@
                 "table": table.value,
                 "code": error.code,
                 "reason": error.message,
-                "version": self._versions.get(table, 0),
+                "version": self._positions[table].version,
             },
         )
 
 
+def _values(rows: dict[str, interfaces.Row]) -> dict[str, bytes | None]:
+    return {key: row.value for key, row in rows.items()}
+
+
 def encode_rows(rows: tuple[interfaces.Row, ...]) -> list[list[Any]]:
     """Return rows in a form that CBOR can encode."""
     return [[row.key, row.value, row.version] for row in rows]
--- a/laburnumpin/forwarding/upstreams.py
+++ b/laburnumpin/forwarding/upstreams.py
@@ -53,6 +53,7 @@
     is slower than usual after its start. `slots` is the number of requests that
     it runs at once; 0 leaves it to the service's engine profile. `leaves_in_ms`
     is the remaining time until it shuts down, None if it has announced none.
+    `revision` counts what this incarnation has written; 0 if that is unknown.
     """
 
     upstream_id: str
@@ -65,6 +66,15 @@
     reclaimable: bool
     cold_ms: int
     leaves_in_ms: int | None
+    revision: int = 0
+
+    @property
+    def written(self) -> tuple[int, int]:
+        """Return the upstream's own order of its registrations.
+
+        Unlike a version of the store, it holds across a restore of the store.
+        """
+        return (self.incarnation_ms, self.revision)
 
 
 class Upstream:
@@ -323,6 +333,8 @@
             changes.restarted.append(upstream_id)
             return changes
         existing.missing_since_ms = None
+        if registration.revision and registration.revision < current.revision:
+            return changes  # An older copy of the store.
         existing.seen_ms = now_ms
         existing.cold_until_ms = now_ms + registration.cold_ms
         if current.lifecycle is Lifecycle.LEAVING:
--- a/laburnumpin/platform/documents.py
+++ b/laburnumpin/platform/documents.py
@@ -82,6 +82,7 @@
             return None
         if not _is_int(born):
             return None
+        revision = document.get("seq")
         return upstreams.Registration(
             upstream_id=row.key,
             incarnation_ms=int(born),
@@ -93,6 +94,7 @@
             reclaimable=document.get("spot") is True,
             cold_ms=_duration_ms(document.get("cold_remaining_ms")) or 0,
             leaves_in_ms=_duration_ms(document.get("leaves_ms")),
+            revision=max(0, int(str(revision))) if _is_int(revision) else 0,
         )
 
 
--- a/laburnumpin/platform/standins.py
+++ b/laburnumpin/platform/standins.py
@@ -95,6 +95,15 @@
     counts: dict[str, int]
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class StoreCopy:
+    """The contents of a store at one moment."""
+
+    rows: dict[tuple[str, str], tuple[str, int]]
+    history: list[dict[str, Any]]
+    version: int
+
+
 class Store:
     """The row store and the cloud API, in memory.
 
@@ -111,6 +120,7 @@
         self._compacted_version = 0
         self._changed = anyio.Event()
         self.version = 0
+        self.era = 1
         self.mode = "ok"
         self.lost_answer_share = 0.0
         self.reports: list[UsageReport] = []
@@ -152,6 +162,26 @@
         self._changed.set()
         self._changed = anyio.Event()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the contents."""
+        return StoreCopy(dict(self._rows), list(self._history), self.version)
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Come back from an older copy; what was written since is lost."""
+        self.era += 1
+        self._rows = dict(copy.rows)
+        self._history = list(copy.history)
+        self.version = copy.version
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    def fencing_token(self) -> int:
+        """Return the fencing token in the row of the lease, 0 if none."""
+        for (_, key), (value, _) in self._rows.items():
+            if key == "lease":
+                return int(json.loads(base64.b64decode(value))["fencing_token"])
+        return 0
+
     def _write(self, row_changes: list[tuple[str, str, str | None]]) -> None:
         self.version += 1
         for table, key, value in row_changes:
@@ -175,7 +205,7 @@
         if self.mode == "reset":
             return False
         if self.mode == "busy":
-            await caller.answer(*_json_answer(503, {}))
+            await self._answer(caller, _json_answer(503, {}))
             return True
         url = urllib.parse.urlsplit(bytes(head.target).decode())
         query = dict(urllib.parse.parse_qsl(url.query))
@@ -184,9 +214,14 @@
         is_write = head.method == b"POST"
         if is_write and self._random.random() < self.lost_answer_share:
             return False
-        await caller.answer(*answer)
+        await self._answer(caller, answer)
         return True
 
+    async def _answer(self, caller: callers.Caller, answer: Answer) -> None:
+        status, headers, body = answer
+        era = (b"Store-Era", str(self.era).encode())
+        await caller.answer(status, [*headers, era], body)
+
     async def _respond(
         self,
         path: str,
@@ -224,7 +259,7 @@
         changed_rows: list[dict[str, Any]] = []
         with anyio.move_on_after(int(query["wait_ms"]) / 1_000):
             while True:
-                if after < self._compacted_version:
+                if not self._compacted_version <= after <= self.version:
                     return _json_answer(410, {})
                 changed_rows = []
                 for row in self._history:
--- a/laburnumpin/tests/test_commands_explain.py
+++ b/laburnumpin/tests/test_commands_explain.py
@@ -156,3 +156,21 @@
     )
     text = explain.cause("r1", related)
     assert "nothing but the end of the connection of u1" in text
+
+
+def test_rejection_after_a_restore_of_the_store() -> None:
+    """Guards against a 404 explained without the restore that led to it."""
+    related = _related(
+        _line(1.0, "store_era_changed", era=2, previous=1),
+        _line(1.1, "configuration_kept", version=9, in_store=4, era=2),
+        _line(
+            1.2,
+            "request_rejected",
+            request_id="r1",
+            reason="no_route",
+            status=404,
+            not_run=True,
+        ),
+    )
+    types = [line["message_type"] for line in related]
+    assert types[:2] == ["store_era_changed", "configuration_kept"]
--- /dev/null
+++ b/laburnumpin/tests/test_forwarding_store_era.py
@@ -0,0 +1,419 @@
+"""A store that comes back from an older copy, over its HTTP API."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import json
+import random
+from typing import Any
+from typing import cast
+
+import anyio
+import pytest
+
+from laburnumpin import clock
+from laburnumpin.forwarding import effects
+from laburnumpin.forwarding import events
+from laburnumpin.forwarding import gossip
+from laburnumpin.forwarding import interfaces
+from laburnumpin.forwarding import membership
+from laburnumpin.forwarding import pool
+from laburnumpin.forwarding import shell as shells
+from laburnumpin.forwarding import state as forwarding_state
+from laburnumpin.forwarding import synchronization
+from laburnumpin.forwarding import upstreams
+from laburnumpin.platform import clients
+from laburnumpin.platform import documents
+from laburnumpin.platform import standins
+from laburnumpin.server import tasks
+from laburnumpin.tests import forwarding_builders as build
+
+# Only a fault makes a wait take this long.
+TIMEOUT_S = 10.0
+
+UPSTREAMS = interfaces.Table.UPSTREAMS
+
+
+class _ManualClock:
+    """A boot clock that tests can move forward."""
+
+    def __init__(self) -> None:
+        self.offset_ms = 0
+
+    def now_ms(self) -> int:
+        return clock.BootClock().now_ms() + self.offset_ms
+
+
+class _NoTasks:
+    def start(self, *arguments: object) -> None:
+        return
+
+
+class Entry:
+    """An entry that is kept in sync with a store, or by peers alone."""
+
+    def __init__(self, name: str, store_address: str) -> None:
+        self.clock = _ManualClock()
+        contact = build.contact(name, f"10.0.0.9:{len(name)}")
+        self.contact: membership.Contact = contact
+        self.state = forwarding_state.ForwardingState(
+            contact, 1, build.RETRY_LIMIT, 5_000, random.Random(1)
+        )
+        self.shell = shells.Shell(
+            self.state,
+            cast(interfaces.Wire, None),
+            pool.Pool(self.clock),
+            cast(tasks.TaskRunner, _NoTasks()),
+            self.clock,
+            cast(interfaces.EngineClient, None),
+        )
+        self.store = clients.PlatformStore(clients.HttpClient(store_address))
+        self.synchronizer = synchronization.Synchronizer(
+            self.shell, self.store, documents.PlatformDocuments()
+        )
+
+    def start(self, task_group: anyio.abc.TaskGroup) -> None:
+        """Follow the store."""
+        for table in (interfaces.Table.OPERATOR, UPSTREAMS):
+            task_group.start_soon(self.synchronizer.watch_table, table)
+        task_group.start_soon(
+            self.synchronizer.register_and_poll_entries, self.contact
+        )
+        task_group.start_soon(self._tick)
+
+    async def _tick(self) -> None:
+        while True:
+            self.synchronizer.on_tick()
+            await anyio.sleep(0.02)
+
+    def configuration(self) -> int:
+        """Return the configuration in force, 0 if none."""
+        current = self.state.deployment
+        return 0 if current is None else current.version
+
+    def lifecycle(self, upstream_id: str) -> str:
+        """Return how an upstream is registered, `missing` or `gone`."""
+        upstream = self.state.upstreams.get(upstream_id)
+        if upstream is None:
+            return "gone"
+        if upstream.missing_since_ms is not None:
+            return "missing"
+        return upstream.registration.lifecycle.value
+
+
+def registration(runner_id: str, seq: int, state: str) -> dict[str, Any]:
+    """Return the row of a runner."""
+    runner = standins.Runner(
+        runner_id, "engines", [], lambda: 0, random.Random(1)
+    )
+    return {**runner.registration("10.0.0.1:80", state), "seq": seq}
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    """Wait until a condition holds."""
+    with anyio.fail_after(TIMEOUT_S):
+        while not condition():
+            await anyio.sleep(0.01)
+
+
+def run_with_store(
+    check: Callable[
+        [standins.Store, str, anyio.abc.TaskGroup], Awaitable[None]
+    ],
+) -> None:
+    """Run a check beside a store."""
+
+    async def main() -> None:
+        store = standins.Store(random.Random(1))
+        async with anyio.create_task_group() as task_group:
+            address = await task_group.start(standins.serve, store.handle)
+            await check(store, address, task_group)
+            task_group.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+# Incident CONFIG: rows of the restored store were compared by version with rows
+# that it had lost, so that a new configuration was ignored.
+def test_changes_after_a_restore_apply_at_lower_versions() -> None:
+    async def check(
+        store: standins.Store, address: str, task_group: anyio.abc.TaskGroup
+    ) -> None:
+        store.configure(4, "old")
+        store.put("servers", "u1", registration("u1", 1, "ready"))
+        entry = Entry("e1", address)
+        entry.start(task_group)
+        await until(lambda: entry.lifecycle("u1") == "ready")
+        copy = store.copy()
+        for version in range(5, 25):
+            store.configure(version, "lost")
+        store.put("servers", "u2", registration("u2", 1, "ready"))
+        await until(lambda: entry.configuration() == 24)
+        await until(lambda: entry.lifecycle("u2") == "ready")
+        store.restore(copy)
+        store.configure(24, "lost")
+        store.configure(30, "new")
+        store.put("servers", "u1", registration("u1", 7, "draining"))
+        store.put("servers", "u2", registration("u2", 8, "ready"))
+        await until(lambda: entry.configuration() == 30)
+        await until(lambda: entry.lifecycle("u1") == "leaving")
+        await until(lambda: entry.lifecycle("u2") == "ready")
+        assert entry.state.store_era == 2
+        assert entry.state.counters.total("store_restored") == 1
+
+    run_with_store(check)
+
+
+# After the versions have passed it, the cursor of an entry is valid again, but
+# the changes before it were never read.
+def test_cursor_of_a_lost_history_is_not_used_again() -> None:
+    async def check(
+        store: standins.Store, address: str, task_group: anyio.abc.TaskGroup
+    ) -> None:
+        store.configure(4, "old")
+        entry = Entry("e1", address)
+        entry.start(task_group)
+        await until(lambda: entry.state.registry_read)
+        copy = store.copy()
+        store.put("servers", "u1", registration("u1", 1, "ready"))
+        await until(lambda: entry.lifecycle("u1") == "ready")
+        store.mode = "busy"
+        store.restore(copy)
+        for number in range(2, 9):
+            row = registration(f"u{number}", 1, "ready")
+            store.put("servers", f"u{number}", row)
+        store.mode = "ok"
+        for number in range(2, 9):
+            await until(lambda n=number: entry.lifecycle(f"u{n}") == "ready")  # type: ignore[misc]
+
+    run_with_store(check)
+
+
+def test_older_configuration_of_a_restored_store_does_not_replace_a_newer() -> (
+    None
+):
+    async def check(
+        store: standins.Store, address: str, task_group: anyio.abc.TaskGroup
+    ) -> None:
+        store.configure(4, "old")
+        entry = Entry("e1", address)
+        entry.start(task_group)
+        copy = store.copy()
+        store.configure(9, "lost")
+        await until(lambda: entry.configuration() == 9)
+        store.restore(copy)
+        counters = entry.state.counters
+        await until(lambda: counters.total("configurations_kept") > 0)
+        assert entry.configuration() == 9
+        # An entry that starts now finds the older one in the store, and the
+        # newer one in the snapshot of its peer.
+        late = Entry("late", address)
+        late.start(task_group)
+        await until(lambda: late.configuration() == 4)
+        late.synchronizer.apply_snapshot(entry.synchronizer.snapshot())
+        assert late.configuration() == 9
+        # The older one of a peer changes nothing.
+        entry.synchronizer.apply_snapshot(
+            {**late.synchronizer.snapshot(), "operator_era": 3}
+        )
+        store.configure(9, "lost")
+        store.configure(12, "new")
+        await until(lambda: entry.configuration() == 12)
+        await until(lambda: late.configuration() == 12)
+
+    run_with_store(check)
+
+
+def test_lost_version_that_is_written_again_with_other_contents_applies() -> (
+    None
+):
+    async def check(
+        store: standins.Store, address: str, task_group: anyio.abc.TaskGroup
+    ) -> None:
+        store.configure(4, "old")
+        entry = Entry("e1", address)
+        entry.start(task_group)
+        copy = store.copy()
+        store.configure(9, "first")
+        await until(lambda: entry.configuration() == 9)
+        store.restore(copy)
+        store.configure(9, "second")
+
+        def has_second() -> bool:
+            current = entry.state.deployment
+            assert current is not None
+            return current.match("h.example", "/second/x") is not None
+
+        await until(has_second)
+
+    run_with_store(check)
+
+
+# The older copy has an engine that has left: it gets no request again.
+@pytest.mark.parametrize("removed", [False, True])
+def test_engine_that_has_left_does_not_come_back(
+    removed: bool,
+) -> None:
+    async def check(
+        store: standins.Store, address: str, task_group: anyio.abc.TaskGroup
+    ) -> None:
+        store.configure(4, "old")
+        store.put("servers", "u1", registration("u1", 1, "ready"))
+        store.put("servers", "u2", registration("u2", 1, "ready"))
+        entry = Entry("e1", address)
+        entry.start(task_group)
+        await until(lambda: entry.lifecycle("u1") == "ready")
+        copy = store.copy()
+        store.put("servers", "u1", registration("u1", 5, "draining"))
+        await until(lambda: entry.lifecycle("u1") == "leaving")
+        if removed:
+            store.unregister("u1")
+            await until(lambda: entry.lifecycle("u1") == "gone")
+        store.restore(copy)
+        await until(lambda: entry.state.store_era == 2)
+        store.configure(5, "new")
+        await until(lambda: entry.configuration() == 5)
+        await until(lambda: entry.synchronizer.era() == 2)
+        usable = entry.state.upstreams.usable("engines", entry.clock.now_ms())
+        assert [u.registration.upstream_id for u in usable] == ["u2"]
+        if not removed:
+            return
+        # It is used again if its row stays, which only a live one's does.
+        entry.clock.offset_ms += synchronization.RESTORED_HOLD_MS
+        await until(lambda: entry.lifecycle("u1") == "ready")
+
+    run_with_store(check)
+
+
+def test_engine_that_the_store_has_lost_is_kept_until_it_registers_again() -> (
+    None
+):
+    async def check(
+        store: standins.Store, address: str, task_group: anyio.abc.TaskGroup
+    ) -> None:
+        store.configure(4, "old")
+        entry = Entry("e1", address)
+        entry.start(task_group)
+        copy = store.copy()
+        store.put("servers", "u1", registration("u1", 1, "ready"))
+        await until(lambda: entry.lifecycle("u1") == "ready")
+        store.restore(copy)
+        await until(lambda: entry.lifecycle("u1") == "missing")
+        assert entry.state.upstreams.usable("engines", entry.clock.now_ms())
+        store.put("servers", "u1", registration("u1", 4, "ready"))
+        await until(lambda: entry.lifecycle("u1") == "ready")
+
+    run_with_store(check)
+
+
+def test_entry_writes_its_lost_row_again() -> None:
+    async def check(
+        store: standins.Store, address: str, task_group: anyio.abc.TaskGroup
+    ) -> None:
+        store.configure(4, "old")
+        copy = store.copy()
+        entry = Entry("e1", address)
+        entry.start(task_group)
+        await until(lambda: entry.state.registry_read)
+
+        async def has_row() -> bool:
+            rows = await entry.store.read(interfaces.Table.ENTRIES)
+            return any(row.key == "e1" for row in rows.rows)
+
+        assert await has_row()
+        store.restore(copy)
+        with anyio.fail_after(TIMEOUT_S):
+            while not await has_row():
+                await anyio.sleep(0.01)
+
+    run_with_store(check)
+
+
+def _digest(peer: Entry, **changes: Any) -> Any:
+    digest = gossip._build_digest(peer.state, 0, 0, ())
+    for name, value in changes.items():
+        object.__setattr__(digest, name, value)
+    return digest
+
+
+def test_peers_without_the_store_learn_of_a_restore_by_digests() -> None:
+    async def check(
+        store: standins.Store, address: str, task_group: anyio.abc.TaskGroup
+    ) -> None:
+        store.configure(4, "old")
+        store.put("servers", "u1", registration("u1", 1, "ready"))
+        reader = Entry("reader", address)
+        reader.start(task_group)
+        await until(lambda: reader.lifecycle("u1") == "ready")
+        copy = store.copy()
+        for number in range(2, 9):
+            row = registration(f"u{number}", 1, "ready")
+            store.put("servers", f"u{number}", row)
+        await until(lambda: reader.lifecycle("u8") == "ready")
+        cut_off = Entry("cut-off", "127.0.0.1:1")
+        cut_off.synchronizer.apply_snapshot(reader.synchronizer.snapshot())
+        assert cut_off.lifecycle("u8") == "ready"
+        store.restore(copy)
+        store.put("servers", "u1", registration("u1", 3, "draining"))
+        await until(lambda: reader.lifecycle("u1") == "leaving")
+        fetches = gossip.on_digest(
+            cut_off.state, events.DigestReceived(1_000, _digest(reader))
+        )
+        assert any(isinstance(f, effects.FetchFromPeer) for f in fetches)
+        cut_off.synchronizer.apply_snapshot(reader.synchronizer.snapshot())
+        assert cut_off.lifecycle("u1") == "leaving"
+        # A digest and a snapshot of the release before, from before the
+        # restore, lead to nothing.
+        old = _digest(reader, store_era=0, registry_version=1_000)
+        fetches = gossip.on_digest(
+            cut_off.state, events.DigestReceived(2_000, old)
+        )
+        assert not any(isinstance(f, effects.FetchFromPeer) for f in fetches)
+        rows = (interfaces.Row("u1", None, 1_000),)
+        cut_off.synchronizer.apply_snapshot(
+            {
+                "operator": [],
+                "upstreams": synchronization.encode_rows(rows),
+                "operator_version": 1_000,
+                "upstreams_version": 1_000,
+            }
+        )
+        cut_off.synchronizer.apply_peer_changes(
+            UPSTREAMS, interfaces.Rows(rows, 1_000)
+        )
+        assert cut_off.lifecycle("u1") == "leaving"
+        assert cut_off.state.counters.total("rows_of_lost_era")
+
+    run_with_store(check)
+
+
+def test_rows_of_the_release_before_apply_without_a_restore() -> None:
+    entry = Entry("e1", "127.0.0.1:1")
+    documents_row = registration("u1", 1, "ready")
+    row = interfaces.Row("u1", json.dumps(documents_row).encode(), 5)
+    entry.synchronizer.apply_peer_changes(UPSTREAMS, interfaces.Rows((row,), 5))
+    assert entry.lifecycle("u1") == "ready"
+
+
+@pytest.mark.parametrize(
+    ("seq", "born", "revision"),
+    [(7, 1, 7), (None, 1, 0), ("x", 1, 0), (-3, 1, 0)],
+)
+def test_order_of_registrations_is_the_upstreams_own(
+    seq: object, born: int, revision: int
+) -> None:
+    document = {**registration("u1", 1, "ready"), "seq": seq, "born": born}
+    row = interfaces.Row("u1", json.dumps(document).encode(), 5)
+    decoded = documents.PlatformDocuments().decode_registration(row)
+    assert decoded is not None
+    assert decoded.written == (born, revision)
+
+
+def test_older_registration_does_not_replace_a_newer() -> None:
+    table = upstreams.UpstreamTable()
+    table.update(build.registration(revision=5, slots=8), 0)
+    table.update(build.registration(revision=4, slots=2), 0)
+    current = table.get("u1")
+    assert current is not None
+    assert current.registration.slots == 8
