Take the lease of a restored store only after a whole lease, with new tokens

Now the row names the era in which it was written. In a new era only the holder writes before a whole lease has passed; a row of an earlier era, or none, is not free; what was observed, or is pending, in an earlier era shows nothing. A write that is answered in another era is not an acquisition, and a conflict there does not end the lease. Tokens of an era begin above all that an earlier one can have had, and above the highest one in any digest. Entries of the release before read and write the same row; a row of theirs names no era, so it is only taken over by observation once the store names eras.

--- a/laburnumpin/forwarding/duties.py
+++ b/laburnumpin/forwarding/duties.py
@@ -155,6 +155,8 @@
         At most one call runs at a time.
         """
         now_ms = self._shell.now_ms()
+        state = self._shell.state
+        self._lease.note_era(state.store_era, state.highest_lease_token, now_ms)
         self._update_holder(now_ms)
         members = self._shell.state.members
         holder_is_live = members.holder_is_live(now_ms, self._settings.lease_ms)
@@ -177,14 +179,15 @@
         """Read or write the row of the lease."""
         try:
             if isinstance(call, leases.ReadLease):
-                row = await self._read_lease()
-                self._lease.apply_read(row, self._shell.now_ms())
+                row, era = await self._read_lease()
+                self._lease.apply_read(row, self._shell.now_ms(), era)
                 return
             value = json.dumps(
                 {
                     "fencing_token": call.row.fencing_token,
                     "holder": call.row.holder,
                     "token": call.row.token,
+                    "era": call.row.era,
                 }
             )
             position = await self._store.write(
@@ -194,9 +197,11 @@
                 call.expected_version,
             )
             self._shell.note_store_era(position.era)
-            self._lease.apply_write(position.version, self._shell.now_ms())
-        except interfaces.ConflictError:
-            self._lease.apply_conflict(self._shell.now_ms())
+            self._lease.apply_write(
+                position.version, self._shell.now_ms(), position.era
+            )
+        except interfaces.ConflictError as error:
+            self._lease.apply_conflict(self._shell.now_ms(), error.era)
             logs.write("lease_conflict", "info", {})
         except exceptions.LaburnumpinError as error:
             self._lease.apply_failure(self._shell.now_ms())
@@ -226,14 +231,15 @@
         waited_ms = now_ms - self._last_held_ms
         return rank < LEASE_CONTENDERS + waited_ms // CONTENDER_INTERVAL_MS
 
-    async def _read_lease(self) -> leases.Row:
+    async def _read_lease(self) -> tuple[leases.Row, int]:
+        """Return the row of the lease, and the store's era."""
         rows = await self._store.read(Table.DUTIES)
         self._shell.note_store_era(rows.era)
         for row in rows.rows:
             if row.key != LEASE_KEY or row.value is None:
                 continue
-            return _decode_lease_row(row.version, row.value)
-        return leases.Row(0, 0, "", "")
+            return _decode_lease_row(row.version, row.value), rows.era
+        return leases.Row(0, 0, "", ""), rows.era
 
     def _update_holder(self, now_ms: int) -> None:
         """Set the token for digests; reset the duties on gain or loss."""
@@ -371,8 +377,10 @@
             int(fields["fencing_token"]),
             str(fields["holder"]),
             str(fields["token"]),
+            # Entries of an earlier release do not write it.
+            int(fields.get("era", 0)),
         )
-    except (ValueError, KeyError, TypeError) as error:
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise exceptions.DocumentError(
             f"malformed lease row: {error!r}"
         ) from error
--- a/laburnumpin/forwarding/interfaces.py
+++ b/laburnumpin/forwarding/interfaces.py
@@ -26,10 +26,17 @@
 
 
 class ConflictError(exceptions.LaburnumpinError):
-    """A condition of a transaction failed; nothing was written."""
+    """A condition of a transaction failed; nothing was written.
+
+    `era` is the store's era.
+    """
 
     code = "transaction_conflict"
 
+    def __init__(self, message: str, era: int = 0) -> None:
+        super().__init__(message)
+        self.era = era
+
 
 class FencedError(exceptions.LaburnumpinError):
     """The platform has seen a higher fencing token."""
--- a/laburnumpin/platform/clients.py
+++ b/laburnumpin/platform/clients.py
@@ -246,7 +246,9 @@
         """Return the answer and the store's era."""
         response = await self._http.call("POST", "/rows-tx", document)
         if response.status == 412:
-            raise interfaces.ConflictError("/rows-tx: status 412")
+            raise interfaces.ConflictError(
+                "/rows-tx: status 412", _decode_era(response)
+            )
         if response.status != 200:
             raise exceptions.PlatformUnavailableError(
                 f"/rows-tx: status {response.status}"
