Write again what a restored store has lost of the entries' own rows

A store that comes back from an older copy may have lost the counts of usage windows that were reported already. By reading: the next holder of the lease found no row, committed its own counts, and reported the window a second time with others (ONE). The row of withheld prompt parts was written only when they changed, so that a lost or older one stayed.

The holder that committed counts writes them again in a new era, before its next report. Another holder does not report a window without a row that ended so long before this process first heard of the era that it may have been reported: a missing report costs less than a second one. The holder also writes the row of withheld parts again, unless it never read it.

test_window_that_may_have_been_reported_is_not_reported_with_others, test_holder_writes_lost_counts_again and test_row_is_written_again_after_a_restore_of_the_store; the first two need the class that replaces the function commit_counts, whose two tests are kept.

--- a/laburnumpin/forwarding/duties.py
+++ b/laburnumpin/forwarding/duties.py
@@ -49,30 +49,92 @@
 Table = interfaces.Table
 
 
-async def commit_counts(
-    store: interfaces.StoreClient, window: int, counts: usage.Counts
-) -> usage.Counts:
-    """Store the counts of a window, and return the ones to report.
+class UsageCommits:
+    """The counts of usage windows, committed to the store before a report.
 
-    The first holder's counts are stored; every later holder returns those, so
-    that a repeated report of a window is identical.
-
-    Raises:
-        LaburnumpinError: The store is unavailable or has lost the row.
+    The first holder's counts are stored; every later holder reports those, so
+    that a repeated report of a window is identical. A restored store may have
+    lost them: the holder that committed them writes them again, and another one
+    does not report a window that may have been reported before the restore.
     """
-    key = str(window)
-    try:
-        await store.write(Table.USAGE, key, json.dumps(counts).encode(), 0)
-    except interfaces.ConflictError:
-        rows = await store.read(Table.USAGE)
+
+    __slots__ = ("_committed", "_era", "_era_since_ms", "_store")
+
+    def __init__(self, store: interfaces.StoreClient) -> None:
+        self._store = store
+        # What this entry has committed or read, by window.
+        self._committed: dict[int, usage.Counts] = {}
+        # The store's era, and when it was first heard of, wall-clock time.
+        self._era = 0
+        self._era_since_ms = 0
+
+    async def note_era(self, era: int, since_ms: int) -> None:
+        """Write committed counts again if the store has started a new era.
+
+        `since_ms` is when this process first heard of it, wall-clock time.
+
+        Raises:
+            LaburnumpinError: The store is unavailable.
+        """
+        if era <= self._era:
+            return
+        for window, counts in sorted(self._committed.items()):
+            try:
+                await self._write(window, counts)
+            except interfaces.ConflictError:
+                continue  # The copy has the row, or another holder wrote it.
+        self._era = era
+        self._era_since_ms = since_ms
+
+    async def commit(
+        self, window: int, window_ms: int, counts: usage.Counts
+    ) -> usage.Counts | None:
+        """Store the counts of a window, and return the ones to report.
+
+        Return None if counts of the window may have been reported and lost.
+
+        Raises:
+            LaburnumpinError: The store is unavailable or has lost the row.
+        """
+        end_ms = (window + 1) * window_ms
+        if window not in self._committed and (
+            end_ms + USAGE_SETTLE_MS <= self._era_since_ms
+        ):
+            stored = await self._read(window)
+            if stored is not None:
+                self._keep(window, stored)
+            return stored
+        counts = self._committed.get(window, counts)
+        try:
+            await self._write(window, counts)
+        except interfaces.ConflictError:
+            stored = await self._read(window)
+            if stored is None:
+                raise
+            counts = stored
+        self._keep(window, counts)
+        if window % KEPT_USAGE_ROWS == 0:
+            old = range(window - 2 * KEPT_USAGE_ROWS, window - KEPT_USAGE_ROWS)
+            await self._store.remove(
+                Table.USAGE, tuple(str(number) for number in old)
+            )
+        return counts
+
+    def _keep(self, window: int, counts: usage.Counts) -> None:
+        self._committed[window] = counts
+        while len(self._committed) > KEPT_USAGE_ROWS:
+            del self._committed[min(self._committed)]
+
+    async def _write(self, window: int, counts: usage.Counts) -> None:
+        value = json.dumps(counts).encode()
+        await self._store.write(Table.USAGE, str(window), value, 0)
+
+    async def _read(self, window: int) -> usage.Counts | None:
+        rows = await self._store.read(Table.USAGE)
         for row in rows.rows:
-            if row.key == key and row.value is not None:
+            if row.key == str(window) and row.value is not None:
                 return dict(json.loads(row.value))
-        raise
-    if window % KEPT_USAGE_ROWS == 0:
-        old = range(window - 2 * KEPT_USAGE_ROWS, window - KEPT_USAGE_ROWS)
-        await store.remove(Table.USAGE, tuple(str(number) for number in old))
-    return counts
+        return None
 
 
 class Duties:
@@ -80,6 +142,7 @@
 
     __slots__ = (
         "_cloud",
+        "_commits",
         "_first_election_ms",
         "_holder_event",
         "_is_lease_call_running",
@@ -107,6 +170,7 @@
         # Called after each tick.
         self._on_tick = on_tick
         self._store = store
+        self._commits = UsageCommits(store)
         self._cloud = cloud
         self._settings = settings
         self._lease = leases.Lease(settings.name, settings.lease_ms)
@@ -290,9 +354,21 @@
         window = max(self._last_reported_window + 1, oldest)
         if window > newest:
             return
-        counts = await commit_counts(
-            self._store, window, usage_counts.total(window)
+        state = self._shell.state
+        elapsed_ms = self._shell.now_ms() - state.store_era_since_ms
+        await self._commits.note_era(state.store_era, wall_ms - elapsed_ms)
+        counts = await self._commits.commit(
+            window, self._settings.usage_window_ms, usage_counts.total(window)
         )
+        if counts is None:
+            self._last_reported_window = window
+            state.counters.increment("usage_windows_skipped")
+            logs.write(
+                "usage_window_skipped",
+                "warning",
+                {"window": window, "era": state.store_era},
+            )
+            return
         if not self._may_act():
             return
         await self._cloud.report_usage(
--- a/laburnumpin/forwarding/withholding_store.py
+++ b/laburnumpin/forwarding/withholding_store.py
@@ -26,7 +26,7 @@
 class WithholdingStore:
     """Reads the row when the entry starts, and writes it as lease holder."""
 
-    __slots__ = ("_is_loaded", "_saved", "_shell", "_store")
+    __slots__ = ("_is_loaded", "_saved", "_saved_era", "_shell", "_store")
 
     def __init__(
         self, shell: shells.Shell, store: interfaces.StoreClient
@@ -34,6 +34,8 @@
         self._shell = shell
         self._store = store
         self._is_loaded = False
+        # The store's era in which the row was read or written.
+        self._saved_era = 0
         # What is withheld according to the row.
         self._saved: tuple[part_losses.Withheld, ...] = ()
 
@@ -47,6 +49,8 @@
             logs.write("withheld_not_read", "info", {"reason": error.message})
             return
         self._is_loaded = True
+        self._shell.note_store_era(rows.era)
+        self._saved_era = rows.era
         for row in rows.rows:
             if row.key != ROW_KEY or row.value is None:
                 continue
@@ -68,11 +72,15 @@
             await anyio.sleep(CHECK_PERIOD_S)
             state = self._shell.state
             withheld = state.part_losses.withheld()
-            if not state.lease_token or withheld == self._saved:
+            # A restored store may have lost the row, or have an older one.
+            is_lost = 0 < self._saved_era < state.store_era
+            if not state.lease_token or (
+                withheld == self._saved and not is_lost
+            ):
                 continue
             records = state.part_losses.withheld_rows(self._shell.now_ms())
             try:
-                await self._store.write(
+                position = await self._store.write(
                     interfaces.Table.WITHHOLDING,
                     ROW_KEY,
                     _encode(records, _wall_ms()),
@@ -84,6 +92,7 @@
                 )
                 continue
             self._saved = withheld
+            self._saved_era = position.era
 
 
 def _wall_ms() -> int:
--- a/laburnumpin/tests/test_forwarding_duties.py
+++ b/laburnumpin/tests/test_forwarding_duties.py
@@ -46,12 +46,19 @@
         return [key for _, key in self._rows]
 
 
+WINDOW_MS = 5_000
+
+
 def test_second_holder_reports_the_counts_of_the_first() -> None:
     store = _Store()
 
     async def commit() -> None:
-        first = await duties.commit_counts(store, 7, {"acme": 3})
-        second = await duties.commit_counts(store, 7, {"acme": 4, "late": 1})
+        first = await duties.UsageCommits(store).commit(
+            7, WINDOW_MS, {"acme": 3}
+        )
+        second = await duties.UsageCommits(store).commit(
+            7, WINDOW_MS, {"acme": 4, "late": 1}
+        )
         assert first == second == {"acme": 3}
 
     anyio.run(commit)
@@ -61,8 +68,46 @@
     store = _Store()
 
     async def commit() -> None:
+        commits = duties.UsageCommits(store)
         for window in range(4 * duties.KEPT_USAGE_ROWS + 1):
-            await duties.commit_counts(store, window, {})
+            await commits.commit(window, WINDOW_MS, {})
 
     anyio.run(commit)
     assert len(store.keys()) <= 3 * duties.KEPT_USAGE_ROWS
+
+
+# The store forgot the counts that were reported; the next holder reported the
+# window with others (ONE).
+def test_window_that_may_have_been_reported_is_not_reported_with_others() -> (
+    None
+):
+    async def commit() -> None:
+        store = _Store()
+        first = duties.UsageCommits(store)
+        await first.note_era(1, 30_000)
+        assert await first.commit(7, WINDOW_MS, {"acme": 3}) == {"acme": 3}
+        restored = _Store()
+        second = duties.UsageCommits(restored)
+        await second.note_era(2, 8 * WINDOW_MS + duties.USAGE_SETTLE_MS)
+        assert await second.commit(7, WINDOW_MS, {"acme": 4}) is None
+        assert restored.keys() == []
+        # It ended too late to have been committed before the restore.
+        assert await second.commit(8, WINDOW_MS, {"acme": 5}) == {"acme": 5}
+
+    anyio.run(commit)
+
+
+def test_holder_writes_lost_counts_again() -> None:
+    async def commit() -> None:
+        store = _Store()
+        first = duties.UsageCommits(store)
+        await first.note_era(1, 30_000)
+        await first.commit(7, WINDOW_MS, {"acme": 3})
+        await store.remove(Table.USAGE, ("7",))
+        await first.note_era(2, 60_000)
+        assert await first.commit(7, WINDOW_MS, {"acme": 9}) == {"acme": 3}
+        second = duties.UsageCommits(store)
+        await second.note_era(2, 60_000)
+        assert await second.commit(7, WINDOW_MS, {"acme": 4}) == {"acme": 3}
+
+    anyio.run(commit)
--- a/laburnumpin/tests/test_forwarding_withholding_store.py
+++ b/laburnumpin/tests/test_forwarding_withholding_store.py
@@ -25,19 +25,20 @@
 
     def __init__(self, value: bytes | None = None) -> None:
         self.value = value
+        self.era = 0
         self.written = anyio.Event()
 
     async def read(self, table: interfaces.Table) -> interfaces.Rows:
         assert table is interfaces.Table.WITHHOLDING
         row = interfaces.Row(withholding_store.ROW_KEY, self.value, 1)
-        return interfaces.Rows((row,), 1)
+        return interfaces.Rows((row,), 1, self.era)
 
     async def write(
         self, table: interfaces.Table, key: str, value: bytes, expected: Any
     ) -> interfaces.Position:
         self.value = value
         self.written.set()
-        return interfaces.Position(0, 1)
+        return interfaces.Position(self.era, 1)
 
 
 def _shell() -> shells.Shell:
@@ -86,6 +87,29 @@
     anyio.run(main)
 
 
+# The restored store has lost the row, or has one of parts released since.
+def test_row_is_written_again_after_a_restore_of_the_store() -> None:
+    store = _Store()
+
+    async def main() -> None:
+        holder = _shell()
+        holder.state.lease_token = 1
+        store.era = 1
+        withheld_parts = _withholding(holder, store)
+        await withheld_parts.load()
+        with anyio.fail_after(TIMEOUT_S):
+            async with anyio.create_task_group() as task_group:
+                task_group.start_soon(withheld_parts.run)
+                await anyio.sleep(2 * withholding_store.CHECK_PERIOD_S)
+                assert not store.written.is_set()
+                store.era = 2
+                holder.note_store_era(2)
+                await store.written.wait()
+                task_group.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
 @pytest.mark.parametrize(
     "value",
     [b"", b"\xff", b"[]", b"{}", b'{"written_ms": 1, "records": [[1]]}'],
