Take the missing lease at the first start of the whole system at once

The settings say when the whole system starts for the first time; then a missing row was never there.

--- a/laburnumpin/forwarding/duties.py
+++ b/laburnumpin/forwarding/duties.py
@@ -173,7 +173,11 @@
         self._commits = UsageCommits(store)
         self._cloud = cloud
         self._settings = settings
-        self._lease = leases.Lease(settings.name, settings.lease_ms)
+        self._lease = leases.Lease(
+            settings.name,
+            settings.lease_ms,
+            is_first_start=settings.is_first_start,
+        )
         self._scaler = autoscaling.Autoscaler()
         self._next_scale_ms = 0
         # When any entry was last known to hold the lease.
--- a/laburnumpin/forwarding/lease.py
+++ b/laburnumpin/forwarding/lease.py
@@ -73,6 +73,7 @@
         "_held_era",
         "_held_version",
         "_highest_token",
+        "_is_first_start",
         "_lease_ms",
         "_name",
         "_next_call_ms",
@@ -86,9 +87,14 @@
         "was_read",
     )
 
-    def __init__(self, name: str, lease_ms: int) -> None:
+    def __init__(
+        self, name: str, lease_ms: int, *, is_first_start: bool = False
+    ) -> None:
         self._name = name
         self._lease_ms = lease_ms
+        # At the first start of the whole system, a missing row was never there,
+        # as long as the store is in the era that it is found in.
+        self._is_first_start = is_first_start
         # Fencing token of the lease that this entry holds or last held.
         self.fencing_token = 0
         # Version of the row that this entry last wrote.
@@ -120,6 +126,8 @@
         self._highest_token = max(self._highest_token, highest_token)
         if era <= self._era:
             return
+        if self._era:
+            self._is_first_start = False
         self._era = era
         self._era_since_ms = now_ms
         # What was read or written in an earlier era shows nothing of this one.
@@ -194,8 +202,10 @@
         or none for as long as a lease.
         """
         if observed.version == 0:
+            if not self._era or self._is_first_start:
+                return True
             takeover_ms = int(self._lease_ms * TAKEOVER_SHARE)
-            return not self._era or now_ms >= self._era_since_ms + takeover_ms
+            return now_ms >= self._era_since_ms + takeover_ms
         # A row with this entry's name was written by an earlier process.
         if observed.holder not in (RELEASED, self._name):
             return False
--- a/laburnumpin/forwarding/settings.py
+++ b/laburnumpin/forwarding/settings.py
@@ -21,7 +21,8 @@
     retries to each service. A usage window has to be reported within
     `usage_late_ms` of its end. `link_mbps` is the bandwidth of the entry's
     network link. `withholding` is for prompts that end engines, and `answers`
-    for the ends of upstreams' answers.
+    for the ends of upstreams' answers. `is_first_start` is whether the whole
+    system starts for the first time.
     """
 
     name: str
@@ -46,3 +47,4 @@
     answers: completeness.AnswerSettings = dataclasses.field(
         default_factory=completeness.AnswerSettings
     )
+    is_first_start: bool = False
--- a/laburnumpin/platform/settings.py
+++ b/laburnumpin/platform/settings.py
@@ -158,6 +158,7 @@
         link_mbps=reader.number("limits", "link_mbps", default=0),
         withholding=withholding,
         answers=_read_answers(reader),
+        is_first_start=document.get("bootstrap") is True,
     )
     if reader.errors:
         raise exceptions.ConfigurationError(reader.errors)
--- a/laburnumpin/tests/test_forwarding_lease.py
+++ b/laburnumpin/tests/test_forwarding_lease.py
@@ -304,3 +304,15 @@
     assert not lease.holds(6_000)
     _run(store, [lease], 6_000, 9_000)
     assert lease.may_act(9_000)
+
+
+def test_missing_row_is_free_at_the_first_start_only() -> None:
+    store = _Store(era=1)
+    first = leases.Lease("a", LEASE_MS, is_first_start=True)
+    _run(store, [first], 0, 500)
+    assert first.may_act(500)
+    store.restore(leases.Row(0, 0, "", ""))
+    other = leases.Lease("b", LEASE_MS, is_first_start=True)
+    other.note_era(1, 0, 0)
+    _run(store, [other], 500, 3_000)
+    assert not other.holds(3_000)
--- a/laburnumpin/tests/test_platform_documents.py
+++ b/laburnumpin/tests/test_platform_documents.py
@@ -108,6 +108,9 @@
     assert entry_settings.peer_address == "127.0.0.1:3"
     assert entry_settings.duties == ("usage",)
     assert entry_settings.exit_ms == 8_000
+    assert not entry_settings.is_first_start
+    document = {**tomllib.loads(text), "bootstrap": True}
+    assert settings.decode(document).is_first_start
 
 
 def test_all_errors_of_the_settings_are_reported() -> None:
