--- a/laburnumpin/forwarding/lease.py
+++ b/laburnumpin/forwarding/lease.py
@@ -216,6 +216,8 @@
 
     def apply_read(self, row: Row, now_ms: int, era: int = 0) -> None:
         """Apply the row that was read in an era of the store."""
+        if not self._era:
+            self.note_era(era, 0, now_ms)
         if era != self._era:
             self.note_era(era, 0, now_ms)
             self.apply_failure(now_ms)
