Let the soak's store come back from older copies

In half of the soaks the store is away for up to a second and comes back from a copy up to some seconds old, again and again; what the operator and the runners wrote is written again up to 0.3 s later.

--- a/laburnumpin/platform/standins.py
+++ b/laburnumpin/platform/standins.py
@@ -150,6 +150,20 @@
         document = runner.registration(address, state, reclaimable=reclaimable)
         self.put("servers", runner.runner_id, document)
 
+    def put_registration(
+        self, runner_id: str, revision: int, *, leaving: bool = False
+    ) -> None:
+        """Write the registration of a runner of the model service.
+
+        `revision` counts what the runner has written.
+        """
+        runner = Runner(
+            runner_id, "engines", [], lambda: 0, random.Random(runner_id)
+        )
+        state = "draining" if leaving else "ready"
+        document = runner.registration("10.0.0.1:80", state)
+        self.put("servers", runner_id, {**document, "seq": revision})
+
     def unregister(self, runner_id: str) -> None:
         """Remove the registration of a runner."""
         if ("servers", runner_id) in self._rows:
@@ -166,21 +180,35 @@
         """Return a copy of the contents."""
         return StoreCopy(dict(self._rows), list(self._history), self.version)
 
-    def restore(self, copy: StoreCopy) -> None:
-        """Come back from an older copy; what was written since is lost."""
+    def restore(self, copy: StoreCopy) -> list[tuple[str, str, str | None]]:
+        """Come back from an older copy; what was written since is lost.
+
+        Return the lost values of the operator and the runners, None for a
+        removed row, by table and key.
+        """
         self.era += 1
+        lost: list[tuple[str, str, str | None]] = []
+        for table, key in {*self._rows, *copy.rows}:
+            value, _ = self._rows.get((table, key), (None, 0))
+            copied_value, _ = copy.rows.get((table, key), (None, 0))
+            if table in ("op", "servers") and value != copied_value:
+                lost.append((table, key, value))
         self._rows = dict(copy.rows)
         self._history = list(copy.history)
         self.version = copy.version
+        self._compacted_version = min(self._compacted_version, copy.version)
         self._changed.set()
         self._changed = anyio.Event()
+        return lost
 
-    def fencing_token(self) -> int:
-        """Return the fencing token in the row of the lease, 0 if none."""
-        for (_, key), (value, _) in self._rows.items():
-            if key == "lease":
-                return int(json.loads(base64.b64decode(value))["fencing_token"])
-        return 0
+    def write_again(
+        self, lost: list[tuple[str, str, str | None]], copy: StoreCopy
+    ) -> None:
+        """Write lost values again, unless newer ones were written since."""
+        for table, key, value in lost:
+            _, version = self._rows.get((table, key), (None, 0))
+            if version <= copy.version:
+                self._write([(table, key, value)])
 
     def _write(self, row_changes: list[tuple[str, str, str | None]]) -> None:
         self.version += 1
--- a/laburnumpin/soak/run.py
+++ b/laburnumpin/soak/run.py
@@ -65,6 +65,13 @@
 OPEN_ENDED_SHARE = 0.6
 MIN_OPEN_ENDED_S = 1.0
 MAX_OPEN_ENDED_S = 4.0
+# Share of the soaks whose store comes back from older copies, the age of these,
+# how long it is away, and until the operator and the runners write again.
+RESTORED_SOAK_SHARE = 0.5
+MIN_COPY_AGE_S = 0.5
+MAX_COPY_AGE_S = 5.0
+MAX_RESTORE_S = 1.0
+MAX_WRITE_AGAIN_S = 0.3
 # Offsets by which a `clock_step` moves the wall clock, ms.
 CLOCK_OFFSETS_MS = (-6_000, -2_000, 2_000, 6_000)
 
@@ -143,6 +150,7 @@
         self._crash_random = random.Random(f"{seed}/crash")
         self._limit_random = random.Random(f"{seed}/limit")
         self._open_ended_random = random.Random(f"{seed}/open-ended")
+        self._restore_random = random.Random(f"{seed}/restore")
         self._seed = seed
         self._entry_count = entries
         self._directory = directory
@@ -288,6 +296,8 @@
             task_group.start_soon(self._limit_runners)
         if self._open_ended_random.random() < OPEN_ENDED_SOAK_SHARE:
             task_group.start_soon(self._send_open_ended_answers)
+        if self._restore_random.random() < RESTORED_SOAK_SHARE:
+            task_group.start_soon(self._restore_store)
         if is_calm:
             return
         for _ in range(2):
@@ -396,6 +406,28 @@
             await anyio.sleep(rng.uniform(MIN_OPEN_ENDED_S, MAX_OPEN_ENDED_S))
             runner.open_ended_share = 0.0
 
+    async def _restore_store(self) -> None:
+        """Let the store come back from older copies of its contents."""
+        rng = self._restore_random
+        while True:
+            copy = self._store.copy()
+            await anyio.sleep(rng.uniform(MIN_COPY_AGE_S, MAX_COPY_AGE_S))
+            start_ms = self._clock.now_ms()
+            span_index = len(self._history.fault_spans)
+            self._history.fault_spans.append(
+                promises.FaultSpan("store_restored", start_ms, 2**62, False)
+            )
+            self._faults.append("store_restored")
+            self._store.mode = "reset"
+            await anyio.sleep(rng.uniform(0.0, MAX_RESTORE_S))
+            lost = self._store.restore(copy)
+            self._store.mode = "ok"
+            await anyio.sleep(rng.uniform(0.0, MAX_WRITE_AGAIN_S))
+            self._store.write_again(lost, copy)
+            self._history.fault_spans[span_index] = promises.FaultSpan(
+                "store_restored", start_ms, self._clock.now_ms(), False
+            )
+
     async def _run_crashing_caller(self) -> None:
         """Send requests that end the runners that answer them."""
         while True:
--- a/laburnumpin/tests/test_forwarding_store_era.py
+++ b/laburnumpin/tests/test_forwarding_store_era.py
@@ -102,14 +102,6 @@
         return upstream.registration.lifecycle.value
 
 
-def registration(runner_id: str, seq: int, state: str) -> dict[str, Any]:
-    """Return the row of a runner."""
-    runner = standins.Runner(
-        runner_id, "engines", [], lambda: 0, random.Random(1)
-    )
-    return {**runner.registration("10.0.0.1:80", state), "seq": seq}
-
-
 async def until(condition: Callable[[], bool]) -> None:
     """Wait until a condition holds."""
     with anyio.fail_after(TIMEOUT_S):
@@ -141,21 +133,21 @@
         store: standins.Store, address: str, task_group: anyio.abc.TaskGroup
     ) -> None:
         store.configure(4, "old")
-        store.put("servers", "u1", registration("u1", 1, "ready"))
+        store.put_registration("u1", 1)
         entry = Entry("e1", address)
         entry.start(task_group)
         await until(lambda: entry.lifecycle("u1") == "ready")
         copy = store.copy()
         for version in range(5, 25):
             store.configure(version, "lost")
-        store.put("servers", "u2", registration("u2", 1, "ready"))
+        store.put_registration("u2", 1)
         await until(lambda: entry.configuration() == 24)
         await until(lambda: entry.lifecycle("u2") == "ready")
         store.restore(copy)
         store.configure(24, "lost")
         store.configure(30, "new")
-        store.put("servers", "u1", registration("u1", 7, "draining"))
-        store.put("servers", "u2", registration("u2", 8, "ready"))
+        store.put_registration("u1", 7, leaving=True)
+        store.put_registration("u2", 8)
         await until(lambda: entry.configuration() == 30)
         await until(lambda: entry.lifecycle("u1") == "leaving")
         await until(lambda: entry.lifecycle("u2") == "ready")
@@ -176,13 +168,12 @@
         entry.start(task_group)
         await until(lambda: entry.state.registry_read)
         copy = store.copy()
-        store.put("servers", "u1", registration("u1", 1, "ready"))
+        store.put_registration("u1", 1)
         await until(lambda: entry.lifecycle("u1") == "ready")
         store.mode = "busy"
         store.restore(copy)
         for number in range(2, 9):
-            row = registration(f"u{number}", 1, "ready")
-            store.put("servers", f"u{number}", row)
+            store.put_registration(f"u{number}", 1)
         store.mode = "ok"
         for number in range(2, 9):
             await until(lambda n=number: entry.lifecycle(f"u{n}") == "ready")  # type: ignore[misc]
@@ -259,13 +250,13 @@
         store: standins.Store, address: str, task_group: anyio.abc.TaskGroup
     ) -> None:
         store.configure(4, "old")
-        store.put("servers", "u1", registration("u1", 1, "ready"))
-        store.put("servers", "u2", registration("u2", 1, "ready"))
+        store.put_registration("u1", 1)
+        store.put_registration("u2", 1)
         entry = Entry("e1", address)
         entry.start(task_group)
         await until(lambda: entry.lifecycle("u1") == "ready")
         copy = store.copy()
-        store.put("servers", "u1", registration("u1", 5, "draining"))
+        store.put_registration("u1", 5, leaving=True)
         await until(lambda: entry.lifecycle("u1") == "leaving")
         if removed:
             store.unregister("u1")
@@ -296,12 +287,12 @@
         entry = Entry("e1", address)
         entry.start(task_group)
         copy = store.copy()
-        store.put("servers", "u1", registration("u1", 1, "ready"))
+        store.put_registration("u1", 1)
         await until(lambda: entry.lifecycle("u1") == "ready")
         store.restore(copy)
         await until(lambda: entry.lifecycle("u1") == "missing")
         assert entry.state.upstreams.usable("engines", entry.clock.now_ms())
-        store.put("servers", "u1", registration("u1", 4, "ready"))
+        store.put_registration("u1", 4)
         await until(lambda: entry.lifecycle("u1") == "ready")
 
     run_with_store(check)
@@ -342,20 +333,19 @@
         store: standins.Store, address: str, task_group: anyio.abc.TaskGroup
     ) -> None:
         store.configure(4, "old")
-        store.put("servers", "u1", registration("u1", 1, "ready"))
+        store.put_registration("u1", 1)
         reader = Entry("reader", address)
         reader.start(task_group)
         await until(lambda: reader.lifecycle("u1") == "ready")
         copy = store.copy()
         for number in range(2, 9):
-            row = registration(f"u{number}", 1, "ready")
-            store.put("servers", f"u{number}", row)
+            store.put_registration(f"u{number}", 1)
         await until(lambda: reader.lifecycle("u8") == "ready")
         cut_off = Entry("cut-off", "127.0.0.1:1")
         cut_off.synchronizer.apply_snapshot(reader.synchronizer.snapshot())
         assert cut_off.lifecycle("u8") == "ready"
         store.restore(copy)
-        store.put("servers", "u1", registration("u1", 3, "draining"))
+        store.put_registration("u1", 3, leaving=True)
         await until(lambda: reader.lifecycle("u1") == "leaving")
         fetches = gossip.on_digest(
             cut_off.state, events.DigestReceived(1_000, _digest(reader))
@@ -390,26 +380,13 @@
 
 def test_rows_of_the_release_before_apply_without_a_restore() -> None:
     entry = Entry("e1", "127.0.0.1:1")
-    documents_row = registration("u1", 1, "ready")
-    row = interfaces.Row("u1", json.dumps(documents_row).encode(), 5)
+    runner = standins.Runner("u1", "engines", [], lambda: 0, random.Random(1))
+    document = runner.registration("10.0.0.1:80", "ready")
+    row = interfaces.Row("u1", json.dumps(document).encode(), 5)
     entry.synchronizer.apply_peer_changes(UPSTREAMS, interfaces.Rows((row,), 5))
     assert entry.lifecycle("u1") == "ready"
 
 
-@pytest.mark.parametrize(
-    ("seq", "born", "revision"),
-    [(7, 1, 7), (None, 1, 0), ("x", 1, 0), (-3, 1, 0)],
-)
-def test_order_of_registrations_is_the_upstreams_own(
-    seq: object, born: int, revision: int
-) -> None:
-    document = {**registration("u1", 1, "ready"), "seq": seq, "born": born}
-    row = interfaces.Row("u1", json.dumps(document).encode(), 5)
-    decoded = documents.PlatformDocuments().decode_registration(row)
-    assert decoded is not None
-    assert decoded.written == (born, revision)
-
-
 def test_older_registration_does_not_replace_a_newer() -> None:
     table = upstreams.UpstreamTable()
     table.update(build.registration(revision=5, slots=8), 0)
--- a/laburnumpin/tests/test_platform_documents.py
+++ b/laburnumpin/tests/test_platform_documents.py
@@ -170,3 +170,14 @@
     with pytest.raises(exceptions.ConfigurationError) as raised:
         _decode_end_check(value)
     assert "answers.end_check_timeout_s" in str(raised.value)
+
+
+@pytest.mark.parametrize(
+    ("seq", "revision"), [(7, 7), (None, 0), ("x", 0), (-3, 0), (True, 0)]
+)
+def test_order_of_registrations_is_the_upstreams_own(
+    seq: object, revision: int
+) -> None:
+    decoded = _decode_registration(seq=seq)
+    assert decoded is not None
+    assert decoded.revision == revision
