--- a/laburnumpin/tests/test_forwarding_store_era.py
+++ b/laburnumpin/tests/test_forwarding_store_era.py
@@ -15,10 +15,12 @@
 from laburnumpin import clock
 from laburnumpin.forwarding import effects
 from laburnumpin.forwarding import events
+from laburnumpin.forwarding import frames
 from laburnumpin.forwarding import gossip
 from laburnumpin.forwarding import interfaces
 from laburnumpin.forwarding import membership
 from laburnumpin.forwarding import pool
+from laburnumpin.forwarding import relay
 from laburnumpin.forwarding import shell as shells
 from laburnumpin.forwarding import state as forwarding_state
 from laburnumpin.forwarding import synchronization
@@ -394,3 +396,31 @@
     current = table.get("u1")
     assert current is not None
     assert current.registration.slots == 8
+
+
+# After a restore, a relay of the release before goes on reporting that it is in
+# sync, although it ignores the rows of the new era.
+def test_relay_of_an_earlier_era_keeps_nobody_in_sync() -> None:
+    async def check() -> None:
+        entry = Entry("e1", "127.0.0.1:1")
+        links = relay.RelayLinks(
+            entry.shell, entry.synchronizer, lambda _: None
+        )
+        for number in range(membership.MAX_MESH_ENTRIES + 1):
+            other = build.contact(f"relay-{number}", link_mbps=100.0)
+            entry.state.members.add_entry(other, entry.clock.now_ms())
+        link = relay._Link(
+            "relay-0", relay.PeerRole.OWN_RELAY, cast(frames.FrameStream, None)
+        )
+        link.in_sync = True
+        links._links["relay-0"] = link
+        entry.shell.note_store_era(1)
+        assert links.is_synced_by_relay()
+        entry.shell.note_store_era(2)
+        assert links.is_synced_by_relay()  # Its rows may be on the way.
+        entry.clock.offset_ms += synchronization.RELAY_ERA_GRACE_MS
+        assert not links.is_synced_by_relay()
+        link.era = 2
+        assert links.is_synced_by_relay()
+
+    anyio.run(check)
