Ignore changes of a lost history that arrive after the tables of the new era

An answer that the store sent before a restore may arrive after a peer has delivered the tables of the new era. Its rows were applied, and their versions taken for versions of the new era.

--- a/laburnumpin/forwarding/synchronization.py
+++ b/laburnumpin/forwarding/synchronization.py
@@ -498,10 +498,13 @@
     def apply_changes(
         self, table: interfaces.Table, rows: interfaces.Rows
     ) -> None:
-        """Apply changed rows of the era that the table is in."""
+        """Apply changed rows, unless the table is in a later era by now."""
         if not rows.rows:
             return
         previous = self._positions[table]
+        if rows.era < previous.era:
+            self._ignore_rows(table, rows.era, rows.version)
+            return
         newest_version = max(row.version for row in rows.rows)
         self._positions[table] = max(
             previous, interfaces.Position(rows.era, newest_version)
