Keep row versions of a peer's earlier era out of the operator's rows

Cause: an entry whose table is in a later era of the store takes a newer configuration from a peer that is still in the era before. It stored the peer's rows with their row versions beside its own position, so that changes of the store counted as older until the versions had passed those of the lost history. Contents of the same version from a lost history even replaced the rows that the entry passes on to others.

Ruled out: the path of whole tables and of changes, which compare eras.

Change: rows from a peer with an older table have no version here, so any change of the store replaces them; equal versions of an earlier era change nothing; an era that is compared is always that of the rows.

test_configuration_of_a_peer_in_an_earlier_era_hides_no_later_one and test_lost_contents_of_a_peer_are_not_passed_on fail before.

--- a/laburnumpin/forwarding/synchronization.py
+++ b/laburnumpin/forwarding/synchronization.py
@@ -375,13 +375,15 @@
             if era is None:
                 self._ignore_rows(table, snapshot_era, snapshot_version)
                 if table is Table.OPERATOR:
-                    self._adopt_configuration({row.key: row for row in rows})
+                    self._adopt_peer_configuration(
+                        rows, self._positions[table].era
+                    )
                 continue
             position = interfaces.Position(era, snapshot_version)
             if position <= self._positions[table]:
                 if table is Table.OPERATOR:
                     # The peer may keep what the store has lost.
-                    self._adopt_configuration({row.key: row for row in rows})
+                    self._adopt_peer_configuration(rows, era)
                 continue
             self._shell.note_store_era(era)
             logs.write(
@@ -667,18 +669,28 @@
         An older one comes from an older copy of the store. The newer one stays
         in force and in snapshots, until the operator has written it again.
         """
-        found = self._adopt_configuration(rows)
+        found = self._adopt_configuration(
+            rows, self._positions[Table.OPERATOR].era
+        )
         current = self._shell.state.deployment
         if current is None or found is None or found >= current.version:
             return
         self._keep_configuration(found, current.version)
 
+    def _adopt_peer_configuration(
+        self, rows: list[interfaces.Row], era: int
+    ) -> None:
+        """Apply a newer configuration of a peer with an older table."""
+        by_key = {row.key: row for row in rows}
+        self._adopt_configuration(_without_versions(by_key), era)
+
     def _adopt_configuration(
-        self, rows: dict[str, interfaces.Row]
+        self, rows: dict[str, interfaces.Row], era: int
     ) -> int | None:
         """Apply the configuration in the operator's rows if it is newest.
 
-        Return its version, 0 if there is none, None if it is invalid.
+        `era` is that of the rows. Return its version, 0 if there is none, None
+        if it is invalid.
         """
         position = self._positions[Table.OPERATOR]
         try:
@@ -694,12 +706,15 @@
         found = 0 if configuration is None else configuration.version
         if current is not None and found < current.version:
             return found
+        if current is not None and found == current.version:
+            if era < self._configuration_era:
+                return found
         if configuration is not None:
             # The operator may write a lost version again with other contents.
-            is_rewritten = position.era > self._configuration_era > 0 and (
+            is_rewritten = era > self._configuration_era > 0 and (
                 _values(rows) != _values(self._operator_rows)
             )
-            self._configuration_era = position.era
+            self._configuration_era = era
             self._shell.apply(
                 events.DeploymentRead(
                     self._shell.now_ms(), configuration, is_rewritten
@@ -709,11 +724,7 @@
         return found
 
     def _keep_configuration(self, found: int, kept: int) -> None:
-        # The versions of the kept rows belong to a lost history.
-        self._operator_rows = {
-            key: dataclasses.replace(row, version=0)
-            for key, row in self._operator_rows.items()
-        }
+        self._operator_rows = _without_versions(self._operator_rows)
         self._shell.state.counters.increment("configurations_kept")
         logs.write(
             "configuration_kept",
@@ -741,6 +752,18 @@
         )
 
 
+def _without_versions(
+    rows: dict[str, interfaces.Row],
+) -> dict[str, interfaces.Row]:
+    """Return rows whose versions are not of this entry's history.
+
+    Any change of the store replaces them.
+    """
+    return {
+        key: dataclasses.replace(row, version=0) for key, row in rows.items()
+    }
+
+
 def _values(rows: dict[str, interfaces.Row]) -> dict[str, bytes | None]:
     return {key: row.value for key, row in rows.items()}
 
--- a/laburnumpin/tests/test_forwarding_store_era.py
+++ b/laburnumpin/tests/test_forwarding_store_era.py
@@ -220,6 +220,34 @@
     run_with_store(check)
 
 
+# CONFIG on Rigsafe: a configuration of a peer in an earlier era brought the row
+# version of that era along, so that later changes were ignored.
+def test_configuration_of_a_peer_in_an_earlier_era_hides_no_later_one() -> None:
+    async def check(
+        store: standins.Store, address: str, task_group: anyio.abc.TaskGroup
+    ) -> None:
+        store.configure(4, "old")
+        peer = Entry("peer", address)
+        peer.start(task_group)
+        copy = store.copy()
+        for version in range(5, 25):
+            store.configure(version, "lost")
+        await until(lambda: peer.configuration() == 24)
+        # The peer loses the store, and stays in its era.
+        snapshot_of_peer = peer.synchronizer.snapshot()
+        store.restore(copy)
+        late = Entry("late", address)
+        late.start(task_group)
+        await until(lambda: late.configuration() == 4)
+        late.synchronizer.apply_snapshot(snapshot_of_peer)
+        assert late.configuration() == 24
+        store.configure(24, "lost")
+        store.configure(30, "new")
+        await until(lambda: late.configuration() == 30)
+
+    run_with_store(check)
+
+
 def test_lost_version_that_is_written_again_with_other_contents_applies() -> (
     None
 ):
@@ -245,6 +273,31 @@
     run_with_store(check)
 
 
+# An entry passed the contents of a lost version on to others, as if the store
+# had them.
+def test_lost_contents_of_a_peer_are_not_passed_on() -> None:
+    async def check(
+        store: standins.Store, address: str, task_group: anyio.abc.TaskGroup
+    ) -> None:
+        store.configure(4, "old")
+        peer = Entry("peer", address)
+        peer.start(task_group)
+        copy = store.copy()
+        store.configure(9, "first")
+        await until(lambda: peer.configuration() == 9)
+        snapshot_of_peer = peer.synchronizer.snapshot()
+        store.restore(copy)
+        store.configure(9, "second")
+        entry = Entry("entry", address)
+        entry.start(task_group)
+        await until(lambda: entry.configuration() == 9)
+        before = entry.synchronizer.snapshot()
+        entry.synchronizer.apply_snapshot(snapshot_of_peer)
+        assert entry.synchronizer.snapshot() == before
+
+    run_with_store(check)
+
+
 # The older copy has an engine that has left: it gets no request again.
 @pytest.mark.parametrize("removed", [False, True])
 def test_engine_that_has_left_does_not_come_back(
