Apply the table that is read after a lost history at a lower version

What callers may see: a configuration that stays at an older version, or an upstream that leaves and still gets requests, until the store's versions have passed one that it never reached in this history.

Cause: an answer that was made before a restore and names the era after it leaves a version that the restored store does not have.

Change: after a 410, a table at a lower version is applied as that of a restored store: newer configurations and registrations stay, removals that are later than the table's version hold the row back.

test_table_read_after_a_lost_history_replaces_an_unreachable_version fails before (timeout).

--- a/laburnumpin/forwarding/synchronization.py
+++ b/laburnumpin/forwarding/synchronization.py
@@ -158,6 +158,7 @@
         pause_ms = MIN_RETRY_PAUSE_MS
         after: interfaces.Position | None = None
         is_failing = False
+        has_lost_history = False
         while True:
             if self._positions[table].version and self._is_synced(table):
                 is_failing = False
@@ -169,7 +170,13 @@
                 if after is None:
                     rows = await self._store.read(table)
                     self._shell.note_store_era(rows.era)
-                    self._apply_all_rows(table, rows, is_failing)
+                    self._apply_all_rows(
+                        table,
+                        rows,
+                        is_failing,
+                        has_lost_history=has_lost_history,
+                    )
+                    has_lost_history = False
                 else:
                     rows = await self._store.changes(
                         table, after.version, CHANGES_WAIT_MS
@@ -190,6 +197,7 @@
             except interfaces.HistoryLostError:
                 logs.write("store_history_lost", "info", {"table": table.value})
                 after = None
+                has_lost_history = True
                 continue
             except exceptions.LaburnumpinError as error:
                 if not is_failing:
@@ -440,17 +448,26 @@
         rows: interfaces.Rows,
         after_outage: bool,
         snapshot_version: int = 0,
+        *,
+        has_lost_history: bool = False,
     ) -> None:
+        """Apply a whole table.
+
+        With `has_lost_history`, the store did not know the version that this
+        entry had. A lower version of the table is then that of another history.
+        """
         previous = self._positions[table]
         if rows.era < previous.era:
             self._ignore_rows(table, rows.era, rows.version)
             return
+        is_older = rows.era == previous.era and rows.version < previous.version
         is_restored = rows.era > previous.era and previous.version > 0
-        if not is_restored and rows.version < previous.version:
+        is_restored |= is_older and has_lost_history
+        if is_older and not is_restored:
             return  # A newer snapshot of a peer has been applied.
         newest_version = max([row.version for row in rows.rows], default=1)
         newest_version = max(newest_version, snapshot_version)
-        if rows.era == previous.era:
+        if rows.era == previous.era and not is_restored:
             newest_version = max(newest_version, previous.version)
         self._positions[table] = interfaces.Position(rows.era, newest_version)
         by_key = {row.key: row for row in rows.rows}
@@ -465,7 +482,7 @@
             after_outage = True
             self._held_rows.clear()
             self._keep_newer_registrations(by_key)
-        by_key = self._hold_ended(by_key, now_ms)
+        by_key = self._hold_ended(by_key, rows.version, now_ms)
         self._upstream_rows = by_key
         if after_outage:
             self._outage_ended_ms = now_ms
@@ -551,7 +568,7 @@
                 )
             )
             return
-        if self._is_held(row, registration, now_ms):
+        if self._is_held(row, registration, row.version, now_ms):
             return
         self._tombstones.pop(row.key, None)
         self._upstream_rows[row.key] = row
@@ -591,9 +608,12 @@
                 rows[key] = dataclasses.replace(known_row, version=row.version)
 
     def _hold_ended(
-        self, rows: dict[str, interfaces.Row], now_ms: int
+        self, rows: dict[str, interfaces.Row], version: int, now_ms: int
     ) -> dict[str, interfaces.Row]:
-        """Return the rows of a restored store, without those to be held."""
+        """Return the rows of a table that was read at a version.
+
+        Those to be held are left out.
+        """
         for key in list(self._held_rows):
             if key not in rows:
                 del self._held_rows[key]
@@ -601,7 +621,7 @@
         for key, row in rows.items():
             registration = self._documents.decode_registration(row)
             if registration is not None and self._is_held(
-                row, registration, now_ms
+                row, registration, version, now_ms
             ):
                 continue
             kept[key] = row
@@ -611,18 +631,22 @@
         self,
         row: interfaces.Row,
         registration: upstreams.Registration,
+        version: int,
         now_ms: int,
     ) -> bool:
         """Hold a row that may have come back only with an older copy.
 
-        Its registration was removed in an earlier era, and nothing shows that
-        the upstream has written it since.
+        Its registration was removed in an earlier era, or after `version`, at
+        which the row was read, and nothing shows that the upstream has written
+        it since.
         """
         tombstone = self._tombstones.get(row.key)
         if tombstone is None:
             return False
-        if tombstone.position.era == self._positions[Table.UPSTREAMS].era:
-            return False
+        era = self._positions[Table.UPSTREAMS].era
+        if tombstone.position.era == era:
+            if tombstone.position.version <= version:
+                return False
         if registration.written > tombstone.written:
             return False
         _, since_ms = self._held_rows.get(row.key, (row, now_ms))
--- a/laburnumpin/tests/test_forwarding_store_era.py
+++ b/laburnumpin/tests/test_forwarding_store_era.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import dataclasses
 import json
 import random
 from typing import Any
@@ -474,6 +475,97 @@
     assert entry.synchronizer.snapshot()["upstreams_version"] == 71
 
 
+class _StaleStore:
+    """A client whose next read of a table may return older rows."""
+
+    def __init__(self, store: clients.PlatformStore) -> None:
+        self._store = store
+        self.stale: dict[interfaces.Table, interfaces.Rows] = {}
+
+    async def read(self, table: interfaces.Table) -> interfaces.Rows:
+        rows = self.stale.pop(table, None)
+        return rows or await self._store.read(table)
+
+    async def changes(
+        self, table: interfaces.Table, after: int, wait_ms: int
+    ) -> interfaces.Rows:
+        return await self._store.changes(table, after, wait_ms)
+
+    async def write(
+        self,
+        table: interfaces.Table,
+        key: str,
+        value: bytes,
+        expected_version: int | None,
+    ) -> interfaces.Position:
+        return await self._store.write(table, key, value, expected_version)
+
+    async def remove(
+        self, table: interfaces.Table, keys: tuple[str, ...]
+    ) -> None:
+        await self._store.remove(table, keys)
+
+
+# An answer from before the restore that names the new era left a version that the
+# store had not reached; the table that was read after the 410 was ignored.
+def test_table_read_after_a_lost_history_replaces_an_unreachable_version() -> (
+    None
+):
+    async def check(
+        store: standins.Store, address: str, task_group: anyio.abc.TaskGroup
+    ) -> None:
+        store.configure(4, "old")
+        store.put_registration("u1", 1)
+        entry = Entry("entry", address)
+        stale_store = _StaleStore(entry.store)
+        entry.synchronizer = synchronization.Synchronizer(
+            entry.shell, stale_store, documents.PlatformDocuments()
+        )
+        copy = store.copy()
+        for version in range(5, 25):
+            store.configure(version, "lost")
+        entry.start(task_group)
+        await until(lambda: entry.configuration() == 24)
+        for table in (interfaces.Table.OPERATOR, UPSTREAMS):
+            rows = await entry.store.read(table)
+            stale_store.stale[table] = dataclasses.replace(rows, era=2)
+        store.restore(copy)
+        await until(lambda: not stale_store.stale)
+        await until(lambda: entry.state.store_era == 2)
+        store.configure(24, "lost")
+        store.configure(30, "new")
+        store.put_registration("u1", 7, leaving=True)
+        await until(lambda: entry.configuration() == 30)
+        await until(lambda: entry.lifecycle("u1") == "leaving")
+
+    run_with_store(check)
+
+
+def test_stale_table_after_a_lost_history_brings_no_removed_upstream_back() -> (
+    None
+):
+    async def check(
+        store: standins.Store, address: str, task_group: anyio.abc.TaskGroup
+    ) -> None:
+        store.configure(4, "old")
+        store.put_registration("u1", 1)
+        entry = Entry("entry", address)
+        entry.start(task_group)
+        await until(lambda: entry.lifecycle("u1") == "ready")
+        stale = await entry.store.read(UPSTREAMS)
+        store.unregister("u1")
+        store.put_registration("u2", 1)
+        await until(lambda: entry.lifecycle("u2") == "ready")
+        assert entry.lifecycle("u1") == "gone"
+        entry.synchronizer._apply_all_rows(
+            UPSTREAMS, stale, False, has_lost_history=True
+        )
+        assert entry.lifecycle("u1") == "gone"
+        assert entry.lifecycle("u2") == "missing"
+
+    run_with_store(check)
+
+
 # After a restore, a relay of the release before goes on reporting that it is in
 # sync, although it ignores the rows of the new era.
 def test_relay_of_an_earlier_era_keeps_nobody_in_sync() -> None:
