Follow a table of several pages from the version of its first page

What callers may see: on deployments with more than 500 registrations, an upstream that leaves or restarts while the table is being read stays as it was (DRAIN).

Cause: the pages of a table are read at different moments. The entry went on from the version of the last page, so changes of rows of earlier pages in between were never read. Found while looking for CONFIG.

Change: the table has the version of its first page; what later pages show already is read once more and ignored by row version.

--- a/laburnumpin/forwarding/synchronization.py
+++ b/laburnumpin/forwarding/synchronization.py
@@ -466,6 +466,8 @@
         if is_older and not is_restored:
             return  # A newer snapshot of a peer has been applied.
         newest_version = max([row.version for row in rows.rows], default=1)
+        # Rows of later pages may be newer than the version of the table.
+        newest_version = min(newest_version, rows.version)
         newest_version = max(newest_version, snapshot_version)
         if rows.era == previous.era and not is_restored:
             newest_version = max(newest_version, previous.version)
--- a/laburnumpin/platform/clients.py
+++ b/laburnumpin/platform/clients.py
@@ -166,7 +166,8 @@
             pages.append(page)
             rows.extend(page.rows)
             if not document.get("truncated") or not page.rows:
-                return interfaces.Rows(tuple(rows), page.version, page.era)
+                # Changes of earlier pages since then are still to be read.
+                return interfaces.Rows(tuple(rows), pages[0].version, page.era)
             # Keys are in byte order; the next page starts after the last key.
             query["from"] = page.rows[-1].key + "\x00"
 
--- a/laburnumpin/tests/test_forwarding_store_era.py
+++ b/laburnumpin/tests/test_forwarding_store_era.py
@@ -506,8 +506,8 @@
         await self._store.remove(table, keys)
 
 
-# An answer from before the restore that names the new era left a version that the
-# store had not reached; the table that was read after the 410 was ignored.
+# An answer from before the restore that names the new era left a version that
+# the store had not reached; the table that was read after the 410 was ignored.
 def test_table_read_after_a_lost_history_replaces_an_unreachable_version() -> (
     None
 ):
