Decode registrations and configurations one by one, and restart failed loops

Cause: an exception that a decoder or the reducer did not expect ended the task that follows a table, which nothing started again: the entry served with what it knew. Nesting of 100,000 raised RecursionError and numbers of 400 digits OverflowError. Class: one bad entry of a list written by many ends the reader of all. Ruled out: the process itself did not end, tasks are isolated.

Change: each registration and configuration is decoded by itself against types, ranges and a size, with one kind of exception (untrusted.MalformedError). A malformed registration names no upstream, is counted and logged once per version; what was registered under its key is gone. A table is read again after any error, and the other loops are started again.

Tests of decode_registration expected None for malformed rows; they expect a coded error now, which says more. Fuzz tests of these decoders allow that one exception.

--- a/laburnumpin/forwarding/daemon.py
+++ b/laburnumpin/forwarding/daemon.py
@@ -76,18 +76,20 @@
             shell, synchronizer, settings.peer_address
         )
         caller_frontend = frontend.Frontend(shell)
-        runner.start(peer_exchange.serve)
-        runner.start(caller_frontend.serve, settings.caller_address)
-        runner.start(probes.serve, shell, settings.readiness_address)
-        runner.start(synchronizer.watch_table, interfaces.Table.OPERATOR)
-        runner.start(synchronizer.watch_table, interfaces.Table.UPSTREAMS)
-        runner.start(synchronizer.register_and_poll_entries, own_contact)
-        runner.start(peer_exchange.maintain_relay_links)
-        runner.start(withheld_parts.run)
+        runner.keep_running(peer_exchange.serve)
+        runner.keep_running(caller_frontend.serve, settings.caller_address)
+        runner.keep_running(probes.serve, shell, settings.readiness_address)
+        runner.keep_running(synchronizer.watch_table, interfaces.Table.OPERATOR)
+        runner.keep_running(
+            synchronizer.watch_table, interfaces.Table.UPSTREAMS
+        )
+        runner.keep_running(synchronizer.register_and_poll_entries, own_contact)
+        runner.keep_running(peer_exchange.maintain_relay_links)
+        runner.keep_running(withheld_parts.run)
         duty_runner = duties.Duties(
             shell, store, cloud, settings, synchronizer.on_tick
         )
-        runner.start(duty_runner.run)
+        runner.keep_running(duty_runner.run)
         logs.write(
             "entry_started",
             "info",
--- a/laburnumpin/forwarding/interfaces.py
+++ b/laburnumpin/forwarding/interfaces.py
@@ -287,7 +287,11 @@
         """
 
     def decode_registration(self, row: Row) -> upstreams.Registration | None:
-        """Return a registration; None if the row has no usable upstream."""
+        """Return the registration in a row; None if the row was removed.
+
+        Raises:
+            DocumentError: The row names no usable upstream.
+        """
 
 
 class Clients(Protocol):
--- a/laburnumpin/forwarding/synchronization.py
+++ b/laburnumpin/forwarding/synchronization.py
@@ -46,6 +46,10 @@
 ENTRY_WRITE_SPREAD_S = 0.01
 # Removed registrations whose version is kept.
 MAX_TOMBSTONES = 1_000
+# Malformed registrations whose version was logged.
+MAX_LOGGED_ROWS = 256
+MAX_LOGGED_KEY_CHARS = 200
+MAX_LOGGED_ERROR_CHARS = 400
 # In a new era of the store, entries that a relay keeps in sync wait this long
 # for the relay's rows before they read the store themselves.
 RELAY_ERA_GRACE_MS = 2_000
@@ -86,6 +90,7 @@
         "_failing_tables",
         "_held_rows",
         "_ignored_eras",
+        "_malformed_rows",
         "_noted_era",
         "_on_entries_read",
         "_operator_rows",
@@ -133,6 +138,8 @@
         self._noted_era = 0
         # Tables and eras whose ignored rows were logged.
         self._ignored_eras: set[tuple[interfaces.Table, int]] = set()
+        # Malformed registrations that were logged, with their versions, by key.
+        self._malformed_rows: dict[str, int] = {}
         self._outage_ended_ms: int | None = None
         # Set while no relay keeps this entry in sync.
         self._relay_lost = anyio.Event()
@@ -199,19 +206,16 @@
                 after = None
                 has_lost_history = True
                 continue
-            except exceptions.LaburnumpinError as error:
+            except Exception as error:
+                # Whatever a row or an answer has led to, the table is followed
+                # again: an entry that stopped would serve what it last knew.
+                if not isinstance(error, exceptions.LaburnumpinError):
+                    after = None
                 if not is_failing:
                     self._log_store_lost(table, error)
                 is_failing = True
                 self._failing_tables.add(table)
-                members = self._shell.state.members.count()
-                # With the longer pauses of a large fleet, some entry still
-                # detects the end of the outage as early as in a small fleet.
-                entry_factor = max(1.0, members / UNSCALED_RETRY_ENTRIES)
-                pause_factor = (
-                    self._shell.state.random.uniform(0.5, 1.5) * entry_factor
-                )
-                await anyio.sleep(pause_ms * pause_factor / 1_000)
+                await anyio.sleep(self._retry_pause_s(pause_ms))
                 pause_ms = min(pause_ms * 2, MAX_RETRY_PAUSE_MS)
                 continue
             if is_failing:
@@ -227,6 +231,17 @@
             is_failing = False
             pause_ms = MIN_RETRY_PAUSE_MS
 
+    def _retry_pause_s(self, pause_ms: int) -> float:
+        """Return the pause before the next call, longer in large fleets.
+
+        Some entry still detects the end of an outage as early as in a small
+        fleet.
+        """
+        members = self._shell.state.members.count()
+        entry_factor = max(1.0, members / UNSCALED_RETRY_ENTRIES)
+        pause_factor = self._shell.state.random.uniform(0.5, 1.5) * entry_factor
+        return pause_ms * pause_factor / 1_000
+
     def on_tick(self) -> None:
         """Check whether a relay keeps this entry in sync, and held rows."""
         self._release_held_rows(self._shell.now_ms())
@@ -490,7 +505,7 @@
             self._outage_ended_ms = now_ms
         registrations: list[upstreams.Registration] = []
         for row in by_key.values():
-            registration = self._documents.decode_registration(row)
+            registration = self._decode_registration(row)
             if registration is not None:
                 registrations.append(registration)
         self._shell.apply(
@@ -561,7 +576,7 @@
             known = self._tombstones[row.key].position
         if known.era == era and row.version <= known.version:
             return  # A peer has delivered this or a newer change.
-        registration = self._documents.decode_registration(row)
+        registration = self._decode_registration(row)
         if registration is None:
             self._remove_row(row, era)
             self._shell.apply(
@@ -578,6 +593,39 @@
             events.UpstreamChanged(now_ms, row.version, registration)
         )
 
+    def _decode_registration(
+        self, row: interfaces.Row
+    ) -> upstreams.Registration | None:
+        """Return the registration in a row, None if it names no upstream.
+
+        A malformed row, which may be another writer's, names none: what was
+        registered under its key before is gone.
+        """
+        try:
+            return self._documents.decode_registration(row)
+        except exceptions.DocumentError as error:
+            self._log_malformed(row, error)
+            return None
+
+    def _log_malformed(
+        self, row: interfaces.Row, error: exceptions.DocumentError
+    ) -> None:
+        if self._malformed_rows.get(row.key) == row.version:
+            return
+        if len(self._malformed_rows) >= MAX_LOGGED_ROWS:
+            del self._malformed_rows[next(iter(self._malformed_rows))]
+        self._malformed_rows[row.key] = row.version
+        self._shell.state.counters.increment("registrations_malformed")
+        logs.write(
+            "registration_malformed",
+            "warning",
+            {
+                "upstream": row.key[:MAX_LOGGED_KEY_CHARS],
+                "reason": error.message,
+                "registry_version": row.version,
+            },
+        )
+
     def _remove_row(self, row: interfaces.Row, era: int) -> None:
         """Remove a row, and remember that it was removed."""
         self._held_rows.pop(row.key, None)
@@ -586,7 +634,7 @@
         if row.key in self._tombstones:
             written = self._tombstones[row.key].written
         if removed is not None:
-            last = self._documents.decode_registration(removed)
+            last = self._decode_registration(removed)
             written = max(written, (0, 0) if last is None else last.written)
         self._tombstones[row.key] = _Tombstone(
             interfaces.Position(era, row.version), written
@@ -602,8 +650,8 @@
             known_row = self._upstream_rows.get(key)
             if known_row is None:
                 continue
-            known = self._documents.decode_registration(known_row)
-            copied = self._documents.decode_registration(row)
+            known = self._decode_registration(known_row)
+            copied = self._decode_registration(row)
             if known is None or copied is None:
                 continue
             if known.written > copied.written:
@@ -621,7 +669,7 @@
                 del self._held_rows[key]
         kept: dict[str, interfaces.Row] = {}
         for key, row in rows.items():
-            registration = self._documents.decode_registration(row)
+            registration = self._decode_registration(row)
             if registration is not None and self._is_held(
                 row, registration, version, now_ms
             ):
@@ -763,16 +811,19 @@
         )
 
     def _log_store_lost(
-        self, table: interfaces.Table, error: exceptions.LaburnumpinError
+        self, table: interfaces.Table, error: Exception
     ) -> None:
         self._shell.state.counters.increment("store_lost", table.value)
+        code, reason = "unexpected_error", repr(error)[:MAX_LOGGED_ERROR_CHARS]
+        if isinstance(error, exceptions.LaburnumpinError):
+            code, reason = error.code, error.message
         logs.write(
             "store_lost",
             "warning",
             {
                 "table": table.value,
-                "code": error.code,
-                "reason": error.message,
+                "code": code,
+                "reason": reason,
                 "version": self._positions[table].version,
             },
         )
--- a/laburnumpin/platform/documents.py
+++ b/laburnumpin/platform/documents.py
@@ -2,18 +2,28 @@
 
 from __future__ import annotations
 
-import json
-import math
-import re
 from typing import Any
 
-from laburnumpin import exceptions
 from laburnumpin.forwarding import deployment
 from laburnumpin.forwarding import interfaces
+from laburnumpin.forwarding import untrusted
 from laburnumpin.forwarding import upstreams
 
 CONFIGURATION_KEY = "config"
-_ADDRESS_PATTERN = re.compile(r"\d{1,3}(\.\d{1,3}){3}:\d{1,5}")
+# Longest rows that are read. The platform limits a row to 65,536 bytes.
+MAX_REGISTRATION_BYTES = 65_536
+MAX_CONFIGURATION_BYTES = 8_388_608
+# Most requests at once, connections, attempts and priority that are taken from
+# a document.
+MAX_SLOTS = 1_000_000
+MAX_CONNECTIONS = 10_000_000
+MAX_ATTEMPTS = 1_000
+MAX_PRIORITY = 1_000_000
+MAX_UPSTREAMS = 1_000_000
+# Longest time limit and size of a caller's request.
+MAX_LIMIT_BYTES = 2**40
+# Longest text in a configuration: a path prefix or a key.
+MAX_TEXT_CHARS = 8_192
 _LIFECYCLE_BY_STATE = {
     "ready": upstreams.Lifecycle.READY,
     "draining": upstreams.Lifecycle.LEAVING,
@@ -31,178 +41,249 @@
         """Return the configuration in the operator's rows; None without one.
 
         Raises:
-            DocumentError: The configuration is malformed.
+            MalformedError: The configuration is malformed.
         """
         for row in rows.rows:
             if row.key != CONFIGURATION_KEY or row.value is None:
                 continue
-            try:
-                return _decode_deployment(json.loads(row.value))
-            except (
-                AttributeError,
-                KeyError,
-                TypeError,
-                ValueError,
-            ) as error:
-                raise exceptions.DocumentError(
-                    f"the configuration is malformed: {error!r}"
-                ) from error
+            return _decode_deployment(
+                untrusted.parse_json(row.value, MAX_CONFIGURATION_BYTES)
+            )
         return None
 
     def decode_registration(
         self, row: interfaces.Row
     ) -> upstreams.Registration | None:
-        """Return the registration in a row.
+        """Return the registration in a row; None if the row was removed.
 
-        None if the row was removed, is malformed or has a state other than
-        `ready` and `draining`.
+        Raises:
+            MalformedError: The row is malformed, or has a state other than
+                `ready` and `draining`.
         """
         if row.value is None:
             return None
-        try:
-            document = json.loads(row.value)
-        except ValueError:
-            return None
-        if not isinstance(document, dict):
-            return None
-        lifecycle = _LIFECYCLE_BY_STATE.get(str(document.get("state")))
-        service = document.get("service")
-        address = document.get("address")
-        zone = document.get("zone")
-        slots = document.get("slots")
-        # `born` is the start time of the upstream in Unix milliseconds.
-        born = document.get("born", 0)
-        if lifecycle is None or not isinstance(service, str):
-            return None
-        if not isinstance(address, str) or not _ADDRESS_PATTERN.fullmatch(
-            address
-        ):
-            return None
-        if not isinstance(zone, str) or not _is_int(slots):
-            return None
-        if not _is_int(born):
-            return None
-        revision = document.get("seq")
+        document = untrusted.parse_json(row.value, MAX_REGISTRATION_BYTES)
+        state = untrusted.text(_get(document, "state"), "state")
+        if state not in _LIFECYCLE_BY_STATE:
+            raise untrusted.MalformedError("state", "unknown_value")
+        leaves_ms = document.get("leaves_ms")
         return upstreams.Registration(
-            upstream_id=row.key,
-            incarnation_ms=int(born),
-            service=service,
-            address=address,
-            zone=zone,
-            slots=int(str(slots)),
-            lifecycle=lifecycle,
+            upstream_id=untrusted.name(row.key, "key"),
+            # `born` is the start time of the upstream in Unix milliseconds.
+            incarnation_ms=untrusted.integer(
+                document.get("born", 0), "born", 0, untrusted.MAX_UNIX_MS
+            ),
+            service=untrusted.text(_get(document, "service"), "service"),
+            address=untrusted.address(_get(document, "address"), "address"),
+            zone=untrusted.text(_get(document, "zone"), "zone"),
+            slots=untrusted.integer(
+                _get(document, "slots"), "slots", 1, MAX_SLOTS
+            ),
+            lifecycle=_LIFECYCLE_BY_STATE[state],
             reclaimable=document.get("spot") is True,
-            cold_ms=_duration_ms(document.get("cold_remaining_ms")) or 0,
-            leaves_in_ms=_duration_ms(document.get("leaves_ms")),
-            revision=max(0, int(str(revision))) if _is_int(revision) else 0,
+            cold_ms=untrusted.duration_ms(
+                document.get("cold_remaining_ms") or 0, "cold_remaining_ms"
+            ),
+            leaves_in_ms=None
+            if leaves_ms is None
+            else untrusted.duration_ms(leaves_ms, "leaves_ms"),
+            revision=_decode_revision(document.get("seq")),
         )
 
 
-def _duration_ms(value: object) -> int | None:
-    """Return a duration in ms; None if the value is not a finite number."""
-    if isinstance(value, int | float) and math.isfinite(value):
-        return int(value)
-    return None
+def _decode_revision(value: object) -> int:
+    """Return the number of a registration's write, 0 if it has none."""
+    try:
+        return untrusted.integer(value, "seq")
+    except untrusted.MalformedError:
+        return 0
+
 
+def _get(document: dict[str, Any], field: str) -> Any:
+    return untrusted.required(document, field)
 
-def _is_int(value: object) -> bool:
-    return isinstance(value, int) and not isinstance(value, bool)
+
+def _whole(
+    document: dict[str, Any],
+    field: str,
+    default: int | None = None,
+    *,
+    low: int = 0,
+    high: int,
+) -> int:
+    """Return a number as an integer; JSON may write it with a fraction."""
+    value = document.get(field)
+    if value is None:
+        value = _get(document, field) if default is None else default
+    return int(untrusted.number(value, field, low, high))
 
 
 def _decode_deployment(document: dict[str, Any]) -> deployment.Deployment:
     services = {}
-    for fields in document.get("services", []):
+    for fields in _objects(document, "services"):
         service = _decode_service(fields)
         services[service.name] = service
     customers = {}
-    for fields in document.get("tenants", []):
+    for fields in _objects(document, "tenants"):
         customer = _decode_customer(fields)
         customers[customer.name] = customer
-    limits = document.get("limits", {})
-    defaults = deployment.CallerLimits()
     return deployment.Deployment(
-        version=int(document["version"]),
-        routes=tuple(_decode_route(f) for f in document.get("routes", [])),
+        version=untrusted.integer(_get(document, "version"), "version"),
+        routes=tuple(_decode_route(f) for f in _objects(document, "routes")),
         services=services,
         customers=customers,
-        limits=deployment.CallerLimits(
-            int(limits.get("max_header_bytes", defaults.max_header_bytes)),
-            int(limits.get("max_body_bytes", defaults.max_body_bytes)),
-            int(limits.get("header_timeout_ms", defaults.header_timeout_ms)),
-            int(limits.get("idle_timeout_ms", defaults.idle_timeout_ms)),
+        limits=_decode_limits(_object(document, "limits")),
+    )
+
+
+def _objects(document: dict[str, Any], field: str) -> list[dict[str, Any]]:
+    """Return a list of objects, empty without the field."""
+    values = untrusted.sequence(document.get(field) or [], field)
+    return [untrusted.mapping(value, field) for value in values]
+
+
+def _object(document: dict[str, Any], field: str) -> dict[str, Any]:
+    """Return an object, empty without the field."""
+    return untrusted.mapping(document.get(field) or {}, field)
+
+
+def _text(document: dict[str, Any], field: str) -> str:
+    return untrusted.text(_get(document, field), field, MAX_TEXT_CHARS)
+
+
+def _decode_limits(fields: dict[str, Any]) -> deployment.CallerLimits:
+    defaults = deployment.CallerLimits()
+    longest_ms = untrusted.MAX_DURATION_MS
+    return deployment.CallerLimits(
+        _whole(
+            fields,
+            "max_header_bytes",
+            defaults.max_header_bytes,
+            high=MAX_LIMIT_BYTES,
+        ),
+        _whole(
+            fields,
+            "max_body_bytes",
+            defaults.max_body_bytes,
+            high=MAX_LIMIT_BYTES,
+        ),
+        _whole(
+            fields,
+            "header_timeout_ms",
+            defaults.header_timeout_ms,
+            high=longest_ms,
+        ),
+        _whole(
+            fields,
+            "idle_timeout_ms",
+            defaults.idle_timeout_ms,
+            high=longest_ms,
         ),
     )
 
 
 def _decode_route(fields: dict[str, Any]) -> deployment.Route:
-    kind = fields["route_type"]
+    kind = _text(fields, "route_type")
     if kind not in ("idempotent", "non_idempotent", "streaming"):
-        raise ValueError(f"unknown route_type: {kind}")
+        raise untrusted.MalformedError("route_type", "unknown_value")
     is_stream = kind == "streaming"
     splits = []
-    for split in fields.get("traffic_split") or []:
-        weight = float(split.get("weight", 1))
-        splits.append(deployment.Split(split["service"], weight))
+    for split in _objects(fields, "traffic_split"):
+        weight = untrusted.number(split.get("weight", 1), "weight")
+        splits.append(deployment.Split(_text(split, "service"), weight))
     if not splits:
-        splits.append(deployment.Split(fields["service"], 1.0))
+        splits.append(deployment.Split(_text(fields, "service"), 1.0))
+    if not any(split.weight for split in splits):
+        raise untrusted.MalformedError("weight", "out_of_range")
     may_resume = is_stream and bool(fields.get("stream_resume"))
+    longest_ms = untrusted.MAX_DURATION_MS
     return deployment.Route(
-        name=str(fields["name"]),
-        host=str(fields["host"]).lower(),
-        path_prefix=str(fields["path_prefix"]),
+        name=_text(fields, "name"),
+        host=_text(fields, "host").lower(),
+        path_prefix=_text(fields, "path_prefix"),
         is_stream=is_stream,
         may_repeat=kind == "idempotent" or may_resume,
-        timeout_ms=int(fields["timeout_ms"]),
-        objective_ms=int(fields.get("target_latency_ms", 1_000)),
-        gap_objective_ms=int(fields.get("gap_aim_ms") or 0),
-        priority=int(fields.get("priority", 5)),
+        timeout_ms=_whole(fields, "timeout_ms", high=longest_ms),
+        objective_ms=_whole(
+            fields, "target_latency_ms", 1_000, high=longest_ms
+        ),
+        gap_objective_ms=_whole(fields, "gap_aim_ms", 0, high=longest_ms),
+        priority=_whole(
+            fields, "priority", 5, low=-MAX_PRIORITY, high=MAX_PRIORITY
+        ),
         splits=tuple(splits),
-        max_attempts=max(1, int(fields.get("max_attempts", 1))),
+        max_attempts=max(
+            1, _whole(fields, "max_attempts", 1, high=MAX_ATTEMPTS)
+        ),
         anonymous=bool(fields.get("anonymous")),
     )
 
 
 def _decode_service(fields: dict[str, Any]) -> deployment.Service:
     engine = None
-    if fields.get("engine"):
-        engine_fields = fields["engine"]
+    engine_fields = _object(fields, "engine")
+    if engine_fields:
         engine = deployment.EngineProfile(
-            slots=int(engine_fields["slots"]),
+            slots=_whole(engine_fields, "slots", high=MAX_SLOTS),
             moves_streams=engine_fields.get("moves") is True,
         )
     autoscaling = None
-    if fields.get("autoscaling"):
-        scaling_fields = fields["autoscaling"]
-        autoscaling = deployment.Autoscaling(
-            # The platform's limits apply to each zone.
-            min_per_zone=int(scaling_fields["min_replicas"]),
-            max_per_zone=int(scaling_fields["max_replicas"]),
-            boot_ms=int(float(scaling_fields.get("boot_time_s", 5)) * 1_000),
-            # Absent if the service has no reclaimable upstreams.
-            reclaimable_price_share=float(
-                scaling_fields.get("spot_price", 1.0)
-            ),
-            price_by_zone={
-                str(zone): float(price)
-                for zone, price in scaling_fields.get("zone_prices", {}).items()
-            },
-        )
+    scaling_fields = _object(fields, "autoscaling")
+    if scaling_fields:
+        autoscaling = _decode_autoscaling(scaling_fields)
     return deployment.Service(
-        name=str(fields["name"]),
-        max_connections=int(fields.get("max_connections", 100)),
+        name=_text(fields, "name"),
+        max_connections=_whole(
+            fields, "max_connections", 100, high=MAX_CONNECTIONS
+        ),
         engine=engine,
         autoscaling=autoscaling,
     )
 
 
+def _decode_autoscaling(fields: dict[str, Any]) -> deployment.Autoscaling:
+    boot_s = untrusted.number(
+        fields.get("boot_time_s", 5),
+        "boot_time_s",
+        0.0,
+        untrusted.MAX_DURATION_MS / 1_000,
+    )
+    prices = {}
+    for zone, price in _object(fields, "zone_prices").items():
+        prices[zone] = untrusted.number(price, "zone_prices")
+    return deployment.Autoscaling(
+        # The platform's limits apply to each zone.
+        min_per_zone=_whole(fields, "min_replicas", high=MAX_UPSTREAMS),
+        max_per_zone=_whole(fields, "max_replicas", high=MAX_UPSTREAMS),
+        boot_ms=int(boot_s * 1_000),
+        # Absent if the service has no reclaimable upstreams.
+        reclaimable_price_share=untrusted.number(
+            fields.get("spot_price", 1.0), "spot_price"
+        ),
+        price_by_zone=prices,
+    )
+
+
 def _decode_customer(fields: dict[str, Any]) -> deployment.Customer:
     priority = fields.get("priority")
+    if priority is not None:
+        priority = _whole(
+            fields, "priority", low=-MAX_PRIORITY, high=MAX_PRIORITY
+        )
+    keys = untrusted.sequence(fields.get("api_keys") or [], "api_keys")
     return deployment.Customer(
-        name=str(fields["name"]),
-        keys=tuple(str(key) for key in fields.get("api_keys", [])),
-        priority=None if priority is None else int(priority),
+        # It is sent in a header.
+        name=untrusted.name(_get(fields, "name"), "name"),
+        keys=tuple(
+            untrusted.text(key, "api_keys", MAX_TEXT_CHARS) for key in keys
+        ),
+        priority=priority,
         counts_tokens=fields.get("unit") == "tokens",
-        plain_tokens=int(fields.get("plain_tokens", 1)),
-        rate_per_s=float(fields.get("rate_per_s") or 0),
-        burst=float(fields.get("burst") or 0),
+        plain_tokens=_whole(
+            fields, "plain_tokens", 1, high=untrusted.MAX_COUNTER
+        ),
+        rate_per_s=untrusted.number(
+            fields.get("rate_per_s") or 0, "rate_per_s"
+        ),
+        burst=untrusted.number(fields.get("burst") or 0, "burst"),
     )
--- a/laburnumpin/platform/standins.py
+++ b/laburnumpin/platform/standins.py
@@ -37,6 +37,19 @@
 CRASH_S = 0.03
 # Pause between two events of a stream.
 EVENT_PAUSE_S = 0.01
+# Values that another writer may leave among the registrations.
+ODD_REGISTRATIONS = (
+    b"[" * 100_000,
+    b'{"state": "ready", "slots": ' + b"[" * 50_000 + b"]" * 50_000 + b"}",
+    b'{"cold_remaining_ms": 1' + b"0" * 400 + b"}",
+    b'{"state": "ready", "service": "engines", "zone": "a", "slots": 64, '
+    b'"address": "127.0.0.1:99999"}',
+    b'{"state": "ready", "service": "engines", "zone": "a", "slots": -5, '
+    b'"address": "127.0.0.1:9"}',
+    b'{"state": "ready", "service": "engines", "zone": "a", "slots": 64, '
+    b'"address": "127.0.0.1:9", "born": 1' + b"0" * 400 + b"}",
+    b"\xff\x00",
+)
 # Share of the answers without length that end early.
 OPEN_ENDED_CUT_SHARE = 0.5
 
@@ -130,8 +143,12 @@
 
     def put(self, table: str, key: str, document: dict[str, Any]) -> None:
         """Write a row without a condition, as the operator or a runner does."""
-        value = base64.b64encode(json.dumps(document).encode()).decode()
-        self._write([(table, key, value)])
+        self.put_bytes(table, key, json.dumps(document).encode())
+
+    def put_bytes(self, table: str, key: str, value: bytes) -> None:
+        """Write a row whose value need not be a document."""
+        encoded = base64.b64encode(value).decode()
+        self._write([(table, key, encoded)])
 
     def configure(self, version: int, probe_route: str) -> None:
         """Write a configuration, as the operator does."""
