Take what an upstream says of its leaving as final for its registration

Cause: Server-Leaving was read nowhere; an entry learned of it from the store or a peer only, not while the store was away or restored from an older copy. Class: what one process learns is not known to the others in time, and what is known may be taken back by an older source. Ruled out by tests: a registration that comes back within one incarnation at one address (it stayed leaving before).

Change: every answer is read for it: successes, errors, refusals, heads of streams, answers that belong to another request, answers to moves; not 421, which is another upstream's. The mark belongs to an id and incarnation, outlives its registration, and is bounded by those that are not registered. Entries pass it on in digests. Requests that were not sent yet are decided anew, without a retry; streams and moves go on. Log line, counter, explain.

The stand-ins and the soak say so seconds before the store does, and write odd rows among the registrations.

--- a/laburnumpin/commands/explain.py
+++ b/laburnumpin/commands/explain.py
@@ -59,12 +59,14 @@
     "configuration_kept",
     "entry_started",
     "registration_held",
+    "registration_malformed",
     "rows_of_lost_era",
     "store_era_changed",
     "store_lost",
     "store_regained",
     "upstream_changed",
     "upstream_limit_changed",
+    "upstream_said_leaving",
 )
 
 
--- a/laburnumpin/forwarding/attempts.py
+++ b/laburnumpin/forwarding/attempts.py
@@ -14,6 +14,7 @@
 from laburnumpin.forwarding import event_stream
 from laburnumpin.forwarding import events
 from laburnumpin.forwarding import interfaces
+from laburnumpin.forwarding import leaving
 from laburnumpin.forwarding import lifecycle
 from laburnumpin.forwarding import requests
 from laburnumpin.forwarding import shell as shells
@@ -132,11 +133,18 @@
         assert self._move_done is not None
         outcome = "moved"
         try:
-            self._kv_source = await self._shell.engines.move_stream(
+            result = await self._shell.engines.move_stream(
                 effect.source.address,
                 effect.request_id,
                 effect.target.address,
             )
+            if result.says_leaving:
+                self._shell.apply(
+                    events.UpstreamLeavingSeen(
+                        self._shell.now_ms(), effect.source
+                    )
+                )
+            self._kv_source = result.kv_source
             if self._kv_source is None:
                 outcome = "not_running"
         except exceptions.LaburnumpinError as error:
@@ -174,6 +182,17 @@
             raise AttemptError(
                 events.Ending.UNREACHABLE, NOT_RUN, str(error)
             ) from error
+        if not leaving.may_send(self._shell.state, self._send_effect):
+            self._shell.pool.release(
+                registration,
+                connection,
+                self._shell.idle_limit(registration.service),
+            )
+            raise AttemptError(
+                events.Ending.WITHDRAWN,
+                NOT_RUN,
+                "the upstream was found to leave before the request was sent",
+            )
         complete = False
         try:
             await self._exchange(connection)
@@ -298,6 +317,7 @@
         """Return the head of the answer to this request, and its kind."""
         for _ in range(MAX_SKIPPED_ANSWERS + 1):
             head = await connection.head()
+            self._note_leaving(head)
             kind = self._shell.wire.classify(
                 self._request.request_id,
                 head.status_code,
@@ -373,6 +393,29 @@
         stall.stop()
         await self._relay_answer(connection, status, caller_headers)
 
+    def _note_leaving(self, head: h11.Response) -> None:
+        """Apply what an answer says of its upstream's end."""
+        registration = self._send_effect.registration
+        try:
+            is_leaving = self._shell.wire.says_leaving(
+                head.status_code, list(head.headers)
+            )
+        except exceptions.DocumentError as error:
+            self._shell.state.counters.increment("leaving_malformed")
+            logs.write(
+                "upstream_leaving_malformed",
+                "warning",
+                {
+                    "upstream": registration.upstream_id,
+                    "reason": error.message,
+                },
+            )
+            return
+        if is_leaving:
+            self._shell.apply(
+                events.UpstreamLeavingSeen(self._shell.now_ms(), registration)
+            )
+
     def _note_limit(self, headers: connections.Headers) -> None:
         """Apply the limit that the upstream names in its answer."""
         registration = self._send_effect.registration
--- a/laburnumpin/forwarding/digests.py
+++ b/laburnumpin/forwarding/digests.py
@@ -17,6 +17,9 @@
 # second or `NO_LIMIT`, and the age in ms of the answer that named it.
 LimitRow = tuple[str, int, float, int]
 NO_LIMIT = -1.0
+# An upstream that has said that it leaves: its id, its incarnation in ms, and
+# the age in ms of the answer that said so.
+LeavingRow = tuple[str, int, int]
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -35,7 +38,8 @@
     the start, by service, and by service and prompt size class.
     `contacts` are addresses of other entries, `part_losses` the ends of engines
     under prompt parts (None from an entry of an earlier release, which does not
-    report them), and `limits` the limits that upstreams named. `store_era` is
+    report them), `limits` the limits that upstreams named, and `leaving` the
+    upstreams that said that they leave. `store_era` is
     the era of the store that `registry_version` belongs to, 0 from an entry of
     an earlier release.
     """
@@ -57,6 +61,7 @@
     part_losses: tuple[part_losses.Row, ...] | None = ()
     limits: tuple[LimitRow, ...] = ()
     store_era: int = 0
+    leaving: tuple[LeavingRow, ...] = ()
 
 
 class DigestFilter:
--- a/laburnumpin/forwarding/events.py
+++ b/laburnumpin/forwarding/events.py
@@ -22,7 +22,8 @@
 
     `REJECTED` is an answer which states that the request has not run, `BROKEN`
     a lost connection, `SILENT` an attempt without progress while another
-    upstream would have been faster, and `ERROR_STATUS` an error answer.
+    upstream would have been faster, `ERROR_STATUS` an error answer, and
+    `WITHDRAWN` an attempt that was not made, since its upstream leaves.
     """
 
     UNREACHABLE = "unreachable"
@@ -33,6 +34,7 @@
     SILENT = "silent"
     ERROR_STATUS = "error_status"
     DEADLINE = "deadline"
+    WITHDRAWN = "withdrawn"
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -157,6 +159,14 @@
     sent_ms: int
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class UpstreamLeavingSeen:
+    """An answer said that its upstream leaves; final for the incarnation."""
+
+    now_ms: int
+    registration: upstreams.Registration
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class StreamMoved:
     """A stream was stopped for a move; `kv_source` names its KV cache."""
@@ -212,6 +222,7 @@
     | StreamMoved
     | UpstreamChecked
     | UpstreamLimitSeen
+    | UpstreamLeavingSeen
     | DigestReceived
     | PartLossesRead
     | Ticked
--- a/laburnumpin/forwarding/gossip.py
+++ b/laburnumpin/forwarding/gossip.py
@@ -5,6 +5,7 @@
 from laburnumpin.forwarding import digests
 from laburnumpin.forwarding import effects
 from laburnumpin.forwarding import events
+from laburnumpin.forwarding import leaving
 from laburnumpin.forwarding import membership
 from laburnumpin.forwarding import registry
 from laburnumpin.forwarding import state as forwarding_state
@@ -126,6 +127,7 @@
         if upstream is not None:
             upstream.record_cached_part(part_id, now_ms)
     produced.extend(upstream_limits.merge(state, digest.limits, now_ms))
+    produced.extend(leaving.merge(state, digest.leaving, now_ms))
     peer.reports_losses = digest.part_losses is not None
     if digest.part_losses:
         produced.extend(withholding.merge(state, digest.part_losses, now_ms))
@@ -237,5 +239,6 @@
         work_ms=dict(state.work_ms),
         part_losses=state.part_losses.rows(now_ms, repeats_all=repeats_all),
         limits=upstream_limits.rows(state, now_ms, repeats_all=repeats_all),
+        leaving=leaving.rows(state, now_ms, repeats_all=repeats_all),
         store_era=state.store_era,
     )
--- a/laburnumpin/forwarding/interfaces.py
+++ b/laburnumpin/forwarding/interfaces.py
@@ -156,18 +156,29 @@
         """
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class MoveResult:
+    """The answer of an engine to the move of a stream.
+
+    `kv_source` is the handle under which the attempt that continues the stream
+    finds the KV cache; None if the engine does not run the request.
+    `says_leaving` is whether the engine says that it leaves.
+    """
+
+    kv_source: str | None
+    says_leaving: bool = False
+
+
 class EngineClient(Protocol):
     """Calls to model engines other than callers' requests."""
 
     async def move_stream(
         self, source_address: str, request_id: str, target_address: str
-    ) -> str | None:
+    ) -> MoveResult:
         """Stop a stream and copy its KV cache to another engine.
 
-        Return the handle under which the attempt that continues the stream
-        finds the KV cache; None if the engine does not run the request. If the
-        copy fails, the KV cache stays at the source engine under the same
-        handle.
+        If the copy fails, the KV cache stays at the source engine under the
+        same handle.
 
         Raises:
             PlatformUnavailableError: The call had no effect.
@@ -272,6 +283,13 @@
             DocumentError: The limit is malformed.
         """
 
+    def says_leaving(self, status: int, headers: connections.Headers) -> bool:
+        """Return whether a response says that its upstream leaves.
+
+        Raises:
+            DocumentError: What it says is malformed.
+        """
+
     def keep_alive_ms(self, headers: connections.Headers) -> int | None:
         """Return the idle timeout that a server announced, if any."""
 
--- a/laburnumpin/forwarding/lifecycle.py
+++ b/laburnumpin/forwarding/lifecycle.py
@@ -167,7 +167,7 @@
     if event.verdict is not verdicts.Verdict.NOT_RUN:
         active.may_have_run = True
     active.answer_started = event.answer_started
-    if event.ending is events.Ending.UNREACHABLE:
+    if event.ending in (events.Ending.UNREACHABLE, events.Ending.WITHDRAWN):
         active.sends -= 1  # Nothing was sent.
     if event.ending is events.Ending.REJECTED:
         active.rejections += 1
@@ -382,6 +382,8 @@
     match event.ending:
         case events.Ending.REJECTED:
             upstream.record_full(event.now_ms)  # Full, but healthy.
+        case events.Ending.WITHDRAWN:
+            return
         case events.Ending.DEADLINE if event.answer_started:
             return
         case events.Ending.ERROR_STATUS:
--- a/laburnumpin/forwarding/moves.py
+++ b/laburnumpin/forwarding/moves.py
@@ -31,15 +31,30 @@
     if registration.lifecycle is not upstreams.Lifecycle.LEAVING:
         return []
     upstream = state.upstreams.get(registration.upstream_id)
-    if upstream is None or upstream.leaves_at_ms is not None:
-        return []
-    notice_ms = registration.leaves_in_ms
-    if notice_ms is None:
+    if upstream is not None:
+        note_leaving(upstream, registration.leaves_in_ms, event.now_ms)
+    return []
+
+
+def note_leaving(
+    upstream: upstreams.Upstream, notice_ms: int | None, now_ms: int
+) -> None:
+    """Record when an upstream that leaves will shut down.
+
+    `notice_ms` is the remaining time that it has announced, if any. The first
+    announced one counts, and replaces an assumed one.
+    """
+    if upstream.has_notice:
+        return
+    if notice_ms is not None:
+        upstream.has_notice = True
+    elif upstream.leaves_at_ms is not None:
+        return
+    else:
         notice_ms = DEFAULT_NOTICE_MS
         if upstream.registration.reclaimable:
             notice_ms = DEFAULT_RECLAIM_NOTICE_MS
-    upstream.leaves_at_ms = event.now_ms + notice_ms
-    return []
+    upstream.leaves_at_ms = now_ms + notice_ms
 
 
 def on_tick(
--- a/laburnumpin/forwarding/peer_link.py
+++ b/laburnumpin/forwarding/peer_link.py
@@ -20,6 +20,7 @@
 from laburnumpin.forwarding import effects
 from laburnumpin.forwarding import events
 from laburnumpin.forwarding import frames
+from laburnumpin.forwarding import leaving
 from laburnumpin.forwarding import membership
 from laburnumpin.forwarding import part_losses
 from laburnumpin.forwarding import relay
@@ -179,6 +180,7 @@
             "m": list(digest.contacts),
             "e": {k: int(v) for k, v in digest.work_ms.items()},
             "h": [list(row) for row in digest.limits],
+            "g": [list(row) for row in digest.leaving],
             "q": part_losses.encode_rows(digest.part_losses or ()),
         }
     )
@@ -200,6 +202,7 @@
         AttributeError,
         IndexError,
         OverflowError,
+        exceptions.DocumentError,
     ) as error:
         raise exceptions.MessageError(repr(error)) from error
 
@@ -255,4 +258,5 @@
         else None,
         limits=upstream_limits.decode_rows(fields.get("h", ())),
         store_era=int(fields.get("v", 0)),
+        leaving=leaving.decode_rows(fields.get("g", ())),
     )
--- a/laburnumpin/forwarding/upstreams.py
+++ b/laburnumpin/forwarding/upstreams.py
@@ -35,6 +35,10 @@
 LOG_RATIO_TIME_CONSTANT_MS = 6_000
 # Prompt parts that are recorded as cached for one engine.
 MAX_CACHED_PARTS = 4_096
+# Incarnations that have said that they leave and are remembered; those that are
+# not registered are forgotten first, and after this time.
+MAX_LEAVING = 4_096
+LEAVING_MEMORY_MS = 1_800_000
 
 
 class Lifecycle(enum.Enum):
@@ -91,6 +95,7 @@
         "consecutive_failures",
         "failure_rate",
         "full_until_ms",
+        "has_notice",
         "leaves_at_ms",
         "limit_share",
         "missing_since_ms",
@@ -112,6 +117,8 @@
         self.missing_since_ms: int | None = None
         # When the upstream will shut down, once it has announced that.
         self.leaves_at_ms: int | None = None
+        # Whether that time is from its own notice.
+        self.has_notice = False
         # This entry's share of the limit that the upstream named, if any.
         self.limit_share: limit_shares.LimitShare | None = None
         # Requests and unread prompt tokens of this entry.
@@ -259,10 +266,14 @@
 class UpstreamTable:
     """All registered upstreams by id."""
 
-    __slots__ = ("_by_id",)
+    __slots__ = ("_by_id", "_leaving")
 
     def __init__(self) -> None:
         self._by_id: dict[str, Upstream] = {}
+        # When incarnations have said that they leave, the newest last.
+        self._leaving: collections.OrderedDict[tuple[str, int], int] = (
+            collections.OrderedDict()
+        )
 
     def all(self) -> Iterable[Upstream]:
         """Return every upstream, leaving and missing ones included."""
@@ -310,6 +321,44 @@
             usable.append(upstream)
         return usable or fallbacks
 
+    def mark_leaving(self, key: tuple[str, int], at_ms: int) -> bool:
+        """Record that an incarnation has said that it leaves.
+
+        Nothing that is registered later makes it ready again. Return whether
+        that was not known.
+        """
+        if key in self._leaving:
+            return False
+        self._leaving[key] = at_ms
+        upstream = self._by_id.get(key[0])
+        if upstream is not None and upstream.key == key:
+            upstream.registration = dataclasses.replace(
+                upstream.registration, lifecycle=Lifecycle.LEAVING
+            )
+        if len(self._leaving) > MAX_LEAVING:
+            self._forget_leaving(key)
+        return True
+
+    def leaving(self) -> list[tuple[tuple[str, int], int]]:
+        """Return the incarnations that leave and since when, newest first."""
+        return list(reversed(self._leaving.items()))
+
+    def leaving_count(self) -> int:
+        """Return the number of remembered incarnations that leave."""
+        return len(self._leaving)
+
+    def _forget_leaving(self, kept: tuple[str, int]) -> None:
+        """Forget the oldest incarnation that is not registered."""
+        for key in self._leaving:
+            if key != kept and not self._is_registered(key):
+                del self._leaving[key]
+                return
+        self._leaving.popitem(last=False)
+
+    def _is_registered(self, key: tuple[str, int]) -> bool:
+        upstream = self._by_id.get(key[0])
+        return upstream is not None and upstream.key == key
+
     def mean_log_ratio(self, service: str, now_ms: int) -> float:
         """Return the mean logarithm of the latency ratio over a service."""
         log_ratios = [u.log_ratio(now_ms) for u in self.of_service(service)]
@@ -320,6 +369,10 @@
         changes = Changes()
         upstream_id = registration.upstream_id
         existing = self._by_id.get(upstream_id)
+        if (upstream_id, registration.incarnation_ms) in self._leaving:
+            registration = dataclasses.replace(
+                registration, lifecycle=Lifecycle.LEAVING
+            )
         if existing is None:
             self._by_id[upstream_id] = Upstream(registration, now_ms)
             changes.added.append(upstream_id)
@@ -363,6 +416,11 @@
     def expire(self, now_ms: int) -> Changes:
         """Remove upstreams that were not registered again in time."""
         changes = Changes()
+        while self._leaving:
+            key, at_ms = next(iter(self._leaving.items()))
+            if self._is_registered(key) or now_ms < at_ms + LEAVING_MEMORY_MS:
+                break
+            del self._leaving[key]
         for upstream_id, upstream in list(self._by_id.items()):
             since_ms = upstream.missing_since_ms
             if since_ms is None or now_ms < since_ms + REGISTRATION_GRACE_MS:
--- a/laburnumpin/platform/clients.py
+++ b/laburnumpin/platform/clients.py
@@ -15,6 +15,7 @@
 from laburnumpin.forwarding import connections
 from laburnumpin.forwarding import interfaces
 from laburnumpin.forwarding import settings as forwarding_settings
+from laburnumpin.platform import wire
 
 # Timeout of one call; the wait of a long poll is added to it.
 CALL_TIMEOUT_MS = 1_200
@@ -330,7 +331,7 @@
 
     async def move_stream(
         self, source_address: str, request_id: str, target_address: str
-    ) -> str | None:
+    ) -> interfaces.MoveResult:
         """Stop a stream and copy its KV cache to another engine."""
         http = HttpClient(source_address)
         try:
@@ -343,11 +344,18 @@
             )
         finally:
             http.close()
+        try:
+            says_leaving = wire.PlatformWire().says_leaving(
+                response.status, response.headers
+            )
+        except exceptions.DocumentError:
+            # What a caller's request gets from the engine is logged.
+            says_leaving = False
         # Despite its name the handle is a path below the engine's address.
         handle = response.document().get("kv_handle")
         if response.status not in (200, 503) or handle is None:
-            return None
-        return f"{source_address}/{handle}"
+            return interfaces.MoveResult(None, says_leaving)
+        return interfaces.MoveResult(f"{source_address}/{handle}", says_leaving)
 
 
 class PlatformClients:
--- a/laburnumpin/platform/standins.py
+++ b/laburnumpin/platform/standins.py
@@ -143,12 +143,13 @@
 
     def put(self, table: str, key: str, document: dict[str, Any]) -> None:
         """Write a row without a condition, as the operator or a runner does."""
-        self.put_bytes(table, key, json.dumps(document).encode())
+        value = base64.b64encode(json.dumps(document).encode()).decode()
+        self._write([(table, key, value)])
 
-    def put_bytes(self, table: str, key: str, value: bytes) -> None:
-        """Write a row whose value need not be a document."""
+    def put_odd_registration(self, key: str, value: bytes) -> None:
+        """Write bytes among the registrations, as another writer may."""
         encoded = base64.b64encode(value).decode()
-        self._write([(table, key, encoded)])
+        self._write([("servers", key, encoded)])
 
     def configure(self, version: int, probe_route: str) -> None:
         """Write a configuration, as the operator does."""
@@ -424,6 +425,10 @@
         # Requests a second that its answers name as the limit of all entries.
         self.limit_per_s: float | None = None
         self.on_crash: Callable[[], Awaitable[None]] | None = None
+        # Whether its answers say that it leaves, and when each runner first
+        # said so, by its id.
+        self.says_leaving = False
+        self.said_leaving_ms: dict[str, int] = {}
 
     def registration(
         self, address: str, state: str, *, reclaimable: bool = False
@@ -456,6 +461,8 @@
         if self.limit_per_s is not None:
             limit = str(self.limit_per_s).encode()
             attempt_header.append((b"Server-Limit", limit))
+        if self.says_leaving:
+            attempt_header.append((b"Server-Leaving", b"1"))
         no_body = [(b"Content-Length", b"0")]
         if expected.decode() != self.runner_id:
             await caller.answer(421, attempt_header + no_body, b"")
@@ -481,6 +488,8 @@
             )
         )
         await anyio.sleep(self.processing_ms / 1_000)
+        if self.says_leaving:
+            self.said_leaving_ms.setdefault(self.runner_id, self._now_ms())
         seal = [(SEAL_HEADER, request_id.encode() + b"." + b"1")]
         if failure_draw < self.reject_share + self.error_share:
             await caller.answer(500, attempt_header + no_body + seal, b"")
--- a/laburnumpin/platform/wire.py
+++ b/laburnumpin/platform/wire.py
@@ -30,6 +30,8 @@
 RECEIPT = HEADER_PREFIX + b"response-seal"
 # Requests a second, a decimal number, that an upstream takes from all entries.
 SERVER_LIMIT = b"server-limit"
+# 1 if the upstream that answers leaves.
+SERVER_LEAVING = b"server-leaving"
 # Values above this are malformed.
 MAX_SERVER_LIMIT_PER_S = 1_000_000.0
 
@@ -236,6 +238,28 @@
             return limit_per_s
         return None
 
+    def says_leaving(self, status: int, headers: connections.Headers) -> bool:
+        """Return whether a response says that its upstream leaves.
+
+        The upstream that answers 421 is another one.
+
+        Raises:
+            DocumentError: The header is neither 0 nor 1.
+        """
+        if status == MISDIRECTED_STATUS:
+            return False
+        is_leaving = False
+        for name, value in headers:
+            if name.lower() != SERVER_LEAVING:
+                continue
+            for token in value.split(b","):
+                if token.strip() not in (b"0", b"1"):
+                    raise exceptions.DocumentError(
+                        "the server-leaving header is neither 0 nor 1"
+                    )
+                is_leaving = is_leaving or token.strip() == b"1"
+        return is_leaving
+
     def keep_alive_ms(self, headers: connections.Headers) -> int | None:
         """Return the idle timeout of the `Keep-Alive` header, if it has one."""
         for name, value in headers:
--- a/laburnumpin/soak/promises.py
+++ b/laburnumpin/soak/promises.py
@@ -34,6 +34,8 @@
 RETRY_SLACK = 20
 # Prefixes of the faults that do not keep an entry from reading the store.
 FAULTS_OUTSIDE_STORE = ("runner", "service", "clock")
+# Faults that don't keep entries from telling each other what a runner said.
+FAULTS_OF_STORE = ("store", "entry_store", "service", "clock", "runner_crash")
 # Prefix of the ids of requests that end the runners that answer them. From this
 # time after as many ends, only so many of them may reach runners.
 CRASHING_ID_PREFIX = "crash"
@@ -133,6 +135,7 @@
         "limit_spans",
         "open_ended_ids",
         "outcomes",
+        "said_leaving_ms",
         "versions_in_force",
         "versions_not_in_force",
         "violations",
@@ -155,6 +158,8 @@
         self.fault_spans: list[FaultSpan] = []
         # Time at which each runner was registered as leaving.
         self.leaving_since_ms: dict[str, int] = {}
+        # Time at which each runner first answered that it leaves.
+        self.said_leaving_ms: dict[str, int] = {}
         # Versions that probes found in force:
         # (entry, incarnation, sent_ms, version).
         self.versions_in_force: list[tuple[str, int, int, int]] = []
@@ -199,7 +204,12 @@
     for outcome in history.outcomes:
         request_executions = executions.get(outcome.request_id, [])
         lines.extend(_check_request(history, outcome, request_executions))
-    lines.extend(_check_leaving(history))
+    lines.extend(
+        _check_leaving(history, history.leaving_since_ms, FAULTS_OUTSIDE_STORE)
+    )
+    lines.extend(
+        _check_leaving(history, history.said_leaving_ms, FAULTS_OF_STORE)
+    )
     lines.extend(_check_configuration_order(history))
     lines.extend(_check_configuration_delay(history))
     lines.extend(_check_duties(store))
@@ -269,10 +279,19 @@
     return b"".join(events)
 
 
-def _check_leaving(history: History) -> list[str]:
+def _check_leaving(
+    history: History,
+    since_ms: dict[str, int],
+    allowed_prefixes: tuple[str, ...],
+) -> list[str]:
+    """Check that runners get nothing new some time after they leave.
+
+    `since_ms` is when that was known, by runner; faults with one of the
+    prefixes excuse nothing.
+    """
     lines = []
     for execution in history.executions:
-        leaving_since_ms = history.leaving_since_ms.get(execution.runner_id)
+        leaving_since_ms = since_ms.get(execution.runner_id)
         if leaving_since_ms is None or execution.first_event > 1:
             continue
         late_ms = execution.at_ms - leaving_since_ms - DRAIN_BOUND_MS
@@ -280,7 +299,7 @@
             leaving_since_ms,
             execution.at_ms,
             allow_planned=True,
-            allowed_prefixes=FAULTS_OUTSIDE_STORE,
+            allowed_prefixes=allowed_prefixes,
         )
         if late_ms > DELAY_TOLERANCE_MS and fault_free:
             lines.append(
--- a/laburnumpin/soak/run.py
+++ b/laburnumpin/soak/run.py
@@ -72,6 +72,13 @@
 MAX_COPY_AGE_S = 5.0
 MAX_RESTORE_S = 1.0
 MAX_WRITE_AGAIN_S = 0.3
+# Share of the soaks in which runners say in answers that they leave, and the
+# time until the store knows.
+LEAVING_SOAK_SHARE = 0.5
+MIN_UNTOLD_S = 4.0
+MAX_UNTOLD_S = 8.0
+# Share of the soaks in which another writer leaves odd rows.
+ODD_ROW_SOAK_SHARE = 0.5
 # Offsets by which a `clock_step` moves the wall clock, ms.
 CLOCK_OFFSETS_MS = (-6_000, -2_000, 2_000, 6_000)
 
@@ -151,6 +158,8 @@
         self._limit_random = random.Random(f"{seed}/limit")
         self._open_ended_random = random.Random(f"{seed}/open-ended")
         self._restore_random = random.Random(f"{seed}/restore")
+        self._leaving_random = random.Random(f"{seed}/leaving")
+        self._odd_row_random = random.Random(f"{seed}/odd-rows")
         self._seed = seed
         self._entry_count = entries
         self._directory = directory
@@ -227,6 +236,7 @@
         runner.arrivals = self._history.arrivals
         runner.kv_copies = self._kv_copies
         runner.open_ended_ids = self._history.open_ended_ids
+        runner.said_leaving_ms = self._history.said_leaving_ms
         runner_address = await task_group.start(standins.serve, runner.handle)
         runner_proxy = proxy.Proxy(runner_address)
         address = await task_group.start(runner_proxy.serve)
@@ -298,6 +308,10 @@
             task_group.start_soon(self._send_open_ended_answers)
         if self._restore_random.random() < RESTORED_SOAK_SHARE:
             task_group.start_soon(self._restore_store)
+        if self._leaving_random.random() < LEAVING_SOAK_SHARE or is_calm:
+            task_group.start_soon(self._let_runners_say_they_leave, task_group)
+        if self._odd_row_random.random() < ODD_ROW_SOAK_SHARE:
+            task_group.start_soon(self._write_odd_registrations)
         if is_calm:
             return
         for _ in range(2):
@@ -406,6 +420,36 @@
             await anyio.sleep(rng.uniform(MIN_OPEN_ENDED_S, MAX_OPEN_ENDED_S))
             runner.open_ended_share = 0.0
 
+    async def _let_runners_say_they_leave(
+        self, task_group: abc.TaskGroup
+    ) -> None:
+        """Let runners say in answers that they leave, the store later."""
+        rng = self._leaving_random
+        while True:
+            await anyio.sleep(rng.uniform(0.5, 3.0))
+            runner = rng.choice(self._runners)
+            if runner.leaving:
+                continue
+            runner.leaving = True
+            self._runners.remove(runner)
+            await self._add_runner(task_group, runner.runner.service)
+            runner.runner.says_leaving = True
+            await anyio.sleep(rng.uniform(MIN_UNTOLD_S, MAX_UNTOLD_S))
+            self._store.register(runner.runner, runner.address, leaving=True)
+            task_group.start_soon(self._unregister_later, runner)
+
+    async def _write_odd_registrations(self) -> None:
+        """Write rows among the registrations that no runner has written."""
+        rng = self._odd_row_random
+        while True:
+            await anyio.sleep(rng.uniform(0.2, 2.0))
+            key = f"odd-{rng.randrange(3)}"
+            value = rng.choice(standins.ODD_REGISTRATIONS)
+            self._store.put_odd_registration(key, value)
+            await anyio.sleep(rng.uniform(0.0, 1.0))
+            if rng.random() < 0.5:
+                self._store.unregister(key)
+
     async def _restore_store(self) -> None:
         """Let the store come back from older copies of its contents."""
         rng = self._restore_random
--- a/laburnumpin/tests/engine_fleet.py
+++ b/laburnumpin/tests/engine_fleet.py
@@ -71,6 +71,10 @@
         self.limited_since_ms = 0
         # When each entry was first told the limit, by its name.
         self.told_ms: dict[str, int] = {}
+        # Since when its answers say that it leaves, and when each entry was
+        # first told so.
+        self.said_leaving_ms: int | None = None
+        self.told_leaving_ms: dict[str, int] = {}
         # Arrivals of requests: time and entry.
         self.arrivals: list[tuple[int, str]] = []
 
@@ -294,6 +298,7 @@
         if not engine.is_running:
             return
         self._tell_limit(engine, name)
+        self._tell_leaving(engine, name)
         self.apply(
             name, events.FirstEvent(self.now_ms, self.now_ms, request_id)
         )
@@ -318,6 +323,19 @@
             engine.told_ms.setdefault(name, self.now_ms)
         self.apply(name, seen)
 
+    def _tell_leaving(self, engine: Engine, name: str) -> None:
+        """Let an answer say that its engine leaves, if it does."""
+        if engine.said_leaving_ms is None:
+            return
+        engine.told_leaving_ms.setdefault(name, self.now_ms)
+        registration = build.registration(engine.upstream_id, slots=64)
+        self.apply(name, events.UpstreamLeavingSeen(self.now_ms, registration))
+
+    def announce_leaving(self, count: int) -> None:
+        """Let so many engines say in their answers that they leave."""
+        for engine in list(self.engines.values())[:count]:
+            engine.said_leaving_ms = self.now_ms
+
     def limit_engines(self, count: int, limit_per_s: float | None) -> None:
         """Let so many engines name a limit from now on, or no longer."""
         for engine in list(self.engines.values())[:count]:
--- a/laburnumpin/tests/test_forwarding_odd_rows.py
+++ b/laburnumpin/tests/test_forwarding_odd_rows.py
@@ -30,10 +30,10 @@
         store.put_registration("u1", 1)
         entry = store_era.Entry("e1", address)
         if is_first:
-            store.put_bytes("servers", "odd", value)
+            store.put_odd_registration("odd", value)
         entry.start(task_group)
         await store_era.until(lambda: entry.lifecycle("u1") == "ready")
-        store.put_bytes("servers", "odd", value)
+        store.put_odd_registration("odd", value)
         store.put_registration("u2", 1)
         await store_era.until(lambda: entry.lifecycle("u2") == "ready")
         assert entry.lifecycle("odd") == "gone"
@@ -51,7 +51,7 @@
         entry = store_era.Entry("e1", address)
         entry.start(task_group)
         await store_era.until(lambda: entry.lifecycle("u1") == "ready")
-        store.put_bytes("servers", "u1", ODD[0])
+        store.put_odd_registration("u1", ODD[0])
         await store_era.until(lambda: entry.lifecycle("u1") == "gone")
         store.put_registration("u1", 2)
         await store_era.until(lambda: entry.lifecycle("u1") == "ready")
@@ -89,7 +89,7 @@
         )
         entry.start(task_group)
         await store_era.until(lambda: entry.lifecycle("u1") == "ready")
-        store.put_bytes("servers", "odd", b"{}")
+        store.put_odd_registration("odd", b"{}")
         await store_era.until(
             lambda: entry.state.counters.total("store_lost") > 0
         )
--- a/laburnumpin/tests/test_platform_clients.py
+++ b/laburnumpin/tests/test_platform_clients.py
@@ -7,6 +7,7 @@
 from typing import cast
 
 import anyio
+import pytest
 
 from laburnumpin.forwarding import interfaces
 from laburnumpin.platform import clients
@@ -45,3 +46,20 @@
     rows = anyio.run(store.read, interfaces.Table.UPSTREAMS)
     assert [row.key for row in rows.rows] == ["a", "b"]
     assert rows.version == 10
+
+
+@pytest.mark.parametrize("value", [b"1", b"0", b"soon"])
+def test_answer_to_a_move_says_whether_its_engine_leaves(
+    value: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def call(
+        self: clients.HttpClient, *arguments: object, **named: object
+    ) -> clients.Response:
+        headers = [(b"Server-Leaving", value)]
+        return clients.Response(200, headers, b'{"kv_handle": "h1"}')
+
+    monkeypatch.setattr(clients.HttpClient, "call", call)
+    engines = clients.PlatformEngines()
+    result = anyio.run(engines.move_stream, "10.0.0.1:80", "r1", "10.0.0.2:80")
+    assert result.kv_source == "10.0.0.1:80/h1"
+    assert result.says_leaving is (value == b"1")
