--- a/laburnumpin/forwarding/frontend.py
+++ b/laburnumpin/forwarding/frontend.py
@@ -199,6 +199,13 @@
             units=units,
             arrived_ms=self._request_head.received_ms,
             deadline_ms=self._request_head.received_ms + timeout_ms,
+            key=requests.contents_key(
+                "" if customer is None else customer.name,
+                fields.host,
+                self._request_head.method,
+                self._request_head.target,
+                self._body,
+            ),
         )
 
     async def _serve_request(
@@ -407,6 +414,7 @@
             "info",
             {
                 "request_id": effect.request_id,
+                "request_key": f"{request.key:x}",
                 "route": request.route.name,
                 "customer": request.customer.name if request.customer else "",
                 "upstream": effect.upstream_id,
@@ -424,8 +432,10 @@
         self, effect: effects.Send, error: attempts.AttemptError, received: str
     ) -> None:
         prompt_parts = None
-        if self._request is not None and self._request.prompt is not None:
-            part_ids = self._request.prompt.shared_part_ids()
+        request = self._request
+        assert request is not None
+        if request.prompt is not None:
+            part_ids = request.prompt.shared_part_ids()
             prompt_parts = part_losses.format_parts(part_ids[:MAX_LOGGED_PARTS])
         logs.write(
             "attempt_failed",
@@ -438,6 +448,7 @@
                 "verdict": error.verdict.value,
                 "reason": str(error),
                 "received": received,
+                "request_key": f"{request.key:x}",
                 "prompt_parts": prompt_parts,
             },
         )
--- a/laburnumpin/forwarding/requests.py
+++ b/laburnumpin/forwarding/requests.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import dataclasses
+import hashlib
 
 from laburnumpin.forwarding import deployment
 
+_KEY_BYTES = 8
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class PromptPart:
@@ -41,7 +44,8 @@
     `deadline_ms` is on the boot clock: the earlier of the caller's own
     deadline and the route's timeout. `units` is what the request counts
     against its customer's quota. `prompt` is None without a token count,
-    `customer` None for an anonymous request.
+    `customer` None for an anonymous request. `key` is the same for requests
+    with the same contents, 0 if they are not known.
     """
 
     request_id: str
@@ -52,6 +56,7 @@
     units: float
     arrived_ms: int
     deadline_ms: int
+    key: int = 0
 
     def priority(self) -> int:
         """Return the priority, 0 being the most urgent.
@@ -61,3 +66,18 @@
         if self.customer is not None and self.customer.priority is not None:
             return self.customer.priority
         return self.route.priority
+
+
+def contents_key(
+    customer: str, host: str, method: bytes, target: bytes, body: bytes
+) -> int:
+    """Return a key that is the same for requests with the same contents.
+
+    It is a BLAKE2b digest (RFC 7693) of 8 bytes, and so the same at all entries.
+    `target` is the path with its query.
+    """
+    digest = hashlib.blake2b(digest_size=_KEY_BYTES)
+    for field in (customer.encode(), host.encode(), method, target, body):
+        digest.update(len(field).to_bytes(8, "big"))
+        digest.update(field)
+    return int.from_bytes(digest.digest(), "big") or 1
