Withhold requests that end the upstreams that run them, not only prompt parts

Cause: only prompt parts were compared between requests. A plain request has none, so each entry and each repeat tried again. Class: what one process learns is not known to the others in time. Ruled out by the logs: the retry budget (two attempts a request), and a common cause of the ends (they are 60 to 150 ms apart, each after a repeat was sent).

A loss says how long the request had run: one sent after the loss before has a cause of its own. Keys that no loss tells apart, or whose service answers nothing, are withheld for doubt_withhold_s (3 s) only, then tried one at a time; a success clears them. It is asked before each attempt and again right before the send. Entries of the release before neither see nor send the new rows.

--- a/laburnumpin/commands/explain.py
+++ b/laburnumpin/commands/explain.py
@@ -30,6 +30,7 @@
     "leaving": "the entry was about to exit",
     "upstream_limit": "its upstreams were full or at their named limits",
     "withheld": "engines have ended under a part of its prompt",
+    "withheld_request": "upstreams have ended under requests like it",
     "upstream_rejected": "the upstream rejected the request without running it",
     "upstream_failed": "the upstream failed after it may have run the request",
     "deadline": "the deadline of the caller or the route had passed",
@@ -48,11 +49,14 @@
     "no_room",
     "upstream_limit",
 )
-# Log types that say why requests with a prompt part are withheld.
+# Log types that say why requests are withheld.
 _PART_CHANGES = (
     "prompt_parts_suspected",
     "prompt_parts_withheld",
     "prompt_parts_released",
+    "requests_suspected",
+    "requests_withheld",
+    "requests_released",
 )
 _STATE_CHANGES = (
     "configuration_in_force",
@@ -166,7 +170,7 @@
     for line in related:
         message_type = line.get("message_type")
         if line.get("request_id") != request_id:
-            if message_type in _PART_CHANGES:
+            if message_type in _PART_CHANGES or "change" not in line:
                 continue
             changes[str(line.get("upstream"))] = str(line.get("change"))
             continue
@@ -181,12 +185,19 @@
     )
     if rejection is not None:
         reason = str(rejection.get("reason"))
+        if reason == "withheld" and rejection.get("request_key"):
+            reason = "withheld_request"
         text = _CAUSES.get(reason, reason)
         execution = (
             "had not run" if rejection.get("not_run") else "may have run"
         )
         text += f"; answered {rejection.get('status')}, it {execution}"
-        if rejection.get("prompt_parts"):
+        if rejection.get("request_key"):
+            text += (
+                f"; {rejection.get('engine_losses')} upstreams ended under "
+                f"{rejection.get('request_key')}"
+            )
+        elif rejection.get("prompt_parts"):
             text += (
                 f"; {rejection.get('engine_losses')} engines ended under "
                 f"{rejection.get('prompt_parts')}"
--- a/laburnumpin/forwarding/attempts.py
+++ b/laburnumpin/forwarding/attempts.py
@@ -14,7 +14,6 @@
 from laburnumpin.forwarding import event_stream
 from laburnumpin.forwarding import events
 from laburnumpin.forwarding import interfaces
-from laburnumpin.forwarding import leaving
 from laburnumpin.forwarding import lifecycle
 from laburnumpin.forwarding import requests
 from laburnumpin.forwarding import shell as shells
@@ -182,7 +181,9 @@
             raise AttemptError(
                 events.Ending.UNREACHABLE, NOT_RUN, str(error)
             ) from error
-        if not leaving.may_send(self._shell.state, self._send_effect):
+        if not lifecycle.may_send(
+            self._shell.state, self._send_effect, self._shell.now_ms()
+        ):
             self._shell.pool.release(
                 registration,
                 connection,
@@ -191,7 +192,7 @@
             raise AttemptError(
                 events.Ending.WITHDRAWN,
                 NOT_RUN,
-                "the upstream was found to leave before the request was sent",
+                "before it was sent, its upstream left or it was withheld",
             )
         complete = False
         try:
--- a/laburnumpin/forwarding/digests.py
+++ b/laburnumpin/forwarding/digests.py
@@ -36,12 +36,12 @@
     byte, by upstream id; `used` are the units admitted since the start, by
     customer; `work_ms` is the engine time of the requests that arrived since
     the start, by service, and by service and prompt size class.
-    `contacts` are addresses of other entries, `part_losses` the ends of engines
-    under prompt parts (None from an entry of an earlier release, which does not
-    report them), `limits` the limits that upstreams named, and `leaving` the
-    upstreams that said that they leave. `store_era` is
-    the era of the store that `registry_version` belongs to, 0 from an entry of
-    an earlier release.
+    `contacts` are addresses of other entries, `part_losses` and
+    `request_losses` the ends of upstreams under prompt parts (None from an
+    entry of an earlier release, which does not report them) and under requests,
+    `limits` the limits that upstreams named, and `leaving` the upstreams that
+    said that they leave. `store_era` is the era of the store that
+    `registry_version` belongs to, 0 from an entry of an earlier release.
     """
 
     contact: membership.Contact
@@ -58,6 +58,7 @@
     latency_log_ratios: dict[str, tuple[int, float]]
     contacts: tuple[str, ...]
     work_ms: dict[str, float]
+    request_losses: tuple[part_losses.RequestRow, ...] = ()
     part_losses: tuple[part_losses.Row, ...] | None = ()
     limits: tuple[LimitRow, ...] = ()
     store_era: int = 0
--- a/laburnumpin/forwarding/events.py
+++ b/laburnumpin/forwarding/events.py
@@ -199,6 +199,7 @@
 
     now_ms: int
     rows: tuple[part_losses.Row, ...]
+    request_rows: tuple[part_losses.RequestRow, ...] = ()
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/laburnumpin/forwarding/frontend.py
+++ b/laburnumpin/forwarding/frontend.py
@@ -364,10 +364,10 @@
         """Return the inputs of a rejection for its log line."""
         request = self._request
         if effect.withheld is not None:
+            suspects = effect.withheld.part_ids
             return {
-                "prompt_parts": part_losses.format_parts(
-                    effect.withheld.part_ids
-                ),
+                "request_key": part_losses.format_keys(suspects) or None,
+                "prompt_parts": part_losses.format_parts(suspects) or None,
                 "engine_losses": effect.withheld.losses,
             }
         if request is None or request.customer is None:
--- a/laburnumpin/forwarding/gossip.py
+++ b/laburnumpin/forwarding/gossip.py
@@ -129,8 +129,15 @@
     produced.extend(upstream_limits.merge(state, digest.limits, now_ms))
     produced.extend(leaving.merge(state, digest.leaving, now_ms))
     peer.reports_losses = digest.part_losses is not None
-    if digest.part_losses:
-        produced.extend(withholding.merge(state, digest.part_losses, now_ms))
+    if digest.part_losses or digest.request_losses:
+        produced.extend(
+            withholding.merge(
+                state,
+                digest.part_losses or (),
+                digest.request_losses,
+                now_ms,
+            )
+        )
     produced.extend(
         registry.on_store_era(
             state, events.StoreEraSeen(now_ms, digest.store_era)
@@ -238,6 +245,9 @@
         contacts=tuple(contacts),
         work_ms=dict(state.work_ms),
         part_losses=state.part_losses.rows(now_ms, repeats_all=repeats_all),
+        request_losses=state.part_losses.request_rows(
+            now_ms, repeats_all=repeats_all
+        ),
         limits=upstream_limits.rows(state, now_ms, repeats_all=repeats_all),
         leaving=leaving.rows(state, now_ms, repeats_all=repeats_all),
         store_era=state.store_era,
--- a/laburnumpin/forwarding/lifecycle.py
+++ b/laburnumpin/forwarding/lifecycle.py
@@ -7,6 +7,7 @@
 from laburnumpin import verdict as verdicts
 from laburnumpin.forwarding import effects
 from laburnumpin.forwarding import events
+from laburnumpin.forwarding import leaving
 from laburnumpin.forwarding import part_losses
 from laburnumpin.forwarding import requests
 from laburnumpin.forwarding import selection
@@ -48,7 +49,10 @@
         if now_ms > state.leaving_since_ms + ACCEPT_WHILE_LEAVING_MS:
             return _reject(state, request.request_id, effects.Reason.LEAVING)
     withheld = withholding.find_withheld(state, request, now_ms)
-    if withheld is not None:
+    is_trial = withheld is not None and withholding.starts_trial(
+        state, withheld, now_ms
+    )
+    if withheld is not None and not is_trial:
         return _reject(
             state,
             request.request_id,
@@ -64,6 +68,7 @@
                 state, request.request_id, effects.Reason.OVER_QUOTA, wait_ms
             )
     active = forwarding_state.ActiveRequest(request)
+    active.is_trial = is_trial
     state.active[request.request_id] = active
     state.budget.record_request(request.service, now_ms)
     produced = _send_or_reject(state, active, now_ms, effects.Reason.NO_ROOM)
@@ -201,6 +206,24 @@
     return []
 
 
+def may_send(
+    state: forwarding_state.ForwardingState,
+    effect: effects.Send,
+    now_ms: int,
+) -> bool:
+    """Return whether a request may still be sent, right before it is.
+
+    Since it was decided, its upstream may have said that it leaves, or requests
+    like it may have been withheld.
+    """
+    if not leaving.may_send(state, effect):
+        return False
+    active = state.active.get(effect.request_id)
+    if active is None or active.is_trial:
+        return True
+    return withholding.find_withheld(state, active.request, now_ms) is None
+
+
 def may_retry(active: forwarding_state.ActiveRequest) -> bool:
     """Return whether a retry is safe: the request may repeat or has not run."""
     return active.request.route.may_repeat or not active.may_have_run
--- a/laburnumpin/forwarding/membership.py
+++ b/laburnumpin/forwarding/membership.py
@@ -114,7 +114,7 @@
         self.loaded_upstreams: tuple[str, ...] = ()
         # Fencing token while the peer holds the lease, else 0.
         self.lease_token = 0
-        # Whether its digests report engines that ended.
+        # Whether its digests report upstreams that ended.
         self.reports_losses = True
 
     @property
--- a/laburnumpin/forwarding/peer_link.py
+++ b/laburnumpin/forwarding/peer_link.py
@@ -182,6 +182,7 @@
             "h": [list(row) for row in digest.limits],
             "g": [list(row) for row in digest.leaving],
             "q": part_losses.encode_rows(digest.part_losses or ()),
+            "j": part_losses.encode_request_rows(digest.request_losses),
         }
     )
 
@@ -256,6 +257,7 @@
         part_losses=part_losses.decode_rows(fields["q"])
         if "q" in fields
         else None,
+        request_losses=part_losses.decode_request_rows(fields.get("j", ())),
         limits=upstream_limits.decode_rows(fields.get("h", ())),
         store_era=int(fields.get("v", 0)),
         leaving=leaving.decode_rows(fields.get("g", ())),
--- a/laburnumpin/forwarding/reducer.py
+++ b/laburnumpin/forwarding/reducer.py
@@ -44,7 +44,9 @@
         case events.UpstreamRemoved():
             return registry.on_removed(state, event)
         case events.PartLossesRead():
-            return withholding.merge(state, event.rows, event.now_ms)
+            return withholding.merge(
+                state, event.rows, event.request_rows, event.now_ms
+            )
         case events.DigestReceived():
             return gossip.on_digest(state, event)
         case events.Ticked():
--- a/laburnumpin/forwarding/requests.py
+++ b/laburnumpin/forwarding/requests.py
@@ -58,6 +58,16 @@
     deadline_ms: int
     key: int = 0
 
+    def suspects(self) -> tuple[int, ...]:
+        """Return the ids by which losses of upstreams under it are recorded.
+
+        They are its own, negative, and those of its shared prompt parts.
+        """
+        own = (-self.key,) if self.key else ()
+        if self.prompt is None:
+            return own
+        return own + self.prompt.shared_part_ids()
+
     def priority(self) -> int:
         """Return the priority, 0 being the most urgent.
 
@@ -73,7 +83,7 @@
 ) -> int:
     """Return a key that is the same for requests with the same contents.
 
-    It is a BLAKE2b digest (RFC 7693) of 8 bytes, and so the same at all entries.
+    It is a BLAKE2b digest (RFC 7693) of 8 bytes, the same at all entries.
     `target` is the path with its query.
     """
     digest = hashlib.blake2b(digest_size=_KEY_BYTES)
--- a/laburnumpin/forwarding/state.py
+++ b/laburnumpin/forwarding/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 
 from laburnumpin.core import counters
@@ -34,6 +35,7 @@
         "excluded",
         "first_event_ms",
         "has_started",
+        "is_trial",
         "kv_source",
         "may_have_run",
         "move_fallback",
@@ -76,13 +78,27 @@
         # Whether an upstream has begun to run the request, which then counts
         # in its customer's usage.
         self.has_started = False
+        # Whether it finds out if its upstream still ends under a withheld one.
+        self.is_trial = False
 
 
-class BrokenEngine:
-    """An engine incarnation whose connections broke while it ran requests.
+@dataclasses.dataclass(slots=True, frozen=True)
+class Suspect:
+    """A request that an upstream may have ended under.
 
-    `suspects` are the shared prompt parts of these requests, until the end of
-    the engine is confirmed.
+    `ids` are those of `Request.suspects`, and `ran_ms` is the time from its
+    sending to its failure.
+    """
+
+    ids: tuple[int, ...]
+    service: str
+    ran_ms: int
+
+
+class BrokenUpstream:
+    """An upstream's incarnation whose connections broke while it ran requests.
+
+    `suspects` are these requests, until the end of the engine is confirmed.
     """
 
     __slots__ = ("is_confirmed", "since_ms", "suspects")
@@ -90,7 +106,7 @@
     def __init__(self, now_ms: int) -> None:
         self.since_ms = now_ms
         self.is_confirmed = False
-        self.suspects: list[tuple[int, ...]] = []
+        self.suspects: list[Suspect] = []
 
 
 class ForwardingState:
@@ -98,7 +114,7 @@
 
     __slots__ = (
         "active",
-        "broken_engines",
+        "broken_upstreams",
         "budget",
         "contact",
         "counters",
@@ -201,7 +217,7 @@
         # What is withheld according to the log.
         self.reported_withheld: tuple[part_losses.Withheld, ...] = ()
         # By id and incarnation.
-        self.broken_engines: dict[tuple[str, int], BrokenEngine] = {}
+        self.broken_upstreams: dict[tuple[str, int], BrokenUpstream] = {}
         # Upstreams with the prompt parts that they read since the last digest.
         self.new_cached_parts: list[tuple[str, int]] = []
 
--- a/laburnumpin/forwarding/synchronization.py
+++ b/laburnumpin/forwarding/synchronization.py
@@ -357,6 +357,8 @@
 
     def snapshot(self) -> dict[str, Any]:
         """Return all rows and the table versions, for a peer that is behind."""
+        losses = self._shell.state.part_losses
+        now_ms = self._shell.now_ms()
         return {
             "operator": encode_rows(tuple(self._operator_rows.values())),
             "upstreams": encode_rows(tuple(self._upstream_rows.values())),
@@ -364,8 +366,9 @@
             "upstreams_version": self._positions[Table.UPSTREAMS].version,
             "operator_era": self._positions[Table.OPERATOR].era,
             "upstreams_era": self._positions[Table.UPSTREAMS].era,
-            "part_losses": part_losses.encode_rows(
-                self._shell.state.part_losses.all_rows(self._shell.now_ms())
+            "part_losses": part_losses.encode_rows(losses.all_rows(now_ms)),
+            "request_losses": part_losses.encode_request_rows(
+                losses.all_request_rows(now_ms)
             ),
         }
 
@@ -384,11 +387,16 @@
             upstreams_era = int(snapshot.get("upstreams_era", 0))
             # Entries of an earlier release do not send these.
             losses = part_losses.decode_rows(snapshot.get("part_losses", ()))
-        except (KeyError, TypeError) as error:
+            request_losses = part_losses.decode_request_rows(
+                snapshot.get("request_losses", ())
+            )
+        except (KeyError, TypeError, exceptions.DocumentError) as error:
             raise ValueError(f"malformed snapshot: {error!r}") from error
-        if losses:
+        if losses or request_losses:
             self._shell.apply(
-                events.PartLossesRead(self._shell.now_ms(), losses)
+                events.PartLossesRead(
+                    self._shell.now_ms(), losses, request_losses
+                )
             )
         for table, rows, snapshot_version, snapshot_era in (
             (Table.OPERATOR, operator_rows, operator_version, operator_era),
--- a/laburnumpin/forwarding/withholding.py
+++ b/laburnumpin/forwarding/withholding.py
@@ -1,7 +1,7 @@
-"""Withholds requests whose prompts end the engines that answer them.
+"""Withholds requests that end the upstreams that run them.
 
-The end of an engine is confirmed before it counts: a connection alone may also
-be reset by a link, or by an engine that goes on.
+The end of an upstream is confirmed before it counts: a connection alone may
+also be reset by a link, or by an upstream that goes on.
 """
 
 from __future__ import annotations
@@ -15,13 +15,15 @@
 from laburnumpin.forwarding import state as forwarding_state
 from laburnumpin.forwarding import upstreams
 
-# A request whose stream has gone on for this long did not end its engine: it
+# A request whose stream has gone on for this long did not end its upstream: it
 # would when it begins to answer.
 SURVIVAL_MS = 250
-# Time after broken attempts in which the end of their engine is confirmed.
+# Time after broken attempts in which the end of their upstream is confirmed.
 CONFIRMATION_MS = 5_000
-# Engines with broken attempts that are remembered.
-MAX_BROKEN_ENGINES = 256
+# Upstreams with broken attempts that are remembered.
+MAX_BROKEN_UPSTREAMS = 256
+# Requests that are remembered for one of them.
+MAX_SUSPECTED_REQUESTS = 32
 # Least retry delay of withheld requests, and the one while trials are made.
 MIN_RETRY_MS = 5_000
 # Trials begin at one entry, and after each further such time at one more, until
@@ -32,7 +34,7 @@
 def on_attempt_failed(
     state: forwarding_state.ForwardingState, event: events.AttemptFailed
 ) -> list[effects.Effect]:
-    """Suspect the request if its engine may have ended while it ran.
+    """Suspect the request if its upstream may have ended while it ran.
 
     Called while the request is still assigned to its upstream.
     """
@@ -42,33 +44,36 @@
     upstream = active.choice.upstream
     if event.ending is events.Ending.UNREACHABLE:
         return _confirm(state, upstream.registration, event.now_ms)
-    prompt = active.request.prompt
-    if event.ending is not events.Ending.BROKEN or prompt is None:
+    if event.ending is not events.Ending.BROKEN:
         return []
-    part_ids = prompt.shared_part_ids()
-    if not part_ids or _has_survived(active, event.now_ms):
+    suspect = forwarding_state.Suspect(
+        active.request.suspects(),
+        active.request.service,
+        max(0, event.now_ms - active.sent_ms),
+    )
+    if not suspect.ids or _has_survived(active, event.now_ms):
         return []
     if upstream.registration.lifecycle is upstreams.Lifecycle.LEAVING:
         return []  # It was to end.
-    broken = state.broken_engines.get(upstream.key)
+    broken = state.broken_upstreams.get(upstream.key)
     if broken is None:
-        if len(state.broken_engines) >= MAX_BROKEN_ENGINES:
-            state.broken_engines.pop(next(iter(state.broken_engines)))
-        broken = forwarding_state.BrokenEngine(event.now_ms)
-        state.broken_engines[upstream.key] = broken
-        broken.suspects.append(part_ids)
+        if len(state.broken_upstreams) >= MAX_BROKEN_UPSTREAMS:
+            state.broken_upstreams.pop(next(iter(state.broken_upstreams)))
+        broken = forwarding_state.BrokenUpstream(event.now_ms)
+        state.broken_upstreams[upstream.key] = broken
+        broken.suspects.append(suspect)
         return [effects.CheckUpstream(upstream.registration)]
     if broken.is_confirmed:
-        return _record_loss(state, upstream.key, [part_ids], event.now_ms)
-    if len(broken.suspects) < part_losses.MAX_SUSPECTS_PER_LOSS:
-        broken.suspects.append(part_ids)
+        return _record_loss(state, upstream.key, [suspect], event.now_ms)
+    if len(broken.suspects) < MAX_SUSPECTED_REQUESTS:
+        broken.suspects.append(suspect)
     return []
 
 
 def on_checked(
     state: forwarding_state.ForwardingState, event: events.UpstreamChecked
 ) -> list[effects.Effect]:
-    """Confirm the end of an engine that refuses connections."""
+    """Confirm the end of an upstream that refuses connections."""
     registration = event.registration
     if event.is_refused:
         upstream = state.upstreams.get(registration.upstream_id)
@@ -77,7 +82,7 @@
         return _confirm(state, registration, event.now_ms)
     if event.is_open:
         key = (registration.upstream_id, registration.incarnation_ms)
-        state.broken_engines.pop(key, None)
+        state.broken_upstreams.pop(key, None)
     return []
 
 
@@ -86,7 +91,7 @@
     registration: upstreams.Registration,
     now_ms: int,
 ) -> list[effects.Effect]:
-    """Confirm the end of an engine whose incarnation is gone."""
+    """Confirm the end of an upstream whose incarnation is gone."""
     return _confirm(state, registration, now_ms)
 
 
@@ -97,12 +102,14 @@
     *,
     is_complete: bool,
 ) -> None:
-    """Clear the parts of a request that an engine has answered."""
-    prompt = active.request.prompt
-    if prompt is None or not active.first_event_ms:
+    """Clear a request that an upstream has answered, and its parts."""
+    if not active.first_event_ms:
         return
     has_cleared = state.part_losses.record_answer(
-        prompt.shared_part_ids(), now_ms, is_complete=is_complete
+        active.request.suspects(),
+        now_ms,
+        is_complete=is_complete,
+        service=active.request.service,
     )
     if has_cleared:
         state.request_early_digest()
@@ -111,11 +118,11 @@
 def on_tick(
     state: forwarding_state.ForwardingState, event: events.Ticked
 ) -> list[effects.Effect]:
-    """Clear the parts of streams that go on, and drop what has expired."""
+    """Clear the streams that go on, and drop what has expired."""
     now_ms = event.now_ms
-    for key, broken in list(state.broken_engines.items()):
+    for key, broken in list(state.broken_upstreams.items()):
         if now_ms > broken.since_ms + CONFIRMATION_MS:
-            del state.broken_engines[key]
+            del state.broken_upstreams[key]
     if not state.part_losses.has_records():
         return []
     if state.part_losses.has_open_losses():
@@ -130,7 +137,7 @@
 def _clear_parts_of_survivors(
     state: forwarding_state.ForwardingState, now_ms: int
 ) -> None:
-    """Clear the parts of streams that go on."""
+    """Clear the requests whose streams go on."""
     for active in state.active.values():
         if _has_survived(active, now_ms):
             on_answered(state, active, now_ms, is_complete=False)
@@ -143,19 +150,29 @@
 ) -> part_losses.Withheld | None:
     """Return why a request must not be sent, None if it may be.
 
-    Once the time of a part is over, single requests are sent to find out
-    whether it still ends engines.
+    Asked before each attempt.
     """
-    if request.prompt is None or not state.part_losses.withheld():
-        return None
-    withheld = state.part_losses.find_withheld(request.prompt.shared_part_ids())
-    if withheld is None:
+    if not state.part_losses.withheld():
         return None
-    if now_ms >= withheld.until_ms + _trial_delay_ms(state, withheld, now_ms):
-        if state.part_losses.start_trial(withheld, now_ms):
-            state.counters.increment("withholding_trials")
-            return None
-    return withheld
+    return state.part_losses.find_withheld(request.suspects())
+
+
+def starts_trial(
+    state: forwarding_state.ForwardingState,
+    withheld: part_losses.Withheld,
+    now_ms: int,
+) -> bool:
+    """Return whether a withheld request is sent all the same.
+
+    Once its time is over, single requests are sent to find out whether they
+    still end upstreams.
+    """
+    if now_ms < withheld.until_ms + _trial_delay_ms(state, withheld, now_ms):
+        return False
+    if not state.part_losses.start_trial(withheld, now_ms):
+        return False
+    state.counters.increment("withholding_trials")
+    return True
 
 
 def retry_after_ms(withheld: part_losses.Withheld, now_ms: int) -> int:
@@ -166,10 +183,12 @@
 def merge(
     state: forwarding_state.ForwardingState,
     rows: tuple[part_losses.Row, ...],
+    request_rows: tuple[part_losses.RequestRow, ...],
     now_ms: int,
 ) -> list[effects.Effect]:
     """Add what a peer knows of losses."""
     state.part_losses.merge(rows, now_ms)
+    state.part_losses.merge_requests(request_rows, now_ms)
     return _report_changes(state)
 
 
@@ -194,7 +213,7 @@
 
 
 def _has_survived(active: forwarding_state.ActiveRequest, now_ms: int) -> bool:
-    """Return whether the request's engine has gone on after its start."""
+    """Return whether the request's upstream has gone on after its start."""
     first_ms = active.first_event_ms
     return bool(first_ms) and now_ms >= first_ms + SURVIVAL_MS
 
@@ -204,9 +223,9 @@
     registration: upstreams.Registration,
     now_ms: int,
 ) -> list[effects.Effect]:
-    """Count the end of an engine for the requests that it ran."""
+    """Count the end of an upstream for the requests that it ran."""
     key = (registration.upstream_id, registration.incarnation_ms)
-    broken = state.broken_engines.get(key)
+    broken = state.broken_upstreams.get(key)
     if broken is None or broken.is_confirmed:
         return []
     broken.is_confirmed = True
@@ -217,35 +236,49 @@
 def _record_loss(
     state: forwarding_state.ForwardingState,
     key: tuple[str, int],
-    suspects: list[tuple[int, ...]],
+    suspects: list[forwarding_state.Suspect],
     at_ms: int,
 ) -> list[effects.Effect]:
     identifier = part_losses.loss_id(*key)
     is_new = False
-    for part_ids in suspects:
-        if state.part_losses.record_loss(identifier, part_ids, at_ms):
+    for suspect in suspects:
+        if state.part_losses.record_loss(
+            identifier,
+            suspect.ids,
+            at_ms,
+            service=suspect.service,
+            ran_ms=suspect.ran_ms,
+        ):
             is_new = True
     if not is_new:
         return []
     state.counters.increment("engine_losses_suspected")
     state.request_early_digest()
-    named = sorted({part_id for parts in suspects for part_id in parts})
-    report = effects.Report(
-        "prompt_parts_suspected",
-        {
-            "upstream": key[0],
-            "prompt_parts": part_losses.format_parts(
-                named[: part_losses.MAX_SUSPECTS_PER_LOSS]
-            ),
-        },
-    )
+    named = {identity for suspect in suspects for identity in suspect.ids}
+    fields = {"upstream": key[0], **_named(named)}
+    report = effects.Report("requests_suspected", fields)
+    if max(named) >= 0:
+        report = effects.Report("prompt_parts_suspected", fields)
     return [report, *_report_changes(state)]
 
 
+def _named(
+    suspects: set[int] | frozenset[int],
+) -> dict[str, str | int | float | bool | None]:
+    """Return the fields of a log line that name suspects, at most some."""
+    most = part_losses.MAX_SUSPECTS_PER_LOSS
+    parts = sorted(suspect for suspect in suspects if suspect >= 0)[:most]
+    keys = sorted(suspect for suspect in suspects if suspect < 0)[:most]
+    return {
+        "request_keys": part_losses.format_keys(keys) or None,
+        "prompt_parts": part_losses.format_parts(parts) or None,
+    }
+
+
 def _report_changes(
     state: forwarding_state.ForwardingState,
 ) -> list[effects.Effect]:
-    """Log which parts are withheld from now on, and which no longer are."""
+    """Log which requests are withheld from now on, and which no longer are."""
     before = state.reported_withheld
     after = state.part_losses.withheld()
     state.reported_withheld = after
@@ -257,21 +290,20 @@
     for withheld in after:
         if withheld.part_ids in old_ids:
             continue
+        fields = {
+            **_named(withheld.part_ids),
+            "engine_losses": withheld.losses,
+        }
+        if min(withheld.part_ids) < 0:
+            state.counters.increment("requests_withheld")
+            produced.append(effects.Report("requests_withheld", fields))
+            continue
         state.counters.increment("prompt_parts_withheld")
-        produced.append(
-            effects.Report(
-                "prompt_parts_withheld",
-                {
-                    "prompt_parts": part_losses.format_parts(withheld.part_ids),
-                    "engine_losses": withheld.losses,
-                },
-            )
-        )
+        produced.append(effects.Report("prompt_parts_withheld", fields))
     for part_ids in old_ids - new_ids:
-        produced.append(
-            effects.Report(
-                "prompt_parts_released",
-                {"prompt_parts": part_losses.format_parts(part_ids)},
-            )
-        )
+        fields = _named(part_ids)
+        if min(part_ids) < 0:
+            produced.append(effects.Report("requests_released", fields))
+            continue
+        produced.append(effects.Report("prompt_parts_released", fields))
     return produced
--- a/laburnumpin/forwarding/withholding_store.py
+++ b/laburnumpin/forwarding/withholding_store.py
@@ -17,10 +17,12 @@
 from laburnumpin.forwarding import interfaces
 from laburnumpin.forwarding import part_losses
 from laburnumpin.forwarding import shell as shells
+from laburnumpin.forwarding import untrusted
 from laburnumpin.server import logs
 
 ROW_KEY = "current"
 CHECK_PERIOD_S = 0.5
+MAX_ROW_BYTES = 65_536
 
 
 class WithholdingStore:
@@ -55,14 +57,18 @@
             if row.key != ROW_KEY or row.value is None:
                 continue
             try:
-                records = _decode(row.value, _wall_ms())
-            except (ValueError, TypeError, KeyError) as error:
+                records, request_records = _decode(row.value, _wall_ms())
+            except exceptions.DocumentError as error:
                 logs.write(
-                    "withheld_row_malformed", "warning", {"reason": repr(error)}
+                    "withheld_row_malformed",
+                    "warning",
+                    {"reason": error.message},
                 )
                 continue
             self._shell.apply(
-                events.PartLossesRead(self._shell.now_ms(), records)
+                events.PartLossesRead(
+                    self._shell.now_ms(), records, request_records
+                )
             )
             self._saved = self._shell.state.part_losses.withheld()
 
@@ -78,12 +84,14 @@
                 withheld == self._saved and not is_lost
             ):
                 continue
-            records = state.part_losses.withheld_rows(self._shell.now_ms())
+            now_ms = self._shell.now_ms()
+            records = state.part_losses.withheld_rows(now_ms)
+            request_records = state.part_losses.withheld_request_rows(now_ms)
             try:
                 position = await self._store.write(
                     interfaces.Table.WITHHOLDING,
                     ROW_KEY,
-                    _encode(records, _wall_ms()),
+                    _encode(records, request_records, _wall_ms()),
                     None,
                 )
             except exceptions.LaburnumpinError as error:
@@ -99,31 +107,52 @@
     return time.time_ns() // 1_000_000
 
 
-def _encode(records: tuple[part_losses.Row, ...], wall_ms: int) -> bytes:
+def _encode(
+    records: tuple[part_losses.Row, ...],
+    request_records: tuple[part_losses.RequestRow, ...],
+    wall_ms: int,
+) -> bytes:
     document: dict[str, Any] = {
         "written_ms": wall_ms,
         "records": part_losses.encode_rows(records),
+        "request_records": part_losses.encode_request_rows(request_records),
     }
     return json.dumps(document).encode()
 
 
-def _decode(value: bytes, wall_ms: int) -> tuple[part_losses.Row, ...]:
+def _decode(
+    value: bytes, wall_ms: int
+) -> tuple[tuple[part_losses.Row, ...], tuple[part_losses.RequestRow, ...]]:
     """Return the records with their ages as of now.
 
     Raises:
-        ValueError: The row is malformed.
-        TypeError: The row is malformed.
-        KeyError: The row is malformed.
+        MalformedError: The row is malformed.
     """
-    document = json.loads(value)
-    elapsed_ms = max(0, wall_ms - int(document["written_ms"]))
+    document = untrusted.parse_json(value, MAX_ROW_BYTES)
+    written_ms = untrusted.integer(
+        untrusted.required(document, "written_ms"),
+        "written_ms",
+        0,
+        untrusted.MAX_UNIX_MS,
+    )
+    elapsed_ms = max(0, wall_ms - written_ms)
     records = []
     for part_id, is_contrasted, losses in part_losses.decode_rows(
-        document["records"]
+        untrusted.required(document, "records")
     ):
         aged = tuple(
             (identifier, age_ms + elapsed_ms, cleared)
             for identifier, age_ms, cleared in losses
         )
         records.append((part_id, is_contrasted, aged))
-    return tuple(records)
+    request_records = []
+    # Entries of an earlier release do not write these.
+    for key, is_contrasted, service, runs in part_losses.decode_request_rows(
+        document.get("request_records", ())
+    ):
+        aged_runs = tuple(
+            (identifier, age_ms + elapsed_ms, cleared, ran_ms)
+            for identifier, age_ms, cleared, ran_ms in runs
+        )
+        request_records.append((key, is_contrasted, service, aged_runs))
+    return tuple(records), tuple(request_records)
--- a/laburnumpin/platform/settings.py
+++ b/laburnumpin/platform/settings.py
@@ -181,6 +181,7 @@
         ("first_withhold_s", default.first_withhold_ms),
         ("max_withhold_s", default.max_withhold_ms),
         ("memory_s", default.memory_ms),
+        ("doubt_withhold_s", default.doubt_withhold_ms),
     ):
         seconds = reader.number("withholding", name, default=default_ms / 1_000)
         if seconds <= 0:
--- a/laburnumpin/tests/engine_fleet.py
+++ b/laburnumpin/tests/engine_fleet.py
@@ -17,12 +17,14 @@
 import cbor2
 
 from laburnumpin import verdict as verdicts
+from laburnumpin.forwarding import deployment
 from laburnumpin.forwarding import effects
 from laburnumpin.forwarding import events
 from laburnumpin.forwarding import peer_link
 from laburnumpin.forwarding import reducer
 from laburnumpin.forwarding import requests
 from laburnumpin.forwarding import state as forwarding_state
+from laburnumpin.forwarding import upstreams
 from laburnumpin.tests import forwarding_builders as build
 
 CRASHING_PART = 0xBAD
@@ -105,7 +107,14 @@
     is lost; `edits_digest` may change its encoded fields.
     """
 
-    def __init__(self, seed: int, entries: int, engines: int) -> None:
+    def __init__(
+        self,
+        seed: int,
+        entries: int,
+        engines: int,
+        route: deployment.Route = ROUTE,
+    ) -> None:
+        self.route = route
         self.random = random.Random(seed)
         self.now_ms = 0
         self._queue: list[tuple[int, int, Callable[[], None]]] = []
@@ -121,7 +130,7 @@
         self.sound: list[Outcome] = []
         self.crashing: list[Outcome] = []
         self._outcomes: dict[str, Outcome] = {}
-        self._request_parts: dict[str, tuple[int, ...]] = {}
+        self._crashing_ids: set[str] = set()
         self._limited_ids: set[str] = set()
         self.paused: set[str] = set()
         self._held: dict[str, list[events.Event]] = {}
@@ -135,16 +144,20 @@
         for name in self.names:
             self.start_entry(name)
 
+    def _registration(self, upstream_id: str) -> upstreams.Registration:
+        service = self.route.splits[0].service
+        return build.registration(upstream_id, service=service, slots=64)
+
     def start_entry(self, name: str) -> None:
         """Start an entry, or start it again without what it knew."""
         registrations = [
-            build.registration(engine.upstream_id, slots=64)
+            self._registration(engine.upstream_id)
             for engine in self.engines.values()
             if engine.is_running
         ]
         state = build.state(
             *registrations,
-            current=build.configuration(routes=(ROUTE,)),
+            current=build.configuration(routes=(self.route,)),
             name=name,
         )
         state.incarnation_ms = self.now_ms + 1
@@ -198,17 +211,23 @@
             parts.insert(2, CRASHING_PART)
         request = build.request(
             request_id,
-            route=ROUTE,
+            route=self.route,
             prompt=build.prompt(2_000, *parts),
             arrived_ms=self.now_ms,
             deadline_ms=self.now_ms + 3_000,
         )
-        assert isinstance(request, requests.Request)
+        self.accept(name, request, is_crashing=is_crashing)
+
+    def accept(
+        self, name: str, request: requests.Request, *, is_crashing: bool
+    ) -> Outcome:
+        """Let a given request arrive at an entry."""
         outcome = Outcome(self.now_ms)
         (self.crashing if is_crashing else self.sound).append(outcome)
-        self._outcomes[request_id] = outcome
-        self._request_parts[request_id] = tuple(parts)
+        self._outcomes[request.request_id] = outcome
+        self._crashing_ids.update({request.request_id} if is_crashing else ())
         self.apply(name, events.RequestArrived(self.now_ms, request))
+        return outcome
 
     def apply(self, name: str, event: events.Event) -> None:
         """Apply an event to an entry, or hold it while the entry is paused."""
@@ -219,6 +238,9 @@
         for effect in reducer.reduce(state, event):
             self._carry_out(name, effect)
 
+    def on_reject(self, effect: effects.Reject) -> None:
+        """Called for each request that ends without an upstream's answer."""
+
     def resume(self, name: str) -> None:
         """Resume a paused entry, which handles what arrived meanwhile."""
         self.paused.discard(name)
@@ -235,6 +257,7 @@
                 self._send(name, effect)
             case effects.Reject():
                 self._outcomes[effect.request_id].reject = effect
+                self.on_reject(effect)
             case effects.SendDigest():
                 self._send_digest(name, effect)
             case effects.Report():
@@ -262,7 +285,7 @@
     def _send_now(self, name: str, effect: effects.Send) -> None:
         request_id = effect.request_id
         engine = self.engines[effect.upstream_id]
-        is_crashing = CRASHING_PART in self._request_parts[request_id]
+        is_crashing = request_id in self._crashing_ids
         if not engine.is_running:
             self.at(
                 self.now_ms + NETWORK_MS,
@@ -312,7 +335,7 @@
         is_known = engine.upstream_id in self._limited_ids
         if engine.limit_per_s is None and not is_known:
             return
-        registration = build.registration(engine.upstream_id, slots=64)
+        registration = self._registration(engine.upstream_id)
         seen = events.UpstreamLimitSeen(
             self.now_ms,
             registration,
@@ -328,7 +351,7 @@
         if engine.said_leaving_ms is None:
             return
         engine.told_leaving_ms.setdefault(name, self.now_ms)
-        registration = build.registration(engine.upstream_id, slots=64)
+        registration = self._registration(engine.upstream_id)
         self.apply(name, events.UpstreamLeavingSeen(self.now_ms, registration))
 
     def announce_leaving(self, count: int) -> None:
@@ -363,7 +386,7 @@
     def _replace(self, engine: Engine) -> None:
         added = self._add_engine()
         version = len(self.engines) + 1
-        registration = build.registration(added.upstream_id, slots=64)
+        registration = self._registration(added.upstream_id)
         now_ms = self.now_ms + REGISTRY_DELAY_MS
         for name in self.names:
             for event in (
--- a/laburnumpin/tests/test_forwarding_withholding_store.py
+++ b/laburnumpin/tests/test_forwarding_withholding_store.py
@@ -127,7 +127,7 @@
     settings = part_losses.WithholdingSettings()
     age_ms = 2 * settings.max_withhold_ms + 1
     rows = ((0xBAD, True, tuple((n, age_ms, False) for n in range(3))),)
-    value = withholding_store._encode(rows, withholding_store._wall_ms())
+    value = withholding_store._encode(rows, (), withholding_store._wall_ms())
 
     async def main() -> None:
         shell = _shell()
--- a/laburnumpin/tests/test_platform_documents.py
+++ b/laburnumpin/tests/test_platform_documents.py
@@ -202,12 +202,18 @@
 
 def test_settings_of_withholding_are_decoded_in_ms() -> None:
     decoded = _decode_withholding(
-        {"min_losses": 4, "first_withhold_s": 1.5, "memory_s": 60}
+        {
+            "min_losses": 4,
+            "first_withhold_s": 1.5,
+            "memory_s": 60,
+            "doubt_withhold_s": 0.5,
+        }
     ).withholding
     assert decoded.min_losses == 4
     assert decoded.first_withhold_ms == 1_500
     assert decoded.max_withhold_ms == 900_000
     assert decoded.memory_ms == 60_000
+    assert decoded.doubt_withhold_ms == 500
 
 
 @pytest.mark.parametrize(
@@ -219,6 +225,7 @@
         ("first_withhold_s", 0),
         ("max_withhold_s", -1),
         ("memory_s", float("inf")),
+        ("doubt_withhold_s", 0),
     ],
 )
 def test_malformed_settings_of_withholding_are_reported(
