--- a/laburnumpin/commands/explain.py
+++ b/laburnumpin/commands/explain.py
@@ -161,6 +161,16 @@
     return related
 
 
+def _describe_losses(rejection: LogLine) -> str:
+    """Return what ended under a withheld request."""
+    losses = rejection.get("engine_losses")
+    if rejection.get("request_key"):
+        return f"; {losses} upstreams ended under {rejection['request_key']}"
+    if rejection.get("prompt_parts"):
+        return f"; {losses} engines ended under {rejection['prompt_parts']}"
+    return ""
+
+
 def cause(request_id: str, related: list[LogLine]) -> str:
     """Return the cause of a request's outcome from its related lines."""
     outcome = ""
@@ -192,16 +202,7 @@
             "had not run" if rejection.get("not_run") else "may have run"
         )
         text += f"; answered {rejection.get('status')}, it {execution}"
-        if rejection.get("request_key"):
-            text += (
-                f"; {rejection.get('engine_losses')} upstreams ended under "
-                f"{rejection.get('request_key')}"
-            )
-        elif rejection.get("prompt_parts"):
-            text += (
-                f"; {rejection.get('engine_losses')} engines ended under "
-                f"{rejection.get('prompt_parts')}"
-            )
+        text += _describe_losses(rejection)
     text += _describe_end(request_id, related)
     if failure is not None:
         upstream = str(failure.get("upstream"))
--- a/laburnumpin/forwarding/withholding.py
+++ b/laburnumpin/forwarding/withholding.py
@@ -46,6 +46,8 @@
         return _confirm(state, upstream.registration, event.now_ms)
     if event.ending is not events.Ending.BROKEN:
         return []
+    if event.answer_started and not active.request.route.is_stream:
+        return []  # Its upstream had run it to the end.
     suspect = forwarding_state.Suspect(
         active.request.suspects(),
         active.request.service,
