Reject requests at an exit that could not end before it

Cause: the time in which requests are taken, the longest time that they may run and the end of the grace were three unrelated numbers.

Change: the reducer knows when the process exits. A request, and each repeat, is sent only if it can end by then: by its deadline, or for generations by the caller's limit on the output. Otherwise 503 with Retry-After at once.

--- a/laburnumpin/forwarding/daemon.py
+++ b/laburnumpin/forwarding/daemon.py
@@ -124,11 +124,12 @@
                 # bound already.
                 continue
             break
-    shell.leave()
     requested_ms = shell.now_ms()
-    exit_by_ms = requested_ms + settings.exit_ms - EXIT_MARGIN_MS
-    while shell.now_ms() < exit_by_ms:
+    exit_in_ms = settings.exit_ms - EXIT_MARGIN_MS
+    shell.leave(exit_in_ms)
+    while shell.now_ms() < requested_ms + exit_in_ms:
         await anyio.sleep(EXIT_CHECK_PERIOD_S)
         min_elapsed = shell.now_ms() >= requested_ms + MIN_DRAIN_MS
         if min_elapsed and caller_frontend.active == 0:
             return
+    await caller_frontend.end_requests()
--- a/laburnumpin/forwarding/frontend.py
+++ b/laburnumpin/forwarding/frontend.py
@@ -24,6 +24,8 @@
 LISTEN_BACKLOG = 512
 # Retry delay for requests that arrive before the first configuration is read.
 NOT_READY_RETRY_MS = 200
+# Longest time for the last answers before the process exits.
+LAST_ANSWERS_S = 0.4
 # Prompt parts in the log line of a failed attempt.
 MAX_LOGGED_PARTS = 8
 
@@ -34,13 +36,25 @@
     `active` counts the requests in flight: read, but not answered yet.
     """
 
-    __slots__ = ("_open_callers", "_shell", "active")
+    __slots__ = ("_exchanges", "_shell", "active")
 
     def __init__(self, shell: shells.Shell) -> None:
         self._shell = shell
-        self._open_callers: set[callers.Caller] = set()
+        self._exchanges: set[_Exchange] = set()
         self.active = 0
 
+    async def end_requests(self) -> None:
+        """Answer the requests that have no answer yet, before the exit.
+
+        The answer says whether they may have run. Streams that have begun are
+        cut.
+        """
+        for exchange in list(self._exchanges):
+            exchange.end_for_exit()
+        with anyio.move_on_after(LAST_ANSWERS_S):
+            while self.active:
+                await anyio.sleep(LAST_ANSWERS_S / 20)
+
     async def serve(self, address: str) -> None:
         """Accept connections until cancelled."""
         await byte_stream.serve(address, LISTEN_BACKLOG, self._handle)
@@ -48,7 +62,6 @@
     async def _handle(self, stream: byte_stream.ByteStream) -> None:
         limits = self._limits()
         caller = callers.Caller(stream, limits.max_header_bytes)
-        self._open_callers.add(caller)
         try:
             await self._serve_requests(caller)
         except callers.CallerDisconnectedError as error:
@@ -60,7 +73,6 @@
                 "caller_connection_error", "error", {"reason": repr(error)}
             )
         finally:
-            self._open_callers.discard(caller)
             caller.close()
 
     def _limits(self) -> deployment.CallerLimits:
@@ -89,9 +101,11 @@
                 return
             exchange = _Exchange(self._shell, caller, head, received_ms, body)
             self.active += 1
+            self._exchanges.add(exchange)
             try:
                 keep_alive = await exchange.run()
             finally:
+                self._exchanges.discard(exchange)
                 self.active -= 1
             if not keep_alive or not caller.prepare_next_request():
                 return
@@ -122,10 +136,13 @@
         "_caller",
         "_delivered",
         "_first_event_ms",
+        "_ends_for_exit",
         "_framing",
         "_outcome",
+        "_relay",
         "_request",
         "_request_head",
+        "_scope",
         "_shell",
     )
 
@@ -152,6 +169,15 @@
         # How the upstream's last answer showed its end.
         self._framing: completeness.Framing | None = None
         self._outcome = ""
+        self._relay: answers.AnswerRelay | None = None
+        # Cancels the attempts.
+        self._scope = anyio.CancelScope()
+        self._ends_for_exit = False
+
+    def end_for_exit(self) -> None:
+        """Give the attempts up, since the process exits."""
+        self._ends_for_exit = True
+        self._scope.cancel()
 
     async def run(self) -> bool:
         """Serve the request; return whether the connection stays open."""
@@ -212,22 +238,23 @@
         self, request: requests.Request, resume_after: int | None
     ) -> bool:
         """Serve the request until it ends or its caller disconnects."""
-        scope = anyio.CancelScope()
         cancels_with_caller = (
             request.route.may_repeat or request.route.is_stream
         )
         if cancels_with_caller:
             # Stops the work when the caller disconnects. A call that must not
             # run twice finishes, so that it is not interrupted half way.
-            self._caller.stream.on_end = scope.cancel
+            self._caller.stream.on_end = self._scope.cancel
         keep_alive = False
         try:
             if self._caller.stream.has_closed():
                 raise callers.CallerDisconnectedError(
                     "caller disconnected before the request was sent"
                 )
-            with scope:
+            with self._scope:
                 keep_alive = await self._run_attempts(request, resume_after)
+            if self._ends_for_exit and not self._has_answer():
+                await self._send_rejection(self._exit_rejection(request))
         except callers.CallerDisconnectedError:
             self._outcome = self._outcome or "caller_gone"
         finally:
@@ -241,6 +268,17 @@
             self._log_end(request)
         return keep_alive
 
+    def _has_answer(self) -> bool:
+        return self._relay is not None and self._relay.answer_started
+
+    def _exit_rejection(self, request: requests.Request) -> effects.Reject:
+        """Return the last answer to a request that this exit interrupts."""
+        active = self._shell.state.active.get(request.request_id)
+        has_run = active is None or active.may_have_run or active.sends > 0
+        return effects.Reject(
+            request.request_id, effects.Reason.LEAVING, not has_run, None
+        )
+
     async def _run_attempts(
         self, request: requests.Request, resume_after: int | None
     ) -> bool:
@@ -250,6 +288,7 @@
             self._on_first_event,
             resume_after,
         )
+        self._relay = relay
         effect = self._shell.apply(
             events.RequestArrived(self._shell.now_ms(), request)
         )
--- a/laburnumpin/forwarding/lifecycle.py
+++ b/laburnumpin/forwarding/lifecycle.py
@@ -32,6 +32,10 @@
 # Share of its objective that a request may wait for an upstream whose limit
 # allows no request before.
 MAX_LIMIT_WAIT_SHARE = 0.5
+# Streams of a full engine, and how much longer a stream may take than its steps
+# there, for the longest time that a request may take during the exit.
+BATCH_SIZE = 64
+LONGEST_RUN_FACTOR = 1.5
 # With less time left until the deadline, a request is not sent again.
 MIN_ATTEMPT_MS = 30
 
@@ -46,7 +50,8 @@
     request = event.request
     now_ms = event.now_ms
     if state.leaving_since_ms is not None:
-        if now_ms > state.leaving_since_ms + ACCEPT_WHILE_LEAVING_MS:
+        is_late = now_ms > state.leaving_since_ms + ACCEPT_WHILE_LEAVING_MS
+        if is_late or not _can_end(state, request, now_ms):
             return _reject(state, request.request_id, effects.Reason.LEAVING)
     withheld = withholding.find_withheld(state, request, now_ms)
     is_trial = withheld is not None and withholding.starts_trial(
@@ -143,6 +148,9 @@
             withholding.retry_after_ms(withheld, now_ms),
             withheld,
         )
+    if not _can_end(state, active.request, now_ms):
+        state.counters.increment("retries_refused", "leaving")
+        return _end_request(state, active, effects.Reason.LEAVING)
     is_safe = may_retry(active)
     if not is_safe or now_ms + MIN_ATTEMPT_MS > active.request.deadline_ms:
         return _end_request(state, active, reason)
@@ -159,6 +167,25 @@
     return _send_or_reject(state, active, now_ms, reason)
 
 
+def _can_end(
+    state: forwarding_state.ForwardingState,
+    request: requests.Request,
+    now_ms: int,
+) -> bool:
+    """Return whether a request ends before this entry exits, if it does."""
+    if state.exit_by_ms is None:
+        return True
+    longest_ms = request.deadline_ms - now_ms
+    prompt = request.prompt
+    if prompt is not None:
+        # The caller's limit on the output is tighter than its deadline.
+        step_ms = selection.STEP_MS + selection.STEP_MS_PER_STREAM * BATCH_SIZE
+        output_ms = prompt.max_output_tokens * step_ms * LONGEST_RUN_FACTOR
+        first_ms = request.route.objective_ms * FIRST_BYTE_OBJECTIVE_FACTOR
+        longest_ms = min(longest_ms, math.ceil(first_ms + output_ms))
+    return now_ms + longest_ms <= state.exit_by_ms
+
+
 def _record_failure(
     state: forwarding_state.ForwardingState,
     active: forwarding_state.ActiveRequest,
--- a/laburnumpin/forwarding/shell.py
+++ b/laburnumpin/forwarding/shell.py
@@ -103,10 +103,15 @@
         entries = self.state.members.count()
         return pool.idle_limit(definition.max_connections, entries)
 
-    def leave(self) -> None:
-        """Start the exit; the reducer rejects new requests after a delay."""
+    def leave(self, exit_in_ms: int) -> None:
+        """Start the exit, which ends after `exit_in_ms` at the latest.
+
+        The reducer rejects new requests after a delay, and those that could not
+        end by then.
+        """
         if not self.leaving.is_set():
             self.state.leaving_since_ms = self.now_ms()
+            self.state.exit_by_ms = self.now_ms() + exit_in_ms
             self.leaving.set()
 
     def apply(self, event: events.Event) -> RequestEffect | None:
--- a/laburnumpin/forwarding/state.py
+++ b/laburnumpin/forwarding/state.py
@@ -123,6 +123,7 @@
         "digest_sent_ms",
         "digests_sent",
         "early_digests",
+        "exit_by_ms",
         "fetch_due_ms",
         "has_seen_restore",
         "highest_lease_token",
@@ -190,6 +191,8 @@
         self.lease_token = 0
         # Start of the exit; None before.
         self.leaving_since_ms: int | None = None
+        # When the process exits at the latest; None before `leaving_since_ms`.
+        self.exit_by_ms: int | None = None
         self.digest_due_ms = 0
         self.digest_sent_ms = 0
         self.digests_sent = 0
--- a/laburnumpin/tests/test_platform_relay.py
+++ b/laburnumpin/tests/test_platform_relay.py
@@ -93,6 +93,7 @@
         self.connection_ended = anyio.Event()
         self.was_reset = False
         self.listeners: list[abc.Listener[abc.SocketStream]] = []
+        self.frontend: frontend.Frontend | None = None
 
     async def call(self, text: bytes, *, answers: int = 1) -> bytes:
         """Send bytes and return the bytes of that many complete answers.
@@ -230,7 +231,8 @@
         boot_clock,
         clients.PlatformEngines(),
     )
-    task_group.start_soon(frontend.Frontend(shell).serve, harness.address)
+    harness.frontend = frontend.Frontend(shell)
+    task_group.start_soon(harness.frontend.serve, harness.address)
     while True:
         try:
             async with await anyio.connect_tcp("127.0.0.1", port):
