Decode all other documents of others against types, ranges and sizes

What callers may see: an entry whose digests, duties or table of entries stop, or a request that ends with a closed connection, after one odd number from outside.

answers of the platform, token counts, keep-alive times and event ids were taken with int() and float(); numbers of 400 digits went on into arithmetic, ports out of range into socket calls (which ended the sending of a digest to all later peers).

Change: each is decoded once, by untrusted.py, with one kind of exception. A digest's addresses must have a port. Handles of moved streams must fit a header. Fuzz tests of all these decoders.

--- a/laburnumpin/forwarding/duties.py
+++ b/laburnumpin/forwarding/duties.py
@@ -20,10 +20,14 @@
 from laburnumpin.forwarding import lease as leases
 from laburnumpin.forwarding import settings as forwarding_settings
 from laburnumpin.forwarding import shell as shells
+from laburnumpin.forwarding import untrusted
 from laburnumpin.forwarding import usage
 from laburnumpin.server import logs
 
 LEASE_KEY = "lease"
+# Longest row of a duty, and longest name of the write that made it.
+MAX_ROW_BYTES = 1_048_576
+MAX_TOKEN_CHARS = 1_000
 # Period of the ticks and of the checks of the lease, and pause of the duties'
 # loops while this entry may act.
 TICK_MS = 100
@@ -133,7 +137,7 @@
         rows = await self._store.read(Table.USAGE)
         for row in rows.rows:
             if row.key == str(window) and row.value is not None:
-                return dict(json.loads(row.value))
+                return _decode_counts(row.value)
         return None
 
 
@@ -450,17 +454,27 @@
         DocumentError: The row is malformed. It is not overwritten, since its
             fencing token is unknown.
     """
-    try:
-        fields = json.loads(value)
-        return leases.Row(
-            version,
-            int(fields["fencing_token"]),
-            str(fields["holder"]),
-            str(fields["token"]),
-            # Entries of an earlier release do not write it.
-            int(fields.get("era", 0)),
-        )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
-        raise exceptions.DocumentError(
-            f"malformed lease row: {error!r}"
-        ) from error
+    fields = untrusted.parse_json(value, MAX_ROW_BYTES)
+    fencing_token = untrusted.required(fields, "fencing_token")
+    return leases.Row(
+        version,
+        untrusted.integer(fencing_token, "fencing_token"),
+        untrusted.text(untrusted.required(fields, "holder"), "holder"),
+        untrusted.text(
+            untrusted.required(fields, "token"), "token", MAX_TOKEN_CHARS
+        ),
+        # Entries of an earlier release do not write it.
+        untrusted.integer(fields.get("era", 0), "era"),
+    )
+
+
+def _decode_counts(value: bytes) -> usage.Counts:
+    """Return the counts of a usage window.
+
+    Raises:
+        MalformedError: The row is malformed.
+    """
+    counts = {}
+    for customer, count in untrusted.parse_json(value, MAX_ROW_BYTES).items():
+        counts[customer] = untrusted.integer(count, "counts")
+    return counts
--- a/laburnumpin/forwarding/event_stream.py
+++ b/laburnumpin/forwarding/event_stream.py
@@ -7,7 +7,8 @@
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 # A line that is neither blank nor a comment.
 _FIELD_LINE = re.compile(rb"(?m)^[^:\r\n]")
-_ID_FIELD = re.compile(rb"(?m)^id:[ \t]*(\d+)\r?$")
+# A longer id is none: it could not be compared or sent on.
+_ID_FIELD = re.compile(rb"(?m)^id:[ \t]*(\d{1,18})\r?$")
 
 
 class Splitter:
--- a/laburnumpin/forwarding/frames.py
+++ b/laburnumpin/forwarding/frames.py
@@ -8,6 +8,7 @@
 import cbor2
 
 from laburnumpin.forwarding import byte_stream
+from laburnumpin.forwarding import untrusted
 
 MAX_MESSAGE_BYTES = 32_000_000
 # Unsent bytes beyond which a peer counts as too slow for further messages.
@@ -77,16 +78,14 @@
             length = int.from_bytes(prefix, "big")
             if length > MAX_MESSAGE_BYTES:
                 raise FrameError("message exceeds the maximum length")
-            message = cbor2.loads(await self._read_exactly(length, deadline_s))
+            data = await self._read_exactly(length, deadline_s)
+            return untrusted.parse_cbor(data, MAX_MESSAGE_BYTES)
         except (
             byte_stream.StreamClosedError,
             TimeoutError,
-            cbor2.CBORDecodeError,
+            untrusted.MalformedError,
         ) as error:
             raise FrameError(repr(error)) from error
-        if not isinstance(message, dict):
-            raise FrameError("message is not a CBOR map")
-        return message
 
     async def _read_exactly(self, size: int, deadline_s: float) -> bytes:
         while len(self._received) < size:
--- a/laburnumpin/forwarding/leaving.py
+++ b/laburnumpin/forwarding/leaving.py
@@ -102,9 +102,7 @@
     decoded = []
     most = MAX_RECENT_ROWS + MAX_ROTATING_ROWS
     for row in untrusted.sequence(encoded, "leaving")[:most]:
-        fields = untrusted.sequence(row, "leaving")
-        if len(fields) != 3:
-            raise untrusted.MalformedError("leaving", "wrong_type")
+        fields = untrusted.items(row, "leaving", 3)
         decoded.append(
             (
                 untrusted.name(fields[0], "leaving"),
--- a/laburnumpin/forwarding/membership.py
+++ b/laburnumpin/forwarding/membership.py
@@ -11,6 +11,10 @@
 import statistics
 import zlib
 
+from laburnumpin.forwarding import untrusted
+
+# Longest row of an entry in the store.
+MAX_ROW_BYTES = 65_536
 # A peer whose last digest is older than this is removed.
 PEER_EXPIRY_MS = 12_000
 # A digest of a lower incarnation counts as delayed while the last one of the
@@ -52,20 +56,19 @@
         """Return the contact in a row.
 
         Raises:
-            ValueError: The row is malformed.
+            MalformedError: The row is malformed.
         """
-        fields = json.loads(value)
-        if not isinstance(fields, dict):
-            raise ValueError("entry row is not a JSON object")
-        try:
-            return Contact(
-                name,
-                str(fields["address"]),
-                str(fields["zone"]),
-                float(fields["link_mbps"]),
-            )
-        except (KeyError, TypeError) as error:
-            raise ValueError(f"entry row is malformed: {error!r}") from error
+        fields = untrusted.parse_json(value, MAX_ROW_BYTES)
+        return Contact(
+            untrusted.text(name, "name"),
+            untrusted.host_address(
+                untrusted.required(fields, "address"), "address"
+            ),
+            untrusted.text(untrusted.required(fields, "zone"), "zone"),
+            untrusted.number(
+                untrusted.required(fields, "link_mbps"), "link_mbps"
+            ),
+        )
 
 
 def is_stale_incarnation(
--- a/laburnumpin/forwarding/part_losses.py
+++ b/laburnumpin/forwarding/part_losses.py
@@ -712,10 +712,10 @@
     """
     rows = []
     for row in untrusted.sequence(encoded, "losses")[:MAX_RECORDS]:
-        part_id, is_contrasted, losses = _fields(row, 3)
+        part_id, is_contrasted, losses = untrusted.items(row, "losses", 3)
         decoded = []
         for loss in untrusted.sequence(losses, "losses")[:MAX_LOSSES]:
-            decoded.append(_decode_loss(*_fields(loss, 3)))
+            decoded.append(_decode_loss(*untrusted.items(loss, "losses", 3)))
         rows.append((_decode_id(part_id), bool(is_contrasted), tuple(decoded)))
     return tuple(rows)
 
@@ -738,10 +738,10 @@
     """
     rows = []
     for row in untrusted.sequence(encoded, "losses")[:MAX_REQUEST_RECORDS]:
-        key, is_contrasted, service, losses = _fields(row, 4)
+        key, is_contrasted, service, losses = untrusted.items(row, "losses", 4)
         decoded = []
         for loss in untrusted.sequence(losses, "losses")[:MAX_LOSSES]:
-            *common, ran_ms = _fields(loss, 4)
+            *common, ran_ms = untrusted.items(loss, "losses", 4)
             ran_ms = untrusted.integer(
                 ran_ms, "losses", UNKNOWN_RUN_MS, untrusted.MAX_DURATION_MS
             )
@@ -758,13 +758,6 @@
     return tuple(rows)
 
 
-def _fields(row: Any, count: int) -> list[Any]:
-    fields = list(untrusted.sequence(row, "losses"))
-    if len(fields) != count:
-        raise untrusted.MalformedError("losses", "wrong_type")
-    return fields
-
-
 def _decode_id(value: Any) -> int:
     return untrusted.integer(value, "losses", 0, MAX_SUSPECT_ID)
 
--- a/laburnumpin/forwarding/peer_link.py
+++ b/laburnumpin/forwarding/peer_link.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import math
 from typing import Any
 
 import anyio
@@ -26,10 +25,16 @@
 from laburnumpin.forwarding import relay
 from laburnumpin.forwarding import shell as shells
 from laburnumpin.forwarding import synchronization
+from laburnumpin.forwarding import untrusted
 from laburnumpin.forwarding import upstream_limits
+from laburnumpin.forwarding import usage
 from laburnumpin.server import logs
 
 DIGEST_FORMAT = 1
+# Longest digest: that of a datagram.
+MAX_DIGEST_BYTES = 65_536
+# Highest sum of logarithms of observed to predicted times in a digest.
+MAX_LOG_RATIO = 1e6
 FETCH_TIMEOUT_S = 1.5
 LISTEN_BACKLOG = 256
 
@@ -194,71 +199,117 @@
         MessageError: The digest is malformed or has another format.
     """
     try:
-        return _decode_fields(cbor2.loads(encoded))
-    except (
-        cbor2.CBORDecodeError,
-        ValueError,
-        TypeError,
-        KeyError,
-        AttributeError,
-        IndexError,
-        OverflowError,
-        exceptions.DocumentError,
-    ) as error:
-        raise exceptions.MessageError(repr(error)) from error
-
-
-def _finite_float(value: Any) -> float:
-    number = float(value)
-    if not math.isfinite(number):
-        raise ValueError("not a finite number")
-    return number
-
-
-def _decode_fields(fields: Any) -> digests.Digest:
-    if not isinstance(fields, dict) or fields.get("f") != DIGEST_FORMAT:
-        raise ValueError("not a digest of this format")
-    windows = {}
-    for window, counts in dict(fields["k"]).items():
-        windows[int(window)] = {str(k): int(v) for k, v in counts.items()}
-    loads = {}
-    for upstream_id, load in dict(fields["o"]).items():
-        loads[str(upstream_id)] = (int(load[0]), int(load[1]))
-    parts = []
-    for upstream_id, part_id in fields["p"]:
-        parts.append((str(upstream_id), int(part_id)))
-    latency_log_ratios = {}
-    # Entries of an earlier release do not send these ratios.
-    for upstream_id, count_and_sum in dict(fields.get("t", {})).items():
-        latency_log_ratios[str(upstream_id)] = (
-            int(count_and_sum[0]),
-            _finite_float(count_and_sum[1]),
-        )
+        return _decode_fields(untrusted.parse_cbor(encoded, MAX_DIGEST_BYTES))
+    except untrusted.MalformedError as error:
+        raise exceptions.MessageError(error.message) from error
+
+
+def _decode_fields(fields: dict[Any, Any]) -> digests.Digest:
+    if fields.get("f") != DIGEST_FORMAT:
+        raise untrusted.MalformedError("f", "unknown_value")
     return digests.Digest(
-        contact=membership.Contact(
-            str(fields["n"]),
-            str(fields["a"]),
-            str(fields["z"]),
-            float(fields["b"]),
+        contact=_decode_contact(fields),
+        incarnation_ms=_count(fields, "i", untrusted.MAX_UNIX_MS),
+        sequence_number=_count(fields, "s"),
+        wall_ms=_count(fields, "w", untrusted.MAX_UNIX_MS),
+        config_version=_count(fields, "c"),
+        registry_version=_count(fields, "r"),
+        lease_token=_count(fields, "l"),
+        used=_amounts(fields, "u"),
+        windows=_decode_windows(fields),
+        loads=_decode_loads(fields),
+        parts=_decode_parts(fields),
+        latency_log_ratios=_decode_log_ratios(fields),
+        contacts=tuple(
+            untrusted.host_address(address, "m")
+            for address in untrusted.sequence(_get(fields, "m"), "m")
         ),
-        incarnation_ms=int(fields["i"]),
-        sequence_number=int(fields["s"]),
-        wall_ms=int(fields["w"]),
-        config_version=int(fields["c"]),
-        registry_version=int(fields["r"]),
-        lease_token=int(fields["l"]),
-        used={str(k): float(v) for k, v in dict(fields["u"]).items()},
-        windows=windows,
-        loads=loads,
-        parts=tuple(parts),
-        latency_log_ratios=latency_log_ratios,
-        contacts=tuple(str(a) for a in fields["m"]),
-        work_ms={str(k): float(v) for k, v in dict(fields["e"]).items()},
+        work_ms=_amounts(fields, "e"),
         part_losses=part_losses.decode_rows(fields["q"])
         if "q" in fields
         else None,
         request_losses=part_losses.decode_request_rows(fields.get("j", ())),
         limits=upstream_limits.decode_rows(fields.get("h", ())),
-        store_era=int(fields.get("v", 0)),
+        store_era=untrusted.integer(fields.get("v", 0), "v"),
         leaving=leaving.decode_rows(fields.get("g", ())),
     )
+
+
+def _get(fields: dict[Any, Any], name: str) -> Any:
+    return untrusted.required(fields, name)
+
+
+def _count(
+    fields: dict[Any, Any], name: str, high: int = untrusted.MAX_COUNTER
+) -> int:
+    return untrusted.integer(_get(fields, name), name, 0, high)
+
+
+def _amounts(fields: dict[Any, Any], name: str) -> dict[str, float]:
+    """Return amounts by name; they may be negative after refunds."""
+    low = -float(untrusted.MAX_COUNTER)
+    amounts = {}
+    for key, value in untrusted.mapping(_get(fields, name), name).items():
+        amounts[untrusted.text(key, name)] = untrusted.number(value, name, low)
+    return amounts
+
+
+def _decode_contact(fields: dict[Any, Any]) -> membership.Contact:
+    return membership.Contact(
+        untrusted.text(_get(fields, "n"), "n"),
+        untrusted.host_address(_get(fields, "a"), "a"),
+        untrusted.text(_get(fields, "z"), "z"),
+        untrusted.number(_get(fields, "b"), "b"),
+    )
+
+
+def _decode_windows(fields: dict[Any, Any]) -> dict[int, usage.Counts]:
+    windows = {}
+    for window, counts in untrusted.mapping(_get(fields, "k"), "k").items():
+        decoded = {}
+        for customer, count in untrusted.mapping(counts, "k").items():
+            decoded[untrusted.text(customer, "k")] = untrusted.integer(
+                count, "k"
+            )
+        windows[untrusted.integer(window, "k")] = decoded
+    return windows
+
+
+def _decode_loads(fields: dict[Any, Any]) -> dict[str, tuple[int, int]]:
+    loads = {}
+    for upstream_id, load in untrusted.mapping(_get(fields, "o"), "o").items():
+        streams, tokens = untrusted.items(load, "o", 2)
+        loads[untrusted.text(upstream_id, "o")] = (
+            untrusted.integer(streams, "o"),
+            untrusted.integer(tokens, "o", -untrusted.MAX_COUNTER),
+        )
+    return loads
+
+
+def _decode_parts(fields: dict[Any, Any]) -> tuple[tuple[str, int], ...]:
+    parts = []
+    for part in untrusted.sequence(_get(fields, "p"), "p"):
+        upstream_id, part_id = untrusted.items(part, "p", 2)
+        parts.append(
+            (
+                untrusted.text(upstream_id, "p"),
+                untrusted.integer(part_id, "p", 0, part_losses.MAX_SUSPECT_ID),
+            )
+        )
+    return tuple(parts)
+
+
+def _decode_log_ratios(
+    fields: dict[Any, Any],
+) -> dict[str, tuple[int, float]]:
+    ratios = {}
+    # Entries of an earlier release do not send these ratios.
+    for upstream_id, ratio in untrusted.mapping(
+        fields.get("t", {}), "t"
+    ).items():
+        answers, total = untrusted.items(ratio, "t", 2)
+        ratios[untrusted.text(upstream_id, "t")] = (
+            untrusted.integer(answers, "t"),
+            untrusted.number(total, "t", -MAX_LOG_RATIO, MAX_LOG_RATIO),
+        )
+    return ratios
--- a/laburnumpin/forwarding/relay.py
+++ b/laburnumpin/forwarding/relay.py
@@ -14,6 +14,7 @@
 import anyio
 from anyio import abc
 
+from laburnumpin import exceptions
 from laburnumpin.forwarding import byte_stream
 from laburnumpin.forwarding import digests
 from laburnumpin.forwarding import frames
@@ -21,6 +22,7 @@
 from laburnumpin.forwarding import membership
 from laburnumpin.forwarding import shell as shells
 from laburnumpin.forwarding import synchronization
+from laburnumpin.forwarding import untrusted
 from laburnumpin.server import logs
 
 # Pause between two bundles of a relay, which are sent even if they are empty.
@@ -266,20 +268,29 @@
             kind = message["kind"]
             if kind == "bundle":
                 link.in_sync = bool(message["in_step"])
-                link.era = int(message.get("era", 0))
-                for encoded in message["digests"]:
-                    self._on_digest(link, bytes(encoded))
+                link.era = untrusted.integer(message.get("era", 0), "era")
+                for encoded in untrusted.sequence(
+                    message["digests"], "digests"
+                ):
+                    if not isinstance(encoded, bytes):
+                        raise untrusted.MalformedError("digests", "wrong_type")
+                    self._on_digest(link, encoded)
             elif kind == "rows":
                 table = interfaces.Table(message["table"])
                 rows = synchronization.decode_rows(message["rows"])
-                version = int(message["version"])
-                era = int(message.get("era", 0))
+                version = untrusted.integer(message["version"], "version")
+                era = untrusted.integer(message.get("era", 0), "era")
                 self._synchronizer.apply_peer_changes(
                     table, interfaces.Rows(tuple(rows), version, era)
                 )
             elif kind == "snapshot":
                 self._synchronizer.apply_snapshot(message)
-        except (KeyError, TypeError, ValueError) as error:
+        except (
+            KeyError,
+            TypeError,
+            ValueError,
+            exceptions.DocumentError,
+        ) as error:
             self._shell.state.counters.increment("links_malformed")
             logs.write(
                 "peer_message_invalid",
--- a/laburnumpin/forwarding/synchronization.py
+++ b/laburnumpin/forwarding/synchronization.py
@@ -15,6 +15,7 @@
 from laburnumpin.forwarding import membership
 from laburnumpin.forwarding import part_losses
 from laburnumpin.forwarding import shell as shells
+from laburnumpin.forwarding import untrusted
 from laburnumpin.forwarding import upstreams
 from laburnumpin.server import logs
 
@@ -49,6 +50,8 @@
 # Malformed registrations whose version was logged.
 MAX_LOGGED_ROWS = 256
 MAX_LOGGED_KEY_CHARS = 200
+# Longest key of a row of a peer.
+MAX_KEY_CHARS = 1_000
 MAX_LOGGED_ERROR_CHARS = 400
 # In a new era of the store, entries that a relay keeps in sync wait this long
 # for the relay's rows before they read the store themselves.
@@ -297,11 +300,15 @@
                     continue
                 try:
                     contact = membership.Contact.decode(row.key, row.value)
-                except ValueError as error:
+                except exceptions.DocumentError as error:
+                    self._shell.state.counters.increment("entry_rows_malformed")
                     logs.write(
                         "entry_row_malformed",
                         "warning",
-                        {"entry_row": row.key, "reason": str(error)},
+                        {
+                            "entry_row": row.key[:MAX_LOGGED_KEY_CHARS],
+                            "reason": error.message,
+                        },
                     )
                     continue
                 members.add_entry(contact, now_ms)
@@ -381,16 +388,16 @@
         try:
             operator_rows = decode_rows(snapshot["operator"])
             upstream_rows = decode_rows(snapshot["upstreams"])
-            operator_version = int(snapshot["operator_version"])
-            upstreams_version = int(snapshot["upstreams_version"])
-            operator_era = int(snapshot.get("operator_era", 0))
-            upstreams_era = int(snapshot.get("upstreams_era", 0))
+            operator_version = _counter(snapshot, "operator_version")
+            upstreams_version = _counter(snapshot, "upstreams_version")
+            operator_era = _counter(snapshot, "operator_era", 0)
+            upstreams_era = _counter(snapshot, "upstreams_era", 0)
             # Entries of an earlier release do not send these.
             losses = part_losses.decode_rows(snapshot.get("part_losses", ()))
             request_losses = part_losses.decode_request_rows(
                 snapshot.get("request_losses", ())
             )
-        except (KeyError, TypeError, exceptions.DocumentError) as error:
+        except (KeyError, exceptions.DocumentError) as error:
             raise ValueError(f"malformed snapshot: {error!r}") from error
         if losses or request_losses:
             self._shell.apply(
@@ -858,14 +865,30 @@
     return [[row.key, row.value, row.version] for row in rows]
 
 
-def decode_rows(encoded: list[list[Any]]) -> list[interfaces.Row]:
+def decode_rows(encoded: Any) -> list[interfaces.Row]:
     """Return the rows that `encode_rows` encoded.
 
     Raises:
-        ValueError: The rows are malformed.
-        TypeError: The rows are malformed.
+        MalformedError: The rows are malformed.
     """
     rows = []
-    for key, value, version in encoded:
-        rows.append(interfaces.Row(str(key), value, int(version)))
+    for row in untrusted.sequence(encoded, "rows"):
+        key, value, version = untrusted.items(row, "rows", 3)
+        if value is not None and not isinstance(value, bytes):
+            raise untrusted.MalformedError("rows", "wrong_type")
+        rows.append(
+            interfaces.Row(
+                untrusted.text(key, "rows", MAX_KEY_CHARS),
+                value,
+                untrusted.integer(version, "rows"),
+            )
+        )
     return rows
+
+
+def _counter(
+    document: dict[str, Any], field: str, default: int | None = None
+) -> int:
+    if default is not None and field not in document:
+        return default
+    return untrusted.integer(untrusted.required(document, field), field)
--- a/laburnumpin/forwarding/untrusted.py
+++ b/laburnumpin/forwarding/untrusted.py
@@ -30,6 +30,7 @@
 _NAME_PATTERN = re.compile(
     r"[^\x00-\x20\x7f]([^\x00-\x1f\x7f]*[^\x00-\x20\x7f])?"
 )
+_PORT_PATTERN = re.compile(r"[0-9]{1,5}")
 _ADDRESS_PATTERN = re.compile(r"([0-9.]{7,15}):([0-9]{1,5})")
 
 
@@ -187,6 +188,20 @@
     return match.group(0)
 
 
+def host_address(value: object, field: str) -> str:
+    """Return an address of the form `HOST:PORT`; the host may be a name.
+
+    Raises:
+        MalformedError: The port is out of range, or there is no host.
+    """
+    checked = name(value, field)
+    host, _, port = checked.rpartition(":")
+    if not host or not _PORT_PATTERN.fullmatch(port):
+        raise MalformedError(field, "unreadable")
+    integer(int(port), field, 1, 65_535)
+    return checked
+
+
 def sequence(value: object, field: str) -> list[Any] | tuple[Any, ...]:
     """Return a list.
 
@@ -198,6 +213,18 @@
     return value
 
 
+def items(value: object, field: str, count: int) -> list[Any]:
+    """Return the values of a list of a fixed length.
+
+    Raises:
+        MalformedError: It is no list, or of another length.
+    """
+    values = list(sequence(value, field))
+    if len(values) != count:
+        raise MalformedError(field, "wrong_type")
+    return values
+
+
 def mapping(value: object, field: str) -> dict[Any, Any]:
     """Return a mapping.
 
--- a/laburnumpin/forwarding/upstream_limits.py
+++ b/laburnumpin/forwarding/upstream_limits.py
@@ -5,14 +5,13 @@
 
 from __future__ import annotations
 
-import math
-
 from laburnumpin.forwarding import digests
 from laburnumpin.forwarding import effects
 from laburnumpin.forwarding import events
 from laburnumpin.forwarding import limit_shares
 from laburnumpin.forwarding import membership
 from laburnumpin.forwarding import state as forwarding_state
+from laburnumpin.forwarding import untrusted
 from laburnumpin.forwarding import upstreams
 
 # Limits in a digest, and for how long a change is in all of an entry's digests.
@@ -170,24 +169,27 @@
     return max(MIN_RETRY_MS, earliest_ms)
 
 
-def decode_rows(encoded: list[list[object]]) -> tuple[digests.LimitRow, ...]:
+def decode_rows(encoded: object) -> tuple[digests.LimitRow, ...]:
     """Return the rows of a digest, up to the limit.
 
     Raises:
-        ValueError: The rows are malformed.
-        TypeError: The rows are malformed.
+        MalformedError: The rows are malformed.
     """
     decoded = []
-    for upstream_id, incarnation_ms, limit_per_s, age_ms in encoded[:MAX_ROWS]:
-        limit = float(str(limit_per_s))
-        if not math.isfinite(limit):
-            raise ValueError("the limit is not a finite number")
+    for row in untrusted.sequence(encoded, "limits")[:MAX_ROWS]:
+        upstream_id, incarnation_ms, limit, age_ms = untrusted.items(
+            row, "limits", 4
+        )
         decoded.append(
             (
-                str(upstream_id),
-                int(str(incarnation_ms)),
-                limit,
-                int(str(age_ms)),
+                untrusted.text(upstream_id, "limits"),
+                untrusted.integer(
+                    incarnation_ms, "limits", 0, untrusted.MAX_UNIX_MS
+                ),
+                untrusted.number(limit, "limits", digests.NO_LIMIT),
+                untrusted.integer(
+                    age_ms, "limits", 0, untrusted.MAX_DURATION_MS
+                ),
             )
         )
     return tuple(decoded)
--- a/laburnumpin/platform/clients.py
+++ b/laburnumpin/platform/clients.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import base64
-import binascii
 import dataclasses
 import json
 from typing import Any
@@ -15,6 +14,7 @@
 from laburnumpin.forwarding import connections
 from laburnumpin.forwarding import interfaces
 from laburnumpin.forwarding import settings as forwarding_settings
+from laburnumpin.forwarding import untrusted
 from laburnumpin.platform import wire
 
 # Timeout of one call; the wait of a long poll is added to it.
@@ -27,6 +27,9 @@
 # Rises when the store has been restored from an older copy.
 STORE_ERA_HEADER = b"store-era"
 MAX_ERA_DIGITS = 9
+# Longest answer, and key of a row, that are read.
+MAX_ANSWER_BYTES = 67_108_864
+MAX_KEY_CHARS = 1_000
 
 # The platform defines the first two tables; the entries own the others.
 _TABLE_NAMES = {
@@ -50,11 +53,10 @@
     def document(self) -> dict[str, Any]:
         """Return the JSON object of the body, empty if it is none."""
         try:
-            document = json.loads(self.body or b"{}")
-        except ValueError:
+            return untrusted.parse_json(self.body or b"{}", MAX_ANSWER_BYTES)
+        except untrusted.MalformedError:
             # Error responses may have another body; callers check the status.
             return {}
-        return document if isinstance(document, dict) else {}
 
 
 class HttpClient:
@@ -353,7 +355,7 @@
             says_leaving = False
         # Despite its name the handle is a path below the engine's address.
         handle = response.document().get("kv_handle")
-        if response.status not in (200, 503) or handle is None:
+        if response.status not in (200, 503) or not _is_handle(handle):
             return interfaces.MoveResult(None, says_leaving)
         return interfaces.MoveResult(f"{source_address}/{handle}", says_leaving)
 
@@ -381,13 +383,24 @@
         return PlatformEngines()
 
 
+def _is_handle(handle: object) -> bool:
+    """Return whether a handle can be sent in a header."""
+    if isinstance(handle, int) and not isinstance(handle, bool):
+        return 0 <= handle <= untrusted.MAX_COUNTER
+    try:
+        untrusted.name(handle, "kv_handle")
+    except untrusted.MalformedError:
+        return False
+    return True
+
+
 def _decode_version(document: dict[str, Any]) -> int:
-    version = document.get("ver")
-    if not isinstance(version, int):
+    try:
+        return untrusted.integer(document.get("ver"), "ver")
+    except untrusted.MalformedError as error:
         raise exceptions.PlatformAnswerLostError(
             "the response has no integer `ver`"
-        )
-    return version
+        ) from error
 
 
 def _decode_era(response: Response) -> int:
@@ -409,13 +422,29 @@
 
 
 def _decode_rows(document: dict[str, Any], era: int) -> interfaces.Rows:
-    rows = []
-    for row in document.get("rows", []):
-        value: bytes | None = None
-        if not row.get("tombstone"):
-            try:
-                value = base64.b64decode(row.get("value", ""), validate=True)
-            except (binascii.Error, TypeError):
-                value = b""  # The decoder of the row rejects an empty value.
-        rows.append(interfaces.Row(str(row["key"]), value, int(row["ver"])))
+    """Return the rows of an answer.
+
+    Raises:
+        PlatformAnswerLostError: The answer is malformed.
+    """
+    try:
+        rows = []
+        for row in untrusted.sequence(document.get("rows", []), "rows"):
+            rows.append(_decode_row(untrusted.mapping(row, "rows")))
+    except untrusted.MalformedError as error:
+        raise exceptions.PlatformAnswerLostError(error.message) from error
     return interfaces.Rows(tuple(rows), _decode_version(document), era)
+
+
+def _decode_row(row: dict[str, Any]) -> interfaces.Row:
+    value: bytes | None = None
+    if not row.get("tombstone"):
+        try:
+            value = base64.b64decode(row.get("value", ""), validate=True)
+        except (ValueError, TypeError):
+            value = b""  # The decoder of the row rejects an empty value.
+    return interfaces.Row(
+        untrusted.text(untrusted.required(row, "key"), "key", MAX_KEY_CHARS),
+        value,
+        untrusted.integer(untrusted.required(row, "ver"), "ver"),
+    )
--- a/laburnumpin/platform/wire.py
+++ b/laburnumpin/platform/wire.py
@@ -32,6 +32,11 @@
 SERVER_LIMIT = b"server-limit"
 # 1 if the upstream that answers leaves.
 SERVER_LEAVING = b"server-leaving"
+# Longest number of seconds of a keep-alive timeout; most tokens of a request.
+MAX_KEEP_ALIVE_DIGITS = 9
+# Highest number of a caller's header; higher ones count as this.
+MAX_NUMBER = 2**53 - 1
+MAX_TOKENS = 1_000_000_000
 # Values above this are malformed.
 MAX_SERVER_LIMIT_PER_S = 1_000_000.0
 
@@ -267,8 +272,11 @@
                 continue
             for part in value.split(b","):
                 key, _, number = part.strip().partition(b"=")
-                if key.lower() == b"timeout" and number.strip().isdigit():
-                    return int(number) * 1_000
+                seconds = number.strip()
+                if key.lower() != b"timeout" or not seconds.isdigit():
+                    continue
+                if len(seconds) <= MAX_KEEP_ALIVE_DIGITS:
+                    return int(seconds) * 1_000
         return None
 
 
@@ -298,11 +306,23 @@
     if value is None:
         return None
     try:
-        return max(0, int(value))
+        return min(max(0, int(value)), MAX_NUMBER)
     except ValueError as error:
         raise exceptions.DocumentError("a header is not an integer") from error
 
 
+def _decode_tokens(value: bytes) -> int:
+    """Return a number of tokens, 0 if it is missing.
+
+    Raises:
+        ValueError: It is not a number in range.
+    """
+    tokens = int(value or 0)
+    if not 0 <= tokens <= MAX_TOKENS:
+        raise ValueError("a number of tokens is out of range")
+    return tokens
+
+
 def _decode_prompt(
     counts: bytes | None, parts: bytes | None
 ) -> requests.Prompt | None:
@@ -317,10 +337,12 @@
             part_id, _, size = part.strip().partition(b":")
             decoded.append(
                 requests.PromptPart(
-                    int(part_id, 16) % PART_ID_MODULUS, int(size or 0)
+                    int(part_id, 16) % PART_ID_MODULUS, _decode_tokens(size)
                 )
             )
-        return requests.Prompt(int(tokens), int(output or 0), tuple(decoded))
+        return requests.Prompt(
+            _decode_tokens(tokens), _decode_tokens(output), tuple(decoded)
+        )
     except ValueError as error:
         raise exceptions.DocumentError(
             "the token-count or prompt-prefix header is malformed"
--- a/laburnumpin/tests/test_platform_exit.py
+++ b/laburnumpin/tests/test_platform_exit.py
@@ -25,6 +25,7 @@
         build.registration("u1"),
         build.registration("u2"),
         build.registration("p1", service=build.PLAIN_SERVICE),
+        build.registration("p2", service=build.PLAIN_SERVICE),
     )
     state.leaving_since_ms = 0
     state.exit_by_ms = EXIT_MS
--- a/laburnumpin/tests/test_platform_fuzz.py
+++ b/laburnumpin/tests/test_platform_fuzz.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import contextlib
 import json
 import tomllib
+from typing import Any
 
 import cbor2
 import hypothesis
@@ -12,11 +14,18 @@
 
 from laburnumpin import exceptions
 from laburnumpin.forwarding import digests
+from laburnumpin.forwarding import duties
 from laburnumpin.forwarding import event_stream
 from laburnumpin.forwarding import interfaces
+from laburnumpin.forwarding import leaving
 from laburnumpin.forwarding import membership
+from laburnumpin.forwarding import part_losses
 from laburnumpin.forwarding import peer_link
+from laburnumpin.forwarding import synchronization
 from laburnumpin.forwarding import untrusted
+from laburnumpin.forwarding import upstream_limits
+from laburnumpin.forwarding import withholding_store
+from laburnumpin.platform import clients
 from laburnumpin.platform import documents
 from laburnumpin.platform import settings
 from laburnumpin.platform import standins
@@ -218,3 +227,112 @@
     assert events == expected_events
     assert splitter.incomplete_event == b""
     assert [event_stream.event_id(event) for event in events] == event_ids
+
+
+BYTE_DECODERS: dict[str, Callable[[bytes], object]] = {
+    "entry row": lambda value: membership.Contact.decode("e", value),
+    "lease row": lambda value: duties._decode_lease_row(1, value),
+    "usage row": duties._decode_counts,
+    "withheld row": lambda value: withholding_store._decode(value, 1),
+    "registration": lambda value: (
+        documents.PlatformDocuments().decode_registration(
+            interfaces.Row("u", value, 1)
+        )
+    ),
+}
+VALUE_DECODERS: dict[str, Callable[[Any], object]] = {
+    "relayed rows": synchronization.decode_rows,
+    "losses": part_losses.decode_rows,
+    "losses of requests": part_losses.decode_request_rows,
+    "limits": upstream_limits.decode_rows,
+    "upstreams that leave": leaving.decode_rows,
+}
+NESTED = b"[" * 100_000
+
+
+@hypothesis.given(
+    name=strategies.sampled_from(sorted(BYTE_DECODERS)),
+    value=strategies.binary(max_size=80)
+    | JSON_VALUES.map(lambda document: json.dumps(document).encode())
+    | strategies.dictionaries(
+        strategies.sampled_from(
+            (
+                "address",
+                "zone",
+                "link_mbps",
+                "fencing_token",
+                "holder",
+                "token",
+                "era",
+                "written_ms",
+                "records",
+                "request_records",
+            )
+        ),
+        JSON_VALUES,
+    ).map(lambda document: json.dumps(document).encode()),
+)
+@hypothesis.example("entry row", NESTED)
+@hypothesis.example("lease row", NESTED)
+@hypothesis.example("usage row", NESTED)
+@hypothesis.example("withheld row", NESTED)
+@hypothesis.example("registration", NESTED)
+@hypothesis.example("lease row", b'{"fencing_token": 1' + b"0" * 400 + b"}")
+def test_rows_of_the_store(name: str, value: bytes) -> None:
+    with contextlib.suppress(untrusted.MalformedError):
+        BYTE_DECODERS[name](value)
+
+
+@hypothesis.given(
+    name=strategies.sampled_from(sorted(VALUE_DECODERS)),
+    value=JSON_VALUES
+    | strategies.lists(
+        strategies.lists(JSON_VALUES, min_size=3, max_size=4), max_size=3
+    ),
+)
+@hypothesis.example("losses", [[10**400, True, []]])
+@hypothesis.example("upstreams that leave", [["u", 1, 10**400]])
+def test_lists_of_peers(name: str, value: object) -> None:
+    with contextlib.suppress(untrusted.MalformedError):
+        VALUE_DECODERS[name](value)
+
+
+@hypothesis.given(
+    body=strategies.binary(max_size=60)
+    | JSON_VALUES.map(lambda document: json.dumps(document).encode())
+    | strategies.fixed_dictionaries(
+        {"ver": JSON_VALUES, "rows": strategies.lists(JSON_VALUES, max_size=3)}
+    ).map(lambda document: json.dumps(document).encode()),
+)
+@hypothesis.example(NESTED)
+def test_answers_of_the_store(body: bytes) -> None:
+    response = clients.Response(200, [], body)
+    with contextlib.suppress(exceptions.PlatformAnswerLostError):
+        clients._decode_rows(response.document(), 1)
+
+
+@hypothesis.given(
+    headers=strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from(
+                (b"Server-Leaving", b"Server-Limit", b"Keep-Alive")
+            ),
+            strategies.binary(max_size=30)
+            | strategies.sampled_from(
+                (b"timeout=" + b"9" * 5_000, b"9" * 400, b"1e999", b"1")
+            ),
+        ),
+        max_size=4,
+    )
+)
+def test_heads_of_upstreams(headers: list[tuple[bytes, bytes]]) -> None:
+    codec = wire.PlatformWire()
+    with contextlib.suppress(exceptions.DocumentError):
+        codec.says_leaving(200, headers)
+    with contextlib.suppress(exceptions.DocumentError):
+        codec.limit_per_s(headers)
+    codec.keep_alive_ms(headers)
+
+
+def test_event_with_an_endless_id_has_none() -> None:
+    assert event_stream.event_id(b"id: " + b"9" * 10_000 + b"\n\n") is None
