Load both engines in the process test of a leaving engine

Cause: each entry had one request at a time, and routing prefers an engine in the entry's own zone as long as its score is more than 10% better. entry-1 is in the zone of engine-1. Nothing says that an entry uses both engines in calm, so no request was lost and no rule broken: the set-up of the test did not bring about what it waits for.

Change: six callers for each entry, so that routing has to use both engines. Every caller, not only every entry, has to get the answers that the test counts before and after the notice.

--- a/laburnumpin/tests/test_process_reclaims.py
+++ b/laburnumpin/tests/test_process_reclaims.py
@@ -19,6 +19,8 @@
 PAUSE_MS = 5_500
 STREAMS_AFTER_PAUSE = 8
 REQUESTS_AFTER_NOTICE = 10
+# An entry with one request at a time may use the engine of its zone only.
+CALLERS_PER_ENTRY = 6
 TOKENS = 4
 # More than the slots of an engine, so that some streams queue.
 STREAMS = 18
@@ -57,11 +59,15 @@
             )
             await running.wait_ready(*entries)
             await running.wait_upstreams(2, *entries)
-            counts = [0 for _ in entries]
+            counts = [0] * CALLERS_PER_ENTRY * len(entries)
             async with anyio.create_task_group() as callers:
-                for number, entry in enumerate(entries):
+                for number in range(len(counts)):
                     callers.start_soon(
-                        _submit_until_cancelled, running, entry, number, counts
+                        _submit_until_cancelled,
+                        running,
+                        entries[number % len(entries)],
+                        number,
+                        counts,
                     )
                 await _wait_dispatches(running, leaving, entries)
                 await running.set_faults(platform, path="/vms", freeze=True)
@@ -103,7 +109,7 @@
 
 
 async def _wait_counts(counts: list[int], additional: int) -> None:
-    """Wait until each entry has answered `additional` more requests."""
+    """Wait until each caller has got `additional` more answers."""
     targets = [count + additional for count in counts]
 
     async def is_reached() -> bool:
