Keep requests from upstreams that ask for a back-off

Cause: the Retry-After of an upstream was read nowhere. What upstreams say of themselves was read by two pieces of code that differed: the limit of a 421, which another upstream at the address has sent, was applied to the one before.

Change: one statement for each head (wire.statement), one event, one module that applies it (statements.py), and one result that the choice of an upstream asks for (Upstream.wait_ms). A back-off is kept by id and incarnation in the table of upstreams, is checked again right before each send, is bounded by settings in ms, and ends gradually. If all upstreams of a request back off, it is rejected at once with the true time; each caller is told a later turn. explain finds the line of a back-off that began long before. The soak's runners ask for back-offs, with odd values too, and its check knows the rule.

--- a/laburnumpin/commands/explain.py
+++ b/laburnumpin/commands/explain.py
@@ -29,6 +29,7 @@
     "too_late": "no upstream could have answered in time",
     "leaving": "the entry was about to exit",
     "upstream_limit": "its upstreams were full or at their named limits",
+    "upstream_backoff": "its upstreams had asked for a back-off",
     "withheld": "engines have ended under a part of its prompt",
     "withheld_request": "upstreams have ended under requests like it",
     "upstream_rejected": "the upstream rejected the request without running it",
@@ -48,6 +49,7 @@
     "no_upstream",
     "no_room",
     "upstream_limit",
+    "upstream_backoff",
 )
 # Log types that say why requests are withheld.
 _PART_CHANGES = (
@@ -68,9 +70,11 @@
     "store_era_changed",
     "store_lost",
     "store_regained",
+    "upstream_backoff_started",
     "upstream_changed",
     "upstream_limit_changed",
     "upstream_said_leaving",
+    "upstream_statement_malformed",
 )
 
 
@@ -146,7 +150,7 @@
     for line in lines:
         if "request_id" in line or line.get("entry") not in entries:
             continue
-        if not first_s <= _timestamp_s(line) <= last_s:
+        if not first_s <= _end_s(line) or _timestamp_s(line) > last_s:
             continue
         same_upstream = line.get("upstream") in upstreams
         parts_changed = line.get("message_type") in _PART_CHANGES
@@ -252,6 +256,18 @@
     return float(value) if isinstance(value, int | float) else 0.0
 
 
+def _end_s(line: LogLine) -> float:
+    """Return until when a line matters: its time, or the end of a back-off."""
+    at_s = _timestamp_s(line)
+    if line.get("message_type") != "upstream_backoff_started":
+        return at_s
+    try:
+        duration_ms = float(line["kept_ms"]) + float(line["delay_ms"])
+    except (KeyError, TypeError, ValueError):
+        return at_s
+    return at_s + duration_ms / 1_000
+
+
 def _format(line: LogLine, first_s: float) -> str:
     omitted = (
         "timestamp",
--- a/laburnumpin/forwarding/attempts.py
+++ b/laburnumpin/forwarding/attempts.py
@@ -137,12 +137,7 @@
                 effect.request_id,
                 effect.target.address,
             )
-            if result.says_leaving:
-                self._shell.apply(
-                    events.UpstreamLeavingSeen(
-                        self._shell.now_ms(), effect.source
-                    )
-                )
+            self._shell.note_statement(effect.source, result.statement, None)
             self._kv_source = result.kv_source
             if self._kv_source is None:
                 outcome = "not_running"
@@ -318,13 +313,20 @@
         """Return the head of the answer to this request, and its kind."""
         for _ in range(MAX_SKIPPED_ANSWERS + 1):
             head = await connection.head()
-            self._note_leaving(head)
             kind = self._shell.wire.classify(
                 self._request.request_id,
                 head.status_code,
                 list(head.headers),
             )
-            if kind is not interfaces.AnswerKind.OTHER_REQUEST:
+            is_own = kind is not interfaces.AnswerKind.OTHER_REQUEST
+            self._shell.note_statement(
+                self._send_effect.registration,
+                self._shell.wire.statement(
+                    head.status_code, list(head.headers)
+                ),
+                self._sent_ms if is_own else None,
+            )
+            if is_own:
                 return head, kind
             await connection.skip_response()
         raise connections.ProtocolError(
@@ -342,7 +344,6 @@
         connection.keep_alive_ms = self._shell.wire.keep_alive_ms(headers)
         raw_headers = list(head.headers.raw_items())
         caller_headers = self._shell.wire.answer_headers(raw_headers)
-        self._note_limit(headers)
         status = head.status_code
         self.framing = completeness.find_framing(
             self._request_head.method, status, headers
@@ -394,59 +395,6 @@
         stall.stop()
         await self._relay_answer(connection, status, caller_headers)
 
-    def _note_leaving(self, head: h11.Response) -> None:
-        """Apply what an answer says of its upstream's end."""
-        registration = self._send_effect.registration
-        try:
-            is_leaving = self._shell.wire.says_leaving(
-                head.status_code, list(head.headers)
-            )
-        except exceptions.DocumentError as error:
-            self._shell.state.counters.increment("leaving_malformed")
-            logs.write(
-                "upstream_leaving_malformed",
-                "warning",
-                {
-                    "upstream": registration.upstream_id,
-                    "reason": error.message,
-                },
-            )
-            return
-        if is_leaving:
-            self._shell.apply(
-                events.UpstreamLeavingSeen(self._shell.now_ms(), registration)
-            )
-
-    def _note_limit(self, headers: connections.Headers) -> None:
-        """Apply the limit that the upstream names in its answer."""
-        registration = self._send_effect.registration
-        try:
-            limit_per_s = self._shell.wire.limit_per_s(headers)
-        except exceptions.DocumentError as error:
-            self._shell.state.counters.increment("upstream_limits_malformed")
-            logs.write(
-                "upstream_limit_malformed",
-                "warning",
-                {
-                    "upstream": registration.upstream_id,
-                    "reason": error.message,
-                },
-            )
-            return
-        upstream = self._shell.state.upstreams.get(registration.upstream_id)
-        if limit_per_s is None and (
-            upstream is None or upstream.limit_share is None
-        ):
-            return
-        self._shell.apply(
-            events.UpstreamLimitSeen(
-                self._shell.now_ms(),
-                registration,
-                limit_per_s,
-                self._sent_ms,
-            )
-        )
-
     async def _relay_answer(
         self,
         connection: connections.ClientConnection,
--- a/laburnumpin/forwarding/daemon.py
+++ b/laburnumpin/forwarding/daemon.py
@@ -55,6 +55,7 @@
         random.Random(f"{settings.name}/{incarnation_ms}"),
         settings.quota_slack_units,
         settings.withholding,
+        settings.backoff,
     )
     for seed_address in settings.seeds:
         state.members.add_contact(seed_address, boot_clock.now_ms())
--- a/laburnumpin/forwarding/effects.py
+++ b/laburnumpin/forwarding/effects.py
@@ -23,6 +23,7 @@
     LEAVING = "leaving"
     WITHHELD = "withheld"
     UPSTREAM_LIMIT = "upstream_limit"
+    UPSTREAM_BACKOFF = "upstream_backoff"
     UPSTREAM_REJECTED = "upstream_rejected"
     UPSTREAM_FAILED = "upstream_failed"
     DEADLINE = "deadline"
--- a/laburnumpin/forwarding/events.py
+++ b/laburnumpin/forwarding/events.py
@@ -146,25 +146,18 @@
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class UpstreamLimitSeen:
-    """An answer named the upstream's limit on requests of all entries.
+class UpstreamStated:
+    """An answer said something of its upstream.
 
-    `limit_per_s` is None if it named none; `sent_ms` is when the request was
-    sent.
+    `sent_ms` is when the request was sent; None if it is another one than this
+    entry waits for, or a move, so that nothing follows from the answer for the
+    upstream's limit.
     """
 
     now_ms: int
     registration: upstreams.Registration
-    limit_per_s: float | None
-    sent_ms: int
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class UpstreamLeavingSeen:
-    """An answer said that its upstream leaves; final for the incarnation."""
-
-    now_ms: int
-    registration: upstreams.Registration
+    statement: upstreams.Statement
+    sent_ms: int | None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -222,8 +215,7 @@
     | RequestEnded
     | StreamMoved
     | UpstreamChecked
-    | UpstreamLimitSeen
-    | UpstreamLeavingSeen
+    | UpstreamStated
     | DigestReceived
     | PartLossesRead
     | Ticked
--- a/laburnumpin/forwarding/interfaces.py
+++ b/laburnumpin/forwarding/interfaces.py
@@ -162,11 +162,13 @@
 
     `kv_source` is the handle under which the attempt that continues the stream
     finds the KV cache; None if the engine does not run the request.
-    `says_leaving` is whether the engine says that it leaves.
+    `statement` is what the engine says of itself.
     """
 
     kv_source: str | None
-    says_leaving: bool = False
+    statement: upstreams.Statement = dataclasses.field(
+        default_factory=upstreams.Statement
+    )
 
 
 class EngineClient(Protocol):
@@ -274,20 +276,12 @@
     ) -> tuple[int, connections.Headers]:
         """Return the status and headers of a response by this entry itself."""
 
-    def limit_per_s(self, headers: connections.Headers) -> float | None:
-        """Return the requests per second that an upstream takes from all.
+    def statement(
+        self, status: int, headers: connections.Headers
+    ) -> upstreams.Statement:
+        """Return what an upstream says of itself in a response.
 
-        None if it names no limit.
-
-        Raises:
-            DocumentError: The limit is malformed.
-        """
-
-    def says_leaving(self, status: int, headers: connections.Headers) -> bool:
-        """Return whether a response says that its upstream leaves.
-
-        Raises:
-            DocumentError: What it says is malformed.
+        A response of another upstream at the address says nothing.
         """
 
     def keep_alive_ms(self, headers: connections.Headers) -> int | None:
--- a/laburnumpin/forwarding/leaving.py
+++ b/laburnumpin/forwarding/leaving.py
@@ -10,7 +10,6 @@
 
 from laburnumpin.forwarding import digests
 from laburnumpin.forwarding import effects
-from laburnumpin.forwarding import events
 from laburnumpin.forwarding import moves
 from laburnumpin.forwarding import state as forwarding_state
 from laburnumpin.forwarding import untrusted
@@ -23,16 +22,17 @@
 ANNOUNCED_MS = 3_000
 
 
-def on_leaving_seen(
-    state: forwarding_state.ForwardingState, event: events.UpstreamLeavingSeen
+def on_said(
+    state: forwarding_state.ForwardingState,
+    registration: upstreams.Registration,
+    now_ms: int,
 ) -> list[effects.Effect]:
     """Apply an answer that says that its upstream leaves."""
-    registration = event.registration
     key = (registration.upstream_id, registration.incarnation_ms)
-    if not state.upstreams.mark_leaving(key, event.now_ms):
+    if not state.upstreams.mark_leaving(key, now_ms):
         return []
     state.request_early_digest()
-    return _on_marked(state, key, event.now_ms, "answer", 0)
+    return _on_marked(state, key, now_ms, "answer", 0)
 
 
 def merge(
--- a/laburnumpin/forwarding/lifecycle.py
+++ b/laburnumpin/forwarding/lifecycle.py
@@ -7,13 +7,12 @@
 from laburnumpin import verdict as verdicts
 from laburnumpin.forwarding import effects
 from laburnumpin.forwarding import events
-from laburnumpin.forwarding import leaving
 from laburnumpin.forwarding import part_losses
 from laburnumpin.forwarding import requests
 from laburnumpin.forwarding import selection
 from laburnumpin.forwarding import size_classes
 from laburnumpin.forwarding import state as forwarding_state
-from laburnumpin.forwarding import upstream_limits
+from laburnumpin.forwarding import statements
 from laburnumpin.forwarding import withholding
 
 # Requests that arrive later than this after the start of the exit are rejected,
@@ -29,9 +28,9 @@
 # Rejections without a run that don't count as attempts of the route: two out of
 # three views of a full upstream are outdated.
 UNCOUNTED_REJECTIONS = 2
-# Share of its objective that a request may wait for an upstream whose limit
-# allows no request before.
-MAX_LIMIT_WAIT_SHARE = 0.5
+# Share of its objective that a request may wait for an upstream that takes no
+# request before, for its limit or its back-off.
+MAX_WAIT_SHARE = 0.5
 # Streams of a full engine, and how much longer a stream may take than its steps
 # there, for the longest time that a request may take during the exit.
 BATCH_SIZE = 64
@@ -240,10 +239,10 @@
 ) -> bool:
     """Return whether a request may still be sent, right before it is.
 
-    Since it was decided, its upstream may have said that it leaves, or requests
-    like it may have been withheld.
+    Since it was decided, its upstream may have said that it leaves or asked for
+    a back-off, or requests like it may have been withheld.
     """
-    if not leaving.may_send(state, effect):
+    if not statements.may_send(state, effect, now_ms):
         return False
     active = state.active.get(effect.request_id)
     if active is None or active.is_trial:
@@ -291,7 +290,7 @@
     """Choose an upstream that is not excluded; None if there is none."""
     request = active.request
     service = state.service(request.service)
-    max_wait_ms = int(request.route.objective_ms * MAX_LIMIT_WAIT_SHARE)
+    max_wait_ms = int(request.route.objective_ms * MAX_WAIT_SHARE)
     candidates = state.upstreams.usable(request.service, now_ms, max_wait_ms)
     if service is None or not candidates:
         return None
@@ -322,14 +321,10 @@
     request = active.request
     choice = _choose(state, active, active.excluded, now_ms)
     if choice is None:
-        limited = upstream_limits.find_limited(state, request.service, now_ms)
-        if limited:
-            return _end_request(
-                state,
-                active,
-                effects.Reason.UPSTREAM_LIMIT,
-                upstream_limits.retry_after_ms(limited, now_ms),
-            )
+        rejection = statements.reject(state, request.service, now_ms)
+        if rejection is not None:
+            said_reason, retry_after_ms = rejection
+            return _end_request(state, active, said_reason, retry_after_ms)
         if not state.upstreams.usable(request.service, now_ms):
             reason = effects.Reason.NO_UPSTREAM
             if not state.registry_read:
@@ -368,8 +363,7 @@
     active.sends += 1
     active.sent_ms = now_ms + choice.wait_ms
     upstream.own_streams += 1
-    if upstream.limit_share is not None:
-        upstream.limit_share.take(now_ms)
+    upstream.take(now_ms)
     active.pending_tokens = choice.uncached_tokens
     upstream.own_pending_tokens += choice.uncached_tokens
     return effects.Send(
--- a/laburnumpin/forwarding/reducer.py
+++ b/laburnumpin/forwarding/reducer.py
@@ -5,11 +5,11 @@
 from laburnumpin.forwarding import effects
 from laburnumpin.forwarding import events
 from laburnumpin.forwarding import gossip
-from laburnumpin.forwarding import leaving
 from laburnumpin.forwarding import lifecycle
 from laburnumpin.forwarding import moves
 from laburnumpin.forwarding import registry
 from laburnumpin.forwarding import state as forwarding_state
+from laburnumpin.forwarding import statements
 from laburnumpin.forwarding import upstream_limits
 from laburnumpin.forwarding import withholding
 
@@ -27,12 +27,10 @@
             | events.RequestEnded()
         ):
             return _on_request_event(state, event)
-        case (
-            events.UpstreamChecked()
-            | events.UpstreamLimitSeen()
-            | events.UpstreamLeavingSeen()
-        ):
-            return _on_upstream_seen(state, event)
+        case events.UpstreamChecked():
+            return withholding.on_checked(state, event)
+        case events.UpstreamStated():
+            return statements.on_stated(state, event)
         case events.DeploymentRead():
             return registry.on_deployment(state, event)
         case events.StoreEraSeen():
@@ -78,21 +76,6 @@
             return lifecycle.on_ended(state, event)
 
 
-def _on_upstream_seen(
-    state: forwarding_state.ForwardingState,
-    event: events.UpstreamChecked
-    | events.UpstreamLimitSeen
-    | events.UpstreamLeavingSeen,
-) -> list[effects.Effect]:
-    match event:
-        case events.UpstreamChecked():
-            return withholding.on_checked(state, event)
-        case events.UpstreamLimitSeen():
-            return upstream_limits.on_limit_seen(state, event)
-        case events.UpstreamLeavingSeen():
-            return leaving.on_leaving_seen(state, event)
-
-
 def _on_upstream_changed(
     state: forwarding_state.ForwardingState, event: events.UpstreamChanged
 ) -> list[effects.Effect]:
--- a/laburnumpin/forwarding/selection.py
+++ b/laburnumpin/forwarding/selection.py
@@ -79,7 +79,7 @@
     `predicted_ms` is the predicted time to the first byte, `uncached_tokens`
     the prompt tokens to read, and `streams` the number of requests that run
     there without this one. The request is to be sent after `wait_ms`, when the
-    limit that the upstream has named allows it.
+    upstream's limit and its back-off allow it.
     """
 
     upstream: upstreams.Upstream
@@ -136,7 +136,7 @@
             score_ms -= PREFIX_AFFINITY_SCORE_MS
         if position >= len(own_class):
             score_ms += OTHER_CLASS_SCORE_MS
-        wait_ms = upstream.limit_wait_ms(now_ms) or 0
+        wait_ms = upstream.wait_ms(now_ms) or 0
         score_ms += wait_ms
         score_ms += generator.random()
         if best is None or score_ms < best.score_ms:
--- a/laburnumpin/forwarding/settings.py
+++ b/laburnumpin/forwarding/settings.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 
+from laburnumpin.forwarding import backoff
 from laburnumpin.forwarding import budgets
 from laburnumpin.forwarding import completeness
 from laburnumpin.forwarding import part_losses
@@ -20,8 +21,9 @@
     admit of a customer beyond its quota in a window. `retry_limit` limits the
     retries to each service. A usage window has to be reported within
     `usage_late_ms` of its end. `link_mbps` is the bandwidth of the entry's
-    network link. `withholding` is for prompts that end engines, and `answers`
-    for the ends of upstreams' answers. `is_first_start` is whether the whole
+    network link. `withholding` is for prompts that end engines, `backoff` for
+    upstreams that ask for a back-off, and `answers` for the ends of upstreams'
+    answers. `is_first_start` is whether the whole
     system starts for the first time.
     """
 
@@ -44,6 +46,9 @@
     withholding: part_losses.WithholdingSettings = dataclasses.field(
         default_factory=part_losses.WithholdingSettings
     )
+    backoff: backoff.BackoffSettings = dataclasses.field(
+        default_factory=backoff.BackoffSettings
+    )
     answers: completeness.AnswerSettings = dataclasses.field(
         default_factory=completeness.AnswerSettings
     )
--- a/laburnumpin/forwarding/shell.py
+++ b/laburnumpin/forwarding/shell.py
@@ -16,6 +16,7 @@
 from laburnumpin.forwarding import pool
 from laburnumpin.forwarding import reducer
 from laburnumpin.forwarding import state as forwarding_state
+from laburnumpin.forwarding import statements
 from laburnumpin.forwarding import upstreams
 from laburnumpin.server import logs
 from laburnumpin.server import metrics
@@ -191,6 +192,30 @@
         )
         return True, False
 
+    def note_statement(
+        self,
+        registration: upstreams.Registration,
+        statement: upstreams.Statement,
+        sent_ms: int | None,
+    ) -> None:
+        """Apply what an answer says of its upstream, if that is news.
+
+        `sent_ms` is that of `UpstreamStated`.
+        """
+        for reason in statement.malformed:
+            self.state.counters.increment("upstream_statements_malformed")
+            logs.write(
+                "upstream_statement_malformed",
+                "warning",
+                {"upstream": registration.upstream_id, "reason": reason},
+            )
+        if statements.is_news(self.state, registration, statement):
+            self.apply(
+                events.UpstreamStated(
+                    self.now_ms(), registration, statement, sent_ms
+                )
+            )
+
     def note_store_era(self, era: int) -> None:
         """Apply the era that the store named in an answer."""
         if era > self.state.store_era:
--- a/laburnumpin/forwarding/state.py
+++ b/laburnumpin/forwarding/state.py
@@ -6,6 +6,7 @@
 import random
 
 from laburnumpin.core import counters
+from laburnumpin.forwarding import backoff
 from laburnumpin.forwarding import budgets
 from laburnumpin.forwarding import deployment
 from laburnumpin.forwarding import membership
@@ -114,6 +115,7 @@
 
     __slots__ = (
         "active",
+        "backoff_settings",
         "broken_upstreams",
         "budget",
         "contact",
@@ -161,6 +163,7 @@
         generator: random.Random,
         quota_slack_units: float = 0.0,
         withholding: part_losses.WithholdingSettings | None = None,
+        backoff_settings: backoff.BackoffSettings | None = None,
     ) -> None:
         self.contact = contact
         self.name = contact.name
@@ -171,6 +174,7 @@
         self.counters = counters.Counters()
         self.deployment: deployment.Deployment | None = None
         self.upstreams = upstreams.UpstreamTable()
+        self.backoff_settings = backoff_settings or backoff.BackoffSettings()
         # The newest era of the store that is known, 0 if it names none, and
         # when it was first heard of here.
         self.store_era = 0
--- a/laburnumpin/forwarding/upstream_limits.py
+++ b/laburnumpin/forwarding/upstream_limits.py
@@ -29,14 +29,18 @@
 MAX_RETRY_MS = 5_000
 
 
-def on_limit_seen(
-    state: forwarding_state.ForwardingState, event: events.UpstreamLimitSeen
+def on_named(
+    state: forwarding_state.ForwardingState,
+    event: events.UpstreamStated,
+    sent_ms: int,
 ) -> list[effects.Effect]:
     """Apply the limit that an answer named, or that it named none.
 
     An answer without a limit counts only if its request was sent after the
-    limit was known: others may have been on their way.
+    limit was known: others may have been on their way. `sent_ms` is when the
+    request was sent.
     """
+    limit_per_s = event.statement.limit_per_s
     registration = event.registration
     upstream = _find(
         state, registration.upstream_id, registration.incarnation_ms
@@ -44,15 +48,11 @@
     if upstream is None:
         return []
     share = upstream.limit_share
-    if event.limit_per_s is None and (
-        share is None or event.sent_ms <= share.seen_ms
-    ):
+    if limit_per_s is None and (share is None or sent_ms <= share.seen_ms):
         return []
-    if _is_large_change(share, event.limit_per_s):
+    if _is_large_change(share, limit_per_s):
         state.request_early_digest()
-    return _apply(
-        state, upstream, event.limit_per_s, event.now_ms, event.now_ms
-    )
+    return _apply(state, upstream, limit_per_s, event.now_ms, event.now_ms)
 
 
 def merge(
@@ -145,30 +145,6 @@
     return tuple(announced)
 
 
-def find_limited(
-    state: forwarding_state.ForwardingState, service: str, now_ms: int
-) -> list[upstreams.Upstream]:
-    """Return the ready upstreams of a service that are at their limits."""
-    limited = []
-    for upstream in state.upstreams.of_service(service):
-        if upstream.registration.lifecycle is not upstreams.Lifecycle.READY:
-            continue
-        if upstream.limit_wait_ms(now_ms) != 0:
-            limited.append(upstream)
-    return limited
-
-
-def retry_after_ms(limited: list[upstreams.Upstream], now_ms: int) -> int:
-    """Return when the first of the upstreams takes a request again."""
-    earliest_ms = MAX_RETRY_MS
-    for upstream in limited:
-        share = upstream.limit_share
-        room_in_ms = None if share is None else share.room_in_ms(now_ms)
-        if room_in_ms is not None:
-            earliest_ms = min(earliest_ms, room_in_ms)
-    return max(MIN_RETRY_MS, earliest_ms)
-
-
 def decode_rows(encoded: object) -> tuple[digests.LimitRow, ...]:
     """Return the rows of a digest, up to the limit.
 
--- a/laburnumpin/forwarding/upstreams.py
+++ b/laburnumpin/forwarding/upstreams.py
@@ -12,6 +12,7 @@
 import math
 import zlib
 
+from laburnumpin.forwarding import backoff
 from laburnumpin.forwarding import limit_shares
 
 # An upstream whose registration expired while the store was unavailable is
@@ -39,6 +40,8 @@
 # not registered are forgotten first, and after this time.
 MAX_LEAVING = 4_096
 LEAVING_MEMORY_MS = 1_800_000
+# Back-offs that are remembered; the one that ends first is forgotten first.
+MAX_BACKOFFS = 4_096
 
 
 class Lifecycle(enum.Enum):
@@ -81,6 +84,31 @@
         return (self.incarnation_ms, self.revision)
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Statement:
+    """What an answer says of its upstream.
+
+    `limit_per_s` is the upstream's limit on the requests of all entries, None
+    if it names none, and `backoff_ms` the time for which it asks this entry to
+    send nothing. `malformed` has a reason for each part that cannot be read,
+    which is left out.
+    """
+
+    limit_per_s: float | None = None
+    is_leaving: bool = False
+    backoff_ms: int = 0
+    malformed: tuple[str, ...] = ()
+
+    @property
+    def says_anything(self) -> bool:
+        """Return whether the answer says anything that can be read."""
+        return (
+            self.is_leaving
+            or self.backoff_ms > 0
+            or self.limit_per_s is not None
+        )
+
+
 class Upstream:
     """An upstream with its load, latency, failures and cached prompt parts."""
 
@@ -90,6 +118,7 @@
         "_peer_load",
         "_peer_streams",
         "_peer_tokens",
+        "backoff",
         "cached_parts",
         "cold_until_ms",
         "consecutive_failures",
@@ -121,6 +150,8 @@
         self.has_notice = False
         # This entry's share of the limit that the upstream named, if any.
         self.limit_share: limit_shares.LimitShare | None = None
+        # The back-off that it asked for, if any.
+        self.backoff: backoff.Backoff | None = None
         # Requests and unread prompt tokens of this entry.
         self.own_streams = 0
         self.own_pending_tokens = 0
@@ -220,6 +251,25 @@
             return 0
         return self.limit_share.room_in_ms(now_ms)
 
+    def wait_ms(self, now_ms: int) -> int | None:
+        """Return when what it said of itself allows a request from this entry.
+
+        None if it never does.
+        """
+        if self.registration.lifecycle is Lifecycle.LEAVING:
+            return None
+        wait_ms = self.limit_wait_ms(now_ms)
+        if wait_ms is None or self.backoff is None:
+            return wait_ms
+        return max(wait_ms, self.backoff.room_in_ms(now_ms))
+
+    def take(self, now_ms: int) -> None:
+        """Count a request that is sent, or that will be after its wait."""
+        if self.limit_share is not None:
+            self.limit_share.take(now_ms)
+        if self.backoff is not None:
+            self.backoff.take()
+
     def record_full(self, now_ms: int) -> None:
         """Record that the upstream rejected a request as full."""
         self.full_until_ms = now_ms + FULL_PAUSE_MS
@@ -266,10 +316,12 @@
 class UpstreamTable:
     """All registered upstreams by id."""
 
-    __slots__ = ("_by_id", "_leaving")
+    __slots__ = ("_backoffs", "_by_id", "_leaving")
 
     def __init__(self) -> None:
         self._by_id: dict[str, Upstream] = {}
+        # Back-offs by incarnation, which outlive a registration.
+        self._backoffs: dict[tuple[str, int], backoff.Backoff] = {}
         # When incarnations have said that they leave, the newest last.
         self._leaving: collections.OrderedDict[tuple[str, int], int] = (
             collections.OrderedDict()
@@ -298,7 +350,7 @@
 
         Those that are paused or full, or whose registration is missing after
         an outage of the store, are returned only if there are no others. Those
-        whose limits allow no request within `max_wait_ms` are not returned.
+        whose statements allow no request within `max_wait_ms` are not returned.
         """
         usable = []
         fallbacks = []
@@ -306,9 +358,7 @@
             registration = upstream.registration
             if registration.service != service:
                 continue
-            if registration.lifecycle is not Lifecycle.READY:
-                continue
-            wait_ms = upstream.limit_wait_ms(now_ms)
+            wait_ms = upstream.wait_ms(now_ms)
             if wait_ms is None or wait_ms > max_wait_ms:
                 continue
             missing = upstream.missing_since_ms is not None
@@ -339,6 +389,35 @@
             self._forget_leaving(key)
         return True
 
+    def back_off(
+        self, key: tuple[str, int], now_ms: int, until_ms: int, return_ms: int
+    ) -> bool:
+        """Record the back-off of an incarnation.
+
+        Return whether it was not backing off at the moment.
+        """
+        known = self._backoffs.get(key)
+        if known is not None:
+            is_new = now_ms >= known.until_ms
+            known.extend(now_ms, until_ms)
+            return is_new
+        if len(self._backoffs) >= MAX_BACKOFFS:
+            first = min(
+                self._backoffs, key=lambda k: self._backoffs[k].until_ms
+            )
+            self._drop_backoff(first)
+        self._backoffs[key] = backoff.Backoff(until_ms, return_ms)
+        upstream = self._by_id.get(key[0])
+        if upstream is not None and upstream.key == key:
+            upstream.backoff = self._backoffs[key]
+        return True
+
+    def _drop_backoff(self, key: tuple[str, int]) -> None:
+        del self._backoffs[key]
+        upstream = self._by_id.get(key[0])
+        if upstream is not None and upstream.key == key:
+            upstream.backoff = None
+
     def leaving(self) -> list[tuple[tuple[str, int], int]]:
         """Return the incarnations that leave and since when, newest first."""
         return list(reversed(self._leaving.items()))
@@ -374,7 +453,7 @@
                 registration, lifecycle=Lifecycle.LEAVING
             )
         if existing is None:
-            self._by_id[upstream_id] = Upstream(registration, now_ms)
+            self._add(registration, now_ms)
             changes.added.append(upstream_id)
             return changes
         current = existing.registration
@@ -382,7 +461,7 @@
             return changes  # Written before the upstream restarted.
         same_incarnation = registration.incarnation_ms == current.incarnation_ms
         if not same_incarnation or registration.address != current.address:
-            self._by_id[upstream_id] = Upstream(registration, now_ms)
+            self._add(registration, now_ms)
             changes.restarted.append(upstream_id)
             return changes
         existing.missing_since_ms = None
@@ -400,6 +479,11 @@
         existing.registration = registration
         return changes
 
+    def _add(self, registration: Registration, now_ms: int) -> None:
+        upstream = Upstream(registration, now_ms)
+        upstream.backoff = self._backoffs.get(upstream.key)
+        self._by_id[registration.upstream_id] = upstream
+
     def remove(self, upstream_id: str) -> Changes:
         """Remove an upstream whose registration was removed."""
         changes = Changes()
@@ -421,6 +505,9 @@
             if self._is_registered(key) or now_ms < at_ms + LEAVING_MEMORY_MS:
                 break
             del self._leaving[key]
+        for key, known in list(self._backoffs.items()):
+            if known.is_over(now_ms):
+                self._drop_backoff(key)
         for upstream_id, upstream in list(self._by_id.items()):
             since_ms = upstream.missing_since_ms
             if since_ms is None or now_ms < since_ms + REGISTRATION_GRACE_MS:
--- a/laburnumpin/platform/clients.py
+++ b/laburnumpin/platform/clients.py
@@ -346,18 +346,14 @@
             )
         finally:
             http.close()
-        try:
-            says_leaving = wire.PlatformWire().says_leaving(
-                response.status, response.headers
-            )
-        except exceptions.DocumentError:
-            # What a caller's request gets from the engine is logged.
-            says_leaving = False
+        statement = wire.PlatformWire().statement(
+            response.status, response.headers
+        )
         # Despite its name the handle is a path below the engine's address.
         handle = response.document().get("kv_handle")
         if response.status not in (200, 503) or not _is_handle(handle):
-            return interfaces.MoveResult(None, says_leaving)
-        return interfaces.MoveResult(f"{source_address}/{handle}", says_leaving)
+            return interfaces.MoveResult(None, statement)
+        return interfaces.MoveResult(f"{source_address}/{handle}", statement)
 
 
 class PlatformClients:
--- a/laburnumpin/platform/settings.py
+++ b/laburnumpin/platform/settings.py
@@ -8,10 +8,12 @@
 from typing import Any
 
 from laburnumpin import exceptions
+from laburnumpin.forwarding import backoff
 from laburnumpin.forwarding import budgets
 from laburnumpin.forwarding import completeness
 from laburnumpin.forwarding import part_losses
 from laburnumpin.forwarding import settings as forwarding_settings
+from laburnumpin.forwarding import untrusted
 
 PATH_VARIABLE = "LABURNUMPIN_SETTINGS"
 DEFAULT_PATH = "/etc/laburnumpin/boot.toml"
@@ -157,6 +159,7 @@
         usage_late_ms=_bound_ms(reader, "usage_late_s", 10),
         link_mbps=reader.number("limits", "link_mbps", default=0),
         withholding=withholding,
+        backoff=_read_backoff(reader),
         answers=_read_answers(reader),
         is_first_start=document.get("bootstrap") is True,
     )
@@ -192,6 +195,25 @@
     return part_losses.WithholdingSettings(int(min_losses), *times_ms)
 
 
+def _read_backoff(reader: _Reader) -> backoff.BackoffSettings:
+    """Return the optional `backoff` table, which is the project's own."""
+    default = backoff.BackoffSettings()
+    times_ms = []
+    for name, default_ms in (
+        ("max_ms", default.max_ms),
+        ("spread_ms", default.spread_ms),
+        ("return_ms", default.return_ms),
+    ):
+        time_ms = reader.number("backoff", name, default=default_ms)
+        if time_ms > untrusted.MAX_DURATION_MS:
+            reader.add_error(
+                ("backoff", name),
+                f"a number up to {untrusted.MAX_DURATION_MS} is expected",
+            )
+        times_ms.append(int(time_ms))
+    return backoff.BackoffSettings(*times_ms)
+
+
 def _read_answers(reader: _Reader) -> completeness.AnswerSettings:
     """Return the optional `answers` table, which is the project's own."""
     default = completeness.AnswerSettings()
--- a/laburnumpin/platform/standins.py
+++ b/laburnumpin/platform/standins.py
@@ -362,6 +362,16 @@
     first_event: int
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Refusal:
+    """A request that a runner turned away, asking for a back-off until then."""
+
+    request_id: str
+    runner_id: str
+    at_ms: int
+    until_ms: int
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Arrival:
     """A request that reached a runner, whether it was executed or not."""
@@ -429,6 +439,11 @@
         # said so, by its id.
         self.says_leaving = False
         self.said_leaving_ms: dict[str, int] = {}
+        # Until this time it turns requests away, and asks for a back-off with
+        # the remaining time, or with `retry_after` instead.
+        self.busy_until_ms = 0
+        self.retry_after: bytes | None = None
+        self.refusals: list[Refusal] = []
 
     def registration(
         self, address: str, state: str, *, reclaimable: bool = False
@@ -476,8 +491,14 @@
         is_unusable_copy = (
             handle and self.kv_copies.pop(handle, -1) < resume_after
         )
+        not_executed = [(b"X-Laburnumpin-Not-Executed", b"1")]
+        if self._now_ms() < self.busy_until_ms:
+            backoff = self._turn_away(request_id)
+            await caller.answer(
+                503, attempt_header + no_body + not_executed + backoff, b""
+            )
+            return True
         if failure_draw < self.reject_share or is_unusable_copy:
-            not_executed = [(b"X-Laburnumpin-Not-Executed", b"1")]
             await caller.answer(
                 503, attempt_header + no_body + not_executed, b""
             )
@@ -519,6 +540,17 @@
             caller, request_id, resume_after, is_open_ended, is_cut
         )
 
+    def _turn_away(self, request_id: str) -> list[tuple[bytes, bytes]]:
+        """Return the header of a refusal while the runner is busy."""
+        if self.retry_after is not None:
+            return [(b"Retry-After", self.retry_after)]
+        now_ms = self._now_ms()
+        self.refusals.append(
+            Refusal(request_id, self.runner_id, now_ms, self.busy_until_ms)
+        )
+        seconds = (self.busy_until_ms - now_ms) / 1_000
+        return [(b"Retry-After", f"{seconds:.3f}".encode())]
+
     def _draw_ending(self, request_id: str) -> tuple[bool, bool]:
         """Return whether an answer has no length, and whether it is cut."""
         is_cut = self._random.random() < self.cut_share
--- a/laburnumpin/platform/wire.py
+++ b/laburnumpin/platform/wire.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import math
+
 from laburnumpin import exceptions
 from laburnumpin.forwarding import connections
 from laburnumpin.forwarding import effects
 from laburnumpin.forwarding import interfaces
 from laburnumpin.forwarding import requests
+from laburnumpin.forwarding import untrusted
 from laburnumpin.forwarding import upstreams
 
 HEADER_PREFIX = b"x-laburnumpin-"
@@ -39,6 +42,10 @@
 MAX_TOKENS = 1_000_000_000
 # Values above this are malformed.
 MAX_SERVER_LIMIT_PER_S = 1_000_000.0
+# Time in seconds for which an upstream that answers 503 wants nothing from this
+# entry.
+RETRY_AFTER = b"retry-after"
+BUSY_STATUS = 503
 
 # Dropped from the headers of callers: the entry sets them or leaves them out.
 _ENTRY_ONLY = frozenset(
@@ -88,6 +95,7 @@
     effects.Reason.LEAVING: 503,
     effects.Reason.WITHHELD: 503,
     effects.Reason.UPSTREAM_LIMIT: 503,
+    effects.Reason.UPSTREAM_BACKOFF: 503,
     effects.Reason.UPSTREAM_REJECTED: 503,
     effects.Reason.UPSTREAM_FAILED: 503,
     effects.Reason.DEADLINE: 503,
@@ -221,49 +229,34 @@
             headers.append((b"Retry-After", seconds.encode()))
         return status, headers
 
-    def limit_per_s(self, headers: connections.Headers) -> float | None:
-        """Return the limit that an upstream names, None if it names none.
-
-        Raises:
-            DocumentError: The limit is not a decimal number in range.
-        """
-        for name, value in headers:
-            if name.lower() != SERVER_LIMIT:
-                continue
-            try:
-                limit_per_s = float(value)
-            except ValueError as error:
-                raise exceptions.DocumentError(
-                    "the server-limit header is not a number"
-                ) from error
-            if not 0 <= limit_per_s <= MAX_SERVER_LIMIT_PER_S:
-                raise exceptions.DocumentError(
-                    "the server-limit header is out of range"
-                )
-            return limit_per_s
-        return None
-
-    def says_leaving(self, status: int, headers: connections.Headers) -> bool:
-        """Return whether a response says that its upstream leaves.
-
-        The upstream that answers 421 is another one.
+    def statement(
+        self, status: int, headers: connections.Headers
+    ) -> upstreams.Statement:
+        """Return what an upstream says of itself in a response.
 
-        Raises:
-            DocumentError: The header is neither 0 nor 1.
+        The upstream that answers 421 is another one. The first limit and the
+        longest back-off count.
         """
         if status == MISDIRECTED_STATUS:
-            return False
+            return upstreams.Statement()
+        limit_per_s: float | None = None
         is_leaving = False
+        backoff_ms = 0
+        malformed = []
         for name, value in headers:
-            if name.lower() != SERVER_LEAVING:
-                continue
-            for token in value.split(b","):
-                if token.strip() not in (b"0", b"1"):
-                    raise exceptions.DocumentError(
-                        "the server-leaving header is neither 0 nor 1"
-                    )
-                is_leaving = is_leaving or token.strip() == b"1"
-        return is_leaving
+            lowered = name.lower()
+            try:
+                if lowered == SERVER_LIMIT and limit_per_s is None:
+                    limit_per_s = _decode_limit(value)
+                elif lowered == SERVER_LEAVING:
+                    is_leaving = _decode_leaving(value) or is_leaving
+                elif lowered == RETRY_AFTER and status == BUSY_STATUS:
+                    backoff_ms = max(backoff_ms, _decode_backoff_ms(value))
+            except exceptions.DocumentError as error:
+                malformed.append(error.message)
+        return upstreams.Statement(
+            limit_per_s, is_leaving, backoff_ms, tuple(malformed)
+        )
 
     def keep_alive_ms(self, headers: connections.Headers) -> int | None:
         """Return the idle timeout of the `Keep-Alive` header, if it has one."""
@@ -280,6 +273,58 @@
         return None
 
 
+def _decode_limit(value: bytes) -> float:
+    """Return a limit in requests a second.
+
+    Raises:
+        DocumentError: It is not a decimal number in range.
+    """
+    try:
+        limit_per_s = float(value)
+    except ValueError as error:
+        raise exceptions.DocumentError(
+            "the server-limit header is not a number"
+        ) from error
+    if not 0 <= limit_per_s <= MAX_SERVER_LIMIT_PER_S:
+        raise exceptions.DocumentError(
+            "the server-limit header is out of range"
+        )
+    return limit_per_s
+
+
+def _decode_leaving(value: bytes) -> bool:
+    """Return whether an upstream says that it leaves.
+
+    Raises:
+        DocumentError: The header is neither 0 nor 1.
+    """
+    is_leaving = False
+    for token in value.split(b","):
+        if token.strip() not in (b"0", b"1"):
+            raise exceptions.DocumentError(
+                "the server-leaving header is neither 0 nor 1"
+            )
+        is_leaving = is_leaving or token.strip() == b"1"
+    return is_leaving
+
+
+def _decode_backoff_ms(value: bytes) -> int:
+    """Return the time that a Retry-After header asks for, rounded up.
+
+    Raises:
+        DocumentError: It is not a number of seconds, or it is negative.
+    """
+    try:
+        seconds = float(value)
+    except ValueError as error:
+        raise exceptions.DocumentError(
+            "the retry-after header is not a number of seconds"
+        ) from error
+    if not seconds >= 0:
+        raise exceptions.DocumentError("the retry-after header is negative")
+    return math.ceil(min(seconds * 1_000, untrusted.MAX_DURATION_MS))
+
+
 def _end_to_end_headers(
     headers: connections.Headers, excluded: frozenset[bytes]
 ) -> connections.Headers:
--- a/laburnumpin/soak/promises.py
+++ b/laburnumpin/soak/promises.py
@@ -48,6 +48,10 @@
 LIMIT_WINDOW_MS = 4_000
 LIMIT_FACTOR = 1.5
 LIMIT_EXTRA = 5
+# From this time after a runner has asked an entry for a back-off, it gets at
+# most so many requests from it until the end.
+BACKOFF_BOUND_MS = 500
+BACKOFF_ARRIVALS = 2
 # Prefixes of the faults that do not keep entries from learning of each other.
 FAULTS_OUTSIDE_ENTRIES = ("runner", "service", "clock", "store", "reload")
 # Tolerance for delays of the machine that runs the soak.
@@ -135,6 +139,7 @@
         "limit_spans",
         "open_ended_ids",
         "outcomes",
+        "refusals",
         "said_leaving_ms",
         "versions_in_force",
         "versions_not_in_force",
@@ -153,6 +158,8 @@
         # Ids of the requests that a runner answered with neither a length nor
         # chunks, perhaps not to the end.
         self.open_ended_ids: set[str] = set()
+        # Requests that runners turned away, asking for a back-off.
+        self.refusals: list[standins.Refusal] = []
         # Violations that were found while the soak ran.
         self.violations: list[str] = []
         self.fault_spans: list[FaultSpan] = []
@@ -217,6 +224,7 @@
     lines.extend(_check_retries(history))
     lines.extend(_check_crashing_requests(history))
     lines.extend(_check_limits(history))
+    lines.extend(_check_backoffs(history))
     return lines
 
 
@@ -483,6 +491,38 @@
     return lines
 
 
+def _check_backoffs(history: History) -> list[str]:
+    """Check that entries send little to runners that asked for a back-off.
+
+    Only what happens to the entry itself excuses it, a restart or a pause.
+    """
+    entries = {o.request_id: o.entry for o in history.outcomes}
+    arrivals_ms: dict[tuple[str, str], list[int]] = {}
+    for arrival in history.arrivals:
+        entry = entries.get(arrival.request_id, "")
+        key = (entry, arrival.runner_id)
+        arrivals_ms.setdefault(key, []).append(arrival.at_ms)
+    lines = []
+    for refusal in history.refusals:
+        entry = entries.get(refusal.request_id, "")
+        after_ms = refusal.at_ms + BACKOFF_BOUND_MS
+        times_ms = arrivals_ms.get((entry, refusal.runner_id), [])
+        count = sum(after_ms < at < refusal.until_ms for at in times_ms)
+        if not entry or count <= BACKOFF_ARRIVALS:
+            continue
+        if history.is_fault_free(
+            refusal.at_ms,
+            refusal.until_ms,
+            allow_planned=False,
+            allowed_prefixes=FAULTS_OUTSIDE_ENTRIES,
+        ):
+            lines.append(
+                f"{entry}: {count} requests to {refusal.runner_id}, which had "
+                f"asked it for a back-off"
+            )
+    return lines
+
+
 def _count_in_span(ordered_ms: list[int], after_ms: int, until_ms: int) -> int:
     """Return how many times are after `after_ms`, up to `until_ms`."""
     end = bisect.bisect_right(ordered_ms, until_ms)
--- a/laburnumpin/soak/run.py
+++ b/laburnumpin/soak/run.py
@@ -77,6 +77,13 @@
 LEAVING_SOAK_SHARE = 0.5
 MIN_UNTOLD_S = 4.0
 MAX_UNTOLD_S = 8.0
+# Share of the soaks in which runners are busy and ask for a back-off, for how
+# long, and the values that no back-off follows from.
+BACKOFF_SOAK_SHARE = 0.5
+MIN_BUSY_S = 1.0
+MAX_BUSY_S = 6.0
+ODD_RETRY_AFTER_SHARE = 0.2
+ODD_RETRY_AFTER = (b"", b"0", b"-1", b"nan", b"Sat, 05 Dec 2026 10:00:00 GMT")
 # Share of the soaks in which another writer leaves odd rows.
 ODD_ROW_SOAK_SHARE = 0.5
 # Offsets by which a `clock_step` moves the wall clock, ms.
@@ -140,8 +147,8 @@
 class Soak:
     """One soak test with its servers, entries and observations.
 
-    Without `inject_faults`, requests that end runners and limits of runners are
-    the only troubles, so that the bounds on both always apply.
+    Without `inject_faults`, there is no fault that excuses anything of what
+    runners say of themselves, and requests that end runners.
     """
 
     def __init__(
@@ -159,6 +166,7 @@
         self._open_ended_random = random.Random(f"{seed}/open-ended")
         self._restore_random = random.Random(f"{seed}/restore")
         self._leaving_random = random.Random(f"{seed}/leaving")
+        self._backoff_random = random.Random(f"{seed}/backoff")
         self._odd_row_random = random.Random(f"{seed}/odd-rows")
         self._seed = seed
         self._entry_count = entries
@@ -237,6 +245,7 @@
         runner.kv_copies = self._kv_copies
         runner.open_ended_ids = self._history.open_ended_ids
         runner.said_leaving_ms = self._history.said_leaving_ms
+        runner.refusals = self._history.refusals
         runner_address = await task_group.start(standins.serve, runner.handle)
         runner_proxy = proxy.Proxy(runner_address)
         address = await task_group.start(runner_proxy.serve)
@@ -299,24 +308,30 @@
                 )
             task_group.start_soon(self._probe_configuration, entry)
         task_group.start_soon(self._write_configurations)
-        is_calm = not self._injects_faults
-        if self._crash_random.random() < CRASHING_SOAK_SHARE or is_calm:
-            task_group.start_soon(self._run_crashing_caller)
-        if self._limit_random.random() < LIMITED_SOAK_SHARE or is_calm:
-            task_group.start_soon(self._limit_runners)
-        if self._open_ended_random.random() < OPEN_ENDED_SOAK_SHARE:
-            task_group.start_soon(self._send_open_ended_answers)
+        self._start_upstream_troubles(task_group)
         if self._restore_random.random() < RESTORED_SOAK_SHARE:
             task_group.start_soon(self._restore_store)
-        if self._leaving_random.random() < LEAVING_SOAK_SHARE or is_calm:
-            task_group.start_soon(self._let_runners_say_they_leave, task_group)
         if self._odd_row_random.random() < ODD_ROW_SOAK_SHARE:
             task_group.start_soon(self._write_odd_registrations)
-        if is_calm:
+        if self._open_ended_random.random() < OPEN_ENDED_SOAK_SHARE:
+            task_group.start_soon(self._send_open_ended_answers)
+        if not self._injects_faults:
             return
         for _ in range(2):
             task_group.start_soon(self._inject_faults, task_group)
 
+    def _start_upstream_troubles(self, task_group: abc.TaskGroup) -> None:
+        """Start what runners do of their own; all of it without faults."""
+        is_calm = not self._injects_faults
+        if self._crash_random.random() < CRASHING_SOAK_SHARE or is_calm:
+            task_group.start_soon(self._run_crashing_caller)
+        if self._limit_random.random() < LIMITED_SOAK_SHARE or is_calm:
+            task_group.start_soon(self._limit_runners)
+        if self._backoff_random.random() < BACKOFF_SOAK_SHARE or is_calm:
+            task_group.start_soon(self._keep_runners_busy)
+        if self._leaving_random.random() < LEAVING_SOAK_SHARE or is_calm:
+            task_group.start_soon(self._let_runners_say_they_leave, task_group)
+
     async def _run_caller(
         self, entry: processes.EntryProcess, key: str
     ) -> None:
@@ -410,6 +425,19 @@
                     )
                 )
 
+    async def _keep_runners_busy(self) -> None:
+        """Let one runner after the other ask for a back-off."""
+        rng = self._backoff_random
+        while True:
+            await anyio.sleep(rng.uniform(0.2, 2.0))
+            runner = rng.choice(self._runners).runner
+            busy_s = rng.uniform(MIN_BUSY_S, MAX_BUSY_S)
+            runner.retry_after = None
+            if rng.random() < ODD_RETRY_AFTER_SHARE:
+                runner.retry_after = rng.choice(ODD_RETRY_AFTER)
+            runner.busy_until_ms = self._clock.now_ms() + int(busy_s * 1_000)
+            await anyio.sleep(busy_s)
+
     async def _send_open_ended_answers(self) -> None:
         """Let one runner after the other send answers without length."""
         rng = self._open_ended_random
--- a/laburnumpin/tests/test_commands_explain.py
+++ b/laburnumpin/tests/test_commands_explain.py
@@ -31,6 +31,30 @@
     return explain.related_lines("r1", lines)
 
 
+def test_rejection_for_a_backoff_that_began_long_before() -> None:
+    """Guards against a rejection without the answer that led to it."""
+    backoff = {"kept_ms": 30_000, "delay_ms": 200, "asked_ms": 30_000}
+    related = _related(
+        _line(0.0, "upstream_backoff_started", upstream="u1", **backoff),
+        _line(1.0, "upstream_backoff_started", upstream="u2"),
+        _line(
+            29.9,
+            "request_rejected",
+            request_id="r1",
+            reason="upstream_backoff",
+            status=503,
+            not_run=True,
+            retry_after_ms=300,
+        ),
+    )
+    assert [line["message_type"] for line in related] == [
+        "upstream_backoff_started",
+        "request_rejected",
+    ]
+    assert related[0]["upstream"] == "u1"
+    assert "had asked for a back-off" in explain.cause("r1", related)
+
+
 def test_rejection_while_upstreams_leave() -> None:
     """Guards against a rejection explained without its reason or as run."""
     related = _related(
--- a/laburnumpin/tests/test_platform_documents.py
+++ b/laburnumpin/tests/test_platform_documents.py
@@ -263,3 +263,25 @@
     decoded = _decode_registration(seq=seq)
     assert decoded is not None
     assert decoded.revision == revision
+
+
+def _decode_backoff(table: dict[str, object]) -> Any:
+    text = standins.settings_text("e", "127.0.0.1", (1, 2, 3, 4), "127.0.0.1:5")
+    return settings.decode({**tomllib.loads(text), "backoff": table})
+
+
+def test_settings_of_backoffs_are_decoded() -> None:
+    decoded = _decode_backoff({"max_ms": 0, "spread_ms": 200}).backoff
+    assert decoded.max_ms == 0
+    assert decoded.spread_ms == 200
+    assert decoded.return_ms == 1_500
+
+
+@pytest.mark.parametrize("field", ["max_ms", "spread_ms", "return_ms"])
+@pytest.mark.parametrize("value", [-1, 1e12, "soon", float("nan")])
+def test_malformed_settings_of_backoffs_are_reported(
+    field: str, value: object
+) -> None:
+    with pytest.raises(exceptions.ConfigurationError) as raised:
+        _decode_backoff({field: value})
+    assert f"backoff.{field}" in str(raised.value)
