End the import circle of the forwarding core, and remove what is computed twice

No behaviour changes. Upstream.note_leaving replaces a function of moves, so that leaving no longer imports moves, moves lifecycle, and lifecycle (by way of statements) leaving. find_withheld loses a parameter that it does not use; the least number of causes and the hash of a service are computed once; the bounds of Retry-After for limits stand where they are used; two docstrings are put right.

--- a/laburnumpin/forwarding/leaving.py
+++ b/laburnumpin/forwarding/leaving.py
@@ -10,7 +10,6 @@
 
 from laburnumpin.forwarding import digests
 from laburnumpin.forwarding import effects
-from laburnumpin.forwarding import moves
 from laburnumpin.forwarding import state as forwarding_state
 from laburnumpin.forwarding import untrusted
 from laburnumpin.forwarding import upstreams
@@ -128,7 +127,7 @@
     upstream = state.upstreams.get(key[0])
     service = None
     if upstream is not None and upstream.key == key:
-        moves.note_leaving(upstream, None, now_ms - age_ms)
+        upstream.note_leaving(None, now_ms - age_ms)
         service = upstream.registration.service
     state.counters.increment("upstreams_said_leaving")
     return [
--- a/laburnumpin/forwarding/lifecycle.py
+++ b/laburnumpin/forwarding/lifecycle.py
@@ -52,7 +52,7 @@
         is_late = now_ms > state.leaving_since_ms + ACCEPT_WHILE_LEAVING_MS
         if is_late or not _can_end(state, request, now_ms):
             return _reject(state, request.request_id, effects.Reason.LEAVING)
-    withheld = withholding.find_withheld(state, request, now_ms)
+    withheld = withholding.find_withheld(state, request)
     is_trial = withheld is not None and withholding.starts_trial(
         state, withheld, now_ms
     )
@@ -137,7 +137,7 @@
     if event.answer_started and not active.request.route.is_stream:
         # Only streams can be continued at another upstream.
         return _end_request(state, active, reason)
-    withheld = withholding.find_withheld(state, active.request, now_ms)
+    withheld = withholding.find_withheld(state, active.request)
     if withheld is not None:
         state.counters.increment("retries_refused", "withheld")
         return _end_request(
@@ -247,7 +247,7 @@
     active = state.active.get(effect.request_id)
     if active is None or active.is_trial:
         return True
-    return withholding.find_withheld(state, active.request, now_ms) is None
+    return withholding.find_withheld(state, active.request) is None
 
 
 def may_retry(active: forwarding_state.ActiveRequest) -> bool:
--- a/laburnumpin/forwarding/moves.py
+++ b/laburnumpin/forwarding/moves.py
@@ -14,10 +14,6 @@
 from laburnumpin.forwarding import state as forwarding_state
 from laburnumpin.forwarding import upstreams
 
-# Time that a leaving engine keeps serving if it announces none; the second is
-# for reclaims, the shortest notice of which in the deployments is 1,250 ms.
-DEFAULT_NOTICE_MS = 2_000
-DEFAULT_RECLAIM_NOTICE_MS = 1_250
 # A stream is moved this long before its engine shuts down. Most streams end
 # before that, and each moved one takes capacity from those at its target.
 MOVE_MARGIN_MS = 600
@@ -32,31 +28,10 @@
         return []
     upstream = state.upstreams.get(registration.upstream_id)
     if upstream is not None:
-        note_leaving(upstream, registration.leaves_in_ms, event.now_ms)
+        upstream.note_leaving(registration.leaves_in_ms, event.now_ms)
     return []
 
 
-def note_leaving(
-    upstream: upstreams.Upstream, notice_ms: int | None, now_ms: int
-) -> None:
-    """Record when an upstream that leaves will shut down.
-
-    `notice_ms` is the remaining time that it has announced, if any. The first
-    announced one counts, and replaces an assumed one.
-    """
-    if upstream.has_notice:
-        return
-    if notice_ms is not None:
-        upstream.has_notice = True
-    elif upstream.leaves_at_ms is not None:
-        return
-    else:
-        notice_ms = DEFAULT_NOTICE_MS
-        if upstream.registration.reclaimable:
-            notice_ms = DEFAULT_RECLAIM_NOTICE_MS
-    upstream.leaves_at_ms = now_ms + notice_ms
-
-
 def on_tick(
     state: forwarding_state.ForwardingState, event: events.Ticked
 ) -> list[effects.Effect]:
--- a/laburnumpin/forwarding/part_losses.py
+++ b/laburnumpin/forwarding/part_losses.py
@@ -86,10 +86,10 @@
     without an answer, for `first_withhold_ms` after the last loss. It is
     `doubt_withhold_ms` for a request while others explain the losses as well,
     while its service has answered none since the first loss, or while some of
-    the losses may have the same cause. Each further
-    loss multiplies the time, up to `max_withhold_ms`; after it, single requests
-    are tried. A record is dropped `memory_ms` after the last loss, or after
-    twice the time for which it was withheld if that is longer.
+    the losses may have the same cause. Each further loss multiplies the time,
+    up to `max_withhold_ms`; after it, single requests are tried. A record is
+    dropped `memory_ms` after the last loss, or after twice the time for which
+    it was withheld if that is longer.
     """
 
     min_losses: int = 3
@@ -268,16 +268,17 @@
             )
         )
         is_new = False
+        service_hash = hash_service(service)
         for part_id in candidates:
             has_losses = self._open_count(part_id) > 0
             alike = sum((part_id < 0) is (other < 0) for other in suspects)
             if alike >= MAX_SUSPECTS_PER_LOSS and not has_losses:
                 continue
             suspects.add(part_id)
-            loss = _Loss(now_ms, False, ran_ms if part_id < 0 else -1)
-            if self._add_loss(
-                part_id, identifier, loss, now_ms, hash_service(service)
-            ):
+            loss = _Loss(
+                now_ms, False, ran_ms if part_id < 0 else UNKNOWN_RUN_MS
+            )
+            if self._add_loss(part_id, identifier, loss, now_ms, service_hash):
                 is_new = True
         if is_new:
             self._update_withheld()
@@ -566,10 +567,10 @@
             counts: dict[int, tuple[int, int]] = {}
             for part_id, losses in unexplained.items():
                 count = self._count_causes(part_id, losses)
-                if count < self._least_causes(part_id, losses):
+                least = self._least_causes(part_id, losses)
+                if count < least:
                     continue
                 others = _count_others(losses, all_ms)
-                least = self._least_causes(part_id, losses)
                 least += others // OTHER_LOSSES_PER_LOSS
                 if part_id not in known_ids:
                     least += self._further_losses(part_id, bool(found))
--- a/laburnumpin/forwarding/state.py
+++ b/laburnumpin/forwarding/state.py
@@ -99,7 +99,7 @@
 class BrokenUpstream:
     """An upstream's incarnation whose connections broke while it ran requests.
 
-    `suspects` are these requests, until the end of the engine is confirmed.
+    `suspects` are these requests, until the end of the upstream is confirmed.
     """
 
     __slots__ = ("is_confirmed", "since_ms", "suspects")
--- a/laburnumpin/forwarding/statements.py
+++ b/laburnumpin/forwarding/statements.py
@@ -15,6 +15,11 @@
 from laburnumpin.forwarding import upstream_limits
 from laburnumpin.forwarding import upstreams
 
+# Least delay after which a caller should retry, and the longest for a limit,
+# also for upstreams that only other entries use.
+MIN_RETRY_MS = 150
+MAX_LIMIT_RETRY_MS = 5_000
+
 
 def is_news(
     state: forwarding_state.ForwardingState,
@@ -89,7 +94,7 @@
     reason = effects.Reason.UPSTREAM_BACKOFF
     if is_limited:
         reason = effects.Reason.UPSTREAM_LIMIT
-    return reason, max(upstream_limits.MIN_RETRY_MS, retry_after_ms)
+    return reason, max(MIN_RETRY_MS, retry_after_ms)
 
 
 def _return_in_ms(upstream: upstreams.Upstream, now_ms: int) -> int:
@@ -100,8 +105,8 @@
     """
     limit_wait_ms = upstream.limit_wait_ms(now_ms)
     if limit_wait_ms is None:
-        limit_wait_ms = upstream_limits.MAX_RETRY_MS
-    wait_ms = min(limit_wait_ms, upstream_limits.MAX_RETRY_MS)
+        limit_wait_ms = MAX_LIMIT_RETRY_MS
+    wait_ms = min(limit_wait_ms, MAX_LIMIT_RETRY_MS)
     if upstream.backoff is not None:
         wait_ms = max(wait_ms, upstream.backoff.room_in_ms(now_ms))
     return wait_ms
--- a/laburnumpin/forwarding/untrusted.py
+++ b/laburnumpin/forwarding/untrusted.py
@@ -85,9 +85,7 @@
         ValueError,
     ) as error:
         raise MalformedError("", "unreadable") from error
-    if not isinstance(document, dict):
-        raise MalformedError("", "wrong_type")
-    return document
+    return mapping(document, "")
 
 
 def required(document: Mapping[Any, Any], field: str) -> Any:
--- a/laburnumpin/forwarding/upstream_limits.py
+++ b/laburnumpin/forwarding/upstream_limits.py
@@ -23,10 +23,6 @@
 DIVISION_PERIOD_MS = 1_000
 # A limit that changes by a smaller share is not announced early.
 EARLY_CHANGE_SHARE = 0.2
-# Least and longest delay after which a caller should retry, and the latter also
-# for upstreams that only other entries use.
-MIN_RETRY_MS = 150
-MAX_RETRY_MS = 5_000
 
 
 def on_named(
--- a/laburnumpin/forwarding/upstreams.py
+++ b/laburnumpin/forwarding/upstreams.py
@@ -22,6 +22,10 @@
 # An upstream that rejected a request as full is avoided for this long: about
 # one digest period, until the digests have reported the peers' requests there.
 FULL_PAUSE_MS = 300
+# Time that a leaving upstream keeps serving if it announces none; the second is
+# for reclaims, the shortest notice of which in the deployments is 1,250 ms.
+DEFAULT_NOTICE_MS = 2_000
+DEFAULT_RECLAIM_NOTICE_MS = 1_250
 # Weight of the newest outcome in an upstream's failure rate.
 FAILURE_WEIGHT = 0.2
 # Circuit breaking: an upstream that could not be reached, or that broke off or
@@ -236,6 +240,24 @@
         if len(self.cached_parts) > MAX_CACHED_PARTS:
             self.cached_parts.popitem(last=False)
 
+    def note_leaving(self, notice_ms: int | None, now_ms: int) -> None:
+        """Record when an upstream that leaves will shut down.
+
+        `notice_ms` is the remaining time that it has announced, if any. The
+        first announced one counts, and replaces an assumed one.
+        """
+        if self.has_notice:
+            return
+        if notice_ms is not None:
+            self.has_notice = True
+        elif self.leaves_at_ms is not None:
+            return
+        else:
+            notice_ms = DEFAULT_NOTICE_MS
+            if self.registration.reclaimable:
+                notice_ms = DEFAULT_RECLAIM_NOTICE_MS
+        self.leaves_at_ms = now_ms + notice_ms
+
     def record_success(self) -> None:
         """Record a complete answer, which ends a pause."""
         self.failure_rate *= 1 - FAILURE_WEIGHT
--- a/laburnumpin/forwarding/withholding.py
+++ b/laburnumpin/forwarding/withholding.py
@@ -146,9 +146,7 @@
 
 
 def find_withheld(
-    state: forwarding_state.ForwardingState,
-    request: requests.Request,
-    now_ms: int,
+    state: forwarding_state.ForwardingState, request: requests.Request
 ) -> part_losses.Withheld | None:
     """Return why a request must not be sent, None if it may be.
 
