Tell callers the end of a back-off also when a request is not sent again

What callers saw: a request that three upstreams turned away one after the other, each asking for a back-off, was rejected with a Retry-After of 0.15 s.

Cause: a request whose attempts or retry budget are used up was ended without asking what its upstreams had said.

Change: if all of them back off, it ends with reason upstream_backoff and the true time. test_request_that_is_not_sent_again_gets_the_time_of_the_backoff failed before, and passes.

--- a/laburnumpin/forwarding/lifecycle.py
+++ b/laburnumpin/forwarding/lifecycle.py
@@ -155,13 +155,13 @@
         return _end_request(state, active, reason)
     if _counted_attempts(active) >= active.request.route.max_attempts:
         state.counters.increment("retries_refused", "max_attempts")
-        return _end_request(state, active, reason)
+        return _end_unsent(state, active, reason, now_ms)
     entries = state.members.expected_count(now_ms)
     if active.sends and not state.budget.take(
         active.request.service, now_ms, entries
     ):
         state.counters.increment("retries_refused", "budget")
-        return _end_request(state, active, reason)
+        return _end_unsent(state, active, reason, now_ms)
     state.counters.increment("retries", event.ending.value)
     return _send_or_reject(state, active, now_ms, reason)
 
@@ -379,6 +379,26 @@
     )
 
 
+def _end_unsent(
+    state: forwarding_state.ForwardingState,
+    active: forwarding_state.ActiveRequest,
+    reason: effects.Reason,
+    now_ms: int,
+) -> list[effects.Effect]:
+    """End a request that is not sent again after a failure.
+
+    If all of its upstreams back off, the caller should return after that.
+    """
+    if reason is effects.Reason.UPSTREAM_REJECTED:
+        service = active.request.service
+        rejection = statements.reject(state, service, now_ms)
+        if rejection is not None:
+            said_reason, retry_after_ms = rejection
+            if said_reason is effects.Reason.UPSTREAM_BACKOFF:
+                return _end_request(state, active, said_reason, retry_after_ms)
+    return _end_request(state, active, reason)
+
+
 def _end_request(
     state: forwarding_state.ForwardingState,
     active: forwarding_state.ActiveRequest,
--- a/laburnumpin/tests/test_platform_backoff.py
+++ b/laburnumpin/tests/test_platform_backoff.py
@@ -74,6 +74,22 @@
     relay.run_with_frontend(script, run_callers)
 
 
+# The caller was told to come back after 0.15 s.
+def test_request_that_is_not_sent_again_gets_the_time_of_the_backoff() -> None:
+    async def script(connection: relay.UpstreamConnection) -> None:
+        await connection.read_request()
+        await connection.stream.send(HEAD_BUSY)
+
+    async def run_callers(harness: relay.Harness) -> None:
+        received = await harness.call(relay._encode_request())
+        assert relay._status_code(received) == 503
+        assert 29 < _retry_after_s(received) < 32
+
+    relay.run_with_frontend(
+        script, run_callers, routes=relay.SINGLE_ATTEMPT_ROUTES, upstreams=3
+    )
+
+
 def test_next_owner_of_an_address_names_no_backoff_or_limit() -> None:
     answer = HEAD_BUSY_RAN.replace(b"503 Busy", b"421 Misdirected").replace(
         b"Retry-After: 30", b"Retry-After: 30\r\nServer-Limit: 0.5"
