--- a/laburnumpin/tests/test_soak.py
+++ b/laburnumpin/tests/test_soak.py
@@ -206,6 +206,21 @@
     assert promises.find_violations(history, _store())
 
 
+def test_requests_during_a_backoff_are_found() -> None:
+    history = _history()
+    refusal = standins.Refusal("r1", "e1", 0, 5_000)
+    history.refusals.append(refusal)
+    history.outcomes.append(_outcome(promises.RequestKind.READ, 503))
+    for at_ms in (0, 400, 900, 950, 5_000):
+        history.arrivals.append(standins.Arrival("r1", "desk", at_ms, "e1"))
+    # From another entry, and at another runner.
+    history.arrivals.append(standins.Arrival("r2", "desk", 960, "e1"))
+    history.arrivals.append(standins.Arrival("r1", "desk", 960, "e2"))
+    assert not promises.find_violations(history, _store())
+    history.arrivals.append(standins.Arrival("r1", "desk", 970, "e1"))
+    assert promises.find_violations(history, _store())
+
+
 def test_retries_are_compared_with_requests_that_did_not_arrive_too() -> None:
     # Seed 327: all runners of the engines had ended, so that hardly any request
     # of a window arrived, and 43 retries exceeded a fifth of those by one.
