Look incarnations up, and rows in turn, in one place each

UpstreamTable.find and digests.in_turn serve them now, and Registration.key names the pair. A head's headers are copied once before its statement is read, not twice; one constant limits the keys of rows; the id of a request as a suspect comes from suspect_id alone; the end of a request without another attempt is not nested. Two attributes of the engine fleet that nothing read are gone. Two comments say what the code does.

--- a/laburnumpin/forwarding/attempts.py
+++ b/laburnumpin/forwarding/attempts.py
@@ -313,17 +313,14 @@
         """Return the head of the answer to this request, and its kind."""
         for _ in range(MAX_SKIPPED_ANSWERS + 1):
             head = await connection.head()
+            headers = list(head.headers)
             kind = self._shell.wire.classify(
-                self._request.request_id,
-                head.status_code,
-                list(head.headers),
+                self._request.request_id, head.status_code, headers
             )
             is_own = kind is not interfaces.AnswerKind.OTHER_REQUEST
             self._shell.note_statement(
                 self._send_effect.registration,
-                self._shell.wire.statement(
-                    head.status_code, list(head.headers)
-                ),
+                self._shell.wire.statement(head.status_code, headers),
                 self._sent_ms if is_own else None,
             )
             if is_own:
--- a/laburnumpin/forwarding/backoff.py
+++ b/laburnumpin/forwarding/backoff.py
@@ -36,7 +36,7 @@
 def draw_delay_ms(
     spread_ms: int, entries: int, generator: random.Random
 ) -> int:
-    """Return after which part of the spread an entry begins to return.
+    """Return the delay, within the spread, after which an entry begins.
 
     The number of entries that have begun grows with the square of the time, and
     a single one begins at once.
--- a/laburnumpin/forwarding/digests.py
+++ b/laburnumpin/forwarding/digests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+from typing import TypeVar
 
 from laburnumpin.forwarding import membership
 from laburnumpin.forwarding import part_losses
@@ -21,6 +22,8 @@
 # the age in ms of the answer that said so.
 LeavingRow = tuple[str, int, int]
 
+_Row = TypeVar("_Row")
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Digest:
@@ -65,6 +68,18 @@
     leaving: tuple[LeavingRow, ...] = ()
 
 
+def in_turn(rows: list[_Row], position: int, count: int) -> list[_Row]:
+    """Return up to `count` rows from a position on, around the end.
+
+    With a position that grows by `count` in each digest, all rows get their
+    turn.
+    """
+    if not rows:
+        return []
+    start = position % len(rows)
+    return (rows[start:] + rows[:start])[:count]
+
+
 class DigestFilter:
     """Filters the digests that a relay forwards: no duplicates, no old ones."""
 
--- a/laburnumpin/forwarding/events.py
+++ b/laburnumpin/forwarding/events.py
@@ -23,7 +23,8 @@
     `REJECTED` is an answer which states that the request has not run, `BROKEN`
     a lost connection, `SILENT` an attempt without progress while another
     upstream would have been faster, `ERROR_STATUS` an error answer, and
-    `WITHDRAWN` an attempt that was not made, since its upstream leaves.
+    `WITHDRAWN` an attempt that was not made, since meanwhile its upstream said
+    that it leaves or asked for a back-off, or the request was withheld.
     """
 
     UNREACHABLE = "unreachable"
--- a/laburnumpin/forwarding/leaving.py
+++ b/laburnumpin/forwarding/leaving.py
@@ -27,11 +27,10 @@
     now_ms: int,
 ) -> list[effects.Effect]:
     """Apply an answer that says that its upstream leaves."""
-    key = (registration.upstream_id, registration.incarnation_ms)
-    if not state.upstreams.mark_leaving(key, now_ms):
+    if not state.upstreams.mark_leaving(registration.key, now_ms):
         return []
     state.request_early_digest()
-    return _on_marked(state, key, now_ms, "answer", 0)
+    return _on_marked(state, registration.key, now_ms, "answer", 0)
 
 
 def merge(
@@ -58,14 +57,11 @@
     """
     if effect.kv_source is not None:
         return True
-    chosen = effect.registration
-    upstream = state.upstreams.get(chosen.upstream_id)
+    upstream = state.upstreams.find(effect.registration.key)
     if upstream is None:
         return False
-    current = upstream.registration
-    if current.incarnation_ms != chosen.incarnation_ms:
-        return False
-    return current.lifecycle is not upstreams.Lifecycle.LEAVING
+    lifecycle = upstream.registration.lifecycle
+    return lifecycle is not upstreams.Lifecycle.LEAVING
 
 
 def rows(
@@ -85,11 +81,10 @@
         row = (upstream_id, incarnation_ms, age_ms)
         is_recent = age_ms <= ANNOUNCED_MS and len(recent) < MAX_RECENT_ROWS
         (recent if is_recent else others).append(row)
-    if not repeats_all or not others:
+    if not repeats_all:
         return tuple(recent)
-    start = state.digests_sent * MAX_ROTATING_ROWS % len(others)
-    turn = others[start:] + others[:start]
-    return tuple(recent + turn[:MAX_ROTATING_ROWS])
+    position = state.digests_sent * MAX_ROTATING_ROWS
+    return tuple(recent + digests.in_turn(others, position, MAX_ROTATING_ROWS))
 
 
 def decode_rows(encoded: Any) -> tuple[digests.LeavingRow, ...]:
@@ -124,9 +119,9 @@
     age_ms: int,
 ) -> list[effects.Effect]:
     """Log a new mark, and let the streams at the upstream be moved."""
-    upstream = state.upstreams.get(key[0])
+    upstream = state.upstreams.find(key)
     service = None
-    if upstream is not None and upstream.key == key:
+    if upstream is not None:
         upstream.note_leaving(None, now_ms - age_ms)
         service = upstream.registration.service
     state.counters.increment("upstreams_said_leaving")
--- a/laburnumpin/forwarding/lifecycle.py
+++ b/laburnumpin/forwarding/lifecycle.py
@@ -155,13 +155,13 @@
         return _end_request(state, active, reason)
     if _counted_attempts(active) >= active.request.route.max_attempts:
         state.counters.increment("retries_refused", "max_attempts")
-        return _end_unsent(state, active, reason, now_ms)
+        return _end_without_retry(state, active, reason, now_ms)
     entries = state.members.expected_count(now_ms)
     if active.sends and not state.budget.take(
         active.request.service, now_ms, entries
     ):
         state.counters.increment("retries_refused", "budget")
-        return _end_unsent(state, active, reason, now_ms)
+        return _end_without_retry(state, active, reason, now_ms)
     state.counters.increment("retries", event.ending.value)
     return _send_or_reject(state, active, now_ms, reason)
 
@@ -379,24 +379,22 @@
     )
 
 
-def _end_unsent(
+def _end_without_retry(
     state: forwarding_state.ForwardingState,
     active: forwarding_state.ActiveRequest,
     reason: effects.Reason,
     now_ms: int,
 ) -> list[effects.Effect]:
-    """End a request that is not sent again after a failure.
+    """End a request whose attempts or retry budget are used up.
 
     If all of its upstreams back off, the caller should return after that.
     """
-    if reason is effects.Reason.UPSTREAM_REJECTED:
-        service = active.request.service
-        rejection = statements.reject(state, service, now_ms)
-        if rejection is not None:
-            said_reason, retry_after_ms = rejection
-            if said_reason is effects.Reason.UPSTREAM_BACKOFF:
-                return _end_request(state, active, said_reason, retry_after_ms)
-    return _end_request(state, active, reason)
+    if reason is not effects.Reason.UPSTREAM_REJECTED:
+        return _end_request(state, active, reason)
+    rejection = statements.reject(state, active.request.service, now_ms)
+    if rejection is None or rejection[0] is effects.Reason.UPSTREAM_LIMIT:
+        return _end_request(state, active, reason)
+    return _end_request(state, active, *rejection)
 
 
 def _end_request(
--- a/laburnumpin/forwarding/requests.py
+++ b/laburnumpin/forwarding/requests.py
@@ -6,6 +6,7 @@
 import hashlib
 
 from laburnumpin.forwarding import deployment
+from laburnumpin.forwarding import part_losses
 
 _KEY_BYTES = 8
 
@@ -63,7 +64,7 @@
 
         They are its own, negative, and those of its shared prompt parts.
         """
-        own = (-self.key,) if self.key else ()
+        own = (part_losses.suspect_id(self.key),) if self.key else ()
         if self.prompt is None:
             return own
         return own + self.prompt.shared_part_ids()
--- a/laburnumpin/forwarding/statements.py
+++ b/laburnumpin/forwarding/statements.py
@@ -129,7 +129,7 @@
         min(settings.spread_ms, kept_ms), state.members.count(), state.random
     )
     is_new = state.upstreams.back_off(
-        (registration.upstream_id, registration.incarnation_ms),
+        registration.key,
         event.now_ms,
         event.now_ms + kept_ms + delay_ms,
         settings.return_ms,
--- a/laburnumpin/forwarding/synchronization.py
+++ b/laburnumpin/forwarding/synchronization.py
@@ -50,8 +50,6 @@
 # Malformed registrations whose version was logged.
 MAX_LOGGED_ROWS = 256
 MAX_LOGGED_KEY_CHARS = 200
-# Longest key of a row of a peer.
-MAX_KEY_CHARS = 1_000
 MAX_LOGGED_ERROR_CHARS = 400
 # In a new era of the store, entries that a relay keeps in sync wait this long
 # for the relay's rows before they read the store themselves.
@@ -878,7 +876,7 @@
             raise untrusted.MalformedError("rows", "wrong_type")
         rows.append(
             interfaces.Row(
-                untrusted.text(key, "rows", MAX_KEY_CHARS),
+                untrusted.text(key, "rows", untrusted.MAX_KEY_CHARS),
                 value,
                 untrusted.integer(version, "rows"),
             )
--- a/laburnumpin/forwarding/untrusted.py
+++ b/laburnumpin/forwarding/untrusted.py
@@ -19,6 +19,8 @@
 
 # Longest name of an upstream, a service, a zone or an entry, in characters.
 MAX_NAME_CHARS = 200
+# Longest key of a row of the store, in characters.
+MAX_KEY_CHARS = 1_000
 # Latest Unix time that is taken as one: the year 2100, in ms.
 MAX_UNIX_MS = 4_102_444_800_000
 # Longest duration: 30 days, in ms.
--- a/laburnumpin/forwarding/upstream_limits.py
+++ b/laburnumpin/forwarding/upstream_limits.py
@@ -37,10 +37,7 @@
     request was sent.
     """
     limit_per_s = event.statement.limit_per_s
-    registration = event.registration
-    upstream = _find(
-        state, registration.upstream_id, registration.incarnation_ms
-    )
+    upstream = state.upstreams.find(event.registration.key)
     if upstream is None:
         return []
     share = upstream.limit_share
@@ -59,7 +56,7 @@
     """Apply the limits that a peer knows of."""
     produced: list[effects.Effect] = []
     for upstream_id, incarnation_ms, limit_per_s, age_ms in rows[:MAX_ROWS]:
-        upstream = _find(state, upstream_id, incarnation_ms)
+        upstream = state.upstreams.find((upstream_id, incarnation_ms))
         if upstream is None:
             continue
         seen_ms = now_ms - max(0, age_ms)
@@ -123,9 +120,8 @@
     recent = [item for item in limited if _is_recent(item[1], now_ms)]
     others = [item for item in limited if not _is_recent(item[1], now_ms)]
     chosen = recent[:MAX_ROWS]
-    if others:
-        start = state.digests_sent * MAX_ROWS % len(others)
-        chosen += (others[start:] + others[:start])[: MAX_ROWS - len(chosen)]
+    position = state.digests_sent * MAX_ROWS
+    chosen += digests.in_turn(others, position, MAX_ROWS - len(chosen))
     announced: list[digests.LimitRow] = []
     for upstream, share in chosen:
         registration = upstream.registration
@@ -167,20 +163,6 @@
     return tuple(decoded)
 
 
-def _find(
-    state: forwarding_state.ForwardingState,
-    upstream_id: str,
-    incarnation_ms: int,
-) -> upstreams.Upstream | None:
-    """Return an upstream if it is still the same incarnation."""
-    upstream = state.upstreams.get(upstream_id)
-    if upstream is None:
-        return None
-    if upstream.registration.incarnation_ms != incarnation_ms:
-        return None
-    return upstream
-
-
 def _is_recent(share: limit_shares.LimitShare, now_ms: int) -> bool:
     return now_ms <= share.changed_ms + ANNOUNCED_MS
 
--- a/laburnumpin/forwarding/upstreams.py
+++ b/laburnumpin/forwarding/upstreams.py
@@ -79,6 +79,11 @@
     leaves_in_ms: int | None
     revision: int = 0
 
+    @property
+    def key(self) -> tuple[str, int]:
+        """Identify the upstream and its incarnation."""
+        return (self.upstream_id, self.incarnation_ms)
+
     @property
     def written(self) -> tuple[int, int]:
         """Return the upstream's own order of its registrations.
@@ -184,10 +189,7 @@
     @property
     def key(self) -> tuple[str, int]:
         """Identify the upstream and its incarnation."""
-        return (
-            self.registration.upstream_id,
-            self.registration.incarnation_ms,
-        )
+        return self.registration.key
 
     def streams(self) -> int:
         """Return the number of requests of all entries at the upstream."""
@@ -357,6 +359,11 @@
         """Return an upstream by its id."""
         return self._by_id.get(upstream_id)
 
+    def find(self, key: tuple[str, int]) -> Upstream | None:
+        """Return an upstream if it is still in this incarnation."""
+        upstream = self._by_id.get(key[0])
+        return None if upstream is None or upstream.key != key else upstream
+
     def of_service(self, service: str) -> list[Upstream]:
         """Return the upstreams of a service, leaving ones included."""
         matching = []
@@ -402,8 +409,8 @@
         if key in self._leaving:
             return False
         self._leaving[key] = at_ms
-        upstream = self._by_id.get(key[0])
-        if upstream is not None and upstream.key == key:
+        upstream = self.find(key)
+        if upstream is not None:
             upstream.registration = dataclasses.replace(
                 upstream.registration, lifecycle=Lifecycle.LEAVING
             )
@@ -429,15 +436,15 @@
             )
             self._drop_backoff(first)
         self._backoffs[key] = backoff.Backoff(until_ms, return_ms)
-        upstream = self._by_id.get(key[0])
-        if upstream is not None and upstream.key == key:
+        upstream = self.find(key)
+        if upstream is not None:
             upstream.backoff = self._backoffs[key]
         return True
 
     def _drop_backoff(self, key: tuple[str, int]) -> None:
         del self._backoffs[key]
-        upstream = self._by_id.get(key[0])
-        if upstream is not None and upstream.key == key:
+        upstream = self.find(key)
+        if upstream is not None:
             upstream.backoff = None
 
     def leaving(self) -> list[tuple[tuple[str, int], int]]:
@@ -451,15 +458,11 @@
     def _forget_leaving(self, kept: tuple[str, int]) -> None:
         """Forget the oldest incarnation that is not registered."""
         for key in self._leaving:
-            if key != kept and not self._is_registered(key):
+            if key != kept and self.find(key) is None:
                 del self._leaving[key]
                 return
         self._leaving.popitem(last=False)
 
-    def _is_registered(self, key: tuple[str, int]) -> bool:
-        upstream = self._by_id.get(key[0])
-        return upstream is not None and upstream.key == key
-
     def mean_log_ratio(self, service: str, now_ms: int) -> float:
         """Return the mean logarithm of the latency ratio over a service."""
         log_ratios = [u.log_ratio(now_ms) for u in self.of_service(service)]
@@ -470,7 +473,7 @@
         changes = Changes()
         upstream_id = registration.upstream_id
         existing = self._by_id.get(upstream_id)
-        if (upstream_id, registration.incarnation_ms) in self._leaving:
+        if registration.key in self._leaving:
             registration = dataclasses.replace(
                 registration, lifecycle=Lifecycle.LEAVING
             )
@@ -524,7 +527,7 @@
         changes = Changes()
         while self._leaving:
             key, at_ms = next(iter(self._leaving.items()))
-            if self._is_registered(key) or now_ms < at_ms + LEAVING_MEMORY_MS:
+            if self.find(key) or now_ms < at_ms + LEAVING_MEMORY_MS:
                 break
             del self._leaving[key]
         for key, known in list(self._backoffs.items()):
--- a/laburnumpin/forwarding/withholding.py
+++ b/laburnumpin/forwarding/withholding.py
@@ -83,8 +83,7 @@
             upstream.record_failure(event.now_ms, unreachable=True)
         return _confirm(state, registration, event.now_ms)
     if event.is_open:
-        key = (registration.upstream_id, registration.incarnation_ms)
-        state.broken_upstreams.pop(key, None)
+        state.broken_upstreams.pop(registration.key, None)
     return []
 
 
@@ -230,7 +229,7 @@
     now_ms: int,
 ) -> list[effects.Effect]:
     """Count the end of an upstream for the requests that it ran."""
-    key = (registration.upstream_id, registration.incarnation_ms)
+    key = registration.key
     broken = state.broken_upstreams.get(key)
     if broken is None or broken.is_confirmed:
         return []
--- a/laburnumpin/platform/clients.py
+++ b/laburnumpin/platform/clients.py
@@ -27,9 +27,8 @@
 # Rises when the store has been restored from an older copy.
 STORE_ERA_HEADER = b"store-era"
 MAX_ERA_DIGITS = 9
-# Longest answer, and key of a row, that are read.
+# Longest answer that is read.
 MAX_ANSWER_BYTES = 67_108_864
-MAX_KEY_CHARS = 1_000
 
 # The platform defines the first two tables; the entries own the others.
 _TABLE_NAMES = {
@@ -440,7 +439,9 @@
         except (ValueError, TypeError):
             value = b""  # The decoder of the row rejects an empty value.
     return interfaces.Row(
-        untrusted.text(untrusted.required(row, "key"), "key", MAX_KEY_CHARS),
+        untrusted.text(
+            untrusted.required(row, "key"), "key", untrusted.MAX_KEY_CHARS
+        ),
         value,
         untrusted.integer(untrusted.required(row, "ver"), "ver"),
     )
--- a/laburnumpin/tests/engine_fleet.py
+++ b/laburnumpin/tests/engine_fleet.py
@@ -62,7 +62,7 @@
 class Engine:
     """An engine with its current attempts: (entry, request id).
 
-    `limit_per_s` is the limit that its answers name from `limited_since_ms` on.
+    `limit_per_s` is the limit that its answers name, None without one.
     Until `busy_until_ms` it turns each request away and asks for a back-off of
     that time.
     """
@@ -72,7 +72,6 @@
         self.is_running = True
         self.attempts: set[tuple[str, str]] = set()
         self.limit_per_s: float | None = None
-        self.limited_since_ms = 0
         # When each entry was first told the limit, by its name.
         self.told_ms: dict[str, int] = {}
         # Since when its answers say that it leaves, and when each entry was
@@ -140,7 +139,6 @@
         self._order = itertools.count()
         self._numbers = itertools.count(1)
         self.engines: dict[str, Engine] = {}
-        self.engine_count = engines
         self.ended_ms: list[int] = []
         # The entry whose request ended the engine, "" if none did.
         self.ended_by: list[str] = []
@@ -406,7 +404,6 @@
         """Let so many engines name a limit from now on, or no longer."""
         for engine in list(self.engines.values())[:count]:
             engine.limit_per_s = limit_per_s
-            engine.limited_since_ms = self.now_ms
             self._limited_ids.add(engine.upstream_id)
 
     def _finish(self, engine: Engine, name: str, request_id: str) -> None:
