Share the set-up of tests of statements and of the store's rows

Tests of leaving and of back-offs had the same events of a ready upstream, the same withdrawn attempt and the same script of an upstream; tests of restored stores and of odd rows started the same entry. They use builders now. The assertions are as they were; one test of back-offs gets one event more.

--- a/laburnumpin/tests/forwarding_builders.py
+++ b/laburnumpin/tests/forwarding_builders.py
@@ -4,6 +4,7 @@
 
 import random
 
+from laburnumpin import verdict as verdicts
 from laburnumpin.forwarding import budgets
 from laburnumpin.forwarding import deployment
 from laburnumpin.forwarding import events
@@ -141,6 +142,34 @@
     )
 
 
+def withdrawn(now_ms: int, request_id: str = "r1") -> events.AttemptFailed:
+    """Return the event of an attempt that was given up before it was sent."""
+    return events.AttemptFailed(
+        now_ms,
+        request_id,
+        events.Ending.WITHDRAWN,
+        verdicts.Verdict.NOT_RUN,
+        False,
+    )
+
+
+def events_of_ready_upstream(now_ms: int) -> list[events.Event]:
+    """Return events that tell of the upstream `u1` as of one that is ready."""
+    return [
+        events.UpstreamChanged(now_ms, 9, registration("u1")),
+        events.UpstreamChanged(
+            now_ms, 9, registration("u1", revision=99, slots=8)
+        ),
+        events.UpstreamChanged(
+            now_ms, 9, registration("u1", address="10.0.0.7:81")
+        ),
+        events.UpstreamsListed(
+            now_ms, 9, (registration("u1"), registration("u2")), True
+        ),
+        events.UpstreamChecked(now_ms, registration("u1"), True, False),
+    ]
+
+
 def request(request_id: str = "r1", **changes: object) -> requests.Request:
     fields: dict[str, object] = {
         "request_id": request_id,
--- a/laburnumpin/tests/test_forwarding_backoff.py
+++ b/laburnumpin/tests/test_forwarding_backoff.py
@@ -4,7 +4,6 @@
 
 import pytest
 
-from laburnumpin import verdict as verdicts
 from laburnumpin.forwarding import backoff
 from laburnumpin.forwarding import effects
 from laburnumpin.forwarding import events
@@ -68,19 +67,7 @@
 @pytest.mark.parametrize(
     "event",
     [
-        events.UpstreamChanged(
-            2_000, 9, build.registration("u1", revision=99, slots=8)
-        ),
-        events.UpstreamChanged(
-            2_000, 9, build.registration("u1", address="10.0.0.7:81")
-        ),
-        events.UpstreamsListed(
-            2_000,
-            9,
-            (build.registration("u1"), build.registration("u2")),
-            True,
-        ),
-        events.UpstreamChecked(2_000, build.registration("u1"), True, False),
+        *build.events_of_ready_upstream(2_000),
         build.stated(2_000, build.registration("u1"), backoff_ms=10),
     ],
 )
@@ -169,16 +156,7 @@
     assert lifecycle.may_send(state, send, 5)
     _ask(state, 4_000, send.upstream_id, 10)
     assert not lifecycle.may_send(state, send, 15)
-    (again,) = reducer.reduce(
-        state,
-        events.AttemptFailed(
-            20,
-            "r1",
-            events.Ending.WITHDRAWN,
-            verdicts.Verdict.NOT_RUN,
-            False,
-        ),
-    )
+    (again,) = reducer.reduce(state, build.withdrawn(20))
     assert isinstance(again, effects.Send)
     assert again.upstream_id != send.upstream_id
     # Nothing was sent, so this is the first attempt and costs no retry.
--- a/laburnumpin/tests/test_forwarding_leaving.py
+++ b/laburnumpin/tests/test_forwarding_leaving.py
@@ -6,7 +6,6 @@
 
 import pytest
 
-from laburnumpin import verdict as verdicts
 from laburnumpin.forwarding import effects
 from laburnumpin.forwarding import events
 from laburnumpin.forwarding import gossip
@@ -53,25 +52,7 @@
     assert state.counters.total("upstreams_said_leaving") == 1
 
 
-@pytest.mark.parametrize(
-    "event",
-    [
-        events.UpstreamChanged(2_000, 9, build.registration("u1")),
-        events.UpstreamChanged(
-            2_000, 9, build.registration("u1", revision=99, slots=8)
-        ),
-        events.UpstreamChanged(
-            2_000, 9, build.registration("u1", address="10.0.0.7:81")
-        ),
-        events.UpstreamsListed(
-            2_000,
-            9,
-            (build.registration("u1"), build.registration("u2")),
-            True,
-        ),
-        events.UpstreamChecked(2_000, build.registration("u1"), True, False),
-    ],
-)
+@pytest.mark.parametrize("event", build.events_of_ready_upstream(2_000))
 def test_nothing_brings_an_upstream_back_that_said_it_leaves(
     event: events.Event,
 ) -> None:
@@ -131,16 +112,7 @@
     assert leaving.may_send(state, send)
     _say(state, send.upstream_id, 10)
     assert not leaving.may_send(state, send)
-    (again,) = reducer.reduce(
-        state,
-        events.AttemptFailed(
-            20,
-            "r1",
-            events.Ending.WITHDRAWN,
-            verdicts.Verdict.NOT_RUN,
-            False,
-        ),
-    )
+    (again,) = reducer.reduce(state, build.withdrawn(20))
     assert isinstance(again, effects.Send)
     assert again.upstream_id != send.upstream_id
     # Nothing was sent, so this is the first attempt and costs no retry.
--- a/laburnumpin/tests/test_forwarding_odd_rows.py
+++ b/laburnumpin/tests/test_forwarding_odd_rows.py
@@ -26,13 +26,9 @@
     async def check(
         store: standins.Store, address: str, task_group: anyio.abc.TaskGroup
     ) -> None:
-        store.configure(4, "old")
-        store.put_registration("u1", 1)
-        entry = store_era.Entry("e1", address)
         if is_first:
             store.put_odd_registration("odd", value)
-        entry.start(task_group)
-        await store_era.until(lambda: entry.lifecycle("u1") == "ready")
+        entry = await store_era.start_entry(store, address, task_group)
         store.put_odd_registration("odd", value)
         store.put_registration("u2", 1)
         await store_era.until(lambda: entry.lifecycle("u2") == "ready")
@@ -46,11 +42,7 @@
     async def check(
         store: standins.Store, address: str, task_group: anyio.abc.TaskGroup
     ) -> None:
-        store.configure(4, "old")
-        store.put_registration("u1", 1)
-        entry = store_era.Entry("e1", address)
-        entry.start(task_group)
-        await store_era.until(lambda: entry.lifecycle("u1") == "ready")
+        entry = await store_era.start_entry(store, address, task_group)
         store.put_odd_registration("u1", ODD[0])
         await store_era.until(lambda: entry.lifecycle("u1") == "gone")
         store.put_registration("u1", 2)
--- a/laburnumpin/tests/test_forwarding_store_era.py
+++ b/laburnumpin/tests/test_forwarding_store_era.py
@@ -112,6 +112,18 @@
             await anyio.sleep(0.01)
 
 
+async def start_entry(
+    store: standins.Store, address: str, task_group: anyio.abc.TaskGroup
+) -> Entry:
+    """Start an entry with a configuration and the ready upstream `u1`."""
+    store.configure(4, "old")
+    store.put_registration("u1", 1)
+    entry = Entry("e1", address)
+    entry.start(task_group)
+    await until(lambda: entry.lifecycle("u1") == "ready")
+    return entry
+
+
 def run_with_store(
     check: Callable[
         [standins.Store, str, anyio.abc.TaskGroup], Awaitable[None]
@@ -135,11 +147,7 @@
     async def check(
         store: standins.Store, address: str, task_group: anyio.abc.TaskGroup
     ) -> None:
-        store.configure(4, "old")
-        store.put_registration("u1", 1)
-        entry = Entry("e1", address)
-        entry.start(task_group)
-        await until(lambda: entry.lifecycle("u1") == "ready")
+        entry = await start_entry(store, address, task_group)
         copy = store.copy()
         for version in range(5, 25):
             store.configure(version, "lost")
@@ -307,12 +315,8 @@
     async def check(
         store: standins.Store, address: str, task_group: anyio.abc.TaskGroup
     ) -> None:
-        store.configure(4, "old")
-        store.put_registration("u1", 1)
         store.put_registration("u2", 1)
-        entry = Entry("e1", address)
-        entry.start(task_group)
-        await until(lambda: entry.lifecycle("u1") == "ready")
+        entry = await start_entry(store, address, task_group)
         copy = store.copy()
         store.put_registration("u1", 5, leaving=True)
         await until(lambda: entry.lifecycle("u1") == "leaving")
@@ -547,11 +551,7 @@
     async def check(
         store: standins.Store, address: str, task_group: anyio.abc.TaskGroup
     ) -> None:
-        store.configure(4, "old")
-        store.put_registration("u1", 1)
-        entry = Entry("entry", address)
-        entry.start(task_group)
-        await until(lambda: entry.lifecycle("u1") == "ready")
+        entry = await start_entry(store, address, task_group)
         stale = await entry.store.read(UPSTREAMS)
         store.unregister("u1")
         store.put_registration("u2", 1)
--- a/laburnumpin/tests/test_platform_backoff.py
+++ b/laburnumpin/tests/test_platform_backoff.py
@@ -60,10 +60,6 @@
         b"\r\nX-Lab", b"\r\nServer-Limit: 0.5\r\nServer-Leaving: 1\r\nX-Lab", 1
     )
 
-    async def script(connection: relay.UpstreamConnection) -> None:
-        await connection.read_request()
-        await connection.stream.send(late + relay._encode_answer("r1", b"one"))
-
     async def run_callers(harness: relay.Harness) -> None:
         await harness.call(relay._encode_request())
         upstream = harness.state.upstreams.get("desk-0")
@@ -71,22 +67,23 @@
         assert upstream.limit_share is None
         assert upstream.registration.lifecycle is upstreams.Lifecycle.LEAVING
 
-    relay.run_with_frontend(script, run_callers)
+    relay.run_with_frontend(
+        relay.answering(late + relay._encode_answer("r1", b"one")), run_callers
+    )
 
 
 # The caller was told to come back after 0.15 s.
 def test_request_that_is_not_sent_again_gets_the_time_of_the_backoff() -> None:
-    async def script(connection: relay.UpstreamConnection) -> None:
-        await connection.read_request()
-        await connection.stream.send(HEAD_BUSY)
-
     async def run_callers(harness: relay.Harness) -> None:
         received = await harness.call(relay._encode_request())
         assert relay._status_code(received) == 503
         assert 29 < _retry_after_s(received) < 32
 
     relay.run_with_frontend(
-        script, run_callers, routes=relay.SINGLE_ATTEMPT_ROUTES, upstreams=3
+        relay.answering(HEAD_BUSY),
+        run_callers,
+        routes=relay.SINGLE_ATTEMPT_ROUTES,
+        upstreams=3,
     )
 
 
@@ -95,10 +92,6 @@
         b"Retry-After: 30", b"Retry-After: 30\r\nServer-Limit: 0.5"
     )
 
-    async def script(connection: relay.UpstreamConnection) -> None:
-        await connection.read_request()
-        await connection.stream.send(answer)
-
     async def run_callers(harness: relay.Harness) -> None:
         await harness.call(relay._encode_request())
         upstream = harness.state.upstreams.get("desk-0")
@@ -106,4 +99,4 @@
         assert upstream.limit_share is None
         assert upstream.wait_ms(clock.BootClock().now_ms()) == 0
 
-    relay.run_with_frontend(script, run_callers)
+    relay.run_with_frontend(relay.answering(answer), run_callers)
--- a/laburnumpin/tests/test_platform_leaving.py
+++ b/laburnumpin/tests/test_platform_leaving.py
@@ -68,17 +68,15 @@
         b"\r\nX-Laburnumpin", b"\r\nServer-Leaving: 1\r\nX-Laburnumpin", 1
     )
 
-    async def script(connection: relay.UpstreamConnection) -> None:
-        await connection.read_request()
-        await connection.stream.send(said)
-
     async def run_callers(harness: relay.Harness) -> None:
         await harness.call(crashes.encode_stream_request())
         upstream = harness.state.upstreams.get("engines-0")
         assert upstream is not None
         assert upstream.registration.lifecycle is LEAVING
 
-    relay.run_with_frontend(script, run_callers, routes=crashes.STREAM_ROUTES)
+    relay.run_with_frontend(
+        relay.answering(said), run_callers, routes=crashes.STREAM_ROUTES
+    )
 
 
 def test_announcement_of_the_next_owner_of_an_address_binds_nobody() -> None:
@@ -87,14 +85,12 @@
         b"Server-Leaving: 1\r\nContent-Length: 0\r\n\r\n"
     )
 
-    async def script(connection: relay.UpstreamConnection) -> None:
-        await connection.read_request()
-        await connection.stream.send(answer)
-
     async def run_callers(harness: relay.Harness) -> None:
         await harness.call(crashes.encode_stream_request())
         upstream = harness.state.upstreams.get("engines-0")
         assert upstream is not None
         assert upstream.registration.lifecycle is READY
 
-    relay.run_with_frontend(script, run_callers, routes=crashes.STREAM_ROUTES)
+    relay.run_with_frontend(
+        relay.answering(answer), run_callers, routes=crashes.STREAM_ROUTES
+    )
--- a/laburnumpin/tests/test_platform_relay.py
+++ b/laburnumpin/tests/test_platform_relay.py
@@ -252,6 +252,16 @@
         pass
 
 
+def answering(answer: bytes) -> UpstreamScript:
+    """Return a script that answers the first request of each connection."""
+
+    async def script(connection: UpstreamConnection) -> None:
+        await connection.read_request()
+        await connection.stream.send(answer)
+
+    return script
+
+
 def _status_code(received: bytes) -> int:
     return int(received.split(b" ", 2)[1])
 
