--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -33,6 +33,7 @@
 # A script runs for 120 s at most.
 SCRIPT_LIMIT_S = 110.0
 HEARTBEAT_S = 1.2
+ZONES = ("a", "b", "c")
 ATTEMPT_ID = "x-laburnumpin-attempt-id"
 Headers = dict[str, str]
 
@@ -273,6 +274,13 @@
             fence = int(request.headers["x-laburnumpin-fencing-token"])
             status = 409 if fence < self._fence else 200
             self._fence = max(self._fence, fence)
+            if url.path == "/usage" and status == 200:
+                self._record.write(
+                    "usage",
+                    window=fields["window_id"],
+                    counts=fields["counts"],
+                    holder=request.headers["x-laburnumpin-duty-holder"],
+                )
             await connection.answer_json(status, {})
         else:
             await connection.answer_json(404, {})
@@ -543,8 +551,11 @@
 class Entry:
     """A process of the deploy file's command."""
 
-    def __init__(self, name: str, store: str, folder: pathlib.Path) -> None:
+    def __init__(
+        self, name: str, zone: str, store: str, folder: pathlib.Path
+    ) -> None:
         self.name = name
+        self._zone = zone
         self.address = f"{HOST}:{free_port()}"
         self.readiness = f"{HOST}:{free_port()}"
         self._control = f"{HOST}:{free_port()}"
@@ -604,7 +615,7 @@
 machine_class = "edge"
 serves = ["edge", "control"]
 ip = "{HOST}"
-zone = "a"
+zone = "{self._zone}"
 region = "r"
 internal_ports = [{self._peer_port}, {self._peer_port}]
 seeds = []
@@ -612,6 +623,8 @@
 heartbeat_ms = 1200
 [zones]
 a = "r"
+b = "r"
+c = "r"
 [listen]
 frontend = "{self.address}"
 readiness = "{self.readiness}"
@@ -655,15 +668,18 @@
         self.record = record
         self.store = Store(record)
         self.entries: list[Entry] = []
+        self._started = 0
 
     async def start_entries(
         self, count: int, store_address: str | None = None
     ) -> list[Entry]:
-        """Start entries and wait until all are ready."""
+        """Start entries, in the zones in turn, and wait until all are ready."""
         address = store_address or self.store.address
         for _ in range(count):
-            name = f"entry-{len(self.entries) + 1}"
-            entry = Entry(name, address, self._folder)
+            zone = ZONES[self._started % len(ZONES)]
+            self._started += 1
+            name = f"entry-{self._started:02}"
+            entry = Entry(name, zone, address, self._folder)
             entry.start()
             self.entries.append(entry)
         for entry in self.entries:
@@ -686,8 +702,8 @@
             part = f"{zlib.crc32(request_id.encode()):x}"
             headers += [
                 ("X-Laburnumpin-Model", "m"),
-                ("X-Laburnumpin-Token-Count", "200,1000"),
-                ("X-Laburnumpin-Prompt-Prefix", f"a1:100,{part}:100"),
+                ("X-Laburnumpin-Token-Count", "1000,1000"),
+                ("X-Laburnumpin-Prompt-Prefix", f"a1:500,{part}:500"),
             ]
         self.record.write(
             "sent", id=request_id, entry=entry.name, target=target
