--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,156 +1,160 @@
-"""Connections to the store go silent while the configuration changes often.
+"""A stream is moved from a reclaimed engine, and the target crashes.
 
-A key is taken away by the next change after that. Each entry reaches the store
-through a proxy. With `TROUBLE=1` the proxies pass nothing on any more over the
-connections that are open at one moment; new ones work.
+Engine `i-a` is reclaimed on notice. The entry moves the stream to `i-b`. With
+`TROUBLE=1` `i-b` crashes when the copy begins, so `i-a` answers at its end that
+the destination can't be reached. `i-c` is a replacement that is ready by then.
 """
 
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import pathlib
 import sys
+from typing import Any
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "common"))
 
 import rig as rigs  # noqa: E402
 
-ENTRIES = 3
-# `contact_ms` and `config_apply_ms` of the settings.
-CONTACT_MS = 3_000
-APPLY_MS = 2_000
-# Only requests up to this time after the silence are judged. A connection on
-# which packets were lost instead could be found dead by keep-alive probes some
-# 4 s after its last byte.
-JUDGED_MS = 3_600
-# Changes of the configuration, and the pause between two.
-CHANGES = 12
-CHANGE_PAUSE_S = 0.33
-SILENT_AFTER = 6
-KEPT_KEY, REMOVED_KEY = "key-1", "key-2"
-
-
-class Desk(rigs.Runner):
-    """Answers reads at once."""
+# A stream takes 8 s, longer than the notice.
+EVENTS = 160
+EVENT_PAUSE_S = 0.05
+NOTICE_S = 2.5
+# Time that a copy takes.
+COPY_S = 0.1
+# Before its end an engine takes no new connections.
+CLOSING_S = 0.05
+
+
+class Engine(rigs.Runner):
+    """Answers with a stream, which it stops and copies when it is asked to.
+
+    `copies` are the copies that it holds, by their id, with the last event.
+    """
+
+    def __init__(self, rig: rigs.Rig, name: str) -> None:
+        super().__init__(rig.store, rig.record, name, "engines", 64)
+        self.copies: dict[str, int] = {}
+        self.peers: dict[str, Engine] = {}
+        self.crashes_at_copy = False
+        self.is_crashed = False
+        self.ends_s = 0.0
+        # Last event of each run, and the runs that have stopped for a move.
+        self._runs: dict[str, int] = {}
+        self._stopped: set[str] = set()
 
     async def run(
         self, connection: rigs.Connection, request: rigs.Request
     ) -> bool:
-        """Run a request."""
-        self.record.write("runs", runner=self.name, id=request.request_id)
-        await connection.answer(200, self.answer_headers(request), b"entry")
+        """Run a request from the start, or from a copy that is here."""
+        handle = request.headers.get("kv-from", "").rpartition("/")[2]
+        if handle and handle not in self.copies:
+            return await self.reject(connection, request)
+        if handle:
+            self.copies.pop(handle)
+        first = int(request.headers.get("last-event-id", "0")) + 1
+        request_id = request.request_id
+        self.record.write(
+            "runs",
+            runner=self.name,
+            id=request_id,
+            from_event=first,
+            from_copy=bool(handle),
+        )
+        headers = [
+            *self.answer_headers(request),
+            ("Content-Type", "text/event-stream"),
+            ("Transfer-Encoding", "chunked"),
+        ]
+        await connection.send(rigs.head_bytes("HTTP/1.1 200 OK", headers))
+        for number in range(first, EVENTS + 1):
+            self._runs[request_id] = number
+            data = rigs.event(request_id, number)
+            await connection.send(rigs.chunk_bytes(data))
+            await asyncio.sleep(EVENT_PAUSE_S)
+            if request_id in self._stopped:
+                return False  # Closed without the end of the stream.
+        await connection.send(b"0\r\n\r\n")
+        del self._runs[request_id]
+        self.record.write("run_ended", runner=self.name, id=request_id)
         return True
 
+    async def move(
+        self, connection: rigs.Connection, fields: dict[str, Any]
+    ) -> bool:
+        """Stop a run and copy its memory."""
+        request_id = fields["id"]
+        self.record.write("move_asked", runner=self.name, **fields)
+        target = self.peers[fields["to"]]
+        last = self._runs.pop(request_id)
+        self._stopped.add(request_id)
+        handle = f"h-{request_id}"
+        answer = {"kv_handle": handle, "create_revision": last}
+        if target.crashes_at_copy:
+            target.is_crashed = True
+            target.end()
+        status = 200
+        if target.is_crashed:
+            # It keeps the memory, and tries to reach the destination.
+            self.copies[handle] = last
+            loop = asyncio.get_running_loop()
+            left_s = self.ends_s - loop.time()
+            await asyncio.sleep(max(0.0, left_s) + CLOSING_S / 4)
+            status = 503
+        else:
+            await asyncio.sleep(COPY_S)
+            target.copies[handle] = last
+        await connection.answer_json(status, answer)
+        self.record.write(
+            "move_answered", runner=self.name, id=request_id, status=status
+        )
+        return True
 
-class Proxy:
-    """Passes connections on, until those that are open go silent."""
-
-    def __init__(self, target: str) -> None:
-        self._target = target
-        self._open: set[object] = set()
-        self._silent: set[object] = set()
-        self._server: asyncio.Server | None = None
-
-    @property
-    def address(self) -> str:
-        """Return the address as `IP:PORT`."""
-        assert self._server is not None
-        return f"{rigs.HOST}:{self._server.sockets[0].getsockname()[1]}"
-
-    async def start(self) -> None:
-        """Start to listen."""
-        self._server = await asyncio.start_server(self._serve, rigs.HOST, 0)
-
-    def silence(self) -> int:
-        """Pass nothing more on over open connections; return their number."""
-        self._silent |= self._open
-        return len(self._open)
-
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        host, _, port = self._target.rpartition(":")
-        key = object()
-        self._open.add(key)
-        there, back = await asyncio.open_connection(host, int(port))
-        try:
-            await asyncio.gather(
-                self._copy(key, reader, back), self._copy(key, there, writer)
-            )
-        finally:
-            self._open.discard(key)
-            with contextlib.suppress(RuntimeError):
-                back.close()
-                writer.close()
-
-    async def _copy(
-        self,
-        key: object,
-        source: asyncio.StreamReader,
-        sink: asyncio.StreamWriter,
-    ) -> None:
-        with contextlib.suppress(ConnectionError):
-            while data := await source.read(65_536):
-                if key not in self._silent:
-                    sink.write(data)
-                    await sink.drain()
-        if key not in self._silent:
-            sink.close()
+    async def reclaim(self) -> None:
+        """Leave on notice."""
+        loop = asyncio.get_running_loop()
+        self.ends_s = loop.time() + NOTICE_S - CLOSING_S
+        self.drain(leaves_ms=int(NOTICE_S * 1_000))
+        await asyncio.sleep(NOTICE_S - CLOSING_S)
+        self.stop_listening()
+        await asyncio.sleep(CLOSING_S)
+        self.leave()
 
 
 async def case(rig: rigs.Rig) -> bool:
-    """Return whether no machine in touch took the key that was removed."""
-    reads = rigs.route(
-        "reads",
-        "idempotent",
-        "desk",
-        max_attempts=2,
-        timeout_ms=2_500,
-        target_latency_ms=200,
+    """Return whether the stream ran once at most."""
+    drafts = rigs.route(
+        "drafts", "streaming", "engines", gap_aim_ms=300, max_attempts=3
     )
-    both = (KEPT_KEY, REMOVED_KEY)
-    rig.store.configure(rigs.configuration(7, [reads], both))
-    for name in ("i-a", "i-b"):
-        await Desk(rig.store, rig.record, name, "desk", 6).register()
-    proxies = [Proxy(rig.store.address) for _ in range(ENTRIES)]
-    for proxy in proxies:
-        await proxy.start()
-        await rig.start_entries(1, proxy.address)
-    await asyncio.sleep(6.0)
-    silent_ms, acked_ms = 0, 0
-    for change in range(1, CHANGES + 1):
-        # The first changes leave all as it was.
-        keys = both if change <= SILENT_AFTER else (KEPT_KEY,)
-        rig.store.configure(rigs.configuration(7 + change, [reads], keys))
-        if change == SILENT_AFTER + 1:
-            acked_ms = rig.record.now_ms()
-        await asyncio.sleep(CHANGE_PAUSE_S / 2)
-        if change == SILENT_AFTER:
-            silent_ms = rig.record.now_ms()
-            if rigs.with_trouble():
-                connections = sum(proxy.silence() for proxy in proxies)
-                rig.record.write("silent", connections=connections)
-        await asyncio.sleep(CHANGE_PAUSE_S / 2)
-    first_ms = max(silent_ms + CONTACT_MS, acked_ms + APPLY_MS) + 50
-    await asyncio.sleep((first_ms - rig.record.now_ms()) / 1_000)
-    taken = 0
-    number = 0
-    while rig.record.now_ms() < silent_ms + JUDGED_MS:
-        for entry in rig.entries:
-            number += 1
-            name = f"read{number}"
-            answer = await rig.ask(
-                entry, "/reads/x", name, key=REMOVED_KEY, timeout_s=2.0
-            )
-            taken += answer.status != 401
-        await asyncio.sleep(0.02)
-    check = await rig.ask(rig.entries[0], "/reads/x", "last", timeout_s=2.0)
-    if check.status != 200:
-        raise RuntimeError("the key that was kept is not taken")
-    rig.record.write("judged", requests=number, taken=taken)
-    return taken == 0
+    rig.store.configure(rigs.configuration(7, [drafts]))
+    engines = [Engine(rig, name) for name in ("i-a", "i-b", "i-c")]
+    source, target, replacement = engines
+    await source.register(spot=True)
+    entry = (await rig.start_entries(1))[0]
+    async with asyncio.TaskGroup() as group:
+        group.create_task(rig.ask(entry, "/drafts/x", "draft1", is_prompt=True))
+        await asyncio.sleep(0.5)
+        await target.register()
+        source.peers = {target.address: target}
+        target.crashes_at_copy = rigs.with_trouble()
+        reclaim = group.create_task(source.reclaim())
+        # The replacement is ready 0.3 s before the end of the source, and
+        # after the move was asked for.
+        await asyncio.sleep(NOTICE_S - 0.3)
+        await replacement.register()
+        await reclaim
+    return await _ran_once(rig)
+
+
+async def _ran_once(rig: rigs.Rig) -> bool:
+    """Return whether only one run did not go on from a copy."""
+    fresh = [line for line in rig.record.lines("runs") if not line["from_copy"]]
+    if not fresh:
+        raise RuntimeError("the stream did not run")
+    if not rig.record.lines("move_asked"):
+        raise RuntimeError("the stream was not moved")
+    return len(fresh) == 1
 
 
 rigs.main(case, FOLDER)
