--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,13 +8,10 @@
 import asyncio
 import pathlib
 import signal
-import sys
 
-FOLDER = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "common"))
-
-import rig as rigs  # noqa: E402
+import rig as rigs
 
+FOLDER = pathlib.Path(__file__).resolve().parent
 STREAMS = 6
 # Each stream takes 3 s, so all end well before the grace of 8 s is over.
 EVENTS = 60
--- a/review/common/rig.py
+++ b/review/1/rig.py
@@ -1,4 +1,4 @@
-"""Stand-ins and processes for the cases of the review.
+"""Stand-ins and processes for this case; each case has the same file.
 
 The store and the cloud API of the platform, runners and requesters are served
 by the script's own process, on loopback; entries are started as processes with
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -8,14 +8,11 @@
 
 import asyncio
 import pathlib
-import sys
 from typing import Any
 
-FOLDER = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "common"))
-
-import rig as rigs  # noqa: E402
+import rig as rigs
 
+FOLDER = pathlib.Path(__file__).resolve().parent
 # A stream takes 6 s, longer than the notice.
 EVENTS = 120
 EVENT_PAUSE_S = 0.05
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -9,14 +9,11 @@
 
 import asyncio
 import pathlib
-import sys
 from typing import Any
 
-FOLDER = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "common"))
-
-import rig as rigs  # noqa: E402
+import rig as rigs
 
+FOLDER = pathlib.Path(__file__).resolve().parent
 # The site file has crashes of 0.17 of the engines at once.
 ENGINES = 7
 # A stream takes 8 s, longer than the notice.
