Keep signals handled for the whole life of an entry

Callers saw streams and calls break off when an entry that drained after SIGTERM got SIGHUP or another SIGTERM: it ended at once, up to seven seconds before the end of the grace.

Cause: the handlers belonged to a block that the entry entered after its start and left when the drain began. Outside it the default action of each signal applied. The exit status, -1 for SIGHUP, rules out a drain that was shortened.

Inbox takes the signals over in the program's first instruction and keeps them for the rest of the process's life; find_action states what each means in each phase. The project's own entry had the same fault for SIGHUP and uses the same code. The soak sends further signals to draining entries.

--- a/laburnumpin/forwarding/daemon.py
+++ b/laburnumpin/forwarding/daemon.py
@@ -4,12 +4,12 @@
 
 import os
 import random
-import signal
 import time
 
 import anyio
 
 from laburnumpin import clock
+from laburnumpin import signals
 from laburnumpin.forwarding import duties
 from laburnumpin.forwarding import frontend
 from laburnumpin.forwarding import interfaces
@@ -22,6 +22,7 @@
 from laburnumpin.forwarding import state as forwarding_state
 from laburnumpin.forwarding import synchronization
 from laburnumpin.forwarding import withholding_store
+from laburnumpin.server import exits
 from laburnumpin.server import logs
 from laburnumpin.server import tasks
 
@@ -37,8 +38,11 @@
     wire: interfaces.Wire,
     documents: interfaces.Documents,
     clients: interfaces.Clients,
+    inbox: signals.Inbox,
 ) -> None:
     """Serve requests until SIGTERM or SIGINT, then drain and return."""
+    if exits.take_signals(inbox, signals.Phase.STARTING) is signals.Action.EXIT:
+        return
     boot_clock = clock.BootClock()
     incarnation_ms = time.time_ns() // 1_000_000
     own_contact = membership.Contact(
@@ -101,7 +105,7 @@
                 "pid": os.getpid(),
             },
         )
-        await _wait_for_exit(shell, caller_frontend, settings)
+        await _wait_for_exit(shell, caller_frontend, settings, inbox)
         task_group.cancel_scope.cancel()
     logs.write("entry_exited", "info", {"active": caller_frontend.active})
 
@@ -110,26 +114,18 @@
     shell: shells.Shell,
     caller_frontend: frontend.Frontend,
     settings: forwarding_settings.ForwardingSettings,
+    inbox: signals.Inbox,
 ) -> None:
-    with anyio.open_signal_receiver(
-        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-    ) as signals:
-        async for signal_number in signals:
-            logs.write(
-                "signal_received",
-                "info",
-                {"signal": signal.Signals(signal_number).name},
-            )
-            if signal_number == signal.SIGHUP:
-                # There is nothing to reload: the addresses in the settings are
-                # bound already.
-                continue
-            break
+    """Wait for a signal to exit, then drain."""
+    phase = signals.Phase.SERVING
+    while exits.take_signals(inbox, phase) is not signals.Action.DRAIN:
+        await anyio.wait_readable(inbox)
     requested_ms = shell.now_ms()
     exit_in_ms = settings.exit_ms - EXIT_MARGIN_MS
     shell.leave(exit_in_ms)
     while shell.now_ms() < requested_ms + exit_in_ms:
         await anyio.sleep(EXIT_CHECK_PERIOD_S)
+        exits.take_signals(inbox, signals.Phase.DRAINING)
         min_elapsed = shell.now_ms() >= requested_ms + MIN_DRAIN_MS
         if min_elapsed and caller_frontend.active == 0:
             return
--- a/laburnumpin/platform/__main__.py
+++ b/laburnumpin/platform/__main__.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
-from laburnumpin.platform import program
+from laburnumpin import signals
 
 if __name__ == "__main__":
-    program.main()
+    # Signals are taken over before the import, which takes most of the start.
+    inbox = signals.Inbox()
+
+    from laburnumpin.platform import program
+
+    program.main(inbox)
--- a/laburnumpin/platform/program.py
+++ b/laburnumpin/platform/program.py
@@ -10,6 +10,7 @@
 import anyio
 
 from laburnumpin import exceptions
+from laburnumpin import signals
 from laburnumpin.forwarding import daemon
 from laburnumpin.platform import clients
 from laburnumpin.platform import documents
@@ -23,7 +24,7 @@
 GC_THRESHOLD_ALLOCATIONS = 20_000
 
 
-def main() -> None:
+def main(inbox: signals.Inbox) -> None:
     """Run an entry until a signal stops it; exit with 1 on invalid settings."""
     path = os.environ.get(settings.PATH_VARIABLE, settings.DEFAULT_PATH)
     level = os.environ.get(LOG_LEVEL_VARIABLE, "info")
@@ -42,5 +43,7 @@
                 wire.PlatformWire(),
                 documents.PlatformDocuments(),
                 clients.PlatformClients(),
+                inbox,
             )
         )
+    signals.ignore()
--- a/laburnumpin/server/entry.py
+++ b/laburnumpin/server/entry.py
@@ -8,7 +8,6 @@
 import dataclasses
 import json
 import secrets
-import signal
 import socket
 from typing import Any
 
@@ -20,6 +19,7 @@
 from starlette import applications
 
 from laburnumpin import clock as clocks
+from laburnumpin import signals
 from laburnumpin import verdict
 from laburnumpin.config import settings as settings_module
 from laburnumpin.core import effects
@@ -31,6 +31,7 @@
 from laburnumpin.server import bridge as bridges
 from laburnumpin.server import caller_api
 from laburnumpin.server import caller_input
+from laburnumpin.server import exits
 from laburnumpin.server import logs
 from laburnumpin.server import metrics
 from laburnumpin.server import operator_api
@@ -144,9 +145,11 @@
 
 def run(settings: settings_module.Settings) -> None:
     """Run the daemon until it has drained; SIGTERM and SIGINT start a drain."""
+    inbox = signals.Inbox()
     with logs.set_up(settings.log_level, settings.vm_id):
-        anyio.run(_run_with_signals, settings)
+        anyio.run(_run_with_signals, settings, inbox)
         logs.write("entry_exited", "info")
+    signals.ignore()
 
 
 async def serve(
@@ -292,19 +295,23 @@
         }
 
 
-async def _run_with_signals(settings: settings_module.Settings) -> None:
-    # Installed before the ports are bound: the default action of a signal
-    # would end the process and abort its requests.
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async with anyio.create_task_group() as task_group:
-            running = await task_group.start(
-                _serve_entry, settings, task_group.cancel_scope
-            )
-            _print_addresses(running)
-            async for number in signals:
-                logs.write("signal_received", "info", {"signal": number.name})
-                now_ms = running.bridge.clock.now_ms()
-                await running.bridge.put(events.ShutdownRequested(now_ms))
+async def _run_with_signals(
+    settings: settings_module.Settings, inbox: signals.Inbox
+) -> None:
+    async with anyio.create_task_group() as task_group:
+        running = await task_group.start(
+            _serve_entry, settings, task_group.cancel_scope
+        )
+        _print_addresses(running)
+        phase = signals.Phase.SERVING
+        while True:
+            await anyio.wait_readable(inbox)
+            action = exits.take_signals(inbox, phase)
+            if action is signals.Action.NONE:
+                continue
+            phase = signals.Phase.DRAINING
+            now_ms = running.bridge.clock.now_ms()
+            await running.bridge.put(events.ShutdownRequested(now_ms))
 
 
 def _print_addresses(running: RunningEntry) -> None:
--- a/laburnumpin/soak/processes.py
+++ b/laburnumpin/soak/processes.py
@@ -94,6 +94,12 @@
         """Return whether the process has ended."""
         return self._process is None or self._process.poll() is not None
 
+    def log_text(self) -> str:
+        """Return what the process has written so far, over all starts."""
+        if not self._log_path.exists():
+            return ""
+        return self._log_path.read_text(encoding="utf-8")
+
     def kill(self) -> None:
         """Kill the process, also when it is stopped by SIGSTOP."""
         if self._process is None or self._process.poll() is not None:
--- a/laburnumpin/soak/run.py
+++ b/laburnumpin/soak/run.py
@@ -89,6 +89,10 @@
 # Offsets by which a `clock_step` moves the wall clock, ms.
 CLOCK_OFFSETS_MS = (-6_000, -2_000, 2_000, 6_000)
 
+# Signals to entries that drain, and the chance of one each 20 ms.
+DRAIN_SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
+DRAIN_SIGNAL_SHARE = 0.02
+
 FAULTS = (
     "kill",
     "pause",
@@ -168,6 +172,7 @@
         self._leaving_random = random.Random(f"{seed}/leaving")
         self._backoff_random = random.Random(f"{seed}/backoff")
         self._odd_row_random = random.Random(f"{seed}/odd-rows")
+        self._signal_random = random.Random(f"{seed}/signals")
         self._seed = seed
         self._entry_count = entries
         self._directory = directory
@@ -627,6 +632,8 @@
         with anyio.move_on_after(EXIT_TIMEOUT_S):
             while not entry.has_ended():
                 await anyio.sleep(0.02)
+                if name == "exit":
+                    self._repeat_signal(entry)
         if entry.incarnation != incarnation:
             return  # Another fault has restarted the entry meanwhile.
         if not entry.has_ended():
@@ -635,6 +642,11 @@
             await anyio.sleep(fault_s / 3)
         entry.start()
 
+    def _repeat_signal(self, entry: processes.EntryProcess) -> None:
+        """Send a draining entry a signal now and then."""
+        if self._signal_random.random() < DRAIN_SIGNAL_SHARE:
+            entry.signal(self._signal_random.choice(DRAIN_SIGNALS))
+
     async def _kill_all(self) -> None:
         """Kill all entries at once and check that all serve again in time."""
         for entry in self._entries:
--- a/laburnumpin/soak/skewed_entry.py
+++ b/laburnumpin/soak/skewed_entry.py
@@ -12,7 +12,7 @@
 import struct
 import time
 
-from laburnumpin.platform import program
+from laburnumpin import signals
 
 OFFSET_VARIABLE = "LABURNUMPIN_SOAK_CLOCK"
 # Offset of the wall clock, ns.
@@ -27,7 +27,7 @@
         file.write(_OFFSET_STRUCT.pack(offset_ms * 1_000_000))
 
 
-def main() -> None:
+def main(inbox: signals.Inbox) -> None:
     """Run an entry whose wall clock is offset."""
     with pathlib.Path(os.environ[OFFSET_VARIABLE]).open("rb") as file:
         mapped_offset = mmap.mmap(
@@ -41,8 +41,11 @@
         )
 
     time.time_ns = time_ns
-    program.main()
+    # Imported as late as in the program that the platform starts.
+    from laburnumpin.platform import program
+
+    program.main(inbox)
 
 
 if __name__ == "__main__":
-    main()
+    main(signals.Inbox())
