Continue or visibly end a stream that was stopped for a move

Cause: an entry asks a leaving engine to stop the stream and copy its state. The engine closes the stream, and only a lost connection led to the question of what had become of the move. The close of a stream without length is none, so it was judged as an end that proves nothing, and passed on. A refused copy is ruled out: the entry never sent the request to the target.

Each end of a stream whose move was asked for now waits for the engine's answer. With a copy the stream continues from it, whatever the framing shows, as many servers end the chunks of a stopped handler. Without one, an end that no framing shows is broken, unless the engine says that the stream had ended before. Large answers that are no streams are not moved any more, since they can't be continued.

The soak's runners close a stopped stream without length normally now, and its check knows the fault.

--- a/laburnumpin/forwarding/attempts.py
+++ b/laburnumpin/forwarding/attempts.py
@@ -83,8 +83,8 @@
     __slots__ = (
         "_body",
         "_is_repeat",
-        "_kv_source",
         "_move_done",
+        "_move_result",
         "_relay",
         "_request",
         "_request_head",
@@ -119,8 +119,8 @@
         # Set once the copy of the KV cache succeeded or failed; None unless a
         # move was started.
         self._move_done: anyio.Event | None = None
-        # Names the KV cache of the stream once it has stopped for the move.
-        self._kv_source: str | None = None
+        # The engine's answer to the move, once there is one.
+        self._move_result: interfaces.MoveResult | None = None
 
     def move(self, effect: effects.MoveStream) -> None:
         """Start to move the stream to another engine, at most once."""
@@ -138,9 +138,9 @@
                 effect.target.address,
             )
             self._shell.note_statement(effect.source, result.statement, None)
-            self._kv_source = result.kv_source
-            if self._kv_source is None:
-                outcome = "not_running"
+            self._move_result = result
+            if result.kv_source is None:
+                outcome = "no_copy" if result.was_running else "not_running"
         except exceptions.LaburnumpinError as error:
             outcome = error.code
         finally:
@@ -276,7 +276,7 @@
                 self.received = "head"
                 await self._handle_answer(connection, head, kind, stall)
         except connections.ConnectionLostError as error:
-            await self._raise_if_moved()
+            await self._check_move()
             raise AttemptError(
                 events.Ending.BROKEN, MAY_HAVE_RUN, str(error)
             ) from error
@@ -298,14 +298,25 @@
             self._shell.state, self._request.request_id, self._shell.now_ms()
         )
 
-    async def _raise_if_moved(self) -> None:
-        """Raise `StreamMovedError` if the stream stopped for a move."""
+    async def _check_move(self) -> bool:
+        """Return whether the stream may have been stopped for a move.
+
+        To be asked at each end of a stream, whatever its framing shows: an
+        engine that stops a stream on request may end it as if it were whole.
+
+        Raises:
+            StreamMovedError: The stream stopped and can be continued.
+        """
         if self._move_done is None:
-            return
+            return False
         with anyio.move_on_after(MOVE_TIMEOUT_S):
             await self._move_done.wait()
-        if self._kv_source is not None:
-            raise StreamMovedError(self._kv_source)
+        result = self._move_result
+        if result is None:
+            return True
+        if result.kv_source is not None:
+            raise StreamMovedError(result.kv_source)
+        return result.was_running
 
     async def _matching_head(
         self, connection: connections.ClientConnection
@@ -486,9 +497,11 @@
                 await relay.write(b"".join(new_events))
             stall.resume()
         stall.stop()
+        may_be_stopped = await self._check_move()
         await self._judge_end(
             has_content=has_events,
             is_inside_event=bool(splitter.incomplete_event.strip()),
+            may_be_stopped=may_be_stopped,
         )
         if is_first:
             relay.mark_running()
@@ -507,7 +520,11 @@
         return self.framing is completeness.Framing.CLOSE
 
     async def _judge_end(
-        self, *, has_content: bool, is_inside_event: bool = False
+        self,
+        *,
+        has_content: bool,
+        is_inside_event: bool = False,
+        may_be_stopped: bool = False,
     ) -> None:
         """Decide what the end of the answer shows.
 
@@ -528,6 +545,7 @@
                 is_inside_event,
                 has_content,
                 has_upstream_ended,
+                may_be_stopped,
                 self._relay.may_be_unproved,
             )
         )
@@ -544,6 +562,7 @@
                 "end": end.value,
                 "reason": reason,
                 "upstream_ended": has_upstream_ended,
+                "stop_requested": may_be_stopped,
             },
         )
         if end is completeness.End.BROKEN:
--- a/laburnumpin/forwarding/completeness.py
+++ b/laburnumpin/forwarding/completeness.py
@@ -97,6 +97,8 @@
     `is_inside_event` is whether a stream ended in the middle of an event, and
     `has_content` whether a stream had an event, or another body a byte.
     `has_upstream_ended` is whether the upstream ended unannounced at that time.
+    `may_be_stopped` is whether this entry has asked the upstream to stop the
+    stream, unless that had ended before.
     `may_be_unproved` is whether the response to the caller leaves open where
     it ends, or has not begun.
     """
@@ -105,6 +107,7 @@
     is_inside_event: bool
     has_content: bool
     has_upstream_ended: bool
+    may_be_stopped: bool
     may_be_unproved: bool
 
 
@@ -116,6 +119,8 @@
         return End.PROVED, "framing"
     if not evidence.has_content:
         return End.BROKEN, "an answer without length ended before its content"
+    if evidence.may_be_stopped:
+        return End.BROKEN, "the upstream was asked to stop the stream"
     if evidence.has_upstream_ended:
         return End.BROKEN, "the upstream ended with an answer without length"
     if not evidence.may_be_unproved:
--- a/laburnumpin/forwarding/interfaces.py
+++ b/laburnumpin/forwarding/interfaces.py
@@ -161,11 +161,13 @@
     """The answer of an engine to the move of a stream.
 
     `kv_source` is the handle under which the attempt that continues the stream
-    finds the KV cache; None if the engine does not run the request.
-    `statement` is what the engine says of itself.
+    finds the KV cache, None if there is none. `was_running` is whether the
+    engine ran the request when it was asked, or may have. `statement` is what
+    the engine says of itself.
     """
 
     kv_source: str | None
+    was_running: bool
     statement: upstreams.Statement = dataclasses.field(
         default_factory=upstreams.Statement
     )
--- a/laburnumpin/forwarding/moves.py
+++ b/laburnumpin/forwarding/moves.py
@@ -90,6 +90,7 @@
     if service is None or service.engine is None or choice is None:
         return []
     is_movable = service.engine.moves_streams and request.prompt is not None
+    is_movable &= request.route.is_stream  # Only events can be continued.
     # A stream that may be resumed is sent again when it breaks off, at little
     # cost.
     if not is_movable or request.route.may_repeat or active.move_requested:
--- a/laburnumpin/platform/clients.py
+++ b/laburnumpin/platform/clients.py
@@ -350,9 +350,11 @@
         )
         # Despite its name the handle is a path below the engine's address.
         handle = response.document().get("kv_handle")
+        was_running = response.status != 404
         if response.status not in (200, 503) or not _is_handle(handle):
-            return interfaces.MoveResult(None, statement)
-        return interfaces.MoveResult(f"{source_address}/{handle}", statement)
+            return interfaces.MoveResult(None, was_running, statement)
+        kv_source = f"{source_address}/{handle}"
+        return interfaces.MoveResult(kv_source, was_running, statement)
 
 
 class PlatformClients:
--- a/laburnumpin/platform/standins.py
+++ b/laburnumpin/platform/standins.py
@@ -429,8 +429,11 @@
         self.error_share = 0.0
         self.cut_share = 0.0
         self.open_ended_share = 0.0
-        # Ids of the requests that were answered so.
+        # Ids of the requests that were answered so, of those whose answer ended
+        # early, and of those whose stream was stopped for a move.
         self.open_ended_ids: set[str] = set()
+        self.cut_short_ids: set[str] = set()
+        self.stopped_ids: set[str] = set()
         self.processing_ms = 20
         # Requests a second that its answers name as the limit of all entries.
         self.limit_per_s: float | None = None
@@ -559,7 +562,10 @@
         if self._random.random() >= self.open_ended_share:
             return False, is_cut
         self.open_ended_ids.add(request_id)
-        return True, self._random.random() < OPEN_ENDED_CUT_SHARE
+        is_cut = self._random.random() < OPEN_ENDED_CUT_SHARE
+        if is_cut:
+            self.cut_short_ids.add(request_id)
+        return True, is_cut
 
     async def _answer_call(
         self,
@@ -590,6 +596,7 @@
         if stream is None or not fields.get("last"):
             return _json_answer(404, {})
         stream.stopped = True
+        self.stopped_ids.add(fields["id"])
         handle = f"{fields['id']}-{stream.last_event}"
         self.kv_copies[handle] = stream.last_event
         return _json_answer(
@@ -619,6 +626,8 @@
                 await caller.write(event(request_id, number))
                 await anyio.sleep(EVENT_PAUSE_S)
                 if stream.stopped:
+                    # Without length nothing shows that the rest is missing.
+                    caller.stream.set_reset_on_close(False)
                     return False
         finally:
             if self._streams.get(request_id) is stream:
--- a/laburnumpin/soak/promises.py
+++ b/laburnumpin/soak/promises.py
@@ -133,6 +133,7 @@
     __slots__ = (
         "arrivals",
         "crashes_ms",
+        "cut_short_ids",
         "executions",
         "fault_spans",
         "leaving_since_ms",
@@ -141,6 +142,7 @@
         "outcomes",
         "refusals",
         "said_leaving_ms",
+        "stopped_ids",
         "versions_in_force",
         "versions_not_in_force",
         "violations",
@@ -158,6 +160,10 @@
         # Ids of the requests that a runner answered with neither a length nor
         # chunks, perhaps not to the end.
         self.open_ended_ids: set[str] = set()
+        # Those of them that ended early, and the requests whose stream a runner
+        # stopped for a move.
+        self.cut_short_ids: set[str] = set()
+        self.stopped_ids: set[str] = set()
         # Requests that runners turned away, asking for a back-off.
         self.refusals: list[standins.Refusal] = []
         # Violations that were found while the soak ran.
@@ -275,6 +281,9 @@
         lines.append(f"{name}: lost the length of its answer")
     if not outcome.body or not expected.startswith(outcome.body):
         lines.append(f"{name}: response without length has a wrong body")
+    if outcome.body != expected and outcome.request_id in history.stopped_ids:
+        if outcome.request_id not in history.cut_short_ids:
+            lines.append(f"{name}: response ends where its stream was stopped")
     return lines
 
 
--- a/laburnumpin/soak/run.py
+++ b/laburnumpin/soak/run.py
@@ -249,6 +249,8 @@
         runner.arrivals = self._history.arrivals
         runner.kv_copies = self._kv_copies
         runner.open_ended_ids = self._history.open_ended_ids
+        runner.cut_short_ids = self._history.cut_short_ids
+        runner.stopped_ids = self._history.stopped_ids
         runner.said_leaving_ms = self._history.said_leaving_ms
         runner.refusals = self._history.refusals
         runner_address = await task_group.start(standins.serve, runner.handle)
--- a/laburnumpin/tests/test_forwarding_moves.py
+++ b/laburnumpin/tests/test_forwarding_moves.py
@@ -74,6 +74,12 @@
     assert not _move_effects(_announce_leaving(state, source))
 
 
+# The rest of a document could not be told from its beginning.
+def test_answer_that_is_no_stream_is_not_moved() -> None:
+    state, source, _ = _start_stream(route=build.route(is_stream=False))
+    assert not _move_effects(_announce_leaving(state, source))
+
+
 def test_stream_is_not_moved_without_another_engine() -> None:
     state, source, other = _start_stream()
     reducer.reduce(state, events.UpstreamRemoved(150, 2, other, False))
