Never send a request again that a moved attempt may have run

Cause: a flag for requests that may have run was set only by failed attempts. A move ends an attempt without a failure. The two continuations reached no engine, so that the request counted as not run and was sent to a third engine from its start. A wrong verdict of a continuation is ruled out: both are right, for themselves.

may_have_run now follows from the sends: each one counts from when it is decided until its own attempt is proved not to have run. No path has to set anything. Retries, refunds, the promise of a rejection and the last answer before an exit ask it.

The new tests failed on the code before: a third engine got the stream in all four cases, and the test of random orders found the same. They pass now.

--- a/laburnumpin/forwarding/frontend.py
+++ b/laburnumpin/forwarding/frontend.py
@@ -274,7 +274,7 @@
     def _exit_rejection(self, request: requests.Request) -> effects.Reject:
         """Return the last answer to a request that this exit interrupts."""
         active = self._shell.state.active.get(request.request_id)
-        has_run = active is None or active.may_have_run or active.sends > 0
+        has_run = active is None or active.may_have_run
         return effects.Reject(
             request.request_id, effects.Reason.LEAVING, not has_run, None
         )
--- a/laburnumpin/forwarding/lifecycle.py
+++ b/laburnumpin/forwarding/lifecycle.py
@@ -195,11 +195,8 @@
         _record_log_ratio(state, active, event.now_ms)
     _record_outcome(active, event)
     state.counters.increment("attempts_failed", event.ending.value)
-    if event.verdict is not verdicts.Verdict.NOT_RUN:
-        active.may_have_run = True
+    record_verdict(active, event)
     active.answer_started = event.answer_started
-    if event.ending in (events.Ending.UNREACHABLE, events.Ending.WITHDRAWN):
-        active.sends -= 1  # Nothing was sent.
     if event.ending is events.Ending.REJECTED:
         active.rejections += 1
     if active.choice is not None:
@@ -208,6 +205,16 @@
     release(active)
 
 
+def record_verdict(
+    active: forwarding_state.ActiveRequest, event: events.AttemptFailed
+) -> None:
+    """Record whether the attempt that failed may have run the request."""
+    if event.verdict is not verdicts.Verdict.NOT_RUN:
+        return
+    unsent = (events.Ending.UNREACHABLE, events.Ending.WITHDRAWN)
+    active.record_not_run(was_sent=event.ending not in unsent)
+
+
 def _counted_attempts(active: forwarding_state.ActiveRequest) -> int:
     """Return the sends that count as attempts of the route.
 
@@ -251,7 +258,10 @@
 
 
 def may_retry(active: forwarding_state.ActiveRequest) -> bool:
-    """Return whether a retry is safe: the request may repeat or has not run."""
+    """Return whether a request may be sent from its start once more.
+
+    It may repeat, or no attempt before has run it.
+    """
     return active.request.route.may_repeat or not active.may_have_run
 
 
--- a/laburnumpin/forwarding/moves.py
+++ b/laburnumpin/forwarding/moves.py
@@ -76,6 +76,7 @@
     fallback, active.move_fallback = active.move_fallback, None
     if event.verdict is not verdicts.Verdict.NOT_RUN:
         return []
+    lifecycle.record_verdict(active, event)
     return _resume(active, fallback, event.now_ms)
 
 
--- a/laburnumpin/forwarding/state.py
+++ b/laburnumpin/forwarding/state.py
@@ -38,7 +38,6 @@
         "has_started",
         "is_trial",
         "kv_source",
-        "may_have_run",
         "move_fallback",
         "move_requested",
         "move_target",
@@ -46,13 +45,16 @@
         "rejections",
         "request",
         "sends",
+        "sends_not_run",
         "sent_ms",
     )
 
     def __init__(self, request: requests.Request) -> None:
         self.request = request
-        # Attempts that were sent to an upstream.
+        # Attempts that were sent to an upstream, and those of them that are
+        # proved not to have run.
         self.sends = 0
+        self.sends_not_run = 0
         # Sends that were rejected without a run.
         self.rejections = 0
         # The upstream of the current attempt.
@@ -72,8 +74,6 @@
         self.move_requested = False
         # Names the KV cache of a stream that was stopped for a move.
         self.kv_source = ""
-        # Whether any attempt may have run the request.
-        self.may_have_run = False
         # Whether a part of the answer has been sent to the caller.
         self.answer_started = False
         # Whether an upstream has begun to run the request, which then counts
@@ -82,6 +82,22 @@
         # Whether it finds out if its upstream still ends under a withheld one.
         self.is_trial = False
 
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether any attempt may have run the request.
+
+        Each one counts from its send on, until it is itself proved not to have
+        run. What becomes of a later one tells nothing about it.
+        """
+        return self.has_started or self.sends > self.sends_not_run
+
+    def record_not_run(self, *, was_sent: bool) -> None:
+        """Record that the current attempt has not run the request."""
+        if was_sent:
+            self.sends_not_run += 1
+        else:
+            self.sends -= 1
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Suspect:
