Bound the age of what entries know by the contact time

Cause: the wait of a call for changes, 2.5 s, and its time-out, 1.2 s, were bounded one by one. Together they exceed the contact time of 3 s. The next call could take another idle connection that was silent too, and during an outage each call waited as long as the first, so that one made in its last moment was noticed too late. Peers that know better and don't say so are ruled out: all calls had begun at the same change.

freshness.py divides the contact time of the settings among the wait, the time-out, a new connection and the answer, and keeps to a share of the store's read rate. A failed call closes the connections that have had no answer since it began, for the store, the cloud API and silent upstreams. The call after a time-out follows at once, and calls don't wait while they fail.

--- a/laburnumpin/forwarding/attempts.py
+++ b/laburnumpin/forwarding/attempts.py
@@ -199,6 +199,8 @@
                 events.Ending.REJECTED,
                 events.Ending.ERROR_STATUS,
             )
+            if self._met_silence(error):
+                self._shell.pool.close_idle_since(registration, self._sent_ms)
             raise
         finally:
             if complete:
@@ -210,6 +212,12 @@
             else:
                 connection.close()
 
+    def _met_silence(self, error: AttemptError) -> bool:
+        """Return whether nothing came back although the request was sent."""
+        if self.received != "nothing" or error.verdict is NOT_RUN:
+            return False
+        return error.ending in (events.Ending.SILENT, events.Ending.DEADLINE)
+
     async def _exchange(self, connection: connections.ClientConnection) -> None:
         request = self._request
         remaining_ms = request.deadline_ms - self._shell.now_ms()
--- a/laburnumpin/forwarding/daemon.py
+++ b/laburnumpin/forwarding/daemon.py
@@ -75,7 +75,11 @@
         cloud = clients.cloud(settings)
         withheld_parts = withholding_store.WithholdingStore(shell, store)
         synchronizer = synchronization.Synchronizer(
-            shell, store, documents, withheld_parts.load
+            shell,
+            store,
+            documents,
+            withheld_parts.load,
+            settings.call_times.changes_wait_ms,
         )
         peer_exchange = peer_link.PeerLink(
             shell, synchronizer, settings.peer_address
@@ -103,6 +107,8 @@
                 "peer_address": settings.peer_address,
                 "incarnation": incarnation_ms,
                 "pid": os.getpid(),
+                "changes_wait_ms": settings.call_times.changes_wait_ms,
+                "staleness_ms": settings.call_times.staleness_ms,
             },
         )
         await _wait_for_exit(shell, caller_frontend, settings, inbox)
--- a/laburnumpin/forwarding/settings.py
+++ b/laburnumpin/forwarding/settings.py
@@ -7,6 +7,7 @@
 from laburnumpin.forwarding import backoff
 from laburnumpin.forwarding import budgets
 from laburnumpin.forwarding import completeness
+from laburnumpin.forwarding import freshness
 from laburnumpin.forwarding import part_losses
 
 
@@ -23,8 +24,8 @@
     `usage_late_ms` of its end. `link_mbps` is the bandwidth of the entry's
     network link. `withholding` is for prompts that end engines, `backoff` for
     upstreams that ask for a back-off, and `answers` for the ends of upstreams'
-    answers. `is_first_start` is whether the whole
-    system starts for the first time.
+    answers. `call_times` are those of calls to the platform. `is_first_start`
+    is whether the whole system starts for the first time.
     """
 
     name: str
@@ -52,4 +53,7 @@
     answers: completeness.AnswerSettings = dataclasses.field(
         default_factory=completeness.AnswerSettings
     )
+    call_times: freshness.CallTimes = dataclasses.field(
+        default_factory=freshness.CallTimes
+    )
     is_first_start: bool = False
--- a/laburnumpin/forwarding/synchronization.py
+++ b/laburnumpin/forwarding/synchronization.py
@@ -11,6 +11,7 @@
 
 from laburnumpin import exceptions
 from laburnumpin.forwarding import events
+from laburnumpin.forwarding import freshness
 from laburnumpin.forwarding import interfaces
 from laburnumpin.forwarding import membership
 from laburnumpin.forwarding import part_losses
@@ -26,9 +27,6 @@
 # time, and one call returns all changes that were made during the pause. The
 # relays call the store at different times.
 CHANGES_PAUSE_S = 0.2
-# Longest wait of one call for changes. A hanging connection is detected shortly
-# after this time.
-CHANGES_WAIT_MS = 2_500
 # Pause after a failed call, doubled up to the maximum.
 MIN_RETRY_PAUSE_MS = 100
 MAX_RETRY_PAUSE_MS = 500
@@ -60,6 +58,7 @@
 RESTORED_HOLD_MS = 5_000
 
 Table = interfaces.Table
+FOLLOWED = (Table.OPERATOR, Table.UPSTREAMS)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -84,6 +83,7 @@
     """
 
     __slots__ = (
+        "_changes_wait_ms",
         "_configuration_era",
         "_documents",
         "_entries_read",
@@ -97,6 +97,7 @@
         "_operator_rows",
         "_outage_ended_ms",
         "_positions",
+        "_proved_ms",
         "_relay_lost",
         "_shell",
         "_store",
@@ -112,8 +113,13 @@
         store: interfaces.StoreClient,
         documents: interfaces.Documents,
         on_entries_read: Callable[[], Awaitable[None]] | None = None,
+        changes_wait_ms: int = freshness.CallTimes().changes_wait_ms,
     ) -> None:
         self._shell = shell
+        # Longest wait of one call for changes.
+        self._changes_wait_ms = changes_wait_ms
+        # Time of the last answer of the store, by table.
+        self._proved_ms = dict.fromkeys(FOLLOWED, shell.now_ms())
         self._store = store
         self._documents = documents
         # Awaited each time the list of entries was read.
@@ -186,8 +192,11 @@
                     )
                     has_lost_history = False
                 else:
+                    # While calls fail, none of them waits: the first answer
+                    # has to come soon after the store is back.
+                    wait_ms = 0 if is_failing else self._changes_wait_ms
                     rows = await self._store.changes(
-                        table, after.version, CHANGES_WAIT_MS
+                        table, after.version, wait_ms
                     )
                     self._shell.note_store_era(rows.era)
                     if rows.era != after.era:
@@ -201,6 +210,7 @@
                     if rows.rows and self._shell.state.members.uses_relays():
                         await anyio.sleep(CHANGES_PAUSE_S)
                 after = interfaces.Position(rows.era, rows.version)
+                self._proved_ms[table] = self._shell.now_ms()
                 self._failing_tables.discard(table)
             except interfaces.HistoryLostError:
                 logs.write("store_history_lost", "info", {"table": table.value})
@@ -212,10 +222,15 @@
                 # again: an entry that stopped would serve what it last knew.
                 if not isinstance(error, exceptions.LaburnumpinError):
                     after = None
-                if not is_failing:
-                    self._log_store_lost(table, error)
+                may_be_silent = not is_failing and isinstance(
+                    error, exceptions.PlatformAnswerLostError
+                )
+                self._on_call_failed(table, error, is_first=not is_failing)
                 is_failing = True
-                self._failing_tables.add(table)
+                if may_be_silent:
+                    # Perhaps only its connection is silent. The time that the
+                    # call took is pause enough.
+                    continue
                 await anyio.sleep(self._retry_pause_s(pause_ms))
                 pause_ms = min(pause_ms * 2, MAX_RETRY_PAUSE_MS)
                 continue
@@ -232,6 +247,13 @@
             is_failing = False
             pause_ms = MIN_RETRY_PAUSE_MS
 
+    def _on_call_failed(
+        self, table: interfaces.Table, error: Exception, *, is_first: bool
+    ) -> None:
+        if is_first:
+            self._log_store_lost(table, error)
+        self._failing_tables.add(table)
+
     def _retry_pause_s(self, pause_ms: int) -> float:
         """Return the pause before the next call, longer in large fleets.
 
@@ -838,6 +860,7 @@
                 "code": code,
                 "reason": reason,
                 "version": self._positions[table].version,
+                "age_ms": self._shell.now_ms() - self._proved_ms[table],
             },
         )
 
--- a/laburnumpin/platform/clients.py
+++ b/laburnumpin/platform/clients.py
@@ -12,14 +12,12 @@
 
 from laburnumpin import exceptions
 from laburnumpin.forwarding import connections
+from laburnumpin.forwarding import freshness
 from laburnumpin.forwarding import interfaces
 from laburnumpin.forwarding import settings as forwarding_settings
 from laburnumpin.forwarding import untrusted
 from laburnumpin.platform import wire
 
-# Timeout of one call; the wait of a long poll is added to it.
-CALL_TIMEOUT_MS = 1_200
-CONNECT_TIMEOUT_MS = 500
 MAX_IDLE_CONNECTIONS = 4
 
 DUTY_HOLDER_HEADER = b"X-Laburnumpin-Duty-Holder"
@@ -61,10 +59,14 @@
 class HttpClient:
     """Calls one address with JSON bodies and reuses its connections."""
 
-    __slots__ = ("_address", "_idle")
+    __slots__ = ("_address", "_idle", "_times")
 
-    def __init__(self, address: str) -> None:
+    def __init__(
+        self, address: str, times: freshness.CallTimes | None = None
+    ) -> None:
         self._address = address
+        self._times = times or freshness.CallTimes()
+        # Idle since their last answer, in the order of these.
         self._idle: list[connections.ClientConnection] = []
 
     async def call(
@@ -86,6 +88,7 @@
             PlatformAnswerLostError: No complete response; the call may have
                 taken effect.
         """
+        called_ms = _now_ms()
         connection = await self._acquire_connection()
         body = b"" if document is None else json.dumps(document).encode()
         request_headers: connections.Headers = [
@@ -98,7 +101,8 @@
         response_headers: connections.Headers = []
         is_reusable = False
         try:
-            with anyio.fail_after((CALL_TIMEOUT_MS + wait_ms) / 1_000):
+            timeout_ms = self._times.answer_timeout_ms + wait_ms
+            with anyio.fail_after(timeout_ms / 1_000):
                 await connection.send(
                     method.encode(), target.encode(), request_headers, body
                 )
@@ -114,11 +118,13 @@
             connections.ConnectionLostError,
             connections.ProtocolError,
         ) as error:
+            self._close_idle_since(called_ms)
             raise exceptions.PlatformAnswerLostError(
                 f"{method} {target.partition('?')[0]}: {error!r}"
             ) from error
         finally:
             if is_reusable:
+                connection.idle_since_ms = _now_ms()
                 self._idle.append(connection)
             else:
                 connection.close()
@@ -133,6 +139,20 @@
         while self._idle:
             self._idle.pop().close()
 
+    def _close_idle_since(self, limit_ms: int) -> None:
+        """Close the connections that have had no answer since a time.
+
+        What made a call fail may have silenced them as well, and each would
+        take another timeout.
+        """
+        kept = []
+        for connection in self._idle:
+            if connection.idle_since_ms > limit_ms:
+                kept.append(connection)
+                continue
+            connection.close()
+        self._idle = kept
+
     async def _acquire_connection(self) -> connections.ClientConnection:
         while self._idle:
             idle = self._idle.pop()
@@ -140,7 +160,9 @@
                 return idle
             idle.close()
         try:
-            return await connections.connect(self._address, CONNECT_TIMEOUT_MS)
+            return await connections.connect(
+                self._address, self._times.connect_timeout_ms
+            )
         except connections.ConnectionLostError as error:
             raise exceptions.PlatformUnavailableError(str(error)) from error
 
@@ -366,13 +388,14 @@
         self, settings: forwarding_settings.ForwardingSettings
     ) -> interfaces.StoreClient:
         """Return the client of the store."""
-        return PlatformStore(HttpClient(settings.store_address))
+        http = HttpClient(settings.store_address, settings.call_times)
+        return PlatformStore(http)
 
     def cloud(
         self, settings: forwarding_settings.ForwardingSettings
     ) -> interfaces.CloudClient:
         """Return the client of the cloud API."""
-        http = HttpClient(settings.cloud_address)
+        http = HttpClient(settings.cloud_address, settings.call_times)
         return PlatformCloud(http, settings.name)
 
     def engines(self) -> interfaces.EngineClient:
@@ -380,6 +403,11 @@
         return PlatformEngines()
 
 
+def _now_ms() -> int:
+    """Return the time on the clock of the event loop."""
+    return int(anyio.current_time() * 1_000)
+
+
 def _is_handle(handle: object) -> bool:
     """Return whether a handle can be sent in a header."""
     if isinstance(handle, int) and not isinstance(handle, bool):
--- a/laburnumpin/platform/settings.py
+++ b/laburnumpin/platform/settings.py
@@ -11,6 +11,7 @@
 from laburnumpin.forwarding import backoff
 from laburnumpin.forwarding import budgets
 from laburnumpin.forwarding import completeness
+from laburnumpin.forwarding import freshness
 from laburnumpin.forwarding import part_losses
 from laburnumpin.forwarding import settings as forwarding_settings
 from laburnumpin.forwarding import untrusted
@@ -23,6 +24,11 @@
 # A longer check would hold up the end of each answer without length.
 MAX_END_CHECK_TIMEOUT_S = 2.0
 
+# Shorter times to detect a silent connection can't be kept on a busy VM.
+MIN_CONTACT_MS = 500
+# Rate of the store's reads if the settings have none, in calls a second.
+DEFAULT_READS_PER_S = 2_000
+
 # Maps the platform's names of duties to those of `ForwardingSettings`.
 _DUTY_BY_PLATFORM_NAME = {"usage_report": "usage", "autoscale": "upstreams"}
 
@@ -161,6 +167,7 @@
         withholding=withholding,
         backoff=_read_backoff(reader),
         answers=_read_answers(reader),
+        call_times=_read_call_times(reader),
         is_first_start=document.get("bootstrap") is True,
     )
     if reader.errors:
@@ -231,6 +238,19 @@
     return completeness.AnswerSettings(int(timeout_s * 1_000))
 
 
+def _read_call_times(reader: _Reader) -> freshness.CallTimes:
+    """Return the times of calls that the platform's bounds lead to."""
+    contact_ms = reader.number(
+        "bounds", "contact_ms", default=freshness.DEFAULT_CONTACT_MS
+    )
+    reads_per_s = reader.number(
+        "platform", "reads_per_s", default=DEFAULT_READS_PER_S
+    )
+    return freshness.find_call_times(
+        max(contact_ms, MIN_CONTACT_MS), reads_per_s
+    )
+
+
 def _bound_ms(reader: _Reader, name: str, default: float) -> int:
     """Return a field of the `bounds` table, given in seconds, in ms."""
     return int(reader.number("bounds", name, default=default) * 1_000)
--- a/laburnumpin/soak/promises.py
+++ b/laburnumpin/soak/promises.py
@@ -14,6 +14,8 @@
 LATE_ARRIVAL_WAIT_MS = 1_500
 # Time after a fault in which bounds on delays do not apply.
 FAULT_RECOVERY_MS = 4_000
+# Time after a silence in which entries have to notice it.
+CONTACT_MS = 3_000
 # Time within which entries stop sending to a leaving upstream.
 DRAIN_BOUND_MS = 2_000
 # Time within which a new configuration is in force.
--- a/laburnumpin/soak/proxy.py
+++ b/laburnumpin/soak/proxy.py
@@ -14,12 +14,14 @@
     `delay_ms` delays each chunk. `drop_forward` and `drop_backward` discard the
     bytes of one direction, for the rest of each connection that carries data
     meanwhile. With `silent`, new connections are accepted but not forwarded.
+    `stall_open` silences the open ones for good.
     """
 
     __slots__ = (
         "_listener",
         "_open_streams",
         "_scope",
+        "_stalled_streams",
         "delay_ms",
         "drop_backward",
         "drop_forward",
@@ -34,6 +36,7 @@
         self.drop_backward = False
         self.silent = False
         self._open_streams: set[abc.SocketStream] = set()
+        self._stalled_streams: set[abc.SocketStream] = set()
         self._scope = anyio.CancelScope()
         self._listener: abc.AsyncResource | None = None
 
@@ -57,6 +60,10 @@
         self.delay_ms = 0
         self.drop_forward = self.drop_backward = self.silent = False
 
+    def stall_open(self) -> None:
+        """Forward nothing more over the open connections, nor their ends."""
+        self._stalled_streams |= self._open_streams
+
     async def reset_all(self) -> None:
         """Close all open connections without a graceful shutdown."""
         for stream in list(self._open_streams):
@@ -88,10 +95,12 @@
                     await self._forward_both_directions(stream, target_stream)
                 finally:
                     self._open_streams.discard(target_stream)
+                    self._stalled_streams.discard(target_stream)
         except OSError:
             return  # The target is unreachable; the connection is closed.
         finally:
             self._open_streams.discard(stream)
+            self._stalled_streams.discard(stream)
             with anyio.CancelScope(shield=True):
                 await anyio.aclose_forcefully(stream)
 
@@ -125,7 +134,7 @@
                 is_dropping = is_dropping or (
                     self.drop_backward if backward else self.drop_forward
                 )
-                if not is_dropping:
+                if not is_dropping and source not in self._stalled_streams:
                     await sink.send(data)
         except (
             anyio.EndOfStream,
--- a/laburnumpin/soak/run.py
+++ b/laburnumpin/soak/run.py
@@ -89,6 +89,8 @@
 # Offsets by which a `clock_step` moves the wall clock, ms.
 CLOCK_OFFSETS_MS = (-6_000, -2_000, 2_000, 6_000)
 
+# Share of the soaks in which all open connections to the store go silent.
+STALLED_STORE_SOAK_SHARE = 0.5
 # Signals to entries that drain, and the chance of one each 20 ms.
 DRAIN_SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
 DRAIN_SIGNAL_SHARE = 0.02
@@ -173,6 +175,7 @@
         self._backoff_random = random.Random(f"{seed}/backoff")
         self._odd_row_random = random.Random(f"{seed}/odd-rows")
         self._signal_random = random.Random(f"{seed}/signals")
+        self._stall_random = random.Random(f"{seed}/stall")
         self._seed = seed
         self._entry_count = entries
         self._directory = directory
@@ -324,6 +327,8 @@
             task_group.start_soon(self._send_open_ended_answers)
         if not self._injects_faults:
             return
+        if self._stall_random.random() < STALLED_STORE_SOAK_SHARE:
+            task_group.start_soon(self._stall_store_connections)
         for _ in range(2):
             task_group.start_soon(self._inject_faults, task_group)
 
@@ -445,6 +450,19 @@
             runner.busy_until_ms = self._clock.now_ms() + int(busy_s * 1_000)
             await anyio.sleep(busy_s)
 
+    async def _stall_store_connections(self) -> None:
+        """Silence all open connections to the store now and then."""
+        while True:
+            await anyio.sleep(self._stall_random.uniform(1.0, 6.0))
+            now_ms = self._clock.now_ms()
+            for store_proxy in self._store_proxies:
+                store_proxy.stall_open()
+            self._history.fault_spans.append(
+                promises.FaultSpan("store_stalled", now_ms, now_ms, False)
+            )
+            # The next silence counts only after entries had to notice this one.
+            await anyio.sleep(promises.CONTACT_MS / 1_000)
+
     async def _send_open_ended_answers(self) -> None:
         """Let one runner after the other send answers without length."""
         rng = self._open_ended_random
--- a/laburnumpin/tests/test_forwarding_synchronization.py
+++ b/laburnumpin/tests/test_forwarding_synchronization.py
@@ -11,6 +11,7 @@
 from laburnumpin import clock
 from laburnumpin import exceptions
 from laburnumpin.forwarding import deployment
+from laburnumpin.forwarding import freshness
 from laburnumpin.forwarding import interfaces
 from laburnumpin.forwarding import pool
 from laburnumpin.forwarding import shell as shells
@@ -54,6 +55,8 @@
         self.changed: list[interfaces.Rows | exceptions.LaburnumpinError] = []
         self.failing_entry_reads = 0
         self.read_tables: list[interfaces.Table] = []
+        # The waits of the calls for changes.
+        self.waits_ms: list[int] = []
 
     async def read(self, table: interfaces.Table) -> interfaces.Rows:
         self.read_tables.append(table)
@@ -67,6 +70,7 @@
     async def changes(
         self, table: interfaces.Table, after: int, wait_ms: int
     ) -> interfaces.Rows:
+        self.waits_ms.append(wait_ms)
         if not self.changed:
             await anyio.sleep_forever()
         answer = self.changed.pop(0)
@@ -90,7 +94,10 @@
     return interfaces.Row(key, value, version)
 
 
-async def _synchronize(store: _Store) -> synchronization.Synchronizer:
+async def _synchronize(
+    store: _Store,
+    kind: type[synchronization.Synchronizer] = synchronization.Synchronizer,
+) -> synchronization.Synchronizer:
     """Return a synchronizer that has read all scripted answers."""
     async with anyio.create_task_group() as task_group:
         boot_clock = clock.BootClock()
@@ -102,7 +109,7 @@
             boot_clock,
             cast(interfaces.EngineClient, None),
         )
-        synchronizer = synchronization.Synchronizer(shell, store, _Documents())
+        synchronizer = kind(shell, store, _Documents())
         task_group.start_soon(synchronizer.watch_table, UPSTREAMS)
         task_group.start_soon(
             synchronizer.register_and_poll_entries, build.contact("entry-1")
@@ -199,3 +206,24 @@
     anyio.run(_synchronize, store)
     entries = interfaces.Table.ENTRIES
     assert store.read_tables == [entries, entries, entries, UPSTREAMS]
+
+
+# After a silence of the store the next call came after a pause, and waited for
+# changes as long as the one before.
+def test_call_after_a_silence_follows_at_once_without_a_wait() -> None:
+    store = _Store()
+    store.listed = interfaces.Rows((_row("u1", 5),), 5)
+    lost = exceptions.PlatformAnswerLostError("silent")
+    store.changed = [lost, lost, interfaces.Rows((_row("u2", 6),), 6)]
+    pauses_s: list[float] = []
+
+    class Synchronizer(synchronization.Synchronizer):
+        def _retry_pause_s(self, pause_ms: int) -> float:
+            pauses_s.append(pause_ms / 1_000)
+            return 0.0
+
+    synchronizer = anyio.run(_synchronize, store, Synchronizer)
+    assert _upstream_keys(synchronizer) == {"u1", "u2"}
+    whole_ms = freshness.CallTimes().changes_wait_ms
+    assert store.waits_ms == [whole_ms, 0, 0, whole_ms]
+    assert len(pauses_s) == 1  # Only before the third call.
