Bound what all connections of an entry keep together

Other operators saw a faulty upstream send bytes that are no answer without end, until the process that had called it ran out of memory and the requests of others ended with it.

Here each reader had a limit, so that one connection could not do that. Many could: 1 MB for each failure and each unfinished event, 256 KB on each idle connection, 64 MB for each call to the store, the cloud API or an engine, and the bodies of all callers. One connection with tiny chunks took the processor for as long as 256 KB take to parse.

The requests of an entry now share a budget for bodies, answers and unfinished events, beyond 64 KB for each. A body without room gets 503 with Retry-After before any upstream has the request. Calls to the platform have limits near what they return, bytes on an idle connection end it, a connection returns the processor each 16 KB, small chunks are paced, and an event that grows is searched once.

The soak's runners send without end, and it checks the entries' memory.

--- a/laburnumpin/forwarding/attempts.py
+++ b/laburnumpin/forwarding/attempts.py
@@ -8,6 +8,7 @@
 from laburnumpin import exceptions
 from laburnumpin import verdict as verdicts
 from laburnumpin.forwarding import answers
+from laburnumpin.forwarding import buffers
 from laburnumpin.forwarding import completeness
 from laburnumpin.forwarding import connections
 from laburnumpin.forwarding import effects
@@ -81,6 +82,7 @@
     """
 
     __slots__ = (
+        "_account",
         "_body",
         "_is_repeat",
         "_move_done",
@@ -103,10 +105,13 @@
         body: bytes,
         send_effect: effects.Send,
         relay: answers.AnswerRelay,
+        account: buffers.Account,
         *,
         is_repeat: bool,
     ) -> None:
         self._shell = shell
+        # What is kept of the answer.
+        self._account = account
         self._is_repeat = is_repeat
         self._request = request
         self._request_head = request_head
@@ -292,7 +297,13 @@
             raise AttemptError(
                 events.Ending.MALFORMED, MAY_HAVE_RUN, str(error)
             ) from error
+        except buffers.BudgetExceededError as error:
+            self._log_no_room(str(error))
+            raise AttemptError(
+                events.Ending.NO_ROOM, MAY_HAVE_RUN, str(error)
+            ) from error
         finally:
+            self._account.hold("answer", 0)
             stall.stop()
         if stall.scope.cancelled_caught:
             raise AttemptError(
@@ -301,6 +312,27 @@
                 "timed out waiting for the upstream",
             )
 
+    def _log_no_room(self, reason: str) -> None:
+        self._shell.state.counters.increment("buffers_full", "answer")
+        logs.write(
+            "buffers_full",
+            "warning",
+            {
+                "request_id": self._request.request_id,
+                "upstream": self._send_effect.registration.upstream_id,
+                "part": "answer",
+                "reason": reason,
+            },
+        )
+
+    def _has_room(self, answer_bytes: int) -> bool:
+        """Return whether so much of the answer can be kept, and hold it."""
+        try:
+            self._account.hold("answer", answer_bytes)
+        except buffers.BudgetExceededError:
+            return False
+        return True
+
     def _resend_delay_ms(self) -> float | None:
         return lifecycle.resend_delay_ms(
             self._shell.state, self._request.request_id, self._shell.now_ms()
@@ -366,7 +398,7 @@
         )
         if kind is interfaces.AnswerKind.NOT_RUN:
             # A connection can be used again after the whole answer.
-            await _read_failure_body(connection)
+            await _read_failure_body(connection, self._account)
             raise AttemptError(
                 events.Ending.REJECTED, NOT_RUN, f"rejected with {status}"
             )
@@ -385,8 +417,10 @@
         if kind is interfaces.AnswerKind.FAILURE:
             self._relay.mark_running()
             stall.stop()
-            body = await _read_failure_body(connection)
+            body = await _read_failure_body(connection, self._account)
             if body is not None:
+                self._account.hold("answer", 0)
+                self._account.hold("failure", len(body))
                 self._relay.failure = answers.Answer(
                     status,
                     self._with_length(caller_headers, len(body)),
@@ -430,7 +464,8 @@
                 await relay.write(chunk)
                 continue
             body += chunk
-            if chunk and len(body) <= MAX_BUFFERED_ANSWER_BYTES:
+            is_short = len(body) <= MAX_BUFFERED_ANSWER_BYTES
+            if chunk and is_short and self._has_room(len(body)):
                 continue
             if chunk:
                 relay.mark_running()
@@ -474,7 +509,8 @@
             if not chunk:
                 break
             complete = splitter.feed(chunk)
-            if len(splitter.incomplete_event) > MAX_EVENT_BYTES:
+            self._account.hold("answer", splitter.incomplete_bytes)
+            if splitter.incomplete_bytes > MAX_EVENT_BYTES:
                 raise AttemptError(
                     events.Ending.MALFORMED,
                     MAY_HAVE_RUN,
@@ -600,15 +636,19 @@
 
 
 async def _read_failure_body(
-    connection: connections.ClientConnection,
+    connection: connections.ClientConnection, account: buffers.Account
 ) -> bytes | None:
     """Return the body of a failure, None if it is too long or incomplete.
 
     The head alone states what became of the request.
     """
     try:
-        return await connection.body(MAX_FAILURE_BYTES)
-    except (connections.ProtocolError, connections.ConnectionLostError):
+        return await connection.body(MAX_FAILURE_BYTES, account)
+    except (
+        connections.ProtocolError,
+        connections.ConnectionLostError,
+        buffers.BudgetExceededError,
+    ):
         return None
 
 
--- a/laburnumpin/forwarding/byte_stream.py
+++ b/laburnumpin/forwarding/byte_stream.py
@@ -20,7 +20,11 @@
 
 # Reading pauses while this many bytes are buffered, so that flow control stops
 # the peer.
-READ_AHEAD_BYTES = 262_144
+READ_AHEAD_BYTES = 65_536
+# `receive` returns at most so many bytes, and other tasks run before the next
+# ones that are buffered: a peer that never stops sending must not take the
+# processor from the others.
+MAX_RECEIVE_BYTES = 16_384
 # Time that sent bytes may stay unacknowledged before the kernel closes the
 # connection.
 TCP_USER_TIMEOUT_MS = 2_500
@@ -47,6 +51,7 @@
 
     __slots__ = (
         "_buffer",
+        "_is_idle",
         "_loop",
         "_on_open",
         "_reader",
@@ -66,6 +71,7 @@
         self._on_open = on_open
         self._transport: asyncio.Transport | None = None
         self._buffer = bytearray()
+        self._is_idle = False
         self._reading_paused = False
         self._writing_paused = False
         # What `receive` and `send` wait for.
@@ -93,6 +99,9 @@
 
     def data_received(self, data: bytes) -> None:
         """Buffer bytes; called by the event loop."""
+        if self._is_idle:
+            self.abort()
+            return
         self._buffer += data
         if len(self._buffer) >= READ_AHEAD_BYTES and self._transport:
             self._reading_paused = True
@@ -164,13 +173,20 @@
             if self.ended:
                 return b""
             await self._wait_for_data(timeout_ms)
-        data = bytes(self._buffer)
-        self._buffer.clear()
+        data = bytes(self._buffer[:MAX_RECEIVE_BYTES])
+        del self._buffer[:MAX_RECEIVE_BYTES]
+        if self._buffer:
+            await asyncio.sleep(0)
+            return data
         if self._reading_paused and self._transport is not None:
             self._reading_paused = False
             self._transport.resume_reading()
         return data
 
+    def set_idle(self, is_idle: bool) -> None:
+        """Set whether received bytes end the connection, instead of waiting."""
+        self._is_idle = is_idle
+
     async def send(self, data: bytes) -> None:
         """Write bytes, and wait until the kernel has taken them.
 
--- a/laburnumpin/forwarding/caller.py
+++ b/laburnumpin/forwarding/caller.py
@@ -5,6 +5,7 @@
 import anyio
 import h11
 
+from laburnumpin.forwarding import buffers
 from laburnumpin.forwarding import byte_stream
 from laburnumpin.forwarding import connections
 
@@ -20,12 +21,16 @@
 class CallerInputError(Exception):
     """The request is malformed, too long or late.
 
-    `status` is the HTTP status to answer with before closing the connection.
+    `status` is the HTTP status to answer with before closing the connection,
+    and `retry_after_ms` when to send the request again, None for never.
     """
 
-    def __init__(self, status: int, message: str) -> None:
+    def __init__(
+        self, status: int, message: str, retry_after_ms: int | None = None
+    ) -> None:
         super().__init__(message)
         self.status = status
+        self.retry_after_ms = retry_after_ms
 
 
 class Caller:
@@ -78,9 +83,16 @@
                 ) from None
             self._feed_parser(data)
 
-    async def read_body(self, max_bytes: int, timeout_ms: int) -> bytes:
+    async def read_body(
+        self,
+        max_bytes: int,
+        timeout_ms: int,
+        account: buffers.Account | None = None,
+    ) -> bytes:
         """Return the whole body of the current request.
 
+        What is kept of it is held in `account` as `body`.
+
         Raises:
             CallerInputError: The body is malformed, too long or late.
             CallerDisconnectedError: The connection ended inside the body.
@@ -98,6 +110,7 @@
                         raise CallerInputError(
                             413, "the request body is too long"
                         )
+                    _hold_body(account, len(body))
                     continue
                 if isinstance(event, h11.EndOfMessage):
                     return bytes(body)
@@ -217,3 +230,14 @@
         raise CallerDisconnectedError(
             "write timed out: the caller does not read the response"
         )
+
+
+def _hold_body(account: buffers.Account | None, size_bytes: int) -> None:
+    if account is None:
+        return
+    try:
+        account.hold("body", size_bytes)
+    except buffers.BudgetExceededError as error:
+        raise CallerInputError(
+            503, str(error), buffers.RETRY_AFTER_MS
+        ) from error
--- a/laburnumpin/forwarding/connections.py
+++ b/laburnumpin/forwarding/connections.py
@@ -5,14 +5,20 @@
 import anyio
 import h11
 
+from laburnumpin.forwarding import buffers
 from laburnumpin.forwarding import byte_stream
 
-# Longest body that `ClientConnection.body` reads, and the longest one that it
-# skips.
-MAX_BODY_BYTES = 67_108_864
+# Longest body of an answer to an earlier request that is skipped.
 MAX_SKIPPED_BODY_BYTES = 1_048_576
 # Interim responses (1xx) before a final one.
 MAX_INFORMATIONAL_RESPONSES = 16
+# Parsing a chunk takes the same time whatever its length. Of bodies in chunks
+# below this length, so many are read at once, and then so many a second.
+MIN_CHUNK_BYTES = 16
+SMALL_CHUNKS_AT_ONCE = 2_000
+SMALL_CHUNKS_PER_S = 500
+# Small chunks between two pauses.
+PACED_CHUNKS = 50
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -35,6 +41,7 @@
     __slots__ = (
         "_h11",
         "_last_request",
+        "_small_chunks",
         "_stream",
         "idle_since_ms",
         "keep_alive_ms",
@@ -45,6 +52,8 @@
         self._stream = stream
         self._h11 = h11.Connection(h11.CLIENT)
         self._last_request: tuple[bytes, bytes, Headers] | None = None
+        # Small chunks of the current response.
+        self._small_chunks = 0
         self.idle_since_ms = 0
         self.keep_alive_ms: int | None = None
         self.requests_sent = 0
@@ -72,6 +81,7 @@
                 was sent.
         """
         self.requests_sent += 1
+        self._small_chunks = 0
         self._last_request = (method, target, headers)
         data = self._h11.send(
             h11.Request(method=method, target=target, headers=headers)
@@ -112,19 +122,38 @@
             event = await self._next_event()
             if isinstance(event, h11.Data):
                 if event.data:
+                    await self._pace(len(event.data))
                     return bytes(event.data)
                 continue
             if isinstance(event, h11.EndOfMessage):
                 return b""
             raise ConnectionLostError("the connection was closed")
 
-    async def body(self, max_bytes: int = MAX_BODY_BYTES) -> bytes:
+    async def _pace(self, chunk_bytes: int) -> None:
+        """Wait if the peer sends many small chunks.
+
+        Otherwise one connection could take most of the processor time.
+        """
+        if chunk_bytes >= MIN_CHUNK_BYTES:
+            return
+        self._small_chunks += 1
+        if self._small_chunks <= SMALL_CHUNKS_AT_ONCE:
+            return
+        if self._small_chunks % PACED_CHUNKS == 0:
+            await anyio.sleep(PACED_CHUNKS / SMALL_CHUNKS_PER_S)
+
+    async def body(
+        self, max_bytes: int, account: buffers.Account | None = None
+    ) -> bytes:
         """Return the rest of the body.
 
+        What is kept of it is held in `account` as `answer`.
+
         Raises:
             ConnectionLostError: The connection ended inside the body.
             ProtocolError: The peer did not send a valid response, or a body
                 that is too long.
+            BudgetExceededError: There is no room for the body.
         """
         read = bytearray()
         while True:
@@ -134,6 +163,8 @@
             read += chunk
             if len(read) > max_bytes:
                 raise ProtocolError("the body is too long")
+            if account is not None:
+                account.hold("answer", len(read))
 
     async def skip_response(self) -> None:
         """Discard a response that belongs to an earlier request.
@@ -145,7 +176,11 @@
             ConnectionLostError: The connection ended with that response.
             ProtocolError: The peer did not send a valid response.
         """
-        await self.body(MAX_SKIPPED_BODY_BYTES)
+        skipped_bytes = 0
+        while chunk := await self.chunk():
+            skipped_bytes += len(chunk)
+            if skipped_bytes > MAX_SKIPPED_BODY_BYTES:
+                raise ProtocolError("the body is too long")
         assert self._last_request is not None
         unparsed = bytes(self._h11.trailing_data[0])
         if self._h11.their_state is h11.MUST_CLOSE:
@@ -162,6 +197,10 @@
         if unparsed:
             self._h11.receive_data(unparsed)
 
+    def set_idle(self, is_idle: bool) -> None:
+        """Set whether no response is due, so that any bytes end the use."""
+        self._stream.set_idle(is_idle)
+
     def finish(self) -> bool:
         """Reset for the next request; return False if none can follow."""
         if self._h11.trailing_data[0] or self._stream.has_bytes:
--- a/laburnumpin/forwarding/daemon.py
+++ b/laburnumpin/forwarding/daemon.py
@@ -10,6 +10,7 @@
 
 from laburnumpin import clock
 from laburnumpin import signals
+from laburnumpin.forwarding import buffers
 from laburnumpin.forwarding import duties
 from laburnumpin.forwarding import frontend
 from laburnumpin.forwarding import interfaces
@@ -70,6 +71,7 @@
         shell = shells.Shell(
             state, wire, upstream_pool, runner, boot_clock, engines
         )
+        shell.buffers = buffers.Budget(settings.buffers)
         shell.end_check_timeout_ms = settings.answers.end_check_timeout_ms
         store = clients.store(settings)
         cloud = clients.cloud(settings)
--- a/laburnumpin/forwarding/event_stream.py
+++ b/laburnumpin/forwarding/event_stream.py
@@ -5,6 +5,7 @@
 import re
 
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
+_MAX_END_BYTES = 4
 # A line that is neither blank nor a comment.
 _FIELD_LINE = re.compile(rb"(?m)^[^:\r\n]")
 # A longer id is none: it could not be compared or sent on.
@@ -17,25 +18,33 @@
     __slots__ = ("_incomplete",)
 
     def __init__(self) -> None:
-        self._incomplete = b""
+        self._incomplete = bytearray()
 
     @property
     def incomplete_event(self) -> bytes:
         """Return the buffered bytes of an incomplete event."""
-        return self._incomplete
+        return bytes(self._incomplete)
+
+    @property
+    def incomplete_bytes(self) -> int:
+        """Return the number of buffered bytes."""
+        return len(self._incomplete)
 
     def feed(self, data: bytes) -> list[bytes]:
         """Add bytes and return the events that they complete.
 
         Each event includes its terminating blank line.
         """
+        # What was searched before has no end of an event but, perhaps, the
+        # beginning of one.
+        searched = max(0, len(self._incomplete) - _MAX_END_BYTES)
         self._incomplete += data
         events = []
         start = 0
-        for match in _EVENT_END.finditer(self._incomplete):
-            events.append(self._incomplete[start : match.end()])
+        for match in _EVENT_END.finditer(self._incomplete, searched):
+            events.append(bytes(self._incomplete[start : match.end()]))
             start = match.end()
-        self._incomplete = self._incomplete[start:]
+        del self._incomplete[:start]
         return events
 
 
--- a/laburnumpin/forwarding/events.py
+++ b/laburnumpin/forwarding/events.py
@@ -25,6 +25,7 @@
     upstream would have been faster, `ERROR_STATUS` an error answer, and
     `WITHDRAWN` an attempt that was not made, since meanwhile its upstream said
     that it leaves or asked for a back-off, or the request was withheld.
+    `NO_ROOM` is an answer that this entry could not keep any more of.
     """
 
     UNREACHABLE = "unreachable"
@@ -36,6 +37,7 @@
     ERROR_STATUS = "error_status"
     DEADLINE = "deadline"
     WITHDRAWN = "withdrawn"
+    NO_ROOM = "no_room"
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/laburnumpin/forwarding/frames.py
+++ b/laburnumpin/forwarding/frames.py
@@ -65,8 +65,10 @@
         except (byte_stream.StreamClosedError, TimeoutError) as error:
             raise FrameError(repr(error)) from error
 
-    async def read(self, timeout_s: float) -> dict[str, Any]:
-        """Return the next message.
+    async def read(
+        self, timeout_s: float, max_bytes: int = MAX_MESSAGE_BYTES
+    ) -> dict[str, Any]:
+        """Return the next message, which has at most `max_bytes`.
 
         Raises:
             FrameError: The connection failed, the read timed out, or the
@@ -76,7 +78,7 @@
         try:
             prefix = await self._read_exactly(_LENGTH_PREFIX_BYTES, deadline_s)
             length = int.from_bytes(prefix, "big")
-            if length > MAX_MESSAGE_BYTES:
+            if length > max_bytes:
                 raise FrameError("message exceeds the maximum length")
             data = await self._read_exactly(length, deadline_s)
             return untrusted.parse_cbor(data, MAX_MESSAGE_BYTES)
--- a/laburnumpin/forwarding/frontend.py
+++ b/laburnumpin/forwarding/frontend.py
@@ -8,6 +8,7 @@
 from laburnumpin import exceptions
 from laburnumpin.forwarding import answers
 from laburnumpin.forwarding import attempts
+from laburnumpin.forwarding import buffers
 from laburnumpin.forwarding import byte_stream
 from laburnumpin.forwarding import caller as callers
 from laburnumpin.forwarding import completeness
@@ -83,32 +84,68 @@
 
     async def _serve_requests(self, caller: callers.Caller) -> None:
         while True:
-            limits = self._limits()
+            account = buffers.Account(self._shell.buffers)
             try:
-                head = await caller.read_head(
-                    limits.idle_timeout_ms, limits.header_timeout_ms
-                )
-                if head is None:
+                if not await self._serve_request(caller, account):
                     return
-                received_ms = self._shell.now_ms()
-                body = await caller.read_body(
-                    limits.max_body_bytes, limits.idle_timeout_ms
-                )
-            except callers.CallerInputError as error:
-                await self._answer_input_error(caller, error)
-                return
-            except callers.CallerDisconnectedError:
-                return
-            exchange = _Exchange(self._shell, caller, head, received_ms, body)
-            self.active += 1
-            self._exchanges.add(exchange)
-            try:
-                keep_alive = await exchange.run()
             finally:
-                self._exchanges.discard(exchange)
-                self.active -= 1
-            if not keep_alive or not caller.prepare_next_request():
-                return
+                account.close()
+
+    async def _serve_request(
+        self, caller: callers.Caller, account: buffers.Account
+    ) -> bool:
+        """Serve the next request; return whether another one may follow."""
+        limits = self._limits()
+        head: h11.Request | None = None
+        try:
+            head = await caller.read_head(
+                limits.idle_timeout_ms, limits.header_timeout_ms
+            )
+            if head is None:
+                return False
+            received_ms = self._shell.now_ms()
+            body = await caller.read_body(
+                limits.max_body_bytes, limits.idle_timeout_ms, account
+            )
+        except callers.CallerInputError as error:
+            if error.retry_after_ms is not None:
+                self._log_body_without_room(head, error)
+            await self._answer_input_error(caller, error)
+            return False
+        except callers.CallerDisconnectedError:
+            return False
+        exchange = _Exchange(
+            self._shell, caller, head, received_ms, body, account
+        )
+        self.active += 1
+        self._exchanges.add(exchange)
+        try:
+            keep_alive = await exchange.run()
+        finally:
+            self._exchanges.discard(exchange)
+            self.active -= 1
+        return keep_alive and caller.prepare_next_request()
+
+    def _log_body_without_room(
+        self, head: h11.Request | None, error: callers.CallerInputError
+    ) -> None:
+        assert head is not None
+        self._shell.state.counters.increment("buffers_full", "body")
+        try:
+            fields = self._shell.wire.decode(_caller_head(head, 0))
+            request_id = fields.request_id
+        except exceptions.DocumentError:
+            request_id = ""  # The head names none.
+        logs.write(
+            "buffers_full",
+            "warning",
+            {
+                "request_id": request_id,
+                "upstream": None,
+                "part": "body",
+                "reason": str(error),
+            },
+        )
 
     async def _answer_input_error(
         self, caller: callers.Caller, error: callers.CallerInputError
@@ -122,6 +159,9 @@
             {"status": error.status, "reason": str(error)},
         )
         headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
+        if error.retry_after_ms is not None:
+            seconds = f"{error.retry_after_ms / 1_000:.3f}"
+            headers.append((b"Retry-After", seconds.encode()))
         try:
             await caller.answer(error.status, headers, b"")
         except (callers.CallerDisconnectedError, h11.LocalProtocolError):
@@ -132,6 +172,7 @@
     """One request on a caller's connection, and its response."""
 
     __slots__ = (
+        "_account",
         "_body",
         "_caller",
         "_delivered",
@@ -153,15 +194,12 @@
         head: h11.Request,
         received_ms: int,
         body: bytes,
+        account: buffers.Account,
     ) -> None:
         self._shell = shell
         self._caller = caller
-        self._request_head = interfaces.CallerHead(
-            bytes(head.method),
-            bytes(head.target),
-            list(head.headers.raw_items()),
-            received_ms,
-        )
+        self._account = account
+        self._request_head = _caller_head(head, received_ms)
         self._body = body
         self._request: requests.Request | None = None
         self._first_event_ms = 0
@@ -310,6 +348,7 @@
                 self._body,
                 effect,
                 relay,
+                self._account,
                 is_repeat=effect.upstream_id in tried_upstreams,
             )
             tried_upstreams.add(effect.upstream_id)
@@ -513,6 +552,15 @@
         )
 
 
+def _caller_head(head: h11.Request, received_ms: int) -> interfaces.CallerHead:
+    return interfaces.CallerHead(
+        bytes(head.method),
+        bytes(head.target),
+        list(head.headers.raw_items()),
+        received_ms,
+    )
+
+
 def _rejection(request_id: str, reason: effects.Reason) -> effects.Reject:
     retry_after_ms = None
     if reason is effects.Reason.NOT_READY:
--- a/laburnumpin/forwarding/lifecycle.py
+++ b/laburnumpin/forwarding/lifecycle.py
@@ -454,7 +454,7 @@
     match event.ending:
         case events.Ending.REJECTED:
             upstream.record_full(event.now_ms)  # Full, but healthy.
-        case events.Ending.WITHDRAWN:
+        case events.Ending.WITHDRAWN | events.Ending.NO_ROOM:
             return
         case events.Ending.DEADLINE if event.answer_started:
             return
--- a/laburnumpin/forwarding/peer_link.py
+++ b/laburnumpin/forwarding/peer_link.py
@@ -36,6 +36,8 @@
 # Highest sum of logarithms of observed to predicted times in a digest.
 MAX_LOG_RATIO = 1e6
 FETCH_TIMEOUT_S = 1.5
+# Longest first message of a connection.
+MAX_HELLO_BYTES = 4_096
 LISTEN_BACKLOG = 256
 
 
@@ -128,7 +130,7 @@
     async def _serve_connection(self, stream: byte_stream.ByteStream) -> None:
         frame_stream = frames.FrameStream(stream)
         try:
-            hello = await frame_stream.read(FETCH_TIMEOUT_S)
+            hello = await frame_stream.read(FETCH_TIMEOUT_S, MAX_HELLO_BYTES)
             if hello.get("kind") == "link":
                 await self._relay_links.accept(frame_stream, hello)
                 return
--- a/laburnumpin/forwarding/pool.py
+++ b/laburnumpin/forwarding/pool.py
@@ -69,6 +69,7 @@
             idle_ms = now_ms - connection.idle_since_ms
             if connection.is_reusable() and idle_ms <= limit_ms:
                 self.reused += 1
+                connection.set_idle(False)
                 return connection
             connection.close()
         self.opened += 1
@@ -93,6 +94,7 @@
             connection.close()
             return
         connection.idle_since_ms = self._boot_clock.now_ms()
+        connection.set_idle(True)
         idle.append(connection)
 
     def close_idle_since(
--- a/laburnumpin/forwarding/settings.py
+++ b/laburnumpin/forwarding/settings.py
@@ -6,6 +6,7 @@
 
 from laburnumpin.forwarding import backoff
 from laburnumpin.forwarding import budgets
+from laburnumpin.forwarding import buffers
 from laburnumpin.forwarding import completeness
 from laburnumpin.forwarding import freshness
 from laburnumpin.forwarding import part_losses
@@ -24,8 +25,9 @@
     `usage_late_ms` of its end. `link_mbps` is the bandwidth of the entry's
     network link. `withholding` is for prompts that end engines, `backoff` for
     upstreams that ask for a back-off, and `answers` for the ends of upstreams'
-    answers. `call_times` are those of calls to the platform. `is_first_start`
-    is whether the whole system starts for the first time.
+    answers. `call_times` are those of calls to the platform, and `buffers`
+    is for the bytes of requests and answers. `is_first_start` is whether the
+    whole system starts for the first time.
     """
 
     name: str
@@ -56,4 +58,7 @@
     call_times: freshness.CallTimes = dataclasses.field(
         default_factory=freshness.CallTimes
     )
+    buffers: buffers.BufferSettings = dataclasses.field(
+        default_factory=buffers.BufferSettings
+    )
     is_first_start: bool = False
--- a/laburnumpin/forwarding/shell.py
+++ b/laburnumpin/forwarding/shell.py
@@ -8,6 +8,7 @@
 import anyio
 
 from laburnumpin import clock
+from laburnumpin.forwarding import buffers
 from laburnumpin.forwarding import connections
 from laburnumpin.forwarding import deployment
 from laburnumpin.forwarding import effects
@@ -35,6 +36,7 @@
     """
 
     __slots__ = (
+        "buffers",
         "clock",
         "end_check_timeout_ms",
         "engines",
@@ -64,6 +66,8 @@
         self.tasks = runner
         self.clock = boot_clock
         self.engines = engines
+        # What all requests together keep of what others send.
+        self.buffers = buffers.Budget()
         # Longest time for which the end of an answer without length waits for
         # a check of its upstream.
         self.end_check_timeout_ms = CHECK_TIMEOUT_MS
--- a/laburnumpin/platform/clients.py
+++ b/laburnumpin/platform/clients.py
@@ -25,8 +25,10 @@
 # Rises when the store has been restored from an older copy.
 STORE_ERA_HEADER = b"store-era"
 MAX_ERA_DIGITS = 9
-# Longest answer that is read.
-MAX_ANSWER_BYTES = 67_108_864
+# Longest answer that is read: of the store, whose changes of a whole table may
+# come in one answer, and of the cloud API and of engines.
+MAX_STORE_ANSWER_BYTES = 16_777_216
+MAX_ANSWER_BYTES = 262_144
 
 # The platform defines the first two tables; the entries own the others.
 _TABLE_NAMES = {
@@ -50,7 +52,9 @@
     def document(self) -> dict[str, Any]:
         """Return the JSON object of the body, empty if it is none."""
         try:
-            return untrusted.parse_json(self.body or b"{}", MAX_ANSWER_BYTES)
+            return untrusted.parse_json(
+                self.body or b"{}", MAX_STORE_ANSWER_BYTES
+            )
         except untrusted.MalformedError:
             # Error responses may have another body; callers check the status.
             return {}
@@ -59,12 +63,16 @@
 class HttpClient:
     """Calls one address with JSON bodies and reuses its connections."""
 
-    __slots__ = ("_address", "_idle", "_times")
+    __slots__ = ("_address", "_idle", "_max_answer_bytes", "_times")
 
     def __init__(
-        self, address: str, times: freshness.CallTimes | None = None
+        self,
+        address: str,
+        times: freshness.CallTimes | None = None,
+        max_answer_bytes: int = MAX_ANSWER_BYTES,
     ) -> None:
         self._address = address
+        self._max_answer_bytes = max_answer_bytes
         self._times = times or freshness.CallTimes()
         # Idle since their last answer, in the order of these.
         self._idle: list[connections.ClientConnection] = []
@@ -109,7 +117,7 @@
                 head = await connection.head()
                 status = head.status_code
                 response_headers = list(head.headers)
-                response_body = await connection.body()
+                response_body = await connection.body(self._max_answer_bytes)
             is_reusable = (
                 connection.finish() and len(self._idle) < MAX_IDLE_CONNECTIONS
             )
@@ -125,6 +133,7 @@
         finally:
             if is_reusable:
                 connection.idle_since_ms = _now_ms()
+                connection.set_idle(True)
                 self._idle.append(connection)
             else:
                 connection.close()
@@ -157,6 +166,7 @@
         while self._idle:
             idle = self._idle.pop()
             if idle.is_reusable():
+                idle.set_idle(False)
                 return idle
             idle.close()
         try:
@@ -388,7 +398,9 @@
         self, settings: forwarding_settings.ForwardingSettings
     ) -> interfaces.StoreClient:
         """Return the client of the store."""
-        http = HttpClient(settings.store_address, settings.call_times)
+        http = HttpClient(
+            settings.store_address, settings.call_times, MAX_STORE_ANSWER_BYTES
+        )
         return PlatformStore(http)
 
     def cloud(
--- a/laburnumpin/platform/settings.py
+++ b/laburnumpin/platform/settings.py
@@ -10,6 +10,7 @@
 from laburnumpin import exceptions
 from laburnumpin.forwarding import backoff
 from laburnumpin.forwarding import budgets
+from laburnumpin.forwarding import buffers
 from laburnumpin.forwarding import completeness
 from laburnumpin.forwarding import freshness
 from laburnumpin.forwarding import part_losses
@@ -26,6 +27,10 @@
 
 # Shorter times to detect a silent connection can't be kept on a busy VM.
 MIN_CONTACT_MS = 500
+# Share of the VM's memory for the bytes that requests and answers keep, which
+# are twice as many while they are copied.
+BUFFER_MEMORY_SHARE = 1 / 3
+BYTES_PER_MB = 1_000_000
 # Rate of the store's reads if the settings have none, in calls a second.
 DEFAULT_READS_PER_S = 2_000
 
@@ -168,6 +173,7 @@
         backoff=_read_backoff(reader),
         answers=_read_answers(reader),
         call_times=_read_call_times(reader),
+        buffers=_read_buffers(reader),
         is_first_start=document.get("bootstrap") is True,
     )
     if reader.errors:
@@ -238,6 +244,21 @@
     return completeness.AnswerSettings(int(timeout_s * 1_000))
 
 
+def _read_buffers(reader: _Reader) -> buffers.BufferSettings:
+    """Return the optional `buffers` table, which is the project's own.
+
+    Without it, the memory that the platform names decides.
+    """
+    default_mb = buffers.DEFAULT_BUDGET_BYTES / BYTES_PER_MB
+    memory_mb = reader.number(
+        "limits", "memory_mb", default=default_mb / BUFFER_MEMORY_SHARE
+    )
+    budget_mb = reader.number(
+        "buffers", "budget_mb", default=memory_mb * BUFFER_MEMORY_SHARE
+    )
+    return buffers.BufferSettings(int(budget_mb * BYTES_PER_MB))
+
+
 def _read_call_times(reader: _Reader) -> freshness.CallTimes:
     """Return the times of calls that the platform's bounds lead to."""
     contact_ms = reader.number(
--- a/laburnumpin/platform/standins.py
+++ b/laburnumpin/platform/standins.py
@@ -9,6 +9,7 @@
 import base64
 from collections.abc import Awaitable
 from collections.abc import Callable
+import contextlib
 import dataclasses
 import json
 import random
@@ -37,6 +38,18 @@
 CRASH_S = 0.03
 # Pause between two events of a stream.
 EVENT_PAUSE_S = 0.01
+# Beginnings of answers without end, and what follows them again and again.
+_ENDLESS_CHUNKS = b"Transfer-Encoding: chunked\r\n\r\n"
+ENDLESS_ANSWERS = (
+    (b"HTTP/1.1 200 O", b"K" * 60_000),
+    (b"HTTP/1.1 200 OK\r\n", b"X-More: 1\r\n" * 5_000),
+    (
+        b"HTTP/1.1 500 Failed\r\n" + _ENDLESS_CHUNKS,
+        b"ea60\r\n" + b"x" * 60_000 + b"\r\n",
+    ),
+    (b"HTTP/1.1 500 Failed\r\n" + _ENDLESS_CHUNKS, b"1\r\nx\r\n" * 5_000),
+)
+MAX_ENDLESS_BLOCKS = 1_000
 # Values that another writer may leave among the registrations.
 ODD_REGISTRATIONS = (
     b"[" * 100_000,
@@ -434,6 +447,8 @@
         self.open_ended_ids: set[str] = set()
         self.cut_short_ids: set[str] = set()
         self.stopped_ids: set[str] = set()
+        # Share of the requests that are answered with bytes without end.
+        self.endless_share = 0.0
         self.processing_ms = 20
         # Requests a second that its answers name as the limit of all entries.
         self.limit_per_s: float | None = None
@@ -511,22 +526,40 @@
                 request_id, self.runner_id, self._now_ms(), resume_after + 1
             )
         )
+        if self.endless_share and self._random.random() < self.endless_share:
+            return await self._send_without_end(caller)
+        is_failure = failure_draw < self.reject_share + self.error_share
+        return await self._run(
+            caller, headers, attempt_header, resume_after, is_failure
+        )
+
+    async def _run(
+        self,
+        caller: callers.Caller,
+        headers: dict[bytes, bytes],
+        answer_headers: list[tuple[bytes, bytes]],
+        resume_after: int,
+        is_failure: bool,
+    ) -> bool:
+        """Run a request and answer it; False closes the connection."""
+        request_id = headers.get(wire.ATTEMPT_ID, b"").decode()
         await anyio.sleep(self.processing_ms / 1_000)
         if self.says_leaving:
             self.said_leaving_ms.setdefault(self.runner_id, self._now_ms())
         seal = [(SEAL_HEADER, request_id.encode() + b"." + b"1")]
-        if failure_draw < self.reject_share + self.error_share:
-            await caller.answer(500, attempt_header + no_body + seal, b"")
+        if is_failure:
+            no_body = [(b"Content-Length", b"0")]
+            await caller.answer(500, answer_headers + no_body + seal, b"")
             return True
         is_open_ended, is_cut = self._draw_ending(request_id)
         if wire.TOKEN_COUNT not in headers:
             return await self._answer_call(
-                caller, request_id, attempt_header + seal, is_open_ended, is_cut
+                caller, request_id, answer_headers + seal, is_open_ended, is_cut
             )
         await caller.start_answer(
             200,
             [
-                *attempt_header,
+                *answer_headers,
                 *seal,
                 (b"Content-Type", b"text/event-stream"),
             ],
@@ -543,6 +576,15 @@
             caller, request_id, resume_after, is_open_ended, is_cut
         )
 
+    async def _send_without_end(self, caller: callers.Caller) -> bool:
+        """Send a head or a failure's body until the caller closes."""
+        start, block = self._random.choice(ENDLESS_ANSWERS)
+        with contextlib.suppress(byte_stream.StreamClosedError):
+            await caller.stream.send(start)
+            for _ in range(MAX_ENDLESS_BLOCKS):
+                await caller.stream.send(block)
+        return False
+
     def _turn_away(self, request_id: str) -> list[tuple[bytes, bytes]]:
         """Return the header of a refusal while the runner is busy."""
         if self.retry_after is not None:
--- a/laburnumpin/soak/processes.py
+++ b/laburnumpin/soak/processes.py
@@ -94,6 +94,17 @@
         """Return whether the process has ended."""
         return self._process is None or self._process.poll() is not None
 
+    def peak_memory_mb(self) -> float:
+        """Return the most memory since the last start, 0 if it has ended."""
+        if self._process is None:
+            return 0.0
+        status_path = pathlib.Path(f"/proc/{self._process.pid}/status")
+        with contextlib.suppress(OSError):
+            for line in status_path.read_text(encoding="ascii").splitlines():
+                if line.startswith("VmHWM:"):
+                    return float(line.split()[1]) / 1_000
+        return 0.0
+
     def log_text(self) -> str:
         """Return what the process has written so far, over all starts."""
         if not self._log_path.exists():
--- a/laburnumpin/soak/run.py
+++ b/laburnumpin/soak/run.py
@@ -89,6 +89,13 @@
 # Offsets by which a `clock_step` moves the wall clock, ms.
 CLOCK_OFFSETS_MS = (-6_000, -2_000, 2_000, 6_000)
 
+# Share of the soaks in which runners send bytes without end, the share of these
+# among a runner's answers, and for how long it sends them.
+ENDLESS_SOAK_SHARE = 0.5
+ENDLESS_SHARE = 0.1
+MAX_ENDLESS_S = 2.0
+# Most memory of an entry; as in the deployments.
+MAX_ENTRY_MB = 300
 # Share of the soaks in which all open connections to the store go silent.
 STALLED_STORE_SOAK_SHARE = 0.5
 # Signals to entries that drain, and the chance of one each 20 ms.
@@ -176,6 +183,7 @@
         self._odd_row_random = random.Random(f"{seed}/odd-rows")
         self._signal_random = random.Random(f"{seed}/signals")
         self._stall_random = random.Random(f"{seed}/stall")
+        self._endless_random = random.Random(f"{seed}/endless")
         self._seed = seed
         self._entry_count = entries
         self._directory = directory
@@ -200,6 +208,7 @@
                     async with anyio.create_task_group() as load_tasks:
                         await self._start_load(load_tasks)
                 await anyio.sleep(promises.LATE_ARRIVAL_WAIT_MS / 1_000)
+                self._check_memory()
                 task_group.cancel_scope.cancel()
         finally:
             for entry in self._entries:
@@ -329,6 +338,8 @@
             return
         if self._stall_random.random() < STALLED_STORE_SOAK_SHARE:
             task_group.start_soon(self._stall_store_connections)
+        if self._endless_random.random() < ENDLESS_SOAK_SHARE:
+            task_group.start_soon(self._send_without_end)
         for _ in range(2):
             task_group.start_soon(self._inject_faults, task_group)
 
@@ -450,6 +461,33 @@
             runner.busy_until_ms = self._clock.now_ms() + int(busy_s * 1_000)
             await anyio.sleep(busy_s)
 
+    async def _send_without_end(self) -> None:
+        """Let one runner after the other send bytes without end."""
+        rng = self._endless_random
+        while True:
+            await anyio.sleep(rng.uniform(0.1, 2.0))
+            runner = rng.choice(self._runners).runner
+            runner.endless_share = ENDLESS_SHARE
+            span_index = len(self._history.fault_spans)
+            start_ms = self._clock.now_ms()
+            name = "runner_endless"
+            self._history.fault_spans.append(
+                promises.FaultSpan(name, start_ms, 2**62, False)
+            )
+            await anyio.sleep(rng.uniform(0.1, MAX_ENDLESS_S))
+            runner.endless_share = 0.0
+            self._history.fault_spans[span_index] = promises.FaultSpan(
+                name, start_ms, self._clock.now_ms(), False
+            )
+
+    def _check_memory(self) -> None:
+        for entry in self._entries:
+            peak_mb = entry.peak_memory_mb()
+            if peak_mb > MAX_ENTRY_MB:
+                self._history.violations.append(
+                    f"{entry.name}: {peak_mb:.0f} MB of memory"
+                )
+
     async def _stall_store_connections(self) -> None:
         """Silence all open connections to the store now and then."""
         while True:
