Bound the pause between failing calls by the contact time

An entry of a large fleet whose own calls to the store failed waited up to 5.6 s (60 entries) before the next one, since the pause was meant for outages that all entries share. With it the age of what the entry knows was not bounded by the sum of freshness.py.

The pause now takes the place of the wait in the sum, as long as the calls of all entries stay below a quarter of the store's read rate.

--- a/laburnumpin/forwarding/daemon.py
+++ b/laburnumpin/forwarding/daemon.py
@@ -81,7 +81,7 @@
             store,
             documents,
             withheld_parts.load,
-            settings.call_times.changes_wait_ms,
+            settings.call_times,
         )
         peer_exchange = peer_link.PeerLink(
             shell, synchronizer, settings.peer_address
--- a/laburnumpin/forwarding/synchronization.py
+++ b/laburnumpin/forwarding/synchronization.py
@@ -83,7 +83,7 @@
     """
 
     __slots__ = (
-        "_changes_wait_ms",
+        "_call_times",
         "_configuration_era",
         "_documents",
         "_entries_read",
@@ -113,11 +113,10 @@
         store: interfaces.StoreClient,
         documents: interfaces.Documents,
         on_entries_read: Callable[[], Awaitable[None]] | None = None,
-        changes_wait_ms: int = freshness.CallTimes().changes_wait_ms,
+        call_times: freshness.CallTimes | None = None,
     ) -> None:
         self._shell = shell
-        # Longest wait of one call for changes.
-        self._changes_wait_ms = changes_wait_ms
+        self._call_times = call_times or freshness.CallTimes()
         # Time of the last answer of the store, by table.
         self._proved_ms = dict.fromkeys(FOLLOWED, shell.now_ms())
         self._store = store
@@ -192,11 +191,8 @@
                     )
                     has_lost_history = False
                 else:
-                    # While calls fail, none of them waits: the first answer
-                    # has to come soon after the store is back.
-                    wait_ms = 0 if is_failing else self._changes_wait_ms
                     rows = await self._store.changes(
-                        table, after.version, wait_ms
+                        table, after.version, self._wait_ms(is_failing)
                     )
                     self._shell.note_store_era(rows.era)
                     if rows.era != after.era:
@@ -247,6 +243,14 @@
             is_failing = False
             pause_ms = MIN_RETRY_PAUSE_MS
 
+    def _wait_ms(self, is_failing: bool) -> int:
+        """Return the wait of the next call for changes.
+
+        While calls fail, none of them waits: the first answer has to come soon
+        after the store is back.
+        """
+        return 0 if is_failing else self._call_times.changes_wait_ms
+
     def _on_call_failed(
         self, table: interfaces.Table, error: Exception, *, is_first: bool
     ) -> None:
@@ -258,12 +262,14 @@
         """Return the pause before the next call, longer in large fleets.
 
         Some entry still detects the end of an outage as early as in a small
-        fleet.
+        fleet. An entry whose calls fail alone must not wait for the others.
         """
         members = self._shell.state.members.count()
         entry_factor = max(1.0, members / UNSCALED_RETRY_ENTRIES)
-        pause_factor = self._shell.state.random.uniform(0.5, 1.5) * entry_factor
-        return pause_ms * pause_factor / 1_000
+        rng = self._shell.state.random
+        scaled_ms = pause_ms * rng.uniform(0.5, 1.5) * entry_factor
+        max_ms = self._call_times.max_retry_pause_ms(members)
+        return min(scaled_ms, max_ms * rng.uniform(0.5, 1.0)) / 1_000
 
     def on_tick(self) -> None:
         """Check whether a relay keeps this entry in sync, and held rows."""
--- a/laburnumpin/platform/settings.py
+++ b/laburnumpin/platform/settings.py
@@ -31,9 +31,6 @@
 # are twice as many while they are copied.
 BUFFER_MEMORY_SHARE = 1 / 3
 BYTES_PER_MB = 1_000_000
-# Rate of the store's reads if the settings have none, in calls a second.
-DEFAULT_READS_PER_S = 2_000
-
 # Maps the platform's names of duties to those of `ForwardingSettings`.
 _DUTY_BY_PLATFORM_NAME = {"usage_report": "usage", "autoscale": "upstreams"}
 
@@ -265,7 +262,7 @@
         "bounds", "contact_ms", default=freshness.DEFAULT_CONTACT_MS
     )
     reads_per_s = reader.number(
-        "platform", "reads_per_s", default=DEFAULT_READS_PER_S
+        "platform", "reads_per_s", default=freshness.DEFAULT_READS_PER_S
     )
     return freshness.find_call_times(
         max(contact_ms, MIN_CONTACT_MS), reads_per_s
--- a/laburnumpin/tests/test_forwarding_freshness.py
+++ b/laburnumpin/tests/test_forwarding_freshness.py
@@ -32,6 +32,28 @@
     assert calls_per_s <= reads_per_s * freshness.READ_RATE_SHARE * 1.001
 
 
+# In a fleet of 60 entries, one whose calls had failed for a while waited up to
+# 5.6 s before the next one, longer than all the other times together.
+@hypothesis.given(strategies.integers(500, 60_000), strategies.integers(1, 200))
+def test_pauses_between_failing_calls_keep_to_the_sum(
+    contact_ms: int, entries: int
+) -> None:
+    times = freshness.find_call_times(contact_ms, NORMAL_READS_PER_S)
+    pause_ms = times.max_retry_pause_ms(entries)
+    calls_per_s = entries * freshness.FOLLOWED_TABLES * 1_000 / pause_ms
+    assert calls_per_s <= NORMAL_READS_PER_S * freshness.RETRY_RATE_SHARE * 1.01
+    if pause_ms <= times.changes_wait_ms:
+        known_ms = times.answer_timeout_ms + pause_ms + times.connect_timeout_ms
+        assert known_ms <= contact_ms
+    else:
+        # More entries than can call so often.
+        assert entries * freshness.FOLLOWED_TABLES * 1_000 > (
+            times.changes_wait_ms
+            * NORMAL_READS_PER_S
+            * freshness.RETRY_RATE_SHARE
+        )
+
+
 def test_default_times_are_those_of_the_default_contact_time() -> None:
     found = freshness.find_call_times(
         freshness.DEFAULT_CONTACT_MS, NORMAL_READS_PER_S
--- a/laburnumpin/tests/test_forwarding_synchronization.py
+++ b/laburnumpin/tests/test_forwarding_synchronization.py
@@ -7,12 +7,14 @@
 from typing import cast
 
 import anyio
+import pytest
 
 from laburnumpin import clock
 from laburnumpin import exceptions
 from laburnumpin.forwarding import deployment
 from laburnumpin.forwarding import freshness
 from laburnumpin.forwarding import interfaces
+from laburnumpin.forwarding import membership
 from laburnumpin.forwarding import pool
 from laburnumpin.forwarding import shell as shells
 from laburnumpin.forwarding import synchronization
@@ -208,6 +210,31 @@
     assert store.read_tables == [entries, entries, entries, UPSTREAMS]
 
 
+def test_pause_of_a_failing_entry_is_bounded_in_a_large_fleet(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(membership.Members, "count", lambda _: 61)
+    boot_clock = clock.BootClock()
+    state = build.state()
+    shell = shells.Shell(
+        state,
+        cast(interfaces.Wire, None),
+        pool.Pool(boot_clock),
+        cast(tasks.TaskRunner, _NoTasks()),
+        boot_clock,
+        cast(interfaces.EngineClient, None),
+    )
+    synchronizer = synchronization.Synchronizer(shell, _Store(), _Documents())
+    max_ms = freshness.CallTimes().max_retry_pause_ms(61)
+    assert max_ms == freshness.CallTimes().changes_wait_ms
+    pauses_s = [
+        synchronizer._retry_pause_s(synchronization.MAX_RETRY_PAUSE_MS)
+        for _ in range(200)
+    ]
+    assert max(pauses_s) <= max_ms / 1_000
+    assert min(pauses_s) >= max_ms / 2_000  # Spread, so that few call at once.
+
+
 # After a silence of the store the next call came after a pause, and waited for
 # changes as long as the one before.
 def test_call_after_a_silence_follows_at_once_without_a_wait() -> None:
