Give up a silent attempt only if it may be sent again

Cause: the timer asked whether another upstream would be faster, and the retry asked, after the attempt was given up, whether the request could end before the exit. The exit itself is ruled out: it came later. The timer now asks what the retry asks, also whether the request is withheld.

Evidence: the new test fails on the code before: the timer allowed what the retry then refused.

--- a/laburnumpin/forwarding/lifecycle.py
+++ b/laburnumpin/forwarding/lifecycle.py
@@ -271,11 +271,16 @@
     """Predict the time to the first byte if a request were sent elsewhere.
 
     None if it may not be sent again, or no other upstream could answer in time.
+    An attempt that is given up here has to be one that `on_failed` sends again.
     """
     active = state.active.get(request_id)
     if active is None or active.choice is None or not may_retry(active):
         return None
     request = active.request
+    if not _can_end(state, request, now_ms):
+        return None
+    if withholding.find_withheld(state, request) is not None:
+        return None
     if _counted_attempts(active) >= request.route.max_attempts:
         return None
     entries = state.members.expected_count(now_ms)
--- a/laburnumpin/tests/test_platform_exit.py
+++ b/laburnumpin/tests/test_platform_exit.py
@@ -118,6 +118,28 @@
     assert effect.not_run is not may_have_run
 
 
+# A pause of its engine cut a stream off seconds before the end of the grace:
+# the attempt was given up for another one, which the exit did not allow.
+@pytest.mark.parametrize("exits_soon", [False, True])
+def test_silence_ends_no_attempt_that_the_exit_keeps_from_being_repeated(
+    exits_soon: bool,
+) -> None:
+    state = _leaving_state()
+    route = build.route(may_repeat=True, max_attempts=3)
+    request = build.request("r", route=route, deadline_ms=6_000)
+    reducer.reduce(state, events.RequestArrived(0, request))
+    if exits_soon:
+        state.exit_by_ms = 5_000
+    delay_ms = lifecycle.resend_delay_ms(state, "r", 500)
+    assert (delay_ms is None) is exits_soon
+    failed = events.AttemptFailed(
+        500, "r", events.Ending.SILENT, verdicts.Verdict.MAY_HAVE_RUN, True
+    )
+    (effect,) = reducer.reduce(state, failed)
+    # The timer and the retry agree.
+    assert isinstance(effect, effects.Abort if exits_soon else effects.Send)
+
+
 @pytest.mark.parametrize("path", ["/reads/x", "/orders/x"])
 def test_request_in_flight_at_the_end_of_the_grace_gets_an_answer(
     path: str,
