Log and count bodies of failures that have no room

Cause: the reader of failure bodies took the full budget for a body that is too long. It logs and counts part=failure now. The test of endless answers checks the counter; without the change it fails for failures.

--- a/laburnumpin/forwarding/attempts.py
+++ b/laburnumpin/forwarding/attempts.py
@@ -298,7 +298,7 @@
                 events.Ending.MALFORMED, MAY_HAVE_RUN, str(error)
             ) from error
         except buffers.BudgetExceededError as error:
-            self._log_no_room(str(error))
+            self._log_no_room("answer", str(error))
             raise AttemptError(
                 events.Ending.NO_ROOM, MAY_HAVE_RUN, str(error)
             ) from error
@@ -312,15 +312,31 @@
                 "timed out waiting for the upstream",
             )
 
-    def _log_no_room(self, reason: str) -> None:
-        self._shell.state.counters.increment("buffers_full", "answer")
+    async def _read_failure_body(
+        self, connection: connections.ClientConnection
+    ) -> bytes | None:
+        """Return the body of a failure, None if it cannot be passed on.
+
+        It is too long, incomplete or has no room. The head alone states what
+        became of the request.
+        """
+        try:
+            return await connection.body(MAX_FAILURE_BYTES, self._account)
+        except (connections.ProtocolError, connections.ConnectionLostError):
+            return None
+        except buffers.BudgetExceededError as error:
+            self._log_no_room("failure", str(error))
+            return None
+
+    def _log_no_room(self, part: str, reason: str) -> None:
+        self._shell.state.counters.increment("buffers_full", part)
         logs.write(
             "buffers_full",
             "warning",
             {
                 "request_id": self._request.request_id,
                 "upstream": self._send_effect.registration.upstream_id,
-                "part": "answer",
+                "part": part,
                 "reason": reason,
             },
         )
@@ -398,7 +414,7 @@
         )
         if kind is interfaces.AnswerKind.NOT_RUN:
             # A connection can be used again after the whole answer.
-            await _read_failure_body(connection, self._account)
+            await self._read_failure_body(connection)
             raise AttemptError(
                 events.Ending.REJECTED, NOT_RUN, f"rejected with {status}"
             )
@@ -417,7 +433,7 @@
         if kind is interfaces.AnswerKind.FAILURE:
             self._relay.mark_running()
             stall.stop()
-            body = await _read_failure_body(connection, self._account)
+            body = await self._read_failure_body(connection)
             if body is not None:
                 self._account.hold("answer", 0)
                 self._account.hold("failure", len(body))
@@ -635,23 +651,6 @@
         )
 
 
-async def _read_failure_body(
-    connection: connections.ClientConnection, account: buffers.Account
-) -> bytes | None:
-    """Return the body of a failure, None if it is too long or incomplete.
-
-    The head alone states what became of the request.
-    """
-    try:
-        return await connection.body(MAX_FAILURE_BYTES, account)
-    except (
-        connections.ProtocolError,
-        connections.ConnectionLostError,
-        buffers.BudgetExceededError,
-    ):
-        return None
-
-
 def _new_events(
     complete: list[bytes], relay: answers.AnswerRelay
 ) -> list[bytes]:
--- a/laburnumpin/tests/test_platform_endless.py
+++ b/laburnumpin/tests/test_platform_endless.py
@@ -100,6 +100,8 @@
             all_sent.set()
         assert 0 < shell.buffers.peak_bytes <= BUDGET_BYTES
         assert shell.buffers.used_bytes == 0
+        part = "failure" if path == "/reads/x" else "answer"
+        assert shell.state.counters.value("buffers_full", part) > 0
 
     relay.run_with_frontend(script, run_callers, routes=SINGLE_ROUTES)
 
