--- a/laburnumpin/forwarding/daemon.py
+++ b/laburnumpin/forwarding/daemon.py
@@ -23,8 +23,8 @@
 from laburnumpin.forwarding import state as forwarding_state
 from laburnumpin.forwarding import synchronization
 from laburnumpin.forwarding import withholding_store
-from laburnumpin.server import exits
 from laburnumpin.server import logs
+from laburnumpin.server import stop_signals
 from laburnumpin.server import tasks
 
 # The process exits this long before the platform would kill it.
@@ -42,7 +42,10 @@
     inbox: signals.Inbox,
 ) -> None:
     """Serve requests until SIGTERM or SIGINT, then drain and return."""
-    if exits.take_signals(inbox, signals.Phase.STARTING) is signals.Action.EXIT:
+    if (
+        stop_signals.take_signals(inbox, signals.Phase.STARTING)
+        is signals.Action.EXIT
+    ):
         return
     boot_clock = clock.BootClock()
     incarnation_ms = time.time_ns() // 1_000_000
@@ -126,14 +129,14 @@
 ) -> None:
     """Wait for a signal to exit, then drain."""
     phase = signals.Phase.SERVING
-    while exits.take_signals(inbox, phase) is not signals.Action.DRAIN:
+    while stop_signals.take_signals(inbox, phase) is not signals.Action.DRAIN:
         await anyio.wait_readable(inbox)
     requested_ms = shell.now_ms()
     exit_in_ms = settings.exit_ms - EXIT_MARGIN_MS
     shell.leave(exit_in_ms)
     while shell.now_ms() < requested_ms + exit_in_ms:
         await anyio.sleep(EXIT_CHECK_PERIOD_S)
-        exits.take_signals(inbox, signals.Phase.DRAINING)
+        stop_signals.take_signals(inbox, signals.Phase.DRAINING)
         min_elapsed = shell.now_ms() >= requested_ms + MIN_DRAIN_MS
         if min_elapsed and caller_frontend.active == 0:
             return
--- a/laburnumpin/server/entry.py
+++ b/laburnumpin/server/entry.py
@@ -31,12 +31,12 @@
 from laburnumpin.server import bridge as bridges
 from laburnumpin.server import caller_api
 from laburnumpin.server import caller_input
-from laburnumpin.server import exits
 from laburnumpin.server import logs
 from laburnumpin.server import metrics
 from laburnumpin.server import operator_api
 from laburnumpin.server import peer_link
 from laburnumpin.server import platform_client
+from laburnumpin.server import stop_signals
 from laburnumpin.server import tasks
 from laburnumpin.server import upstream_client
 
@@ -306,7 +306,7 @@
         phase = signals.Phase.SERVING
         while True:
             await anyio.wait_readable(inbox)
-            action = exits.take_signals(inbox, phase)
+            action = stop_signals.take_signals(inbox, phase)
             if action is signals.Action.NONE:
                 continue
             phase = signals.Phase.DRAINING
