Send the signals of the drain's test one by one

Cause: the test sent SIGHUP, SIGTERM and SIGHUP in one go. A standard signal that is sent again while it is pending arrives once. The log of a failing run has SIGTERM, SIGINT and SIGHUP once each, within 0.2 ms; that of a passing run has all four. The entry's streams were whole in both.

The test waits for each signal's line before it sends the next, and still counts all four. A further test lets all arrive together: the process is paused meanwhile, and each signal has one line.

--- a/laburnumpin/soak/processes.py
+++ b/laburnumpin/soak/processes.py
@@ -86,6 +86,17 @@
             with contextlib.suppress(ProcessLookupError):
                 self._process.send_signal(number)
 
+    def pause(self) -> None:
+        """Stop the process until SIGCONT; wait until no thread runs."""
+        self.signal(signal.SIGSTOP)
+        if self._process is not None:
+            with contextlib.suppress(ChildProcessError):
+                os.waitid(
+                    os.P_PID,
+                    self._process.pid,
+                    os.WSTOPPED | os.WEXITED | os.WNOWAIT,
+                )
+
     def set_clock_offset(self, offset_ms: int) -> None:
         """Set the offset of the wall clock that the process reads."""
         skewed_entry.write_offset(self._offset_path, offset_ms)
--- a/laburnumpin/tests/test_signals.py
+++ b/laburnumpin/tests/test_signals.py
@@ -87,11 +87,35 @@
     async def signal_entry(entry: processes.EntryProcess) -> None:
         entry.signal(signal.SIGTERM)
         await entry_streams.wait_for_log(entry, '"phase": "serving"')
-        for number in numbers:
+        for count, number in enumerate(numbers, start=1):
             entry.signal(number)
+            # A signal that is sent again while it is pending arrives once.
+            await entry_streams.wait_for_log(
+                entry, '"phase": "draining"', count
+            )
+
+    received = anyio.run(entry_streams.read_streams, tmp_path, signal_entry)
+    for request_id, body in received.items():
+        assert body == entry_streams.whole_stream(request_id)
+
+
+def test_signals_that_arrive_together_interrupt_nothing(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def signal_entry(entry: processes.EntryProcess) -> None:
+        entry.signal(signal.SIGTERM)
+        await entry_streams.wait_for_log(entry, '"phase": "serving"')
+        entry.pause()
+        for number in (*signals.HANDLED_SIGNALS, signal.SIGHUP):
+            entry.signal(number)
+        entry.signal(signal.SIGCONT)
         await entry_streams.wait_for_log(
-            entry, '"phase": "draining"', len(numbers)
+            entry, '"phase": "draining"', len(signals.HANDLED_SIGNALS)
         )
+        log = entry.log_text()
+        for number in signals.HANDLED_SIGNALS:
+            line = f'"signal": "{number.name}", "phase": "draining"'
+            assert log.count(line) == 1
 
     received = anyio.run(entry_streams.read_streams, tmp_path, signal_entry)
     for request_id, body in received.items():
