Test slices of buffered bytes and the search of events

Three guards of the report of bytes without end could be taken out with all tests green: the 16 KB slices of what has arrived, the turn of other tasks between two of them, and the search of an event from where the last one ended. The test of tiny chunks took its bound from the constant that it guards, and its turns came from the pacing alone.

--- a/laburnumpin/tests/test_platform_endless.py
+++ b/laburnumpin/tests/test_platform_endless.py
@@ -5,7 +5,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 import contextlib
+import re
 import tracemalloc
 
 import anyio
@@ -31,6 +33,8 @@
 FAILURE = b"HTTP/1.1 500 Failed\r\nX-Laburnumpin-Attempt-Id: r%d\r\n" + CHUNKED
 BLOCK = b"ea60\r\n" + b"x" * 60_000 + b"\r\n"
 BUDGET_BYTES = 1_000_000
+# Most bytes of one connection that are read in a turn.
+SLICE_BYTES = 16_384
 CALLERS = 12
 SINGLE_ROUTES = (
     build.calls(may_repeat=False, max_attempts=1),
@@ -233,12 +237,64 @@
             task_group.cancel_scope.cancel()
 
     anyio.run(main)
-    per_turn = byte_stream.MAX_RECEIVE_BYTES // len(b"1\r\nx\r\n")
+    per_turn = SLICE_BYTES // len(b"1\r\nx\r\n")
     assert turns >= chunks // per_turn
 
 
+# All that had arrived was read in one turn, 256 KB at a time.
+def test_others_have_a_turn_between_two_slices() -> None:
+    slices = 5
+    # Sizes of what was read in each turn.
+    read_bytes: list[list[int]] = [[]]
+
+    async def read(stream: byte_stream.ByteStream) -> None:
+        while stream.has_bytes:
+            read_bytes[-1].append(len(await stream.receive()))
+
+    async def count_turns() -> None:
+        while True:
+            read_bytes.append([])
+            await anyio.sleep(0)
+
+    async def main() -> None:
+        stream = byte_stream.ByteStream(None)
+        stream.data_received(b"x" * (slices * SLICE_BYTES + 1))
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(count_turns)
+            await read(stream)
+            task_group.cancel_scope.cancel()
+
+    anyio.run(main)
+    sizes = [size for turn in read_bytes for size in turn]
+    assert sizes == [SLICE_BYTES] * slices + [1]
+    # What is left in the end comes without a turn in between.
+    assert all(sum(turn) <= SLICE_BYTES + 1 for turn in read_bytes)
+
+
 # Each piece of an event without end was searched from its beginning again.
-def test_event_without_end_is_searched_once() -> None:
+def test_event_without_end_is_searched_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    searched_bytes = 0
+
+    class Pattern:
+        def finditer(
+            self, data: bytearray, start: int
+        ) -> Iterator[re.Match[bytes]]:
+            nonlocal searched_bytes
+            searched_bytes += len(data) - start
+            return pattern.finditer(data, start)
+
+    pattern = event_stream._EVENT_END
+    monkeypatch.setattr(event_stream, "_EVENT_END", Pattern())
+    splitter = event_stream.Splitter()
+    pieces = 200
+    for _ in range(pieces):
+        assert splitter.feed(b"x" * 1_000) == []
+    assert searched_bytes <= pieces * (1_000 + len(b"\r\n\r\n"))
+
+
+def test_end_of_an_event_is_found_in_pieces() -> None:
     splitter = event_stream.Splitter()
     for end in (b"\n\n", b"\r\n\r\n", b"\n\r\n"):
         for cut in range(len(end) + 1):
