--- a/laburnumpin/forwarding/attempts.py
+++ b/laburnumpin/forwarding/attempts.py
@@ -298,7 +298,7 @@
                 events.Ending.MALFORMED, MAY_HAVE_RUN, str(error)
             ) from error
         except buffers.BudgetExceededError as error:
-            self._log_no_room("answer", str(error))
+            self._report_no_room("answer", str(error))
             raise AttemptError(
                 events.Ending.NO_ROOM, MAY_HAVE_RUN, str(error)
             ) from error
@@ -325,20 +325,15 @@
         except (connections.ProtocolError, connections.ConnectionLostError):
             return None
         except buffers.BudgetExceededError as error:
-            self._log_no_room("failure", str(error))
+            self._report_no_room("failure", str(error))
             return None
 
-    def _log_no_room(self, part: str, reason: str) -> None:
-        self._shell.state.counters.increment("buffers_full", part)
-        logs.write(
-            "buffers_full",
-            "warning",
-            {
-                "request_id": self._request.request_id,
-                "upstream": self._send_effect.registration.upstream_id,
-                "part": part,
-                "reason": reason,
-            },
+    def _report_no_room(self, part: str, reason: str) -> None:
+        self._shell.report_no_room(
+            self._request.request_id,
+            self._send_effect.registration.upstream_id,
+            part,
+            reason,
         )
 
     def _has_room(self, answer_bytes: int) -> bool:
--- a/laburnumpin/forwarding/frontend.py
+++ b/laburnumpin/forwarding/frontend.py
@@ -109,7 +109,7 @@
             )
         except callers.CallerInputError as error:
             if error.retry_after_ms is not None:
-                self._log_body_without_room(head, error)
+                self._report_body_without_room(head, error)
             await self._answer_input_error(caller, error)
             return False
         except callers.CallerDisconnectedError:
@@ -126,26 +126,16 @@
             self.active -= 1
         return keep_alive and caller.prepare_next_request()
 
-    def _log_body_without_room(
+    def _report_body_without_room(
         self, head: h11.Request | None, error: callers.CallerInputError
     ) -> None:
         assert head is not None
-        self._shell.state.counters.increment("buffers_full", "body")
         try:
             fields = self._shell.wire.decode(_caller_head(head, 0))
             request_id = fields.request_id
         except exceptions.DocumentError:
             request_id = ""  # The head names none.
-        logs.write(
-            "buffers_full",
-            "warning",
-            {
-                "request_id": request_id,
-                "upstream": None,
-                "part": "body",
-                "reason": str(error),
-            },
-        )
+        self._shell.report_no_room(request_id, None, "body", str(error))
 
     async def _answer_input_error(
         self, caller: callers.Caller, error: callers.CallerInputError
--- a/laburnumpin/forwarding/shell.py
+++ b/laburnumpin/forwarding/shell.py
@@ -225,6 +225,22 @@
         if era > self.state.store_era:
             self.apply(events.StoreEraSeen(self.now_ms(), era))
 
+    def report_no_room(
+        self, request_id: str, upstream_id: str | None, part: str, reason: str
+    ) -> None:
+        """Log and count a part of a request that the budget does not admit."""
+        self.state.counters.increment("buffers_full", part)
+        logs.write(
+            "buffers_full",
+            "warning",
+            {
+                "request_id": request_id,
+                "upstream": upstream_id,
+                "part": part,
+                "reason": reason,
+            },
+        )
+
     def observe(self, name: str, duration_ms: int) -> None:
         """Record a duration in a histogram."""
         self.metrics.observe_ms(name, duration_ms)
