--- a/laburnumpin/forwarding/caller.py
+++ b/laburnumpin/forwarding/caller.py
@@ -232,6 +232,11 @@
         )
 
 
+def retry_after_header(retry_after_ms: int) -> tuple[bytes, bytes]:
+    """Return the header that asks a caller to retry after a time."""
+    return b"Retry-After", f"{retry_after_ms / 1_000:.3f}".encode()
+
+
 def _hold_body(account: buffers.Account | None, size_bytes: int) -> None:
     if account is None:
         return
--- a/laburnumpin/forwarding/frontend.py
+++ b/laburnumpin/forwarding/frontend.py
@@ -150,8 +150,7 @@
         )
         headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
         if error.retry_after_ms is not None:
-            seconds = f"{error.retry_after_ms / 1_000:.3f}"
-            headers.append((b"Retry-After", seconds.encode()))
+            headers.append(callers.retry_after_header(error.retry_after_ms))
         try:
             await caller.answer(error.status, headers, b"")
         except (callers.CallerDisconnectedError, h11.LocalProtocolError):
--- a/laburnumpin/platform/wire.py
+++ b/laburnumpin/platform/wire.py
@@ -5,6 +5,7 @@
 import math
 
 from laburnumpin import exceptions
+from laburnumpin.forwarding import caller as callers
 from laburnumpin.forwarding import connections
 from laburnumpin.forwarding import effects
 from laburnumpin.forwarding import interfaces
@@ -225,8 +226,7 @@
             (b"Content-Length", b"0"),
         ]
         if reject.retry_after_ms is not None and status in (429, 503):
-            seconds = f"{reject.retry_after_ms / 1_000:.3f}"
-            headers.append((b"Retry-After", seconds.encode()))
+            headers.append(callers.retry_after_header(reject.retry_after_ms))
         return status, headers
 
     def statement(
