--- a/laburnumpin/forwarding/connections.py
+++ b/laburnumpin/forwarding/connections.py
@@ -243,6 +243,20 @@
     return True
 
 
+def close_idle_since(idle: list[ClientConnection], limit_ms: int) -> None:
+    """Close, and remove, the connections without an answer since a time.
+
+    `limit_ms` is when a call was made that got no answer. What silenced its
+    connection may have silenced them as well, and each would take another
+    timeout.
+    """
+    for connection in list(idle):
+        if connection.idle_since_ms > limit_ms:
+            continue
+        idle.remove(connection)
+        connection.close()
+
+
 async def connect(address: str, timeout_ms: int) -> ClientConnection:
     """Open a connection to `address`, given as `IP:PORT`.
 
--- a/laburnumpin/forwarding/pool.py
+++ b/laburnumpin/forwarding/pool.py
@@ -100,17 +100,9 @@
     def close_idle_since(
         self, registration: upstreams.Registration, limit_ms: int
     ) -> None:
-        """Close the connections to an upstream that were idle at a time.
-
-        A request sent then got no answer, perhaps because its connection and
-        all others that were open are silent.
-        """
+        """Close the connections to an upstream that were idle at a time."""
         idle = self._idle.get(_key(registration), [])
-        for connection in list(idle):
-            if connection.idle_since_ms > limit_ms:
-                continue
-            idle.remove(connection)
-            connection.close()
+        connections.close_idle_since(idle, limit_ms)
 
     def close_upstream(self, upstream_id: str) -> None:
         """Close all idle connections to an upstream."""
--- a/laburnumpin/platform/clients.py
+++ b/laburnumpin/platform/clients.py
@@ -126,7 +126,7 @@
             connections.ConnectionLostError,
             connections.ProtocolError,
         ) as error:
-            self._close_idle_since(called_ms)
+            connections.close_idle_since(self._idle, called_ms)
             raise exceptions.PlatformAnswerLostError(
                 f"{method} {target.partition('?')[0]}: {error!r}"
             ) from error
@@ -148,20 +148,6 @@
         while self._idle:
             self._idle.pop().close()
 
-    def _close_idle_since(self, limit_ms: int) -> None:
-        """Close the connections that have had no answer since a time.
-
-        What made a call fail may have silenced them as well, and each would
-        take another timeout.
-        """
-        kept = []
-        for connection in self._idle:
-            if connection.idle_since_ms > limit_ms:
-                kept.append(connection)
-                continue
-            connection.close()
-        self._idle = kept
-
     async def _acquire_connection(self) -> connections.ClientConnection:
         while self._idle:
             idle = self._idle.pop()
