--- a/laburnumpin/forwarding/synchronization.py
+++ b/laburnumpin/forwarding/synchronization.py
@@ -170,11 +170,10 @@
         await self._entries_read.wait()
         pause_ms = MIN_RETRY_PAUSE_MS
         after: interfaces.Position | None = None
-        is_failing = False
         has_lost_history = False
         while True:
+            is_failing = table in self._failing_tables
             if self._positions[table].version and self._is_synced(table):
-                is_failing = False
                 self._failing_tables.discard(table)
                 self.on_tick()
                 await self._relay_lost.wait()
@@ -221,8 +220,7 @@
                 may_be_silent = not is_failing and isinstance(
                     error, exceptions.PlatformAnswerLostError
                 )
-                self._on_call_failed(table, error, is_first=not is_failing)
-                is_failing = True
+                self._on_call_failed(table, error)
                 if may_be_silent:
                     # Perhaps only its connection is silent. The time that the
                     # call took is pause enough.
@@ -240,7 +238,6 @@
                         "era": rows.era,
                     },
                 )
-            is_failing = False
             pause_ms = MIN_RETRY_PAUSE_MS
 
     def _wait_ms(self, is_failing: bool) -> int:
@@ -252,9 +249,9 @@
         return 0 if is_failing else self._call_times.changes_wait_ms
 
     def _on_call_failed(
-        self, table: interfaces.Table, error: Exception, *, is_first: bool
+        self, table: interfaces.Table, error: Exception
     ) -> None:
-        if is_first:
+        if table not in self._failing_tables:
             self._log_store_lost(table, error)
         self._failing_tables.add(table)
 
