--- a/laburnumpin/forwarding/daemon.py
+++ b/laburnumpin/forwarding/daemon.py
@@ -93,10 +93,8 @@
         runner.keep_running(peer_exchange.serve)
         runner.keep_running(caller_frontend.serve, settings.caller_address)
         runner.keep_running(probes.serve, shell, settings.readiness_address)
-        runner.keep_running(synchronizer.watch_table, interfaces.Table.OPERATOR)
-        runner.keep_running(
-            synchronizer.watch_table, interfaces.Table.UPSTREAMS
-        )
+        for table in synchronization.FOLLOWED:
+            runner.keep_running(synchronizer.watch_table, table)
         runner.keep_running(synchronizer.register_and_poll_entries, own_contact)
         runner.keep_running(peer_exchange.maintain_relay_links)
         runner.keep_running(withheld_parts.run)
--- a/laburnumpin/forwarding/synchronization.py
+++ b/laburnumpin/forwarding/synchronization.py
@@ -58,6 +58,7 @@
 RESTORED_HOLD_MS = 5_000
 
 Table = interfaces.Table
+# Tables whose changes an entry follows.
 FOLLOWED = (Table.OPERATOR, Table.UPSTREAMS)
 
 
@@ -127,10 +128,7 @@
         self._operator_rows: dict[str, interfaces.Row] = {}
         self._upstream_rows: dict[str, interfaces.Row] = {}
         # Position of the newest change that was applied, by table.
-        self._positions = {
-            Table.OPERATOR: interfaces.Position(0, 0),
-            Table.UPSTREAMS: interfaces.Position(0, 0),
-        }
+        self._positions = dict.fromkeys(FOLLOWED, interfaces.Position(0, 0))
         # By the key of the removed registration. A late change of an older
         # version must not undo a removal, nor must an older copy of the store.
         self._tombstones: dict[str, _Tombstone] = {}
