Record the spans of faults with one context manager

Three loops of the soak each appended a span without end and replaced it later. A pause of an entry now uses EntryProcess.pause, as the tests do, so that it begins when no thread runs.

--- a/laburnumpin/soak/run.py
+++ b/laburnumpin/soak/run.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+import contextlib
 import dataclasses
 import functools
 import itertools
@@ -468,17 +470,9 @@
             await anyio.sleep(rng.uniform(0.1, 2.0))
             runner = rng.choice(self._runners).runner
             runner.endless_share = ENDLESS_SHARE
-            span_index = len(self._history.fault_spans)
-            start_ms = self._clock.now_ms()
-            name = "runner_endless"
-            self._history.fault_spans.append(
-                promises.FaultSpan(name, start_ms, 2**62, False)
-            )
-            await anyio.sleep(rng.uniform(0.1, MAX_ENDLESS_S))
-            runner.endless_share = 0.0
-            self._history.fault_spans[span_index] = promises.FaultSpan(
-                name, start_ms, self._clock.now_ms(), False
-            )
+            with self._fault_span("runner_endless"):
+                await anyio.sleep(rng.uniform(0.1, MAX_ENDLESS_S))
+                runner.endless_share = 0.0
 
     def _check_memory(self) -> None:
         for entry in self._entries:
@@ -547,21 +541,14 @@
         while True:
             copy = self._store.copy()
             await anyio.sleep(rng.uniform(MIN_COPY_AGE_S, MAX_COPY_AGE_S))
-            start_ms = self._clock.now_ms()
-            span_index = len(self._history.fault_spans)
-            self._history.fault_spans.append(
-                promises.FaultSpan("store_restored", start_ms, 2**62, False)
-            )
             self._faults.append("store_restored")
-            self._store.mode = "reset"
-            await anyio.sleep(rng.uniform(0.0, MAX_RESTORE_S))
-            lost = self._store.restore(copy)
-            self._store.mode = "ok"
-            await anyio.sleep(rng.uniform(0.0, MAX_WRITE_AGAIN_S))
-            self._store.write_again(lost, copy)
-            self._history.fault_spans[span_index] = promises.FaultSpan(
-                "store_restored", start_ms, self._clock.now_ms(), False
-            )
+            with self._fault_span("store_restored"):
+                self._store.mode = "reset"
+                await anyio.sleep(rng.uniform(0.0, MAX_RESTORE_S))
+                lost = self._store.restore(copy)
+                self._store.mode = "ok"
+                await anyio.sleep(rng.uniform(0.0, MAX_WRITE_AGAIN_S))
+                self._store.write_again(lost, copy)
 
     async def _run_crashing_caller(self) -> None:
         """Send requests that end the runners that answer them."""
@@ -635,41 +622,47 @@
             entry_index = self._random.randrange(len(self._entries))
             runner = self._random.choice(self._runners)
             self._faults.append(name)
-            start_ms = self._clock.now_ms()
             planned = name in ("exit", "reload", "runner_leaves")
-            span_index = len(self._history.fault_spans)
             span_name = self._entries[entry_index].name if planned else name
-            self._history.fault_spans.append(
-                promises.FaultSpan(span_name, start_ms, 2**62, planned)
-            )
-            if name in ("kill", "pause", "exit", "reload"):
-                await self._inject_process_fault(
-                    name, self._entries[entry_index], fault_s
-                )
-            elif name == "kill_all":
-                await self._kill_all()
-            elif name == "clock_step":
-                offset_ms = self._random.choice(CLOCK_OFFSETS_MS)
-                self._entries[entry_index].set_clock_offset(offset_ms)
-                await anyio.sleep(fault_s)
-                self._entries[entry_index].set_clock_offset(0)
-            elif name == "runner_leaves":
-                await self._replace_runner(runner, task_group)
-            elif name == "runner_reclaimed":
-                await self._reclaim_runner(runner, task_group)
-            elif name.startswith("service"):
-                await self._inject_service_fault(
-                    name, runner.runner.service, fault_s
-                )
-            elif name.startswith("runner"):
-                await self._inject_runner_fault(name, runner, fault_s)
-            else:
-                await self._inject_store_fault(
-                    name, self._store_proxies[entry_index], fault_s
-                )
-            self._history.fault_spans[span_index] = promises.FaultSpan(
-                span_name, start_ms, self._clock.now_ms(), planned
-            )
+            with self._fault_span(span_name, planned=planned):
+                if name in ("kill", "pause", "exit", "reload"):
+                    await self._inject_process_fault(
+                        name, self._entries[entry_index], fault_s
+                    )
+                elif name == "kill_all":
+                    await self._kill_all()
+                elif name == "clock_step":
+                    offset_ms = self._random.choice(CLOCK_OFFSETS_MS)
+                    self._entries[entry_index].set_clock_offset(offset_ms)
+                    await anyio.sleep(fault_s)
+                    self._entries[entry_index].set_clock_offset(0)
+                elif name == "runner_leaves":
+                    await self._replace_runner(runner, task_group)
+                elif name == "runner_reclaimed":
+                    await self._reclaim_runner(runner, task_group)
+                elif name.startswith("service"):
+                    await self._inject_service_fault(
+                        name, runner.runner.service, fault_s
+                    )
+                elif name.startswith("runner"):
+                    await self._inject_runner_fault(name, runner, fault_s)
+                else:
+                    await self._inject_store_fault(
+                        name, self._store_proxies[entry_index], fault_s
+                    )
+
+    @contextlib.contextmanager
+    def _fault_span(
+        self, name: str, *, planned: bool = False
+    ) -> Iterator[None]:
+        """Record how long a fault lasts; it has no end if it is cancelled."""
+        spans = self._history.fault_spans
+        index = len(spans)
+        start_ms = self._clock.now_ms()
+        spans.append(promises.FaultSpan(name, start_ms, 2**62, planned))
+        yield
+        end_ms = self._clock.now_ms()
+        spans[index] = promises.FaultSpan(name, start_ms, end_ms, planned)
 
     async def _inject_process_fault(
         self, name: str, entry: processes.EntryProcess, fault_s: float
@@ -678,7 +671,7 @@
             entry.signal(signal.SIGHUP)
             return
         if name == "pause":
-            entry.signal(signal.SIGSTOP)
+            entry.pause()
             await anyio.sleep(fault_s)
             entry.signal(signal.SIGCONT)
             return
