--- a/laburnumpin/forwarding/budgets.py
+++ b/laburnumpin/forwarding/budgets.py
@@ -77,10 +77,11 @@
     among the entries.
     """
 
-    __slots__ = ("_limit", "_request_times", "_retry_times")
+    __slots__ = ("_limit", "_request_times", "_retry_times", "_slack_from_ms")
 
     def __init__(self, limit: RetryLimit) -> None:
         self._limit = limit
+        self._slack_from_ms: int | None = None
         self._request_times: dict[str, collections.deque[int]] = {}
         self._retry_times: dict[str, collections.deque[int]] = {}
 
@@ -90,6 +91,14 @@
             now_ms
         )
 
+    def withhold_slack(self, now_ms: int) -> None:
+        """Use none of the slack for a window from now on.
+
+        The process that ran in this one's place before may have used all of
+        its share in the window before its end.
+        """
+        self._slack_from_ms = now_ms + self._limit.window_ms
+
     def has_room(self, service: str, now_ms: int, entries: int) -> bool:
         """Return whether the budget allows one more retry.
 
@@ -100,7 +109,8 @@
         )
         retry_times = self._times_in_window(self._retry_times, service, now_ms)
         allowed = self._limit.ratio * len(request_times)
-        allowed += self._limit.slack / max(1, entries)
+        if self._slack_from_ms is None or now_ms >= self._slack_from_ms:
+            allowed += self._limit.slack / max(1, entries)
         return len(retry_times) + 1 <= allowed * RETRY_LIMIT_SHARE
 
     def take(self, service: str, now_ms: int, entries: int) -> bool:
--- a/laburnumpin/forwarding/daemon.py
+++ b/laburnumpin/forwarding/daemon.py
@@ -65,6 +65,8 @@
         settings.withholding,
         settings.backoff,
     )
+    if not settings.is_first_start:
+        state.budget.withhold_slack(boot_clock.now_ms())
     for seed_address in settings.seeds:
         state.members.add_contact(seed_address, boot_clock.now_ms())
     async with anyio.create_task_group() as task_group:
--- a/laburnumpin/forwarding/membership.py
+++ b/laburnumpin/forwarding/membership.py
@@ -29,8 +29,15 @@
 # fleets use relays.
 MAX_MESH_ENTRIES = 12
 RELAYS_PER_ZONE = 2
-# An entry that failed as a relay is not used as one for this long.
-FAILED_RELAY_MS = 5_000
+# An entry to which a link failed is not linked for this long. Each further
+# failure without a digest in between doubles the time, up to the longest.
+FAILED_LINK_MS = 5_000
+MAX_FAILED_LINK_MS = 320_000
+# A registered entry without a digest counts as running for this long after its
+# row was first read.
+UNHEARD_GRACE_MS = 3_000
+# Links that a relay opens at once to entries from which nothing was heard.
+MAX_PROBES = 32
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -126,6 +133,14 @@
         return f"{self.name}/{self.incarnation_ms}"
 
 
+@dataclasses.dataclass(slots=True)
+class _LinkFailure:
+    """Failures to open a link, or to keep it, since the last digest."""
+
+    count: int
+    until_ms: int
+
+
 class Members:
     """Peers that send digests, registered entries and digest addresses."""
 
@@ -133,7 +148,7 @@
         "_address_expiry_ms",
         "_ended_work_ms",
         "_entries",
-        "_failed_relay_until_ms",
+        "_link_failures",
         "_own_contact",
         "_peers",
         "_registered_until_ms",
@@ -144,8 +159,8 @@
         # Other entries by name, with the time of the last digest, or of the
         # first read of their row.
         self._entries: dict[str, tuple[Contact, int]] = {}
-        # Until when entries that failed as relays are not used, by name.
-        self._failed_relay_until_ms: dict[str, int] = {}
+        # Entries to which links failed, by name.
+        self._link_failures: dict[str, _LinkFailure] = {}
         # Entries that have sent a digest, by name.
         self._peers: dict[str, Peer] = {}
         # Engine time counted by incarnations that have ended, by service.
@@ -228,18 +243,17 @@
     def relays(self, zone: str, now_ms: int) -> list[Contact]:
         """Return the relays of a zone, which may include this entry.
 
-        They are the entries with the highest link bandwidth. The result is the
-        same at all entries that have the same list of entries and failures.
+        They are the running entries with the highest link bandwidth. The result
+        is the same at all entries that have heard the same entries.
         """
         candidates = []
         if zone == self._own_contact.zone:
             candidates.append(self._own_contact)
-        for contact, _ in self._entries.values():
-            if contact.zone != zone:
-                continue
-            if now_ms < self._failed_relay_until_ms.get(contact.name, 0):
+        for contact, since_ms in self._entries.values():
+            if contact.zone != zone or self._has_failed(contact, now_ms):
                 continue
-            candidates.append(contact)
+            if self._may_run(contact, since_ms, now_ms):
+                candidates.append(contact)
         candidates.sort(key=lambda c: (-c.link_mbps, c.name))
         return candidates[:RELAYS_PER_ZONE]
 
@@ -247,27 +261,65 @@
         """Return the entries to which this one opens a link.
 
         Relays are linked with each other; the one with the higher name opens
-        the link. Any other entry opens one link, to a relay of its zone.
+        the link. They also try entries from which nothing was heard, in case
+        they run and have not found a relay. Any other entry opens one link, to
+        a relay of its zone.
         """
         own_relays = self.relays(self._own_contact.zone, now_ms)
-        if self._own_contact in own_relays:
-            zones = {contact.zone for contact, _ in self._entries.values()}
-            linked = []
-            for zone in sorted(zones | {self._own_contact.zone}):
-                for contact in self.relays(zone, now_ms):
-                    if contact.name < self._own_contact.name:
-                        linked.append(contact)
-            return linked
-        position = zlib.crc32(self._own_contact.name.encode()) % len(own_relays)
-        return [own_relays[position]]
+        if self._own_contact not in own_relays:
+            own_hash = zlib.crc32(self._own_contact.name.encode())
+            return [own_relays[own_hash % len(own_relays)]]
+        zones = {contact.zone for contact, _ in self._entries.values()}
+        linked = []
+        for zone in sorted(zones | {self._own_contact.zone}):
+            for contact in self.relays(zone, now_ms):
+                if contact.name < self._own_contact.name:
+                    linked.append(contact)
+        return linked + self._probes(now_ms)
+
+    def _probes(self, now_ms: int) -> list[Contact]:
+        """Return entries that may run though nothing was heard from them."""
+        probes = []
+        for contact, since_ms in self._entries.values():
+            if contact.name > self._own_contact.name:
+                continue  # It tries this entry.
+            if self._may_run(contact, since_ms, now_ms):
+                continue
+            if not self._has_failed(contact, now_ms):
+                probes.append(contact)
+        # Each relay has an order of its own, so that together they soon meet
+        # those that run.
+        probes.sort(key=self._probe_order)
+        return probes[:MAX_PROBES]
+
+    def _probe_order(self, contact: Contact) -> tuple[int, int]:
+        failure = self._link_failures.get(contact.name)
+        names = f"{self._own_contact.name}/{contact.name}"
+        return failure.count if failure else 0, zlib.crc32(names.encode())
+
+    def _may_run(self, contact: Contact, since_ms: int, now_ms: int) -> bool:
+        """Return whether an entry runs, or may have been started just now."""
+        if contact.name in self._peers:
+            return True
+        return (
+            contact.name not in self._link_failures
+            and now_ms < since_ms + UNHEARD_GRACE_MS
+        )
+
+    def _has_failed(self, contact: Contact, now_ms: int) -> bool:
+        failure = self._link_failures.get(contact.name)
+        return failure is not None and now_ms < failure.until_ms
 
     def is_relay(self, now_ms: int) -> bool:
         """Return whether this entry is a relay of its zone."""
         return self._own_contact in self.relays(self._own_contact.zone, now_ms)
 
     def record_relay_failure(self, name: str, now_ms: int) -> None:
-        """Record a failed link to a relay, which is not used for a while."""
-        self._failed_relay_until_ms[name] = now_ms + FAILED_RELAY_MS
+        """Record a failed link, which is not opened again for a while."""
+        failure = self._link_failures.get(name)
+        count = 1 if failure is None else failure.count + 1
+        pause_ms = min(FAILED_LINK_MS << min(count - 1, 16), MAX_FAILED_LINK_MS)
+        self._link_failures[name] = _LinkFailure(count, now_ms + pause_ms)
 
     def record_digest(
         self, contact: Contact, incarnation_ms: int, now_ms: int
@@ -288,7 +340,10 @@
                 self._archive_work(peer)
             peer = Peer(name, address, incarnation_ms)
             self._peers[name] = peer
-            self._failed_relay_until_ms.pop(name, None)
+            self._link_failures.pop(name, None)
+        failure = self._link_failures.get(name)
+        if failure is not None:
+            failure.count = 0
         self._entries[name] = (contact, now_ms)
         peer.last_digest_ms = now_ms
         self._address_expiry_ms[address] = now_ms + PEER_EXPIRY_MS
--- a/laburnumpin/forwarding/relay.py
+++ b/laburnumpin/forwarding/relay.py
@@ -53,6 +53,7 @@
     """One open link.
 
     `name` is that of the peer, and cancelling `scope` closes the link.
+    `has_opened` is whether this entry opened it.
     `in_sync` is whether the peer is in sync with the store; an own relay may be
     so through another relay. `era` is the era of the store in which it is in
     sync, 0 if it is of an earlier release.
@@ -61,6 +62,7 @@
     __slots__ = (
         "_frame_stream",
         "era",
+        "has_opened",
         "in_sync",
         "name",
         "peer_role",
@@ -68,10 +70,16 @@
     )
 
     def __init__(
-        self, name: str, peer_role: PeerRole, frame_stream: frames.FrameStream
+        self,
+        name: str,
+        peer_role: PeerRole,
+        frame_stream: frames.FrameStream,
+        *,
+        has_opened: bool,
     ) -> None:
         self.name = name
         self.peer_role = peer_role
+        self.has_opened = has_opened
         self.scope = anyio.CancelScope()
         self.in_sync = False
         self.era = 0
@@ -187,21 +195,26 @@
         """
         name = str(hello.get("name", ""))
         peer_role = PeerRole.RELAY if hello.get("relay") else PeerRole.MEMBER
-        await self._serve_link(_Link(name, peer_role, frame_stream))
+        await self._serve_link(
+            _Link(name, peer_role, frame_stream, has_opened=False)
+        )
 
     def _check_links(
         self, task_group: abc.TaskGroup, opening_names: set[str]
     ) -> None:
-        """Open the missing links, and close those to former relays."""
+        """Open the missing links, and close those that have no use.
+
+        A link in which this entry has another role now is opened anew.
+        """
         members = self._shell.state.members
         now_ms = self._shell.now_ms()
         wanted_contacts: dict[str, membership.Contact] = {}
         if members.uses_relays():
             wanted_contacts = {c.name: c for c in members.links(now_ms)}
+        role = self._role_of_opened(now_ms)
         for name, link in list(self._links.items()):
-            if (
-                name not in wanted_contacts
-                and link.peer_role is PeerRole.OWN_RELAY
+            if link.has_opened and (
+                name not in wanted_contacts or link.peer_role is not role
             ):
                 link.scope.cancel()
         for name, contact in wanted_contacts.items():
@@ -210,21 +223,32 @@
             opening_names.add(name)
             task_group.start_soon(self._open_link, contact, opening_names)
 
+    def _role_of_opened(self, now_ms: int) -> PeerRole:
+        """Return the peer's role on links that this entry opens."""
+        if self._shell.state.members.is_relay(now_ms):
+            return PeerRole.RELAY
+        return PeerRole.OWN_RELAY
+
     async def _open_link(
         self, contact: membership.Contact, opening_names: set[str]
     ) -> None:
         state = self._shell.state
-        is_relay = state.members.is_relay(self._shell.now_ms())
-        peer_role = PeerRole.RELAY if is_relay else PeerRole.OWN_RELAY
+        peer_role = self._role_of_opened(self._shell.now_ms())
         stream: byte_stream.ByteStream | None = None
         try:
             stream = await frames.connect(contact.address, CONNECT_TIMEOUT_S)
             frame_stream = frames.FrameStream(stream)
             frame_stream.write(
-                {"kind": "link", "name": state.name, "relay": is_relay}
+                {
+                    "kind": "link",
+                    "name": state.name,
+                    "relay": peer_role is PeerRole.RELAY,
+                }
             )
             opening_names.discard(contact.name)
-            await self._serve_link(_Link(contact.name, peer_role, frame_stream))
+            await self._serve_link(
+                _Link(contact.name, peer_role, frame_stream, has_opened=True)
+            )
         except frames.FrameError as error:
             state.members.record_relay_failure(
                 contact.name, self._shell.now_ms()
--- a/laburnumpin/tests/test_forwarding_budgets.py
+++ b/laburnumpin/tests/test_forwarding_budgets.py
@@ -201,6 +201,32 @@
         assert recent <= allowed + limit.slack
 
 
+# All entries were killed twice, and each new process used a whole share of the
+# slack.
+@pytest.mark.parametrize("restart_period_ms", [100, 300, 999, 1_500])
+def test_retries_of_restarted_entries_stay_within_the_limit(
+    restart_period_ms: int,
+) -> None:
+    limit = budgets.RetryLimit(ratio=0.2, slack=10, window_ms=1_000)
+    budget = budgets.RetryBudget(limit)
+    retry_times: list[int] = []
+    for now_ms in range(0, 6_000, 10):
+        if now_ms % restart_period_ms == 0 and now_ms:
+            budget = budgets.RetryBudget(limit)
+            budget.withhold_slack(now_ms)
+        if now_ms % 50 == 0:
+            budget.record_request("s", now_ms)
+        if budget.take("s", now_ms, 1):
+            retry_times.append(now_ms)
+        start_ms = now_ms - limit.window_ms
+        recent = sum(1 for at_ms in retry_times if at_ms > start_ms)
+        requests = min(now_ms, limit.window_ms) // 50
+        assert recent <= limit.ratio * requests + limit.slack
+    if restart_period_ms > limit.window_ms:
+        # A process that has run for a window uses the slack again.
+        assert max(retry_times) > limit.window_ms
+
+
 def test_uneven_use_below_the_quota_is_admitted() -> None:
     # Clients are hashed to entries, so that one entry gets most of a
     # customer's requests.
--- a/laburnumpin/tests/test_forwarding_store_era.py
+++ b/laburnumpin/tests/test_forwarding_store_era.py
@@ -578,7 +578,10 @@
             other = build.contact(f"relay-{number}", link_mbps=100.0)
             entry.state.members.add_entry(other, entry.clock.now_ms())
         link = relay._Link(
-            "relay-0", relay.PeerRole.OWN_RELAY, cast(frames.FrameStream, None)
+            "relay-0",
+            relay.PeerRole.OWN_RELAY,
+            cast(frames.FrameStream, None),
+            has_opened=True,
         )
         link.in_sync = True
         links._links["relay-0"] = link
