Exchange large configurations by hash and decode them in slices

Cause: peers handed whole configurations on over relay links and in every

fetch for a registration carried it again. Decoding blocked the loop.

Change: peers name large values by their hash; an entry that lacks one fetches it once, as a compressed difference. Configurations are decoded in slices, and unchanged routes are taken from the version before.

--- /dev/null
+++ b/laburnumpin/forwarding/configurations/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' configurations: incremental decoding and exchange with peers."""
--- /dev/null
+++ b/laburnumpin/forwarding/configurations/json_lists.py
@@ -0,0 +1,209 @@
+"""Incremental decoding of a JSON object whose lists are long.
+
+The items of the named lists are decoded one at a time, and those whose text is
+the same as in an earlier document are taken from it.
+"""
+
+from __future__ import annotations
+
+import array
+from collections.abc import Callable
+from collections.abc import Generator
+from collections.abc import Mapping
+import dataclasses
+import json
+import re
+from typing import Any
+
+from laburnumpin.forwarding import untrusted
+
+_SPACE = " \t\n\r"
+_SPACE_PATTERN = re.compile(r"[ \t\n\r]*")
+
+ItemDecoder = Callable[[dict[str, Any]], Any]
+
+
+@dataclasses.dataclass(slots=True)
+class List:
+    """The decoded items of a list, and where each begins and ends."""
+
+    starts: array.array[int] = dataclasses.field(
+        default_factory=lambda: array.array("L")
+    )
+    ends: array.array[int] = dataclasses.field(
+        default_factory=lambda: array.array("L")
+    )
+    items: list[Any] = dataclasses.field(default_factory=list)
+
+    def add(self, start: int, end: int, item: object) -> None:
+        """Append an item."""
+        self.starts.append(start)
+        self.ends.append(end)
+        self.items.append(item)
+
+
+@dataclasses.dataclass(slots=True)
+class Document:
+    """A decoded document; `fields` has those that are no named list.
+
+    `decoded_items` is the number of items that were not taken from `base`.
+    """
+
+    value: bytes
+    fields: dict[str, Any]
+    lists: dict[str, List]
+    decoded_items: int = 0
+
+
+def decode(
+    value: bytes,
+    max_bytes: int,
+    decoders: Mapping[str, ItemDecoder],
+    base: Document | None,
+) -> Generator[None, None, Document]:
+    """Return the document in `value`; yields after each item.
+
+    Raises:
+        MalformedError: It is no JSON object, longer than `max_bytes`, a named
+            list is none, or an item's decoder has rejected it.
+    """
+    if len(value) > max_bytes:
+        raise untrusted.MalformedError("", "too_large")
+    try:
+        return (yield from _Reader(value, decoders, base).read())
+    except (ValueError, IndexError, RecursionError) as error:
+        raise untrusted.MalformedError("", "unreadable") from error
+
+
+class _Reader:
+    """Reads one document."""
+
+    __slots__ = ("_base", "_decoders", "_document", "_json", "_text")
+
+    def __init__(
+        self,
+        value: bytes,
+        decoders: Mapping[str, ItemDecoder],
+        base: Document | None,
+    ) -> None:
+        encoding = json.detect_encoding(value)
+        self._text = value.decode(encoding, "surrogatepass")
+        self._decoders = decoders
+        self._document = Document(value, {}, {})
+        # Offsets in the text are offsets in the bytes only if both are ASCII.
+        self._base: Document | None = None
+        if base is not None and len(self._text) == len(value):
+            if self._text.isascii() and base.value.isascii():
+                self._base = base
+        self._json = json.JSONDecoder(parse_constant=_reject_constant)
+
+    def read(self) -> Generator[None, None, Document]:
+        at = self._expect(self._skip(0), "{")
+        if self._text[at] == "}":
+            return self._finish(at + 1)
+        while True:
+            name, at = self._json.raw_decode(self._text, at)
+            if not isinstance(name, str):
+                raise ValueError("a name is expected")
+            at = self._expect(self._skip(at), ":")
+            if name in self._decoders:
+                at = yield from self._read_list(name, at)
+            else:
+                value, at = self._json.raw_decode(self._text, at)
+                self._document.fields[name] = value
+                yield
+            at = self._skip(at)
+            if self._text[at] == "}":
+                return self._finish(at + 1)
+            at = self._expect(at, ",")
+
+    def _read_list(self, name: str, at: int) -> Generator[None, None, int]:
+        found = List()
+        self._document.lists[name] = found
+        if self._text[at] != "[":
+            value, at = self._json.raw_decode(self._text, at)
+            if value:
+                raise untrusted.MalformedError(name, "wrong_type")
+            return at
+        at = self._skip(at + 1)
+        if self._text[at] == "]":
+            return at + 1
+        known = List()
+        if self._base is not None:
+            known = self._base.lists.get(name, known)
+        next_known = 0
+        indexes: dict[bytes, int] | None = None
+        while True:
+            index = self._find_known(known, next_known, at)
+            if index is None:
+                fields, end = self._json.raw_decode(self._text, at)
+                if known.items:
+                    if indexes is None:
+                        indexes = yield from self._index(known)
+                    index = indexes.get(self._document.value[at:end])
+            if index is None:
+                item = self._decoders[name](untrusted.mapping(fields, name))
+                self._document.decoded_items += 1
+            else:
+                end = at + known.ends[index] - known.starts[index]
+                item = known.items[index]
+                next_known = index + 1
+            found.add(at, end, item)
+            yield
+            at = self._skip(end)
+            if self._text[at] == "]":
+                return at + 1
+            at = self._expect(at, ",")
+
+    def _find_known(self, known: List, first: int, at: int) -> int | None:
+        """Return which of the next two known items is at a position.
+
+        The second one is there if the first was removed or replaced.
+        """
+        for index in range(first, min(first + 2, len(known.items))):
+            if self._is_at(known, index, at):
+                return index
+        return None
+
+    def _index(self, known: List) -> Generator[None, None, dict[bytes, int]]:
+        assert self._base is not None
+        indexes = {}
+        for index, start in enumerate(known.starts):
+            indexes[self._base.value[start : known.ends[index]]] = index
+            yield
+        return indexes
+
+    def _is_at(self, known: List, index: int, at: int) -> bool:
+        """Return whether the text of a known item is at a position.
+
+        The text of an object ends where its outermost brace is closed, so no
+        longer text can begin with it.
+        """
+        assert self._base is not None
+        start, end = known.starts[index], known.ends[index]
+        return (
+            self._document.value[at : at + end - start]
+            == self._base.value[start:end]
+        )
+
+    def _skip(self, at: int) -> int:
+        """Return the position after white space."""
+        if self._text[at : at + 1] not in _SPACE:
+            return at
+        match = _SPACE_PATTERN.match(self._text, at)
+        assert match is not None
+        return match.end()
+
+    def _expect(self, at: int, character: str) -> int:
+        if self._text[at] != character:
+            raise ValueError(f"{character} is expected")
+        return self._skip(at + 1)
+
+    def _finish(self, at: int) -> Document:
+        if self._skip(at) != len(self._text):
+            raise ValueError("text after the object")
+        return self._document
+
+
+def _reject_constant(name: str) -> None:
+    raise ValueError(f"{name} is not a JSON number")
--- a/laburnumpin/forwarding/daemon.py
+++ b/laburnumpin/forwarding/daemon.py
@@ -87,6 +87,7 @@
             documents,
             withheld_parts.load,
             settings.call_times,
+            settings.max_configuration_bytes,
         )
         peer_exchange = peer_link.PeerLink(
             shell, synchronizer, settings.peer_address
--- a/laburnumpin/forwarding/deployment.py
+++ b/laburnumpin/forwarding/deployment.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Generator
 import dataclasses
 import random
 
@@ -137,6 +138,8 @@
         services: dict[str, Service],
         customers: dict[str, Customer],
         limits: CallerLimits,
+        *,
+        index_now: bool = True,
     ) -> None:
         self.version = version
         self.routes = routes
@@ -144,13 +147,21 @@
         self.customers = customers
         self.limits = limits
         self._by_prefix: dict[str, dict[str, Route]] = {}
-        for route in routes:
+        self._by_key: dict[str, Customer] = {}
+        if index_now:
+            for _ in self.index_steps():
+                pass
+
+    def index_steps(self) -> Generator[None, None, None]:
+        """Build the lookup tables; yields after each entry."""
+        for route in self.routes:
             routes_of_host = self._by_prefix.setdefault(route.host, {})
             routes_of_host[route.path_prefix] = route
-        self._by_key: dict[str, Customer] = {}
-        for customer in customers.values():
+            yield
+        for customer in self.customers.values():
             for key in customer.keys:
                 self._by_key[key] = customer
+                yield
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching path prefix, if any.
@@ -173,3 +184,18 @@
     def customer_of(self, key: str) -> Customer | None:
         """Return the customer with an API key, if any."""
         return self._by_key.get(key)
+
+
+def build_steps(
+    version: int,
+    routes: tuple[Route, ...],
+    services: dict[str, Service],
+    customers: dict[str, Customer],
+    limits: CallerLimits,
+) -> Generator[None, None, Deployment]:
+    """Return a complete configuration; yields where it may pause."""
+    built = Deployment(
+        version, routes, services, customers, limits, index_now=False
+    )
+    yield from built.index_steps()
+    return built
--- a/laburnumpin/forwarding/interfaces.py
+++ b/laburnumpin/forwarding/interfaces.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Generator
+from collections.abc import Sequence
 import dataclasses
 import enum
 from typing import Protocol
@@ -17,6 +19,7 @@
 from laburnumpin.forwarding import requests
 from laburnumpin.forwarding import settings as forwarding_settings
 from laburnumpin.forwarding import upstreams
+from laburnumpin.forwarding.configurations import decoded
 
 
 class HistoryLostError(exceptions.LaburnumpinError):
@@ -25,6 +28,12 @@
     code = "history_lost"
 
 
+class AnswerTooLargeError(exceptions.LaburnumpinError):
+    """An answer of the store is longer than this entry reads."""
+
+    code = "answer_too_large"
+
+
 class ConflictError(exceptions.LaburnumpinError):
     """A condition of a transaction failed; nothing was written.
 
@@ -300,6 +309,20 @@
             DocumentError: The configuration is invalid.
         """
 
+    def deployment_steps(
+        self, rows: Sequence[Row], known: Sequence[decoded.Configuration]
+    ) -> Generator[None, None, decoded.Configuration | None]:
+        """Return the same as `decode_deployment`, and yield on the way.
+
+        What is unchanged is taken from the configurations in `known`.
+
+        Raises:
+            DocumentError: The configuration is invalid.
+        """
+
+    def is_configuration(self, key: str) -> bool:
+        """Return whether an operator's row with this key is a configuration."""
+
     def decode_registration(self, row: Row) -> upstreams.Registration | None:
         """Return the registration in a row; None if the row was removed.
 
--- a/laburnumpin/forwarding/peer_link.py
+++ b/laburnumpin/forwarding/peer_link.py
@@ -28,6 +28,8 @@
 from laburnumpin.forwarding import untrusted
 from laburnumpin.forwarding import upstream_limits
 from laburnumpin.forwarding import usage
+from laburnumpin.forwarding.configurations import intake
+from laburnumpin.forwarding.configurations import tables
 from laburnumpin.server import logs
 
 DIGEST_FORMAT = 1
@@ -36,6 +38,8 @@
 # Highest sum of logarithms of observed to predicted times in a digest.
 MAX_LOG_RATIO = 1e6
 FETCH_TIMEOUT_S = 1.5
+# Longest time for a large value of a row.
+VALUE_TIMEOUT_S = 4.0
 # Longest first message of a connection.
 MAX_HELLO_BYTES = 4_096
 LISTEN_BACKLOG = 256
@@ -49,6 +53,8 @@
 
     __slots__ = (
         "_address",
+        "_fetching",
+        "_intake",
         "_relay_links",
         "_shell",
         "_socket",
@@ -65,8 +71,11 @@
         self._synchronizer = synchronizer
         self._address = address
         self._socket: abc.UDPSocket | None = None
+        # Addresses of which a snapshot is being fetched.
+        self._fetching: set[str] = set()
+        self._intake = intake.Intake(synchronizer, self._fetch_value)
         self._relay_links = relay.RelayLinks(
-            shell, synchronizer, self._receive_digest
+            shell, synchronizer, self._receive_digest, self._intake, address
         )
         shell.send_digest = self._start_sending_digest
         shell.fetch_from_peer = self._start_fetch
@@ -81,6 +90,7 @@
             anyio.create_task_group() as task_group,
         ):
             self._socket = udp
+            task_group.start_soon(self._intake.run)
             task_group.start_soon(
                 byte_stream.serve,
                 self._address,
@@ -110,7 +120,9 @@
         self._shell.tasks.start(self._send_digest, effect)
 
     def _start_fetch(self, effect: effects.FetchFromPeer) -> None:
-        self._shell.tasks.start(self._fetch_snapshot, effect.address)
+        if effect.address not in self._fetching:
+            self._fetching.add(effect.address)
+            self._shell.tasks.start(self._fetch_snapshot, effect.address)
 
     async def _send_digest(self, effect: effects.SendDigest) -> None:
         encoded = encode(effect.digest)
@@ -134,9 +146,22 @@
             if hello.get("kind") == "link":
                 await self._relay_links.accept(frame_stream, hello)
                 return
-            frame_stream.write(self._synchronizer.snapshot())
+            if hello.get("kind") == "value":
+                frame_stream.write(
+                    await tables.serve_request(
+                        hello, self._synchronizer.large_values
+                    )
+                )
+                await frame_stream.drain(VALUE_TIMEOUT_S)
+                return
+            if tables.accepts(hello):
+                frame_stream.write(
+                    self._synchronizer.compact_snapshot(self._address)
+                )
+            else:
+                frame_stream.write(self._synchronizer.snapshot())
             await frame_stream.drain(FETCH_TIMEOUT_S)
-        except frames.FrameError as error:
+        except (frames.FrameError, exceptions.DocumentError) as error:
             logs.write("peer_lost", "debug", {"reason": str(error)})
         finally:
             stream.close()
@@ -146,18 +171,55 @@
         try:
             stream = await frames.connect(address, FETCH_TIMEOUT_S)
             frame_stream = frames.FrameStream(stream)
-            frame_stream.write({"kind": "fetch"})
+            frame_stream.write(
+                {"kind": "fetch", tables.FORMAT_FIELD: tables.FORMAT}
+            )
             snapshot = await frame_stream.read(FETCH_TIMEOUT_S)
+            if "operator_table" in snapshot:
+                self._intake.offer(
+                    address, tables.decode(snapshot["operator_table"])
+                )
+            else:
+                await self._synchronizer.prepare(
+                    synchronization.decode_rows(snapshot.get("operator", ()))
+                )
             self._synchronizer.apply_snapshot(snapshot)
-        except (frames.FrameError, ValueError) as error:
+        except (
+            frames.FrameError,
+            ValueError,
+            exceptions.DocumentError,
+        ) as error:
             logs.write(
                 "peer_fetch_failed",
                 "info",
                 {"peer": address, "reason": str(error)},
             )
+        finally:
+            self._fetching.discard(address)
+            if stream is not None:
+                stream.close()
+
+    async def _fetch_value(
+        self, address: str, request: dict[str, Any]
+    ) -> dict[str, Any]:
+        """Return a peer's answer to a request for a large value.
+
+        Raises:
+            FetchError: The peer did not answer.
+        """
+        stream: byte_stream.ByteStream | None = None
+        try:
+            stream = await frames.connect(address, FETCH_TIMEOUT_S)
+            frame_stream = frames.FrameStream(stream)
+            frame_stream.write(request)
+            answer = await frame_stream.read(VALUE_TIMEOUT_S)
+        except frames.FrameError as error:
+            raise intake.FetchError(str(error)) from error
         finally:
             if stream is not None:
                 stream.close()
+        self._shell.state.counters.increment("configurations_fetched")
+        return answer
 
 
 def encode(digest: digests.Digest) -> bytes:
--- a/laburnumpin/forwarding/registry.py
+++ b/laburnumpin/forwarding/registry.py
@@ -29,7 +29,7 @@
     changed = []
     for customer in event.deployment.customers.values():
         previous = current.customers.get(customer.name) if current else None
-        if previous != customer:
+        if previous is not customer and previous != customer:
             changed.append(_describe_customer(customer))
     return [
         effects.Report(
--- a/laburnumpin/forwarding/relay.py
+++ b/laburnumpin/forwarding/relay.py
@@ -23,6 +23,8 @@
 from laburnumpin.forwarding import shell as shells
 from laburnumpin.forwarding import synchronization
 from laburnumpin.forwarding import untrusted
+from laburnumpin.forwarding.configurations import intake
+from laburnumpin.forwarding.configurations import tables
 from laburnumpin.server import logs
 
 # Pause between two bundles of a relay, which are sent even if they are empty.
@@ -56,15 +58,20 @@
     `has_opened` is whether this entry opened it.
     `in_sync` is whether the peer is in sync with the store; an own relay may be
     so through another relay. `era` is the era of the store in which it is in
-    sync, 0 if it is of an earlier release.
+    sync, 0 if it is of an earlier release. `accepts_tables` is whether the peer
+    takes the operator's table without large values; None until it has sent its
+    first message. `operator_state` is the position of that table and the
+    version of the configuration that the peer has at least.
     """
 
     __slots__ = (
         "_frame_stream",
+        "accepts_tables",
         "era",
         "has_opened",
         "in_sync",
         "name",
+        "operator_state",
         "peer_role",
         "scope",
     )
@@ -83,6 +90,8 @@
         self.scope = anyio.CancelScope()
         self.in_sync = False
         self.era = 0
+        self.accepts_tables: bool | None = None
+        self.operator_state: tuple[interfaces.Position, int] | None = None
         self._frame_stream = frame_stream
 
     def send(self, frame: bytes) -> bool:
@@ -108,7 +117,9 @@
     """Maintains the links of this entry, and forwards digests and rows."""
 
     __slots__ = (
+        "_address",
         "_bundle",
+        "_intake",
         "_last_bundle_ms",
         "_links",
         "_newest_digests",
@@ -122,10 +133,14 @@
         shell: shells.Shell,
         synchronizer: synchronization.Synchronizer,
         receive_digest: Callable[[bytes], digests.Digest | None],
+        table_intake: intake.Intake | None = None,
+        address: str = "",
     ) -> None:
         self._shell = shell
         self._synchronizer = synchronizer
         self._receive_digest = receive_digest
+        self._intake = table_intake
+        self._address = address
         self._links: dict[str, _Link] = {}
         # Encoded digests for the next bundle by the name of their entry, with
         # the link that delivered them; None for this entry's own.
@@ -195,9 +210,9 @@
         """
         name = str(hello.get("name", ""))
         peer_role = PeerRole.RELAY if hello.get("relay") else PeerRole.MEMBER
-        await self._serve_link(
-            _Link(name, peer_role, frame_stream, has_opened=False)
-        )
+        link = _Link(name, peer_role, frame_stream, has_opened=False)
+        link.accepts_tables = tables.accepts(hello)
+        await self._serve_link(link)
 
     def _check_links(
         self, task_group: abc.TaskGroup, opening_names: set[str]
@@ -243,6 +258,7 @@
                     "kind": "link",
                     "name": state.name,
                     "relay": peer_role is PeerRole.RELAY,
+                    tables.FORMAT_FIELD: tables.FORMAT,
                 }
             )
             opening_names.discard(contact.name)
@@ -273,21 +289,34 @@
             "info",
             {"peer": link.name, "to": link.peer_role.value},
         )
-        link.send(self._snapshot_frame())
+        if not link.has_opened:
+            self._send_snapshot(link)
         try:
             with link.scope:
                 while True:
-                    self._on_message(link, await link.read())
+                    message = await link.read()
+                    if link.accepts_tables is None:
+                        # The peer that accepted the link begins.
+                        link.accepts_tables = tables.accepts(message)
+                        await self._on_message(link, message)
+                        self._send_snapshot(link)
+                        continue
+                    await self._on_message(link, message)
         finally:
             if self._links.get(link.name) is link:
                 del self._links[link.name]
 
-    def _snapshot_frame(self) -> bytes:
-        return frames.encode(
-            {"kind": "snapshot", **self._synchronizer.snapshot()}
-        )
+    def _send_snapshot(self, link: _Link) -> None:
+        link.send(self._snapshot_frame(link))
+
+    def _snapshot_frame(self, link: _Link) -> bytes:
+        if not link.accepts_tables:
+            snapshot = self._synchronizer.snapshot()
+        else:
+            snapshot = self._synchronizer.compact_snapshot(self._address)
+        return frames.encode({"kind": "snapshot", **snapshot})
 
-    def _on_message(self, link: _Link, message: dict[str, Any]) -> None:
+    async def _on_message(self, link: _Link, message: dict[str, Any]) -> None:
         try:
             kind = message["kind"]
             if kind == "bundle":
@@ -304,11 +333,15 @@
                 rows = synchronization.decode_rows(message["rows"])
                 version = untrusted.integer(message["version"], "version")
                 era = untrusted.integer(message.get("era", 0), "era")
+                if table is interfaces.Table.OPERATOR:
+                    await self._synchronizer.prepare(rows)
                 self._synchronizer.apply_peer_changes(
                     table, interfaces.Rows(tuple(rows), version, era)
                 )
             elif kind == "snapshot":
-                self._synchronizer.apply_snapshot(message)
+                await self._on_snapshot(link, message)
+            elif kind == "operator_table":
+                self._on_operator_table(link, message["operator_table"])
         except (
             KeyError,
             TypeError,
@@ -322,6 +355,21 @@
                 {"peer": link.name, "reason": repr(error)},
             )
 
+    async def _on_snapshot(self, link: _Link, message: dict[str, Any]) -> None:
+        if "operator_table" in message:
+            self._on_operator_table(link, message["operator_table"])
+        else:
+            await self._synchronizer.prepare(
+                synchronization.decode_rows(message["operator"])
+            )
+        self._synchronizer.apply_snapshot(message)
+
+    def _on_operator_table(self, link: _Link, encoded: object) -> None:
+        table = tables.decode(encoded)
+        link.operator_state = (table.position, table.configuration)
+        if self._intake is not None:
+            self._intake.offer(link.name, table)
+
     def _on_digest(self, link: _Link, encoded: bytes) -> None:
         digest = self._receive_digest(encoded)
         if digest is None:
@@ -383,26 +431,53 @@
     def _on_rows(
         self, table: interfaces.Table, rows: interfaces.Rows, complete: bool
     ) -> None:
-        if not self._links:
-            return
-        if complete:
-            frame = self._snapshot_frame()
-        else:
-            frame = frames.encode(
-                {
-                    "kind": "rows",
-                    "table": table.value,
-                    "rows": synchronization.encode_rows(rows.rows),
-                    "version": rows.version,
-                    "era": rows.era,
-                }
-            )
-        for link in self._links.values():
+        whole_rows: bytes | None = None
+        for link in list(self._links.values()):
+            if link.accepts_tables is None:
+                continue  # It gets a snapshot after its first message.
+            if link.accepts_tables and table is interfaces.Table.OPERATOR:
+                self._send_operator_table(link)
+                continue
+            if complete:
+                frame = self._snapshot_frame(link)
+            else:
+                whole_rows = whole_rows or _rows_frame(table, rows)
+                frame = whole_rows
             if not link.send(frame):
                 # The peer does not read; it receives a snapshot over a new
                 # link.
                 link.scope.cancel()
 
+    def _send_operator_table(self, link: _Link) -> None:
+        """Send the operator's table to a peer that may lack it."""
+        encoded = self._synchronizer.operator_table(self._address)
+        position = interfaces.Position(encoded["era"], encoded["version"])
+        if link.operator_state is not None:
+            known_position, known_configuration = link.operator_state
+            if (
+                known_position >= position
+                and known_configuration >= encoded["configuration"]
+            ):
+                return
+        link.operator_state = (position, encoded["configuration"])
+        frame = frames.encode(
+            {"kind": "operator_table", "operator_table": encoded}
+        )
+        if not link.send(frame):
+            link.scope.cancel()
+
+
+def _rows_frame(table: interfaces.Table, rows: interfaces.Rows) -> bytes:
+    return frames.encode(
+        {
+            "kind": "rows",
+            "table": table.value,
+            "rows": synchronization.encode_rows(rows.rows),
+            "version": rows.version,
+            "era": rows.era,
+        }
+    )
+
 
 def _bundle_frame(
     encoded_digests: list[bytes], in_sync: bool, era: int
--- a/laburnumpin/forwarding/synchronization.py
+++ b/laburnumpin/forwarding/synchronization.py
@@ -4,7 +4,10 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Mapping
 import dataclasses
+import types
 from typing import Any
 
 import anyio
@@ -18,6 +21,10 @@
 from laburnumpin.forwarding import shell as shells
 from laburnumpin.forwarding import untrusted
 from laburnumpin.forwarding import upstreams
+from laburnumpin.forwarding.configurations import limits
+from laburnumpin.forwarding.configurations import reader
+from laburnumpin.forwarding.configurations import tables
+from laburnumpin.forwarding.configurations import values
 from laburnumpin.server import logs
 
 # With more entries than this, each one retries a failing store less often, so
@@ -43,6 +50,8 @@
 # In a new era of the store, each entry writes its row again at a random time;
 # the span grows by this much with each entry.
 ENTRY_WRITE_SPREAD_S = 0.01
+# Pause before a table is read again whose answer was too large.
+TOO_LARGE_PAUSE_S = 2.0
 # Removed registrations whose version is kept.
 MAX_TOMBSTONES = 1_000
 # Malformed registrations whose version was logged.
@@ -86,6 +95,7 @@
     __slots__ = (
         "_call_times",
         "_configuration_era",
+        "_configurations",
         "_documents",
         "_entries_read",
         "_era_changed",
@@ -103,8 +113,12 @@
         "_shell",
         "_store",
         "_tombstones",
+        "_too_large_reason",
         "_upstream_rows",
         "is_synced_by_relay",
+        "large_values",
+        "max_value_bytes",
+        "on_operator_rows",
         "on_rows",
     )
 
@@ -115,6 +129,7 @@
         documents: interfaces.Documents,
         on_entries_read: Callable[[], Awaitable[None]] | None = None,
         call_times: freshness.CallTimes | None = None,
+        max_configuration_bytes: int = limits.MAX_CONFIGURATION_BYTES,
     ) -> None:
         self._shell = shell
         self._call_times = call_times or freshness.CallTimes()
@@ -122,6 +137,11 @@
         self._proved_ms = dict.fromkeys(FOLLOWED, shell.now_ms())
         self._store = store
         self._documents = documents
+        self.max_value_bytes = max_configuration_bytes
+        self.large_values = values.LargeValues()
+        self._configurations = reader.ConfigurationReader(
+            documents, self.large_values, max_configuration_bytes
+        )
         # Awaited each time the list of entries was read.
         self._on_entries_read = on_entries_read
         # Rows of the store, for snapshots to peers that cannot reach it.
@@ -145,6 +165,8 @@
         # Malformed registrations that were logged, with their versions, by key.
         self._malformed_rows: dict[str, int] = {}
         self._outage_ended_ms: int | None = None
+        # Why the last answer was too large to be read, if one was.
+        self._too_large_reason = ""
         # Set while no relay keeps this entry in sync.
         self._relay_lost = anyio.Event()
         # Set once the list of entries was read.
@@ -155,6 +177,10 @@
         self.on_rows: (
             Callable[[interfaces.Table, interfaces.Rows, bool], None] | None
         ) = None
+        # Called with all rows of the operator by key, after each change.
+        self.on_operator_rows: (
+            Callable[[Mapping[str, interfaces.Row]], None] | None
+        ) = None
         # Returns whether a relay keeps this entry in sync with the store.
         self.is_synced_by_relay: Callable[[], bool] = lambda: False
 
@@ -180,6 +206,7 @@
                 if after is None:
                     rows = await self._store.read(table)
                     self._shell.note_store_era(rows.era)
+                    await self._prepare_table(table, rows.rows)
                     self._apply_all_rows(
                         table,
                         rows,
@@ -199,6 +226,7 @@
                         continue
                     if is_failing:
                         self._outage_ended_ms = self._shell.now_ms()
+                    await self._prepare_table(table, rows.rows)
                     self.apply_changes(table, rows)
                     if rows.rows and self._shell.state.members.uses_relays():
                         await anyio.sleep(CHANGES_PAUSE_S)
@@ -215,27 +243,13 @@
                 # again: an entry that stopped would serve what it last knew.
                 if not isinstance(error, exceptions.LaburnumpinError):
                     after = None
-                may_be_silent = not is_failing and isinstance(
-                    error, exceptions.PlatformAnswerLostError
-                )
-                self._on_call_failed(table, error)
-                if may_be_silent:
-                    # Perhaps only its connection is silent. The time that the
-                    # call took is pause enough.
+                if await self._is_pause_enough(table, error, is_failing):
                     continue
                 await anyio.sleep(self._retry_pause_s(pause_ms))
                 pause_ms = min(pause_ms * 2, MAX_RETRY_PAUSE_MS)
                 continue
             if is_failing:
-                logs.write(
-                    "store_regained",
-                    "info",
-                    {
-                        "table": table.value,
-                        "version": rows.version,
-                        "era": rows.era,
-                    },
-                )
+                _log_regained(table, rows)
             pause_ms = MIN_RETRY_PAUSE_MS
 
     def _wait_ms(self, is_failing: bool) -> int:
@@ -246,6 +260,30 @@
         """
         return 0 if is_failing else self._call_times.changes_wait_ms
 
+    async def _is_pause_enough(
+        self, table: interfaces.Table, error: Exception, is_failing: bool
+    ) -> bool:
+        """Note a failed call; return whether the next one may follow at once.
+
+        A version that is too large to be read is rejected: the one before stays
+        in force until the operator has written a smaller one, which the next
+        answer has instead.
+        """
+        if table is Table.OPERATOR and isinstance(
+            error, interfaces.AnswerTooLargeError
+        ):
+            if self._too_large_reason != error.message:
+                self._too_large_reason = error.message
+                self._report_rejection(error.code, error.message)
+            await anyio.sleep(TOO_LARGE_PAUSE_S)
+            return True
+        self._on_call_failed(table, error)
+        # Perhaps only its connection is silent. The time that the call took is
+        # pause enough.
+        return not is_failing and isinstance(
+            error, exceptions.PlatformAnswerLostError
+        )
+
     def _on_call_failed(
         self, table: interfaces.Table, error: Exception
     ) -> None:
@@ -383,6 +421,77 @@
             position.version for position in self._positions.values()
         )
 
+    @property
+    def operator_rows(self) -> Mapping[str, interfaces.Row]:
+        """Return all rows of the operator, by key."""
+        return types.MappingProxyType(self._operator_rows)
+
+    async def prepare(self, rows: Iterable[interfaces.Row]) -> None:
+        """Decode the configuration in rows of the operator, if there is one.
+
+        Other tasks run meanwhile. The rows are applied without a pause then.
+        """
+        await self._configurations.prepare(tuple(rows))
+
+    async def _prepare_table(
+        self, table: interfaces.Table, rows: tuple[interfaces.Row, ...]
+    ) -> None:
+        if table is Table.OPERATOR:
+            await self.prepare(rows)
+
+    def operator_table(self, address: str) -> dict[str, Any]:
+        """Return the operator's table for a peer of this release.
+
+        `address` is where this entry serves large values.
+        """
+        current = self._shell.state.deployment
+        return tables.encode(
+            self._operator_rows.values(),
+            self._positions[Table.OPERATOR],
+            0 if current is None else current.version,
+            address,
+            self.large_values,
+        )
+
+    def compact_snapshot(self, address: str) -> dict[str, Any]:
+        """Return a snapshot without large values, for a peer of this release.
+
+        `address` is where this entry serves these.
+        """
+        snapshot = self.snapshot()
+        del snapshot["operator"]
+        snapshot["operator_table"] = self.operator_table(address)
+        snapshot[tables.FORMAT_FIELD] = tables.FORMAT
+        return snapshot
+
+    def lacks(self, table: tables.Table) -> bool:
+        """Return whether a peer's operator table has something new."""
+        if self._resolve_era(table.position.era) is not None:
+            if table.position > self._positions[Table.OPERATOR]:
+                return True
+        current = self._shell.state.deployment
+        if current is not None and table.configuration <= current.version:
+            return False
+        hashes = [row.value_hash for row in table.rows]
+        return not any(self._configurations.is_rejected(h) for h in hashes)
+
+    def awaits_store(self) -> bool:
+        """Return whether the store's own answer may have what a peer has."""
+        if self._shell.state.deployment is None or self.is_synced_by_relay():
+            return False
+        return (
+            self._entries_read.is_set()
+            and Table.OPERATOR not in self._failing_tables
+        )
+
+    def apply_table(
+        self, rows: tuple[interfaces.Row, ...], position: interfaces.Position
+    ) -> None:
+        """Apply a peer's whole operator table, if it is newer."""
+        self._apply_peer_table(
+            Table.OPERATOR, list(rows), position.version, position.era
+        )
+
     def snapshot(self) -> dict[str, Any]:
         """Return all rows and the table versions, for a peer that is behind."""
         losses = self._shell.state.part_losses
@@ -403,11 +512,15 @@
     def apply_snapshot(self, snapshot: dict[str, Any]) -> None:
         """Apply a peer's snapshot of each table that it has a newer version of.
 
+        The operator's table in a compact snapshot is left to `Intake`.
+
         Raises:
             ValueError: The snapshot is malformed.
         """
         try:
-            operator_rows = decode_rows(snapshot["operator"])
+            operator_rows: list[interfaces.Row] | None = None
+            if "operator_table" not in snapshot:
+                operator_rows = decode_rows(snapshot["operator"])
             upstream_rows = decode_rows(snapshot["upstreams"])
             operator_version = _counter(snapshot, "operator_version")
             upstreams_version = _counter(snapshot, "upstreams_version")
@@ -426,43 +539,47 @@
                     self._shell.now_ms(), losses, request_losses
                 )
             )
-        for table, rows, snapshot_version, snapshot_era in (
-            (Table.OPERATOR, operator_rows, operator_version, operator_era),
-            (Table.UPSTREAMS, upstream_rows, upstreams_version, upstreams_era),
-        ):
-            era = self._resolve_era(snapshot_era)
-            if era is None:
-                self._ignore_rows(table, snapshot_era, snapshot_version)
-                if table is Table.OPERATOR:
-                    self._adopt_peer_configuration(
-                        rows, self._positions[table].era
-                    )
-                continue
-            position = interfaces.Position(era, snapshot_version)
-            if position <= self._positions[table]:
-                if table is Table.OPERATOR:
-                    # The peer may keep what the store has lost.
-                    self._adopt_peer_configuration(rows, era)
-                continue
-            self._shell.note_store_era(era)
-            logs.write(
-                "snapshot_adopted",
-                "info",
-                {
-                    "table": table.value,
-                    "version": snapshot_version,
-                    "era": era,
-                },
-            )
-            # The peer may have had access to the store all the time. Missing
-            # registrations count as possibly expired in an outage only while
-            # this entry's own calls to the store fail.
-            self._apply_all_rows(
-                table,
-                interfaces.Rows(tuple(rows), snapshot_version, era),
-                bool(self._failing_tables),
-                snapshot_version,
+        if operator_rows is not None:
+            self._apply_peer_table(
+                Table.OPERATOR, operator_rows, operator_version, operator_era
             )
+        self._apply_peer_table(
+            Table.UPSTREAMS, upstream_rows, upstreams_version, upstreams_era
+        )
+
+    def _apply_peer_table(
+        self,
+        table: interfaces.Table,
+        rows: list[interfaces.Row],
+        peer_version: int,
+        peer_era: int,
+    ) -> None:
+        era = self._resolve_era(peer_era)
+        if era is None:
+            self._ignore_rows(table, peer_era, peer_version)
+            if table is Table.OPERATOR:
+                self._adopt_peer_configuration(rows, self._positions[table].era)
+            return
+        if interfaces.Position(era, peer_version) <= self._positions[table]:
+            if table is Table.OPERATOR:
+                # The peer may keep what the store has lost.
+                self._adopt_peer_configuration(rows, era)
+            return
+        self._shell.note_store_era(era)
+        logs.write(
+            "snapshot_adopted",
+            "info",
+            {"table": table.value, "version": peer_version, "era": era},
+        )
+        # The peer may have had access to the store all the time. Missing
+        # registrations count as possibly expired in an outage only while this
+        # entry's own calls to the store fail.
+        self._apply_all_rows(
+            table,
+            interfaces.Rows(tuple(rows), peer_version, era),
+            bool(self._failing_tables),
+            peer_version,
+        )
 
     def _resolve_era(self, era: int) -> int | None:
         """Return the era of a peer's rows; None if it is not known.
@@ -777,22 +894,46 @@
         """Apply the configuration of the store, or keep a newer one.
 
         An older one comes from an older copy of the store. The newer one stays
-        in force and in snapshots, until the operator has written it again.
+        in force and in snapshots, until the operator has written it again. So
+        does the one in force if the store's cannot be decoded. The other rows
+        are replaced in any case.
         """
         found = self._adopt_configuration(
             rows, self._positions[Table.OPERATOR].era
         )
         current = self._shell.state.deployment
-        if current is None or found is None or found >= current.version:
+        if found is not None and (current is None or found >= current.version):
             return
-        self._keep_configuration(found, current.version)
+        kept = self._configuration_rows(self._operator_rows)
+        if found is not None and current is not None:
+            kept = _without_versions(kept)
+            self._report_kept(found, current.version)
+        others = {
+            key: row
+            for key, row in rows.items()
+            if not self._documents.is_configuration(key)
+        }
+        self._set_operator_rows({**others, **kept})
 
     def _adopt_peer_configuration(
         self, rows: list[interfaces.Row], era: int
     ) -> None:
-        """Apply a newer configuration of a peer with an older table."""
+        """Apply a newer configuration of a peer with an older table.
+
+        The other rows of the peer are older than those of this entry.
+        """
         by_key = {row.key: row for row in rows}
-        self._adopt_configuration(_without_versions(by_key), era)
+        adopted = _without_versions(self._configuration_rows(by_key))
+        self._adopt_configuration({**self._operator_rows, **adopted}, era)
+
+    def _configuration_rows(
+        self, rows: dict[str, interfaces.Row]
+    ) -> dict[str, interfaces.Row]:
+        return {
+            key: row
+            for key, row in rows.items()
+            if self._documents.is_configuration(key)
+        }
 
     def _adopt_configuration(
         self, rows: dict[str, interfaces.Row], era: int
@@ -802,15 +943,10 @@
         `era` is that of the rows. Return its version, 0 if there is none, None
         if it is invalid.
         """
-        position = self._positions[Table.OPERATOR]
         try:
-            configuration = self._documents.decode_deployment(
-                interfaces.Rows(tuple(rows.values()), position.version)
-            )
+            configuration = self._configurations.read(tuple(rows.values()))
         except exceptions.DocumentError as error:
-            logs.write(
-                "configuration_invalid", "error", {"reason": error.message}
-            )
+            self._report_rejection(error.code, error.message)
             return None
         current = self._shell.state.deployment
         found = 0 if configuration is None else configuration.version
@@ -822,7 +958,8 @@
         if configuration is not None:
             # The operator may write a lost version again with other contents.
             is_rewritten = era > self._configuration_era > 0 and (
-                _values(rows) != _values(self._operator_rows)
+                _values(self._configuration_rows(rows))
+                != _values(self._configuration_rows(self._operator_rows))
             )
             self._configuration_era = era
             self._shell.apply(
@@ -830,11 +967,18 @@
                     self._shell.now_ms(), configuration, is_rewritten
                 )
             )
-        self._operator_rows = rows
+            if self._shell.state.deployment is configuration:
+                self._configurations.set_base(configuration)
+        self._set_operator_rows(rows)
         return found
 
-    def _keep_configuration(self, found: int, kept: int) -> None:
-        self._operator_rows = _without_versions(self._operator_rows)
+    def _set_operator_rows(self, rows: dict[str, interfaces.Row]) -> None:
+        self._operator_rows = rows
+        self.large_values.set_current(rows.values())
+        if self.on_operator_rows is not None:
+            self.on_operator_rows(self.operator_rows)
+
+    def _report_kept(self, found: int, kept: int) -> None:
         self._shell.state.counters.increment("configurations_kept")
         logs.write(
             "configuration_kept",
@@ -846,6 +990,22 @@
             },
         )
 
+    def _report_rejection(self, code: str, reason: str) -> None:
+        """Count and log a version that is not used; the one before stays."""
+        current = self._shell.state.deployment
+        self._shell.state.counters.increment("configurations_rejected", code)
+        logs.write(
+            "configuration_invalid",
+            "error",
+            {
+                "code": code,
+                "reason": reason,
+                "kept_version": 0 if current is None else current.version,
+                "table_version": self._positions[Table.OPERATOR].version,
+                "max_bytes": self.max_value_bytes,
+            },
+        )
+
     def _log_store_lost(
         self, table: interfaces.Table, error: Exception
     ) -> None:
@@ -866,6 +1026,14 @@
         )
 
 
+def _log_regained(table: interfaces.Table, rows: interfaces.Rows) -> None:
+    logs.write(
+        "store_regained",
+        "info",
+        {"table": table.value, "version": rows.version, "era": rows.era},
+    )
+
+
 def _without_versions(
     rows: dict[str, interfaces.Row],
 ) -> dict[str, interfaces.Row]:
--- a/laburnumpin/platform/clients.py
+++ b/laburnumpin/platform/clients.py
@@ -29,6 +29,8 @@
 # come in one answer, and of the cloud API and of engines.
 MAX_STORE_ANSWER_BYTES = 16_777_216
 MAX_ANSWER_BYTES = 262_144
+# So many bytes of an answer within its timeout show that it still arrives.
+MIN_PROGRESS_BYTES = 32_768
 
 # The platform defines the first two tables; the entries own the others.
 _TABLE_NAMES = {
@@ -88,9 +90,11 @@
     ) -> Response:
         """Return the response.
 
-        `wait_ms` is the wait of a long poll and extends the timeout.
+        `wait_ms` is the wait of a long poll and extends the timeout. A long
+        answer extends it while it arrives.
 
         Raises:
+            AnswerTooLargeError: The answer is longer than the limit.
             PlatformUnavailableError: No connection, or a status of 429 or 503
                 that is not in `accepted_statuses`; the call had no effect.
             PlatformAnswerLostError: No complete response; the call may have
@@ -110,14 +114,15 @@
         is_reusable = False
         try:
             timeout_ms = self._times.answer_timeout_ms + wait_ms
-            with anyio.fail_after(timeout_ms / 1_000):
+            with anyio.fail_after(timeout_ms / 1_000) as scope:
                 await connection.send(
                     method.encode(), target.encode(), request_headers, body
                 )
                 head = await connection.head()
                 status = head.status_code
                 response_headers = list(head.headers)
-                response_body = await connection.body(self._max_answer_bytes)
+                self._check_length(method, target, response_headers)
+                response_body = await self._read_body(connection, scope)
             is_reusable = (
                 connection.finish() and len(self._idle) < MAX_IDLE_CONNECTIONS
             )
@@ -148,6 +153,41 @@
         while self._idle:
             self._idle.pop().close()
 
+    def _check_length(
+        self, method: str, target: str, headers: connections.Headers
+    ) -> None:
+        """Raise if the announced length of an answer exceeds the limit."""
+        for name, value in headers:
+            if name.lower() != b"content-length" or not value.isdigit():
+                continue
+            if int(value) > self._max_answer_bytes:
+                raise interfaces.AnswerTooLargeError(
+                    f"{method} {target.partition('?')[0]}: {int(value)} bytes, "
+                    f"the limit is {self._max_answer_bytes}"
+                )
+
+    async def _read_body(
+        self, connection: connections.ClientConnection, scope: anyio.CancelScope
+    ) -> bytes:
+        """Return the body of an answer.
+
+        Each `MIN_PROGRESS_BYTES` of it prolong the timeout: on a slow link, a
+        long answer takes longer than any time that would detect a silence.
+        """
+        read = bytearray()
+        due_bytes = MIN_PROGRESS_BYTES
+        while chunk := await connection.chunk():
+            read += chunk
+            if len(read) > self._max_answer_bytes:
+                raise connections.ProtocolError("the body is too long")
+            if len(read) >= due_bytes:
+                due_bytes = len(read) + MIN_PROGRESS_BYTES
+                timeout_s = self._times.answer_timeout_ms / 1_000
+                scope.deadline = max(
+                    scope.deadline, anyio.current_time() + timeout_s
+                )
+        return bytes(read)
+
     async def _acquire_connection(self) -> connections.ClientConnection:
         while self._idle:
             idle = self._idle.pop()
--- a/laburnumpin/platform/documents.py
+++ b/laburnumpin/platform/documents.py
@@ -2,17 +2,22 @@
 
 from __future__ import annotations
 
+from collections.abc import Generator
+from collections.abc import Sequence
 from typing import Any
 
 from laburnumpin.forwarding import deployment
 from laburnumpin.forwarding import interfaces
 from laburnumpin.forwarding import untrusted
 from laburnumpin.forwarding import upstreams
+from laburnumpin.forwarding.configurations import decoded
+from laburnumpin.forwarding.configurations import json_lists
+from laburnumpin.forwarding.configurations import limits
+from laburnumpin.forwarding.configurations import pacing
 
 CONFIGURATION_KEY = "config"
 # Longest rows that are read. The platform limits a row to 65,536 bytes.
 MAX_REGISTRATION_BYTES = 65_536
-MAX_CONFIGURATION_BYTES = 8_388_608
 # Most requests at once, connections, attempts and priority that are taken from
 # a document.
 MAX_SLOTS = 1_000_000
@@ -43,14 +48,40 @@
         Raises:
             MalformedError: The configuration is malformed.
         """
-        for row in rows.rows:
+        found = pacing.run_at_once(self.deployment_steps(rows.rows, ()))
+        return None if found is None else found.deployment
+
+    def deployment_steps(
+        self,
+        rows: Sequence[interfaces.Row],
+        known: Sequence[decoded.Configuration],
+    ) -> Generator[None, None, decoded.Configuration | None]:
+        """Return the configuration in the operator's rows; None without one.
+
+        What is unchanged is taken from `known`, of which the first one is the
+        base. Yields where the computation may pause.
+
+        Raises:
+            MalformedError: The configuration is malformed or too large.
+        """
+        for row in rows:
             if row.key != CONFIGURATION_KEY or row.value is None:
                 continue
-            return _decode_deployment(
-                untrusted.parse_json(row.value, MAX_CONFIGURATION_BYTES)
+            for configuration in known:
+                if configuration.document.value == row.value:
+                    return configuration
+            return (
+                yield from _configuration_steps(
+                    row.value,
+                    known[0] if known else None,
+                )
             )
         return None
 
+    def is_configuration(self, key: str) -> bool:
+        """Return whether an operator's row with this key is a configuration."""
+        return key == CONFIGURATION_KEY
+
     def decode_registration(
         self, row: interfaces.Row
     ) -> upstreams.Registration | None:
@@ -118,22 +149,41 @@
     return int(untrusted.number(value, field, low, high))
 
 
-def _decode_deployment(document: dict[str, Any]) -> deployment.Deployment:
-    services = {}
-    for fields in _objects(document, "services"):
-        service = _decode_service(fields)
+def _configuration_steps(
+    value: bytes, base: decoded.Configuration | None
+) -> Generator[None, None, decoded.Configuration]:
+    document = yield from json_lists.decode(
+        value,
+        limits.LONGEST_CONFIGURATION_BYTES,
+        {
+            "services": _decode_service,
+            "tenants": _decode_customer,
+            "routes": _decode_route,
+        },
+        None if base is None else base.document,
+    )
+    services: dict[str, deployment.Service] = {}
+    for service in _items(document, "services"):
         services[service.name] = service
-    customers = {}
-    for fields in _objects(document, "tenants"):
-        customer = _decode_customer(fields)
+        yield
+    customers: dict[str, deployment.Customer] = {}
+    for customer in _items(document, "tenants"):
         customers[customer.name] = customer
-    return deployment.Deployment(
-        version=untrusted.integer(_get(document, "version"), "version"),
-        routes=tuple(_decode_route(f) for f in _objects(document, "routes")),
-        services=services,
-        customers=customers,
-        limits=_decode_limits(_object(document, "limits")),
+        yield
+    found = yield from deployment.build_steps(
+        untrusted.integer(_get(document.fields, "version"), "version"),
+        tuple(_items(document, "routes")),
+        services,
+        customers,
+        _decode_limits(_object(document.fields, "limits")),
     )
+    return decoded.Configuration(found, document)
+
+
+def _items(document: json_lists.Document, field: str) -> list[Any]:
+    """Return the items of a list, empty without the field."""
+    found = document.lists.get(field)
+    return [] if found is None else found.items
 
 
 def _objects(document: dict[str, Any], field: str) -> list[dict[str, Any]]:
--- a/laburnumpin/platform/settings.py
+++ b/laburnumpin/platform/settings.py
@@ -16,6 +16,7 @@
 from laburnumpin.forwarding import part_losses
 from laburnumpin.forwarding import settings as forwarding_settings
 from laburnumpin.forwarding import untrusted
+from laburnumpin.forwarding.configurations import limits
 
 PATH_VARIABLE = "LABURNUMPIN_SETTINGS"
 DEFAULT_PATH = "/etc/laburnumpin/boot.toml"
@@ -31,6 +32,7 @@
 # are twice as many while they are copied.
 BUFFER_MEMORY_SHARE = 1 / 3
 BYTES_PER_MB = 1_000_000
+MAX_CONFIGURATION_MB = limits.LONGEST_CONFIGURATION_BYTES // BYTES_PER_MB
 # Maps the platform's names of duties to those of `ForwardingSettings`.
 _DUTY_BY_PLATFORM_NAME = {"usage_report": "usage", "autoscale": "upstreams"}
 
@@ -171,6 +173,7 @@
         answers=_read_answers(reader),
         call_times=_read_call_times(reader),
         buffers=_read_buffers(reader),
+        max_configuration_bytes=_read_max_configuration_bytes(reader),
         is_first_start=document.get("bootstrap") is True,
     )
     if reader.errors:
@@ -256,6 +259,24 @@
     return buffers.BufferSettings(int(budget_mb * BYTES_PER_MB))
 
 
+def _read_max_configuration_bytes(reader: _Reader) -> int:
+    """Return the limit in the optional `configuration` table.
+
+    That table is the project's own.
+    """
+    default = limits.MAX_CONFIGURATION_BYTES
+    max_mb = reader.number(
+        "configuration", "max_mb", default=default / BYTES_PER_MB
+    )
+    if not 0 < max_mb <= MAX_CONFIGURATION_MB:
+        reader.add_error(
+            ("configuration", "max_mb"),
+            f"a number above 0 and up to {MAX_CONFIGURATION_MB} is expected",
+        )
+        return default
+    return round(max_mb * BYTES_PER_MB)
+
+
 def _read_call_times(reader: _Reader) -> freshness.CallTimes:
     """Return the times of calls that the platform's bounds lead to."""
     contact_ms = reader.number(
--- a/laburnumpin/tests/test_forwarding_synchronization.py
+++ b/laburnumpin/tests/test_forwarding_synchronization.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Generator
+from collections.abc import Sequence
 import json
 from typing import Any
 from typing import cast
@@ -19,6 +21,7 @@
 from laburnumpin.forwarding import shell as shells
 from laburnumpin.forwarding import synchronization
 from laburnumpin.forwarding import upstreams
+from laburnumpin.forwarding.configurations import decoded
 from laburnumpin.server import tasks
 from laburnumpin.tests import forwarding_builders as build
 
@@ -33,6 +36,17 @@
     ) -> deployment.Deployment | None:
         return None
 
+    def deployment_steps(
+        self,
+        rows: Sequence[interfaces.Row],
+        known: Sequence[decoded.Configuration],
+    ) -> Generator[None, None, decoded.Configuration | None]:
+        yield from ()
+        return None
+
+    def is_configuration(self, key: str) -> bool:
+        return True
+
     def decode_registration(
         self, row: interfaces.Row
     ) -> upstreams.Registration | None:
