--- a/laburnumpin/forwarding/configurations/differences.py
+++ b/laburnumpin/forwarding/configurations/differences.py
@@ -17,7 +17,7 @@
 from laburnumpin.forwarding import untrusted
 
 HASH_BYTES = 16
-_SEPARATOR = b"},{"
+_SEPARATOR = b"},"
 _COMPRESSION_LEVEL = 3
 # Bytes that are hashed or compressed between two pauses.
 _CHUNK_BYTES = 65_536
--- a/laburnumpin/forwarding/configurations/json_lists.py
+++ b/laburnumpin/forwarding/configurations/json_lists.py
@@ -17,6 +17,8 @@
 
 from laburnumpin.forwarding import untrusted
 
+# Most items that are compared or taken over between two pauses.
+MAX_RUN_ITEMS = 256
 _SPACE = " \t\n\r"
 _SPACE_PATTERN = re.compile(r"[ \t\n\r]*")
 
@@ -41,6 +43,17 @@
         self.ends.append(end)
         self.items.append(item)
 
+    def add_known(self, known: List, first: int, count: int, at: int) -> int:
+        """Append items of another list from `at` on; return where they end."""
+        last = first + count
+        shift = at - known.starts[first]
+        self.starts.extend(
+            [start + shift for start in known.starts[first:last]]
+        )
+        self.ends.extend([end + shift for end in known.ends[first:last]])
+        self.items.extend(known.items[first:last])
+        return self.ends[-1]
+
 
 @dataclasses.dataclass(slots=True)
 class Document:
@@ -86,18 +99,27 @@
         decoders: Mapping[str, ItemDecoder],
         base: Document | None,
     ) -> None:
+        self._document = Document(value, {}, {})
+        self._decoders = decoders
+        self._base = base
+        self._text = ""
+        self._json = json.JSONDecoder(parse_constant=_reject_constant)
+
+    def _prepare(self) -> Generator[None, None, None]:
+        value = self._document.value
         encoding = json.detect_encoding(value)
         self._text = value.decode(encoding, "surrogatepass")
-        self._decoders = decoders
-        self._document = Document(value, {}, {})
+        yield
+        base = self._base
         # Offsets in the text are offsets in the bytes only if both are ASCII.
-        self._base: Document | None = None
-        if base is not None and len(self._text) == len(value):
-            if self._text.isascii() and base.value.isascii():
-                self._base = base
-        self._json = json.JSONDecoder(parse_constant=_reject_constant)
+        is_ascii = len(self._text) == len(value) and self._text.isascii()
+        yield
+        if base is None or not is_ascii or not base.value.isascii():
+            self._base = None
+        yield
 
     def read(self) -> Generator[None, None, Document]:
+        yield from self._prepare()
         at = self._expect(self._skip(0), "{")
         if self._text[at] == "}":
             return self._finish(at + 1)
@@ -134,58 +156,87 @@
         next_known = 0
         indexes: dict[bytes, int] | None = None
         while True:
-            index = self._find_known(known, next_known, at)
-            if index is None:
+            first, count = self._find_known(known, next_known, at)
+            if not count:
                 fields, end = self._json.raw_decode(self._text, at)
                 if known.items:
                     if indexes is None:
                         indexes = yield from self._index(known)
-                    index = indexes.get(self._document.value[at:end])
-            if index is None:
+                    moved = indexes.get(self._document.value[at:end])
+                    if moved is not None:
+                        first, count = moved, 1
+            if count:
+                end = found.add_known(known, first, count, at)
+                next_known = first + count
+            else:
                 item = self._decoders[name](untrusted.mapping(fields, name))
                 self._document.decoded_items += 1
-            else:
-                end = at + known.ends[index] - known.starts[index]
-                item = known.items[index]
-                next_known = index + 1
-            found.add(at, end, item)
+                found.add(at, end, item)
             yield
             at = self._skip(end)
             if self._text[at] == "]":
                 return at + 1
             at = self._expect(at, ",")
 
-    def _find_known(self, known: List, first: int, at: int) -> int | None:
-        """Return which of the next two known items is at a position.
+    def _find_known(self, known: List, first: int, at: int) -> tuple[int, int]:
+        """Return the first of the known items at a position, and their number.
 
-        The second one is there if the first was removed or replaced.
+        The search begins with the item `first` and the one after it, which is
+        there if that one was removed or replaced.
         """
-        for index in range(first, min(first + 2, len(known.items))):
-            if self._is_at(known, index, at):
-                return index
-        return None
-
-    def _index(self, known: List) -> Generator[None, None, dict[bytes, int]]:
-        assert self._base is not None
-        indexes = {}
-        for index, start in enumerate(known.starts):
-            indexes[self._base.value[start : known.ends[index]]] = index
-            yield
-        return indexes
+        for start in range(first, min(first + 2, len(known.items))):
+            count = self._count_known(known, start, at)
+            if count:
+                return start, count
+        return first, 0
+
+    def _count_known(self, known: List, first: int, at: int) -> int:
+        """Return how many known items follow each other from a position on.
+
+        Their texts are compared together with what separates them, first in
+        groups that double, then in groups that halve. The text of an object
+        ends where its outermost brace is closed, so no longer text can begin
+        with it.
+        """
+        limit = min(len(known.items) - first, MAX_RUN_ITEMS)
+        count, size = 0, 1
+        is_growing = True
+        while size and count < limit:
+            size = min(size, limit - count)
+            if self._is_at(known, first, count, size, at):
+                count += size
+                size = size * 2 if is_growing else size // 2
+            else:
+                is_growing = False
+                size //= 2
+        return count
 
-    def _is_at(self, known: List, index: int, at: int) -> bool:
-        """Return whether the text of a known item is at a position.
+    def _is_at(
+        self, known: List, first: int, skipped: int, size: int, at: int
+    ) -> bool:
+        """Return whether known items after `skipped` ones are in their place.
 
-        The text of an object ends where its outermost brace is closed, so no
-        longer text can begin with it.
+        The separator before them is compared as well.
         """
         assert self._base is not None
-        start, end = known.starts[index], known.ends[index]
+        start = known.starts[first]
+        if skipped:
+            start = known.ends[first + skipped - 1]
+        end = known.ends[first + skipped + size - 1]
+        at += start - known.starts[first]
         return (
             self._document.value[at : at + end - start]
             == self._base.value[start:end]
         )
 
+    def _index(self, known: List) -> Generator[None, None, dict[bytes, int]]:
+        assert self._base is not None
+        indexes = {}
+        for index, start in enumerate(known.starts):
+            indexes[self._base.value[start : known.ends[index]]] = index
+            yield
+        return indexes
+
     def _skip(self, at: int) -> int:
         """Return the position after white space."""
         if self._text[at : at + 1] not in _SPACE:
--- a/laburnumpin/platform/clients.py
+++ b/laburnumpin/platform/clients.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+from collections.abc import Sequence
 import dataclasses
 import json
 from typing import Any
@@ -16,6 +17,8 @@
 from laburnumpin.forwarding import interfaces
 from laburnumpin.forwarding import settings as forwarding_settings
 from laburnumpin.forwarding import untrusted
+from laburnumpin.forwarding.configurations import pacing
+from laburnumpin.platform import long_answers
 from laburnumpin.platform import wire
 
 MAX_IDLE_CONNECTIONS = 4
@@ -217,8 +220,8 @@
         pages: list[interfaces.Rows] = []
         query = {"table": _TABLE_NAMES[table], "part": ""}
         while True:
-            document, era = await self._get("/rows-get", query, 0)
-            page = _decode_rows(document, era)
+            document, values, era = await self._get("/rows-get", query, 0)
+            page = _decode_rows(document, era, values)
             if pages and page.era != pages[0].era:
                 raise exceptions.PlatformUnavailableError(
                     "/rows-get: the store was restored between two pages"
@@ -241,8 +244,8 @@
             "after_revision": str(after),
             "wait_ms": str(wait_ms),
         }
-        document, era = await self._get("/rows-feed", query, wait_ms)
-        return _decode_rows(document, era)
+        document, values, era = await self._get("/rows-feed", query, wait_ms)
+        return _decode_rows(document, era, values)
 
     async def write(
         self,
@@ -289,8 +292,8 @@
 
     async def _get(
         self, path: str, query: dict[str, str], wait_ms: int
-    ) -> tuple[dict[str, Any], int]:
-        """Return the document and the store's era."""
+    ) -> tuple[dict[str, Any], list[bytes], int]:
+        """Return the document, its long values and the store's era."""
         target = f"{path}?{urllib.parse.urlencode(query)}"
         response = await self._http.call("GET", target, wait_ms=wait_ms)
         if response.status == 410:
@@ -299,7 +302,17 @@
             raise exceptions.PlatformUnavailableError(
                 f"{path}: status {response.status}"
             )
-        return response.document(), _decode_era(response)
+        era = _decode_era(response)
+        try:
+            document, values = await pacing.run(
+                long_answers.parse(
+                    response.body or b"{}", MAX_STORE_ANSWER_BYTES
+                )
+            )
+        except untrusted.MalformedError:
+            # Its decoder misses the fields, as with any unreadable answer.
+            return {}, [], era
+        return document, values, era
 
     async def _transact(
         self, document: dict[str, Any]
@@ -484,8 +497,10 @@
     return 0
 
 
-def _decode_rows(document: dict[str, Any], era: int) -> interfaces.Rows:
-    """Return the rows of an answer.
+def _decode_rows(
+    document: dict[str, Any], era: int, values: Sequence[bytes] = ()
+) -> interfaces.Rows:
+    """Return the rows of an answer, whose long values are in `values`.
 
     Raises:
         PlatformAnswerLostError: The answer is malformed.
@@ -493,15 +508,20 @@
     try:
         rows = []
         for row in untrusted.sequence(document.get("rows", []), "rows"):
-            rows.append(_decode_row(untrusted.mapping(row, "rows")))
+            rows.append(_decode_row(untrusted.mapping(row, "rows"), values))
     except untrusted.MalformedError as error:
         raise exceptions.PlatformAnswerLostError(error.message) from error
     return interfaces.Rows(tuple(rows), _decode_version(document), era)
 
 
-def _decode_row(row: dict[str, Any]) -> interfaces.Row:
+def _decode_row(
+    row: dict[str, Any], values: Sequence[bytes] = ()
+) -> interfaces.Row:
     value: bytes | None = None
-    if not row.get("tombstone"):
+    index = long_answers.index_of(row.get("value"))
+    if index is not None and index < len(values) and not row.get("tombstone"):
+        value = values[index]
+    elif not row.get("tombstone"):
         try:
             value = base64.b64decode(row.get("value", ""), validate=True)
         except (ValueError, TypeError):
--- a/laburnumpin/platform/documents.py
+++ b/laburnumpin/platform/documents.py
@@ -68,6 +68,7 @@
             if row.key != CONFIGURATION_KEY or row.value is None:
                 continue
             for configuration in known:
+                yield
                 if configuration.document.value == row.value:
                     return configuration
             return (
--- /dev/null
+++ b/laburnumpin/tests/test_forwarding_configurations.py
@@ -0,0 +1,296 @@
+"""Decoding of configurations in slices, and their exchange between entries."""
+
+from __future__ import annotations
+
+import json
+import random
+from typing import Any
+
+import anyio
+import pytest
+
+from laburnumpin.forwarding import interfaces
+from laburnumpin.forwarding import untrusted
+from laburnumpin.forwarding.configurations import decoded
+from laburnumpin.forwarding.configurations import differences
+from laburnumpin.forwarding.configurations import intake
+from laburnumpin.forwarding.configurations import pacing
+from laburnumpin.forwarding.configurations import tables
+from laburnumpin.forwarding.configurations import values
+from laburnumpin.platform import documents
+from laburnumpin.platform import long_answers
+
+DOCUMENTS = documents.PlatformDocuments()
+
+
+def _route(number: int, timeout_ms: int = 800) -> dict[str, Any]:
+    return {
+        "name": f"r{number}",
+        "host": f"h{number}.example",
+        "path_prefix": f"/p{number}/",
+        "route_type": "idempotent",
+        "timeout_ms": timeout_ms,
+        "service": "app",
+    }
+
+
+def _value(routes: list[dict[str, Any]], version: int = 1) -> bytes:
+    document = {
+        "version": version,
+        "routes": routes,
+        "services": [{"name": "app"}],
+    }
+    return json.dumps(document).encode()
+
+
+def _decode(
+    value: bytes, base: decoded.Configuration | None = None
+) -> decoded.Configuration:
+    rows = (interfaces.Row("config", value, 1),)
+    known = () if base is None else (base,)
+    found = pacing.run_at_once(DOCUMENTS.deployment_steps(rows, known))
+    assert found is not None
+    return found
+
+
+def _edit(
+    routes: list[dict[str, Any]], edit: str
+) -> tuple[list[dict[str, Any]], int]:
+    """Return the routes of the next version, and how many have a new text."""
+    changed = list(routes)
+    if edit == "replaced":
+        changed[700] = _route(700, 900)
+    elif edit == "inserted":
+        changed.insert(3, _route(9_000))
+    elif edit == "removed":
+        del changed[10:300]
+    elif edit == "moved":
+        random.Random(1).shuffle(changed)
+    return changed, int(edit in ("replaced", "inserted"))
+
+
+# A change of one route decoded all 1,756 of them again.
+@pytest.mark.parametrize(
+    "edit", ["none", "replaced", "inserted", "removed", "moved"]
+)
+def test_only_changed_routes_are_decoded(edit: str) -> None:
+    routes = [_route(number) for number in range(1_500)]
+    base = _decode(_value(routes))
+    changed, count = _edit(routes, edit)
+    value = _value(changed, 2)
+    found = _decode(value, base)
+    alone = _decode(value)
+    assert base.document.decoded_items == 1_501
+    assert found.document.decoded_items == count
+    assert found.deployment.routes == alone.deployment.routes
+    assert found.document.lists == alone.document.lists
+    for route in changed:
+        matched = found.deployment.match(route["host"], route["path_prefix"])
+        assert matched == alone.deployment.match(
+            route["host"], route["path_prefix"]
+        )
+        assert matched is not None
+
+
+# Where the known routes are the same, what separates them may not be.
+def test_known_items_hide_no_malformed_text() -> None:
+    routes = [_route(number) for number in range(50)]
+    value = _value(routes)
+    base = _decode(value)
+    for old, new in (
+        (b"}, {", b"}; {"),
+        (b"}, {", b"}] {"),
+        (b"}, {", b"}  {"),
+    ):
+        parts = value.split(old)
+        broken = old.join(parts[:20]) + new + old.join(parts[20:])
+        with pytest.raises(untrusted.MalformedError):
+            _decode(broken, base)
+
+
+def test_differences_lead_to_the_value() -> None:
+    generator = random.Random(4)
+    for _ in range(200):
+        words = [b"},", b"{", b"}", b"a", b"", b"route"]
+        base = b"".join(generator.choices(words, k=30))
+        value = b"".join(generator.choices(words, k=30))
+        encoded = pacing.run_at_once(differences.encode(base, value))
+        assert value == pacing.run_at_once(
+            differences.decode(base, encoded, len(value))
+        )
+        if value:
+            with pytest.raises(untrusted.MalformedError):
+                pacing.run_at_once(
+                    differences.decode(base, encoded, len(value) - 1)
+                )
+
+
+# A few bytes of a peer must not become gigabytes.
+@pytest.mark.parametrize("data", [b"", b"x", b"\x78\x9c", b"\x78\x9c\x01"])
+def test_malformed_differences_are_rejected(data: bytes) -> None:
+    bomb = pacing.run_at_once(differences.encode(b"", bytes(1_000_000)))
+    for difference in (data, bomb, bomb[:-9]):
+        with pytest.raises(untrusted.MalformedError):
+            pacing.run_at_once(differences.decode(b"", difference, 100_000))
+
+
+class _Target:
+    """An entry's operator table, without a store."""
+
+    def __init__(self) -> None:
+        self.large_values = values.LargeValues()
+        self.max_value_bytes = 10_000_000
+        self.position = interfaces.Position(1, 0)
+        self.applied: list[int] = []
+        self.reads_store = False
+
+    def lacks(self, table: tables.Table) -> bool:
+        return table.position > self.position
+
+    def awaits_store(self) -> bool:
+        return self.reads_store
+
+    async def prepare(self, rows: tuple[interfaces.Row, ...]) -> None:
+        await self.large_values.add(row.value for row in rows)
+
+    def apply_table(
+        self, rows: tuple[interfaces.Row, ...], position: interfaces.Position
+    ) -> None:
+        self.position = position
+        self.applied.append(position.version)
+        self.large_values.set_current(rows)
+
+
+class _Peer:
+    """Serves versions of a configuration, and counts the bytes that it sends.
+
+    While `gate` is not set, its answers do not arrive.
+    """
+
+    def __init__(self) -> None:
+        self.large_values = values.LargeValues()
+        self.sent_bytes: list[int] = []
+        self.gate = anyio.Event()
+        self.asked = anyio.Event()
+
+    def table(self, version: int, value: bytes) -> tables.Table:
+        row = interfaces.Row("config", value, version)
+        return tables.decode(
+            tables.encode(
+                [row],
+                interfaces.Position(1, version),
+                version,
+                "127.0.0.1:1",
+                self.large_values,
+            )
+        )
+
+    async def serve(
+        self, address: str, request: dict[str, Any]
+    ) -> dict[str, Any]:
+        self.asked.set()
+        await self.gate.wait()
+        answer = await tables.serve_request(request, self.large_values)
+        self.sent_bytes.append(len(answer["difference"] or b""))
+        return answer
+
+
+def _run_intake(check: Any) -> None:
+    async def main() -> None:
+        target, peer = _Target(), _Peer()
+        taken = intake.Intake(target, peer.serve)
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(taken.run)
+            with anyio.fail_after(20):
+                await check(target, peer, taken)
+            task_group.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+async def _until_applied(target: _Target, version: int) -> None:
+    while target.position.version < version:
+        await anyio.sleep(0.005)
+
+
+# Three peers handed the same 600 KB on, and each change sent all of it again.
+def test_value_is_fetched_once_and_then_as_a_difference() -> None:
+    async def check(target: _Target, peer: _Peer, taken: intake.Intake) -> None:
+        peer.gate.set()
+        routes = [_route(number) for number in range(2_000)]
+        first = _value(routes)
+        for name in ("a", "b", "c"):
+            taken.offer(name, peer.table(1, first))
+        await _until_applied(target, 1)
+        second = _value(_edit(routes, "replaced")[0], 2)
+        for name in ("a", "b", "c"):
+            taken.offer(name, peer.table(2, second))
+        await _until_applied(target, 2)
+        taken.offer("a", peer.table(2, second))
+        assert len(peer.sent_bytes) == 2
+        assert peer.sent_bytes[0] < len(first) / 5
+        assert peer.sent_bytes[1] < 1_000
+        assert target.applied == [1, 2]
+
+    _run_intake(check)
+
+
+# Changes that come faster than they can be applied.
+def test_newest_table_waits_and_the_one_in_progress_is_applied() -> None:
+    async def check(target: _Target, peer: _Peer, taken: intake.Intake) -> None:
+        for version in range(1, 5):
+            routes = [_route(number, version) for number in range(50)]
+            taken.offer("a", peer.table(version, _value(routes, version)))
+            if version == 1:
+                await peer.asked.wait()
+        peer.gate.set()
+        await _until_applied(target, 4)
+        assert target.applied == [1, 4]
+
+    _run_intake(check)
+
+
+# An entry that follows the store itself asked its peers for the same bytes.
+def test_entry_that_reads_the_store_first_awaits_its_answer() -> None:
+    async def check(target: _Target, peer: _Peer, taken: intake.Intake) -> None:
+        peer.gate.set()
+        target.reads_store = True
+        value = _value([_route(number) for number in range(50)])
+        taken.offer("a", peer.table(1, value))
+        await anyio.sleep(0.01)
+        target.position = interfaces.Position(1, 1)  # The store's answer.
+        await anyio.sleep(intake.OWN_READ_GRACE_MS / 1_000 + 0.1)
+        assert not peer.asked.is_set()
+
+    _run_intake(check)
+
+
+def test_wrong_value_is_not_applied() -> None:
+    async def check(target: _Target, peer: _Peer, taken: intake.Intake) -> None:
+        peer.gate.set()
+        value = _value([_route(number) for number in range(50)])
+        table = peer.table(1, value)
+        wrong = pacing.run_at_once(differences.encode(b"", value + b" "))
+        key = (b"", peer.large_values.hash_of(value))
+        peer.large_values._differences[key] = wrong
+        taken.offer("a", table)
+        while len(peer.sent_bytes) < intake.MAX_TRIES:
+            await anyio.sleep(0.005)
+        assert not target.applied
+
+    _run_intake(check)
+
+
+def test_long_values_of_an_answer_are_cut_out() -> None:
+    long = "QUJD" * 30_000
+    rows = [{"key": "a", "value": long, "x": '"'}, {"key": "b", "value": "QQ"}]
+    body = json.dumps({"rows": rows, "ver": 3}).encode()
+    steps = long_answers.parse(body, 10_000_000)
+    document, found = pacing.run_at_once(steps)
+    assert found == [b"ABC" * 30_000]
+    assert long_answers.index_of(document["rows"][0]["value"]) == 0
+    assert long_answers.index_of(document["rows"][1]["value"]) is None
+    broken = body.replace(b"QUJDQUJD", b"QUJD*UJD", 1)
+    document, found = pacing.run_at_once(long_answers.parse(broken, 10_000_000))
+    assert not found
+    assert document == json.loads(broken)
