--- a/laburnumpin/__main__.py
+++ b/laburnumpin/__main__.py
@@ -464,6 +464,20 @@
     typer.echo(capacity.format_table(measured))
 
 
+@app.command("configuration-costs")
+def measure_configuration_costs(
+    routes: Annotated[list[int] | None, typer.Option(min=1)] = None,
+    as_json: Json = False,
+) -> None:
+    """Measure applying a configuration, by its routes and changed routes.
+
+    Decoding it as a whole, as before, is measured beside it.
+    """
+    from laburnumpin.commands import configuration_costs
+
+    typer.echo(configuration_costs.run(routes, as_json=as_json))
+
+
 def _client(url: str, timeout_s: float) -> client.Client:
     errors: problems.Errors = []
     checked_url = addresses.Url().check(url, URL_VARIABLE, errors)
--- a/laburnumpin/forwarding/configurations/decoded.py
+++ b/laburnumpin/forwarding/configurations/decoded.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+from collections.abc import Generator
 import dataclasses
 
 from laburnumpin.forwarding import deployment
 from laburnumpin.forwarding.configurations import json_lists
 
+# Objects that are dropped between two pauses.
+RELEASED_PER_STEP = 64
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Configuration:
@@ -14,3 +18,21 @@
 
     deployment: deployment.Deployment
     document: json_lists.Document
+
+
+def release_steps(
+    retired: list[Configuration],
+) -> Generator[None, None, None]:
+    """Drop configurations; yields between the objects that they hold."""
+    while retired:
+        held: list[object] = []
+        configuration = retired.pop()
+        held.extend(configuration.deployment.lookup_entries())
+        for found in configuration.document.lists.values():
+            held.extend(found.items)
+            del found
+        del configuration
+        yield
+        while held:
+            del held[-RELEASED_PER_STEP:]
+            yield
--- a/laburnumpin/forwarding/configurations/intake.py
+++ b/laburnumpin/forwarding/configurations/intake.py
@@ -54,6 +54,9 @@
     ) -> None:
         """Apply a peer's whole table."""
 
+    async def release(self) -> None:
+        """Drop what an earlier configuration holds, in slices."""
+
 
 class Intake:
     """Applies peers' tables one after the other.
@@ -100,6 +103,7 @@
             return
         await self._target.prepare(rows)
         self._target.apply_table(rows, table.position)
+        await self._target.release()
 
     def _needs_fetch(self, table: tables.Table) -> bool:
         return any(
--- a/laburnumpin/forwarding/configurations/reader.py
+++ b/laburnumpin/forwarding/configurations/reader.py
@@ -31,6 +31,7 @@
         "_max_bytes",
         "_prepared",
         "_rejected",
+        "_retired",
     )
 
     def __init__(
@@ -46,6 +47,8 @@
         self._prepared: decoded.Configuration | None = None
         # By the hash of the value.
         self._rejected: dict[bytes, exceptions.DocumentError] = {}
+        # Dropped at once, a large one would block the event loop.
+        self._retired: list[decoded.Configuration] = []
         # Two decodings at once would take the memory of both.
         self._lock = anyio.Lock()
 
@@ -97,8 +100,15 @@
         """Set the configuration in force."""
         found = self._prepared
         if found is not None and found.deployment is configuration:
+            if self._base is not None:
+                self._retired.append(self._base)
             self._base, self._prepared = found, None
 
+    async def release(self) -> None:
+        """Drop the configurations that are no longer in force, in slices."""
+        retired, self._retired = self._retired, []
+        await pacing.run(decoded.release_steps(retired))
+
     def is_rejected(self, value_hash: bytes | None) -> bool:
         """Return whether a value was rejected before."""
         return value_hash is not None and value_hash in self._rejected
--- a/laburnumpin/forwarding/configurations/values.py
+++ b/laburnumpin/forwarding/configurations/values.py
@@ -16,7 +16,7 @@
 from laburnumpin.forwarding.configurations import pacing
 
 # Values from this length on are named by their hash.
-MIN_LARGE_BYTES = 4_096
+MIN_LARGE_BYTES = 16_384
 # Values of earlier versions that are kept as bases of differences, and what
 # they may take together.
 MAX_EARLIER_VALUES = 4
--- a/laburnumpin/forwarding/deployment.py
+++ b/laburnumpin/forwarding/deployment.py
@@ -163,6 +163,10 @@
                 self._by_key[key] = customer
                 yield
 
+    def lookup_entries(self) -> list[dict[str, Route]]:
+        """Return the tables of the hosts."""
+        return list(self._by_prefix.values())
+
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching path prefix, if any.
 
--- a/laburnumpin/forwarding/synchronization.py
+++ b/laburnumpin/forwarding/synchronization.py
@@ -230,6 +230,7 @@
                     self.apply_changes(table, rows)
                     if rows.rows and self._shell.state.members.uses_relays():
                         await anyio.sleep(CHANGES_PAUSE_S)
+                await self.release()
                 after = interfaces.Position(rows.era, rows.version)
                 self._proved_ms[table] = self._shell.now_ms()
                 self._failing_tables.discard(table)
@@ -433,6 +434,10 @@
         """
         await self._configurations.prepare(tuple(rows))
 
+    async def release(self) -> None:
+        """Drop what an earlier configuration holds, in slices."""
+        await self._configurations.release()
+
     async def _prepare_table(
         self, table: interfaces.Table, rows: tuple[interfaces.Row, ...]
     ) -> None:
--- a/laburnumpin/tests/test_forwarding_configurations.py
+++ b/laburnumpin/tests/test_forwarding_configurations.py
@@ -94,7 +94,7 @@
 
 # Where the known routes are the same, what separates them may not be.
 def test_known_items_hide_no_malformed_text() -> None:
-    routes = [_route(number) for number in range(50)]
+    routes = [_route(number) for number in range(200)]
     value = _value(routes)
     base = _decode(value)
     for old, new in (
@@ -160,6 +160,9 @@
         self.applied.append(position.version)
         self.large_values.set_current(rows)
 
+    async def release(self) -> None:
+        return
+
 
 class _Peer:
     """Serves versions of a configuration, and counts the bytes that it sends.
@@ -239,7 +242,7 @@
 def test_newest_table_waits_and_the_one_in_progress_is_applied() -> None:
     async def check(target: _Target, peer: _Peer, taken: intake.Intake) -> None:
         for version in range(1, 5):
-            routes = [_route(number, version) for number in range(50)]
+            routes = [_route(number, version) for number in range(200)]
             taken.offer("a", peer.table(version, _value(routes, version)))
             if version == 1:
                 await peer.asked.wait()
@@ -255,7 +258,7 @@
     async def check(target: _Target, peer: _Peer, taken: intake.Intake) -> None:
         peer.gate.set()
         target.reads_store = True
-        value = _value([_route(number) for number in range(50)])
+        value = _value([_route(number) for number in range(200)])
         taken.offer("a", peer.table(1, value))
         await anyio.sleep(0.01)
         target.position = interfaces.Position(1, 1)  # The store's answer.
@@ -268,7 +271,7 @@
 def test_wrong_value_is_not_applied() -> None:
     async def check(target: _Target, peer: _Peer, taken: intake.Intake) -> None:
         peer.gate.set()
-        value = _value([_route(number) for number in range(50)])
+        value = _value([_route(number) for number in range(200)])
         table = peer.table(1, value)
         wrong = pacing.run_at_once(differences.encode(b"", value + b" "))
         key = (b"", peer.large_values.hash_of(value))
