--- a/laburnumpin/bench/configuration_costs.py
+++ b/laburnumpin/bench/configuration_costs.py
@@ -11,6 +11,7 @@
 from collections.abc import Sequence
 import concurrent.futures
 import dataclasses
+import enum
 import gc
 import json
 import multiprocessing
@@ -37,9 +38,18 @@
 # Of half a core, as the block is counted in processor time of a whole one.
 CORE_SHARE = 0.5
 _NAME_CHARS = "abcdefghijklmnopqrstuvwxyz0123456789"
-# Period in which the watcher of the event loop takes a turn.
-TURN_PERIOD_S = 0.000_5
-_Job = tuple[bool, int, int, bool]
+_Job = tuple[bool, int, int, "Figure"]
+
+
+class Figure(enum.Enum):
+    """What a process measures, as each figure's measurement affects the others.
+
+    To measure blocks, a task takes a turn of the event loop all the time.
+    """
+
+    TIME = "time"
+    BLOCKS = "blocks"
+    MEMORY = "memory"
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -73,33 +83,37 @@
     for routes in route_counts:
         for changed in sorted({round(routes * s) for s in changed_shares}):
             for whole in (True, False):
-                # Tracing the memory takes processor time.
-                results = []
-                for traces_memory in (False, True):
+                results = {}
+                for figure in Figure:
                     with concurrent.futures.ProcessPoolExecutor(
                         1, mp_context=context
                     ) as executor:
-                        job = (whole, routes, changed, traces_memory)
-                        results.append(executor.submit(run_job, job).result())
-                timed, traced = results
+                        job = (whole, routes, changed, figure)
+                        results[figure] = executor.submit(run_job, job).result()
                 found.append(
-                    dataclasses.replace(timed, peak_bytes=traced.peak_bytes)
+                    dataclasses.replace(
+                        results[Figure.TIME],
+                        longest_block_ms=results[
+                            Figure.BLOCKS
+                        ].longest_block_ms,
+                        peak_bytes=results[Figure.MEMORY].peak_bytes,
+                    )
                 )
     return found
 
 
 def run_job(job: _Job) -> Costs:
     """Measure one new version in this process."""
-    whole, routes, changed, traces_memory = job
+    whole, routes, changed, figure = job
     before = build_document(routes, 0, 1)
     after = build_document(routes, changed, 2)
     gc.set_threshold(program.GC_THRESHOLD_ALLOCATIONS)
     gc.collect()
-    if traces_memory:
+    if figure is Figure.MEMORY:
         tracemalloc.start()
     if whole:
         return _measure_whole(routes, changed, before, after)
-    return asyncio.run(_measure_sliced(routes, changed, before, after))
+    return asyncio.run(_measure_sliced(routes, changed, before, after, figure))
 
 
 def build_document(routes: int, changed: int, version: int) -> bytes:
@@ -195,7 +209,7 @@
 
 
 async def _measure_sliced(
-    routes: int, changed: int, before: bytes, after: bytes
+    routes: int, changed: int, before: bytes, after: bytes, figure: Figure
 ) -> Costs:
     large_values = values.LargeValues()
     configurations = reader.ConfigurationReader(
@@ -208,8 +222,10 @@
     gc.collect()
     held_bytes = _start_peak()
     blocks = _Blocks()
-    watcher = asyncio.create_task(blocks.watch())
-    await asyncio.sleep(0)
+    watcher: asyncio.Task[None] | None = None
+    if figure is Figure.BLOCKS:
+        watcher = asyncio.create_task(blocks.watch())
+        await asyncio.sleep(0)
     started_s = time.process_time()
     document, found = await pacing.run(
         long_answers.parse(answer, clients.MAX_STORE_ANSWER_BYTES)
@@ -225,8 +241,9 @@
         assert difference is not None
         sent = len(difference[1])
         await pacing.run(differences.decode(before, difference[1], 1 << 24))
-    await asyncio.sleep(2 * TURN_PERIOD_S)
-    watcher.cancel()
+    await asyncio.sleep(0)
+    if watcher is not None:
+        watcher.cancel()
     assert configurations._base is not None
     decoded_items = configurations._base.document.decoded_items
     return Costs(
@@ -281,10 +298,10 @@
         self.longest_ms = 0.0
 
     async def watch(self) -> None:
-        """Take a turn of the loop often, until cancelled."""
+        """Take a turn of the loop whenever there is one, until cancelled."""
         last_s = time.process_time()
         while True:
-            await asyncio.sleep(TURN_PERIOD_S)
+            await asyncio.sleep(0)
             now_s = time.process_time()
             self.longest_ms = max(self.longest_ms, (now_s - last_s) * 1_000)
             last_s = now_s
