--- a/laburnumpin/forwarding/configurations/intake.py
+++ b/laburnumpin/forwarding/configurations/intake.py
@@ -23,6 +23,7 @@
 # Tries to fetch a value that one message names, and the pause between them.
 MAX_TRIES = 4
 RETRY_PAUSE_MS = 150
+MAX_LOGGED_ERROR_CHARS = 400
 
 # Sends a request for a value to an address and returns the answer.
 Fetch = Callable[[str, dict[str, Any]], Awaitable[dict[str, Any]]]
@@ -89,7 +90,12 @@
             self._wake = anyio.Event()
             while self._tables:
                 peer = next(iter(self._tables))
-                await self._take(peer)
+                try:
+                    await self._take(peer)
+                except Exception as error:
+                    # Whatever a table has led to, the others are taken.
+                    self._tables.pop(peer, None)
+                    _log_failure(peer, "unexpected_error", repr(error))
 
     async def _take(self, peer: str) -> None:
         if self._needs_fetch(self._tables[peer]):
@@ -138,18 +144,9 @@
             try:
                 return await self._fetch_value(table.address, value_hash)
             except exceptions.LaburnumpinError as error:
-                logs.write(
-                    "configuration_not_fetched",
-                    "info",
-                    {
-                        "peer": peer,
-                        "version": table.configuration,
-                        "code": error.code,
-                        "reason": error.message,
-                    },
-                )
-            if peer in self._tables:
-                return None
+                _log_failure(peer, error.code, error.message)
+            if self._tables:
+                return None  # This peer's newer table, or another's, is next.
             await anyio.sleep(RETRY_PAUSE_MS / 1_000)
         return None
 
@@ -176,3 +173,15 @@
             raise FetchError("the value has another hash")
         await large_values.add((value,))
         return value
+
+
+def _log_failure(peer: str, code: str, reason: str) -> None:
+    logs.write(
+        "configuration_not_fetched",
+        "info",
+        {
+            "peer": peer,
+            "code": code,
+            "reason": reason[:MAX_LOGGED_ERROR_CHARS],
+        },
+    )
--- a/laburnumpin/forwarding/peer_link.py
+++ b/laburnumpin/forwarding/peer_link.py
@@ -39,7 +39,7 @@
 MAX_LOG_RATIO = 1e6
 FETCH_TIMEOUT_S = 1.5
 # Longest time for a large value of a row.
-VALUE_TIMEOUT_S = 4.0
+VALUE_TIMEOUT_S = 2.0
 # Longest first message of a connection.
 MAX_HELLO_BYTES = 4_096
 LISTEN_BACKLOG = 256
@@ -209,7 +209,7 @@
         """
         stream: byte_stream.ByteStream | None = None
         try:
-            stream = await frames.connect(address, FETCH_TIMEOUT_S)
+            stream = await frames.connect(address, relay.CONNECT_TIMEOUT_S)
             frame_stream = frames.FrameStream(stream)
             frame_stream.write(request)
             answer = await frame_stream.read(VALUE_TIMEOUT_S)
--- a/laburnumpin/tests/test_platform_fuzz.py
+++ b/laburnumpin/tests/test_platform_fuzz.py
@@ -25,6 +25,7 @@
 from laburnumpin.forwarding import untrusted
 from laburnumpin.forwarding import upstream_limits
 from laburnumpin.forwarding import withholding_store
+from laburnumpin.forwarding.configurations import tables
 from laburnumpin.platform import clients
 from laburnumpin.platform import documents
 from laburnumpin.platform import settings
@@ -242,6 +243,7 @@
 }
 VALUE_DECODERS: dict[str, Callable[[Any], object]] = {
     "relayed rows": synchronization.decode_rows,
+    "operator tables": tables.decode,
     "losses": part_losses.decode_rows,
     "losses of requests": part_losses.decode_request_rows,
     "limits": upstream_limits.decode_rows,
