--- a/laburnumpin/commands/explain.py
+++ b/laburnumpin/commands/explain.py
@@ -62,7 +62,9 @@
 )
 _STATE_CHANGES = (
     "configuration_in_force",
+    "configuration_invalid",
     "configuration_kept",
+    "configuration_not_fetched",
     "entry_started",
     "registration_held",
     "registration_malformed",
--- a/laburnumpin/tests/test_commands_explain.py
+++ b/laburnumpin/tests/test_commands_explain.py
@@ -198,3 +198,21 @@
     )
     types = [line["message_type"] for line in related]
     assert types[:2] == ["store_era_changed", "configuration_kept"]
+
+
+def test_rejection_beside_a_configuration_that_is_not_used() -> None:
+    """Guards against a 404 explained without the version that was rejected."""
+    related = _related(
+        _line(1.0, "configuration_invalid", code="document_malformed"),
+        _line(1.1, "configuration_not_fetched", peer="e2"),
+        _line(
+            1.2,
+            "request_rejected",
+            request_id="r1",
+            reason="no_route",
+            status=404,
+            not_run=True,
+        ),
+    )
+    types = [line["message_type"] for line in related]
+    assert types[:2] == ["configuration_invalid", "configuration_not_fetched"]
--- a/laburnumpin/tests/test_forwarding_configurations.py
+++ b/laburnumpin/tests/test_forwarding_configurations.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Generator
+from collections.abc import Sequence
 import contextlib
 import json
 import random
@@ -23,6 +25,7 @@
 from laburnumpin.forwarding.configurations import differences
 from laburnumpin.forwarding.configurations import intake
 from laburnumpin.forwarding.configurations import pacing
+from laburnumpin.forwarding.configurations import reader
 from laburnumpin.forwarding.configurations import tables
 from laburnumpin.forwarding.configurations import values
 from laburnumpin.platform import clients
@@ -119,6 +122,77 @@
                 _decode(broken, base)
 
 
+# Applying a version decoded it in the event loop, at once.
+def test_prepared_configuration_is_applied_without_decoding() -> None:
+    configurations = reader.ConfigurationReader(
+        DOCUMENTS, values.LargeValues(), 1_000_000
+    )
+    row = interfaces.Row("config", _value([_route(1)]), 1)
+
+    async def prepare() -> None:
+        await configurations.prepare((row,))
+
+    anyio.run(prepare)
+    prepared = configurations._prepared
+    assert prepared is not None
+    assert configurations.read((row,)) is prepared.deployment
+
+
+class _CountingDocuments(documents.PlatformDocuments):
+    __slots__ = ("decodings",)
+
+    def __init__(self) -> None:
+        self.decodings = 0
+
+    def deployment_steps(
+        self,
+        rows: Sequence[interfaces.Row],
+        known: Sequence[decoded.Configuration],
+    ) -> Generator[None, None, decoded.Configuration | None]:
+        self.decodings += 1
+        return (yield from super().deployment_steps(rows, known))
+
+
+# Each snapshot of a peer with a malformed configuration decoded it again.
+def test_rejected_value_is_not_decoded_again() -> None:
+    counting = _CountingDocuments()
+    large_values = values.LargeValues()
+    configurations = reader.ConfigurationReader(
+        counting, large_values, 1_000_000
+    )
+    value = _value([_route(number) for number in range(300)])[:-1]
+    rows = (interfaces.Row("config", value, 1),)
+    for _ in range(3):
+        with pytest.raises(untrusted.MalformedError):
+            configurations.read(rows)
+    assert counting.decodings == 1
+    assert configurations.is_rejected(large_values.hash_of(value))
+
+
+def test_long_computation_leaves_turns_to_others(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(pacing, "SLICE_MS", 0.0)
+    turns = 0
+
+    async def count() -> None:
+        nonlocal turns
+        while True:
+            turns += 1
+            await anyio.sleep(0)
+
+    async def main() -> None:
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(count)
+            value = _value([_route(number) for number in range(50)])
+            rows = (interfaces.Row("config", value, 1),)
+            await pacing.run(DOCUMENTS.deployment_steps(rows, ()))
+            task_group.cancel_scope.cancel()
+
+    anyio.run(main)
+    assert turns >= 50
+
+
 def test_differences_lead_to_the_value() -> None:
     generator = random.Random(4)
     for _ in range(200):
--- a/laburnumpin/tests/test_platform_documents.py
+++ b/laburnumpin/tests/test_platform_documents.py
@@ -285,3 +285,23 @@
     with pytest.raises(exceptions.ConfigurationError) as raised:
         _decode_backoff({field: value})
     assert f"backoff.{field}" in str(raised.value)
+
+
+def _decode_configuration_limit(max_mb: object) -> Any:
+    text = standins.settings_text("e", "127.0.0.1", (1, 2, 3, 4), "127.0.0.1:5")
+    table = {} if max_mb is None else {"configuration": {"max_mb": max_mb}}
+    return settings.decode({**tomllib.loads(text), **table})
+
+
+def test_limit_of_configurations_is_decoded_in_bytes() -> None:
+    limits = {None: 8_388_608, 2: 2_000_000, 12: 12_000_000}
+    for max_mb, max_bytes in limits.items():
+        decoded = _decode_configuration_limit(max_mb)
+        assert decoded.max_configuration_bytes == max_bytes
+
+
+@pytest.mark.parametrize("value", [0, -1, 13, "all", float("inf")])
+def test_malformed_limit_of_configurations_is_reported(value: object) -> None:
+    with pytest.raises(exceptions.ConfigurationError) as raised:
+        _decode_configuration_limit(value)
+    assert "configuration.max_mb" in str(raised.value)
