--- a/laburnumpin/commands/configuration_costs.py
+++ b/laburnumpin/commands/configuration_costs.py
@@ -6,7 +6,7 @@
 import dataclasses
 import json
 
-from laburnumpin.bench import configuration_costs
+from laburnumpin.platform import configuration_costs
 
 
 def run(routes: Sequence[int] | None, *, as_json: bool) -> str:
