--- a/laburnumpin/platform/clients.py
+++ b/laburnumpin/platform/clients.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+from collections.abc import Sequence
 import dataclasses
 import json
 from typing import Any
@@ -16,6 +17,8 @@
 from laburnumpin.forwarding import interfaces
 from laburnumpin.forwarding import settings as forwarding_settings
 from laburnumpin.forwarding import untrusted
+from laburnumpin.forwarding.configurations import pacing
+from laburnumpin.platform import long_answers
 from laburnumpin.platform import wire
 
 MAX_IDLE_CONNECTIONS = 4
@@ -29,6 +32,8 @@
 # come in one answer, and of the cloud API and of engines.
 MAX_STORE_ANSWER_BYTES = 16_777_216
 MAX_ANSWER_BYTES = 262_144
+# So many bytes of an answer within its timeout show that it still arrives.
+MIN_PROGRESS_BYTES = 32_768
 
 # The platform defines the first two tables; the entries own the others.
 _TABLE_NAMES = {
@@ -88,9 +93,11 @@
     ) -> Response:
         """Return the response.
 
-        `wait_ms` is the wait of a long poll and extends the timeout.
+        `wait_ms` is the wait of a long poll and extends the timeout. A long
+        answer extends it while it arrives.
 
         Raises:
+            AnswerTooLargeError: The answer is longer than the limit.
             PlatformUnavailableError: No connection, or a status of 429 or 503
                 that is not in `accepted_statuses`; the call had no effect.
             PlatformAnswerLostError: No complete response; the call may have
@@ -110,14 +117,15 @@
         is_reusable = False
         try:
             timeout_ms = self._times.answer_timeout_ms + wait_ms
-            with anyio.fail_after(timeout_ms / 1_000):
+            with anyio.fail_after(timeout_ms / 1_000) as scope:
                 await connection.send(
                     method.encode(), target.encode(), request_headers, body
                 )
                 head = await connection.head()
                 status = head.status_code
                 response_headers = list(head.headers)
-                response_body = await connection.body(self._max_answer_bytes)
+                self._check_length(method, target, response_headers)
+                response_body = await self._read_body(connection, scope)
             is_reusable = (
                 connection.finish() and len(self._idle) < MAX_IDLE_CONNECTIONS
             )
@@ -148,6 +156,41 @@
         while self._idle:
             self._idle.pop().close()
 
+    def _check_length(
+        self, method: str, target: str, headers: connections.Headers
+    ) -> None:
+        """Raise if the announced length of an answer exceeds the limit."""
+        for name, value in headers:
+            if name.lower() != b"content-length" or not value.isdigit():
+                continue
+            if int(value) > self._max_answer_bytes:
+                raise interfaces.AnswerTooLargeError(
+                    f"{method} {target.partition('?')[0]}: {int(value)} bytes, "
+                    f"the limit is {self._max_answer_bytes}"
+                )
+
+    async def _read_body(
+        self, connection: connections.ClientConnection, scope: anyio.CancelScope
+    ) -> bytes:
+        """Return the body of an answer.
+
+        Each `MIN_PROGRESS_BYTES` of it prolong the timeout: on a slow link, a
+        long answer takes longer than any time that would detect a silence.
+        """
+        read = bytearray()
+        due_bytes = MIN_PROGRESS_BYTES
+        while chunk := await connection.chunk():
+            read += chunk
+            if len(read) > self._max_answer_bytes:
+                raise connections.ProtocolError("the body is too long")
+            if len(read) >= due_bytes:
+                due_bytes = len(read) + MIN_PROGRESS_BYTES
+                timeout_s = self._times.answer_timeout_ms / 1_000
+                scope.deadline = max(
+                    scope.deadline, anyio.current_time() + timeout_s
+                )
+        return bytes(read)
+
     async def _acquire_connection(self) -> connections.ClientConnection:
         while self._idle:
             idle = self._idle.pop()
@@ -177,8 +220,8 @@
         pages: list[interfaces.Rows] = []
         query = {"table": _TABLE_NAMES[table], "part": ""}
         while True:
-            document, era = await self._get("/rows-get", query, 0)
-            page = _decode_rows(document, era)
+            document, values, era = await self._get("/rows-get", query, 0)
+            page = _decode_rows(document, era, values)
             if pages and page.era != pages[0].era:
                 raise exceptions.PlatformUnavailableError(
                     "/rows-get: the store was restored between two pages"
@@ -201,8 +244,8 @@
             "after_revision": str(after),
             "wait_ms": str(wait_ms),
         }
-        document, era = await self._get("/rows-feed", query, wait_ms)
-        return _decode_rows(document, era)
+        document, values, era = await self._get("/rows-feed", query, wait_ms)
+        return _decode_rows(document, era, values)
 
     async def write(
         self,
@@ -249,8 +292,8 @@
 
     async def _get(
         self, path: str, query: dict[str, str], wait_ms: int
-    ) -> tuple[dict[str, Any], int]:
-        """Return the document and the store's era."""
+    ) -> tuple[dict[str, Any], list[bytes], int]:
+        """Return the document, its long values and the store's era."""
         target = f"{path}?{urllib.parse.urlencode(query)}"
         response = await self._http.call("GET", target, wait_ms=wait_ms)
         if response.status == 410:
@@ -259,7 +302,17 @@
             raise exceptions.PlatformUnavailableError(
                 f"{path}: status {response.status}"
             )
-        return response.document(), _decode_era(response)
+        era = _decode_era(response)
+        try:
+            document, values = await pacing.run(
+                long_answers.parse(
+                    response.body or b"{}", MAX_STORE_ANSWER_BYTES
+                )
+            )
+        except untrusted.MalformedError:
+            # Its decoder misses the fields, as with any unreadable answer.
+            return {}, [], era
+        return document, values, era
 
     async def _transact(
         self, document: dict[str, Any]
@@ -444,8 +497,10 @@
     return 0
 
 
-def _decode_rows(document: dict[str, Any], era: int) -> interfaces.Rows:
-    """Return the rows of an answer.
+def _decode_rows(
+    document: dict[str, Any], era: int, values: Sequence[bytes] = ()
+) -> interfaces.Rows:
+    """Return the rows of an answer, whose long values are in `values`.
 
     Raises:
         PlatformAnswerLostError: The answer is malformed.
@@ -453,15 +508,20 @@
     try:
         rows = []
         for row in untrusted.sequence(document.get("rows", []), "rows"):
-            rows.append(_decode_row(untrusted.mapping(row, "rows")))
+            rows.append(_decode_row(untrusted.mapping(row, "rows"), values))
     except untrusted.MalformedError as error:
         raise exceptions.PlatformAnswerLostError(error.message) from error
     return interfaces.Rows(tuple(rows), _decode_version(document), era)
 
 
-def _decode_row(row: dict[str, Any]) -> interfaces.Row:
+def _decode_row(
+    row: dict[str, Any], values: Sequence[bytes] = ()
+) -> interfaces.Row:
     value: bytes | None = None
-    if not row.get("tombstone"):
+    index = long_answers.index_of(row.get("value"))
+    if index is not None and index < len(values) and not row.get("tombstone"):
+        value = values[index]
+    elif not row.get("tombstone"):
         try:
             value = base64.b64decode(row.get("value", ""), validate=True)
         except (ValueError, TypeError):
