Deliver usage counts through the store when digests may not arrive

Cause: a holder commits a window 2.5 s after its end with the counts that digests have brought. Ruled out: a row of every entry for every window (calls for nothing while digests arrive), and a list of complete entries in digests (unbounded). Change: forwarding/usage_reports/. An entry without a recent digest of the holder, or named in it, writes its counts to a row of its own; the holder reads these rows before it commits a window with missing counts, and commits at once when all are in. Counts merge by their maximum.

--- a/laburnumpin/forwarding/digests.py
+++ b/laburnumpin/forwarding/digests.py
@@ -7,7 +7,7 @@
 
 from laburnumpin.forwarding import membership
 from laburnumpin.forwarding import part_losses
-from laburnumpin.forwarding import usage
+from laburnumpin.forwarding.usage_reports import counts as usage
 
 # Limits of the lists in a digest, so that it fits into a datagram.
 MAX_LOADS = 60
@@ -45,6 +45,9 @@
     `limits` the limits that upstreams named, and `leaving` the upstreams that
     said that they leave. `store_era` is the era of the store that
     `registry_version` belongs to, 0 from an entry of an earlier release.
+    `counted_to_ms` is the median wall-clock time until which `windows` are
+    counted, 0 from an entry of an earlier release; a holder names entries whose
+    counts it lacks in `usage_missing`.
     """
 
     contact: membership.Contact
@@ -66,6 +69,8 @@
     limits: tuple[LimitRow, ...] = ()
     store_era: int = 0
     leaving: tuple[LeavingRow, ...] = ()
+    counted_to_ms: int = 0
+    usage_missing: tuple[str, ...] = ()
 
 
 def in_turn(rows: list[_Row], position: int, count: int) -> list[_Row]:
--- a/laburnumpin/forwarding/duties.py
+++ b/laburnumpin/forwarding/duties.py
@@ -21,7 +21,7 @@
 from laburnumpin.forwarding import settings as forwarding_settings
 from laburnumpin.forwarding import shell as shells
 from laburnumpin.forwarding import untrusted
-from laburnumpin.forwarding import usage
+from laburnumpin.forwarding.usage_reports import reporter
 from laburnumpin.server import logs
 
 LEASE_KEY = "lease"
@@ -34,12 +34,6 @@
 # Period of the ticks and checks in fleets that use relays, whose digests are
 # further apart.
 LARGE_FLEET_TICK_MS = 200
-# Time after the end of a usage window until the entries' counts are complete.
-USAGE_SETTLE_MS = 2_500
-# A window is not reported later than this before the platform's time limit.
-REPORT_MARGIN_MS = 500
-# Usage windows whose rows are kept in the store.
-KEPT_USAGE_ROWS = 8
 # Number of entries that contend for a lease without a holder, and the time
 # after which one more does.
 LEASE_CONTENDERS = 3
@@ -53,108 +47,19 @@
 Table = interfaces.Table
 
 
-class UsageCommits:
-    """The counts of usage windows, committed to the store before a report.
-
-    The first holder's counts are stored; every later holder reports those, so
-    that a repeated report of a window is identical. A restored store may have
-    lost them: the holder that committed them writes them again, and another one
-    does not report a window that may have been reported before the restore.
-    """
-
-    __slots__ = ("_committed", "_era", "_era_since_ms", "_store")
-
-    def __init__(self, store: interfaces.StoreClient) -> None:
-        self._store = store
-        # What this entry has committed or read, by window.
-        self._committed: dict[int, usage.Counts] = {}
-        # The store's era, and when it was first heard of, wall-clock time.
-        self._era = 0
-        self._era_since_ms = 0
-
-    async def note_era(self, era: int, since_ms: int) -> None:
-        """Write committed counts again if the store has started a new era.
-
-        `since_ms` is when this process first heard of it, wall-clock time.
-
-        Raises:
-            LaburnumpinError: The store is unavailable.
-        """
-        if era <= self._era:
-            return
-        for window, counts in sorted(self._committed.items()):
-            try:
-                await self._write(window, counts)
-            except interfaces.ConflictError:
-                continue  # The copy has the row, or another holder wrote it.
-        self._era = era
-        self._era_since_ms = since_ms
-
-    async def commit(
-        self, window: int, window_ms: int, counts: usage.Counts
-    ) -> usage.Counts | None:
-        """Store the counts of a window, and return the ones to report.
-
-        Return None if counts of the window may have been reported and lost.
-
-        Raises:
-            LaburnumpinError: The store is unavailable or has lost the row.
-        """
-        end_ms = (window + 1) * window_ms
-        if window not in self._committed and (
-            end_ms + USAGE_SETTLE_MS <= self._era_since_ms
-        ):
-            stored = await self._read(window)
-            if stored is not None:
-                self._keep(window, stored)
-            return stored
-        counts = self._committed.get(window, counts)
-        try:
-            await self._write(window, counts)
-        except interfaces.ConflictError:
-            stored = await self._read(window)
-            if stored is None:
-                raise
-            counts = stored
-        self._keep(window, counts)
-        if window % KEPT_USAGE_ROWS == 0:
-            old = range(window - 2 * KEPT_USAGE_ROWS, window - KEPT_USAGE_ROWS)
-            await self._store.remove(
-                Table.USAGE, tuple(str(number) for number in old)
-            )
-        return counts
-
-    def _keep(self, window: int, counts: usage.Counts) -> None:
-        self._committed[window] = counts
-        while len(self._committed) > KEPT_USAGE_ROWS:
-            del self._committed[min(self._committed)]
-
-    async def _write(self, window: int, counts: usage.Counts) -> None:
-        value = json.dumps(counts).encode()
-        await self._store.write(Table.USAGE, str(window), value, 0)
-
-    async def _read(self, window: int) -> usage.Counts | None:
-        rows = await self._store.read(Table.USAGE)
-        for row in rows.rows:
-            if row.key == str(window) and row.value is not None:
-                return _decode_counts(row.value)
-        return None
-
-
 class Duties:
     """Contends for the lease, and performs the duties while it is held."""
 
     __slots__ = (
         "_cloud",
-        "_commits",
         "_first_election_ms",
         "_holder_event",
         "_is_lease_call_running",
         "_last_held_ms",
-        "_last_reported_window",
         "_lease",
         "_next_scale_ms",
         "_on_tick",
+        "_reporter",
         "_scaler",
         "_settings",
         "_shell",
@@ -174,7 +79,7 @@
         # Called after each tick.
         self._on_tick = on_tick
         self._store = store
-        self._commits = UsageCommits(store)
+        self._reporter = reporter.UsageReporter(shell, store, cloud, settings)
         self._cloud = cloud
         self._settings = settings
         self._lease = leases.Lease(
@@ -189,8 +94,6 @@
         self._first_election_ms = self._last_held_ms + int(
             shell.state.random.uniform(0, FIRST_ELECTION_SPREAD_MS)
         )
-        # The newest window that this holder has reported or skipped.
-        self._last_reported_window: int | None = None
         self._was_holder = False
         # Set while this entry holds the lease.
         self._holder_event = anyio.Event()
@@ -201,6 +104,7 @@
         async with anyio.create_task_group() as task_group:
             if "usage" in self._settings.duties:
                 task_group.start_soon(self._report_usage)
+                task_group.start_soon(self._reporter.run)
             if "upstreams" in self._settings.duties:
                 task_group.start_soon(self._order_upstreams)
             while True:
@@ -325,7 +229,7 @@
             self._holder_event.set()
         else:
             self._holder_event = anyio.Event()
-        self._last_reported_window = None
+        self._reporter.on_lease_changed(is_holder=holds)
         self._scaler = autoscaling.Autoscaler()
         logs.write(
             "lease_changed",
@@ -340,7 +244,9 @@
             if not self._may_act():
                 continue
             try:
-                await self._report_next_window()
+                await self._reporter.report_next(
+                    self._may_act, self._lease.fencing_token
+                )
             except interfaces.FencedError:
                 self._on_fenced()
             except exceptions.LaburnumpinError as error:
@@ -351,48 +257,6 @@
                 )
                 await anyio.sleep(0.2)
 
-    async def _report_next_window(self) -> None:
-        usage_counts = self._shell.state.usage
-        wall_ms = self._shell.wall_ms()
-        newest = usage_counts.window_of(wall_ms - USAGE_SETTLE_MS) - 1
-        late_ms = self._settings.usage_late_ms - REPORT_MARGIN_MS
-        oldest = usage_counts.window_of(wall_ms - late_ms)
-        if self._last_reported_window is None:
-            self._last_reported_window = oldest - 1
-        window = max(self._last_reported_window + 1, oldest)
-        if window > newest:
-            return
-        state = self._shell.state
-        elapsed_ms = self._shell.now_ms() - state.store_era_since_ms
-        await self._commits.note_era(state.store_era, wall_ms - elapsed_ms)
-        counts = await self._commits.commit(
-            window, self._settings.usage_window_ms, usage_counts.total(window)
-        )
-        if counts is None:
-            self._last_reported_window = window
-            state.counters.increment("usage_windows_skipped")
-            logs.write(
-                "usage_window_skipped",
-                "warning",
-                {"window": window, "era": state.store_era},
-            )
-            return
-        if not self._may_act():
-            return
-        await self._cloud.report_usage(
-            self._lease.fencing_token, window, counts
-        )
-        self._last_reported_window = window
-        logs.write(
-            "usage_reported",
-            "info",
-            {
-                "window": window,
-                "requests": sum(counts.values()),
-                "fencing_token": self._lease.fencing_token,
-            },
-        )
-
     async def _order_upstreams(self) -> None:
         while True:
             await self._holder_event.wait()
@@ -466,15 +330,3 @@
         # Entries of an earlier release do not write it.
         untrusted.integer(fields.get("era", 0), "era"),
     )
-
-
-def _decode_counts(value: bytes) -> usage.Counts:
-    """Return the counts of a usage window.
-
-    Raises:
-        MalformedError: The row is malformed.
-    """
-    counts = {}
-    for customer, count in untrusted.parse_json(value, MAX_ROW_BYTES).items():
-        counts[customer] = untrusted.integer(count, "counts")
-    return counts
--- a/laburnumpin/forwarding/gossip.py
+++ b/laburnumpin/forwarding/gossip.py
@@ -30,6 +30,8 @@
 # Newest usage windows in a digest. The report of a window waits for two digests
 # after its end.
 REPORTED_WINDOWS = 2
+# Delay that a digest without `counted_to_ms` may have had.
+UNDATED_DIGEST_DELAY_MS = 1_500
 # Pause between two fetches of newer state from peers.
 FETCH_PERIOD_MS = 300
 # Age of a peer's last digest, with two digest periods on top, after which the
@@ -116,7 +118,7 @@
         now_ms,
         digest.wall_ms - digest.incarnation_ms,
     )
-    state.usage.record_peer_counts(peer.incarnation_name, digest.windows)
+    _apply_usage(state, peer, digest, now_ms)
     _update_peer_loads(state, peer, digest, is_new=is_new)
     for upstream_id, (answers, total) in digest.latency_log_ratios.items():
         upstream = state.upstreams.get(upstream_id)
@@ -147,6 +149,27 @@
     return produced
 
 
+def _apply_usage(
+    state: forwarding_state.ForwardingState,
+    peer: membership.Peer,
+    digest: digests.Digest,
+    now_ms: int,
+) -> None:
+    """Record a peer's counts, and what a holder's digest shows of ours."""
+    counted_to_ms = digest.counted_to_ms
+    if not counted_to_ms:
+        # An entry of the release before: its digest is delayed by less.
+        counted_to_ms = state.members.wall_ms(now_ms, digest.wall_ms)
+        counted_to_ms -= UNDATED_DIGEST_DELAY_MS
+    state.usage.record_peer_counts(
+        peer.incarnation_name, digest.windows, counted_to_ms
+    )
+    if digest.lease_token:
+        state.usage.holder_heard_ms = now_ms
+        if state.name in digest.usage_missing:
+            state.usage.named_ms = now_ms
+
+
 def _update_peer_loads(
     state: forwarding_state.ForwardingState,
     peer: membership.Peer,
@@ -251,4 +274,6 @@
         limits=upstream_limits.rows(state, now_ms, repeats_all=repeats_all),
         leaving=leaving.rows(state, now_ms, repeats_all=repeats_all),
         store_era=state.store_era,
+        counted_to_ms=state.members.wall_ms(now_ms, wall_ms),
+        usage_missing=state.usage.missing_names,
     )
--- a/laburnumpin/forwarding/interfaces.py
+++ b/laburnumpin/forwarding/interfaces.py
@@ -58,6 +58,7 @@
     ENTRIES = "entries"
     DUTIES = "duties"
     USAGE = "usage"
+    USAGE_COUNTS = "usage_counts"
     WITHHOLDING = "withholding"
 
 
--- a/laburnumpin/forwarding/peer_link.py
+++ b/laburnumpin/forwarding/peer_link.py
@@ -27,7 +27,7 @@
 from laburnumpin.forwarding import synchronization
 from laburnumpin.forwarding import untrusted
 from laburnumpin.forwarding import upstream_limits
-from laburnumpin.forwarding import usage
+from laburnumpin.forwarding.usage_reports import counts as usage
 from laburnumpin.server import logs
 
 DIGEST_FORMAT = 1
@@ -188,6 +188,8 @@
             "e": {k: int(v) for k, v in digest.work_ms.items()},
             "h": [list(row) for row in digest.limits],
             "g": [list(row) for row in digest.leaving],
+            "uc": digest.counted_to_ms,
+            "um": list(digest.usage_missing),
             "q": part_losses.encode_rows(digest.part_losses or ()),
             "j": part_losses.encode_request_rows(digest.request_losses),
         }
@@ -234,6 +236,13 @@
         limits=upstream_limits.decode_rows(fields.get("h", ())),
         store_era=untrusted.integer(fields.get("v", 0), "v"),
         leaving=leaving.decode_rows(fields.get("g", ())),
+        counted_to_ms=untrusted.integer(
+            fields.get("uc", 0), "uc", 0, untrusted.MAX_UNIX_MS
+        ),
+        usage_missing=tuple(
+            untrusted.text(name, "um")
+            for name in untrusted.sequence(fields.get("um", ()), "um")
+        ),
     )
 
 
--- a/laburnumpin/forwarding/state.py
+++ b/laburnumpin/forwarding/state.py
@@ -15,7 +15,7 @@
 from laburnumpin.forwarding import selection
 from laburnumpin.forwarding import size_classes
 from laburnumpin.forwarding import upstreams
-from laburnumpin.forwarding import usage
+from laburnumpin.forwarding.usage_reports import counts as usage
 
 # Digests that follow at once when an entry has learned what its peers need;
 # more than one, since datagrams get lost.
--- /dev/null
+++ b/laburnumpin/forwarding/usage_reports/__init__.py
@@ -0,0 +1,1 @@
+"""Usage of customers: counted by entries, reported by the lease holder."""
--- /dev/null
+++ b/laburnumpin/forwarding/usage_reports/counts.py
@@ -0,0 +1,157 @@
+"""Usage of customers in windows of time, summed over all entries.
+
+Windows follow the median wall-clock time of the entries.
+"""
+
+from __future__ import annotations
+
+# Windows that an entry keeps of its own counts; it keeps twice as many of its
+# peers' counts.
+KEPT_WINDOWS = 4
+# An incarnation whose counts reach to this time before the end of a window may
+# have run in that window too.
+EXPECTED_MS = 12_000
+# An incarnation's counts of a window are complete when they were counted this
+# long after its end, as the median of the clocks may go back a little.
+CLOCK_MARGIN_MS = 250
+
+# Requests by customer.
+Counts = dict[str, int]
+
+
+class Usage:
+    """Requests that began to run, by window and customer.
+
+    An entry counts its own and keeps the highest counts that it received of
+    every incarnation of a peer, including those that have ended. Counts only
+    grow, so that repeated, late and reordered ones change nothing.
+    """
+
+    __slots__ = (
+        "_counted_to_ms",
+        "_own_counts",
+        "_peer_counts",
+        "_window_ms",
+        "holder_heard_ms",
+        "missing_names",
+        "named_ms",
+    )
+
+    def __init__(self, window_ms: int) -> None:
+        self._window_ms = window_ms
+        self._own_counts: dict[int, Counts] = {}
+        # Counts of each window, by the key of the peer's incarnation.
+        self._peer_counts: dict[int, dict[str, Counts]] = {}
+        # Until when the counts of an incarnation are known, wall-clock time.
+        self._counted_to_ms: dict[str, int] = {}
+        # Names of entries without complete counts, while this one reports.
+        self.missing_names: tuple[str, ...] = ()
+        # When a holder's last digest arrived, and the last one that named this
+        # entry, on the boot clock; None before.
+        self.holder_heard_ms: int | None = None
+        self.named_ms: int | None = None
+
+    def window_of(self, wall_ms: int) -> int:
+        """Return the number of the window that contains a time."""
+        return wall_ms // self._window_ms
+
+    def end_ms(self, window: int) -> int:
+        """Return the wall-clock time at which a window ends."""
+        return (window + 1) * self._window_ms
+
+    def record(self, customer: str, wall_ms: int) -> None:
+        """Count a request that has begun to run."""
+        window = self.window_of(wall_ms)
+        counts = self._own_counts.get(window)
+        if counts is None:
+            counts = self._own_counts[window] = {}
+            self._drop_old_windows(window)
+        counts[customer] = counts.get(customer, 0) + 1
+
+    def newest_windows(self, windows: int) -> dict[int, Counts]:
+        """Return this entry's counts of its newest windows, by window."""
+        newest = sorted(self._own_counts)[-windows:]
+        return {window: dict(self._own_counts[window]) for window in newest}
+
+    def peer_windows(self, oldest: int) -> dict[str, dict[int, Counts]]:
+        """Return the peers' counts since a window, by incarnation."""
+        found: dict[str, dict[int, Counts]] = {}
+        for window, by_incarnation in self._peer_counts.items():
+            if window < oldest:
+                continue
+            for incarnation_name, counts in by_incarnation.items():
+                found.setdefault(incarnation_name, {})[window] = counts
+        return found
+
+    def counted_to_ms(self, incarnation_name: str) -> int:
+        """Return until when an incarnation's counts are known, 0 if never."""
+        return self._counted_to_ms.get(incarnation_name, 0)
+
+    def record_peer_counts(
+        self,
+        incarnation_name: str,
+        windows: dict[int, Counts],
+        counted_to_ms: int = 0,
+    ) -> None:
+        """Merge counts of a peer's incarnation, of a digest or of a row.
+
+        `counted_to_ms` is when they were counted, wall-clock time.
+        """
+        for window, counts in windows.items():
+            by_incarnation = self._peer_counts.setdefault(window, {})
+            known = by_incarnation.setdefault(incarnation_name, {})
+            for customer, count in counts.items():
+                known[customer] = max(count, known.get(customer, 0))
+        while len(self._peer_counts) > 2 * KEPT_WINDOWS:
+            del self._peer_counts[min(self._peer_counts)]
+        self._counted_to_ms[incarnation_name] = max(
+            counted_to_ms, self._counted_to_ms.get(incarnation_name, 0)
+        )
+
+    def missing(self, window: int, own_incarnation_name: str) -> list[str]:
+        """Return the entries whose counts of an ended window may be partial.
+
+        They are the incarnations that ran shortly before or in the window and
+        have not counted past its end, unless a later one has replaced them.
+        """
+        end_ms = self.end_ms(window)
+        # Younger than all that any later window asks for.
+        oldest_ms = end_ms - EXPECTED_MS - 2 * KEPT_WINDOWS * self._window_ms
+        newest: dict[str, int] = {}
+        own_name, own_incarnation = _split(own_incarnation_name)
+        newest[own_name] = own_incarnation
+        for key, counted_to_ms in list(self._counted_to_ms.items()):
+            if counted_to_ms < oldest_ms:
+                del self._counted_to_ms[key]
+                continue
+            name, incarnation = _split(key)
+            newest[name] = max(incarnation, newest.get(name, 0))
+        names = []
+        for key, counted_to_ms in self._counted_to_ms.items():
+            name, incarnation = _split(key)
+            if incarnation < newest[name] or key == own_incarnation_name:
+                continue
+            if counted_to_ms < end_ms - max(EXPECTED_MS, 2 * self._window_ms):
+                continue
+            if counted_to_ms < end_ms + CLOCK_MARGIN_MS:
+                names.append(name)
+        return sorted(names)
+
+    def total(self, window: int) -> Counts:
+        """Return the counts of a window over all entries."""
+        total = dict(self._own_counts.get(window, {}))
+        for counts in self._peer_counts.get(window, {}).values():
+            for customer, count in counts.items():
+                total[customer] = total.get(customer, 0) + count
+        return total
+
+    def _drop_old_windows(self, newest: int) -> None:
+        for window in list(self._own_counts):
+            if window <= newest - KEPT_WINDOWS:
+                del self._own_counts[window]
+
+
+def _split(incarnation_name: str) -> tuple[str, int]:
+    """Return the name of an entry and its incarnation."""
+    name, _, incarnation = incarnation_name.rpartition("/")
+    return name, int(incarnation) if incarnation.isdecimal() else 0
--- a/laburnumpin/platform/clients.py
+++ b/laburnumpin/platform/clients.py
@@ -37,6 +37,7 @@
     interfaces.Table.ENTRIES: "laburnumpin-entries",
     interfaces.Table.DUTIES: "laburnumpin-duties",
     interfaces.Table.USAGE: "laburnumpin-usage",
+    interfaces.Table.USAGE_COUNTS: "laburnumpin-usage-counts",
     interfaces.Table.WITHHOLDING: "laburnumpin-withholding",
 }
 
--- a/laburnumpin/tests/test_forwarding_duties.py
+++ b/laburnumpin/tests/test_forwarding_duties.py
@@ -4,8 +4,9 @@
 
 import anyio
 
-from laburnumpin.forwarding import duties
 from laburnumpin.forwarding import interfaces
+from laburnumpin.forwarding.usage_reports import commits
+from laburnumpin.forwarding.usage_reports import windows
 
 Table = interfaces.Table
 
@@ -53,10 +54,10 @@
     store = _Store()
 
     async def commit() -> None:
-        first = await duties.UsageCommits(store).commit(
+        first = await commits.UsageCommits(store).commit(
             7, WINDOW_MS, {"acme": 3}
         )
-        second = await duties.UsageCommits(store).commit(
+        second = await commits.UsageCommits(store).commit(
             7, WINDOW_MS, {"acme": 4, "late": 1}
         )
         assert first == second == {"acme": 3}
@@ -68,12 +69,12 @@
     store = _Store()
 
     async def commit() -> None:
-        commits = duties.UsageCommits(store)
-        for window in range(4 * duties.KEPT_USAGE_ROWS + 1):
-            await commits.commit(window, WINDOW_MS, {})
+        usage_commits = commits.UsageCommits(store)
+        for window in range(4 * commits.KEPT_USAGE_ROWS + 1):
+            await usage_commits.commit(window, WINDOW_MS, {})
 
     anyio.run(commit)
-    assert len(store.keys()) <= 3 * duties.KEPT_USAGE_ROWS
+    assert len(store.keys()) <= 3 * commits.KEPT_USAGE_ROWS
 
 
 # The store forgot the counts that were reported; the next holder reported the
@@ -83,12 +84,12 @@
 ):
     async def commit() -> None:
         store = _Store()
-        first = duties.UsageCommits(store)
+        first = commits.UsageCommits(store)
         await first.note_era(1, 30_000)
         assert await first.commit(7, WINDOW_MS, {"acme": 3}) == {"acme": 3}
         restored = _Store()
-        second = duties.UsageCommits(restored)
-        await second.note_era(2, 8 * WINDOW_MS + duties.USAGE_SETTLE_MS)
+        second = commits.UsageCommits(restored)
+        await second.note_era(2, 8 * WINDOW_MS + windows.EARLIEST_COMMIT_MS)
         assert await second.commit(7, WINDOW_MS, {"acme": 4}) is None
         assert restored.keys() == []
         # It ended too late to have been committed before the restore.
@@ -100,13 +101,13 @@
 def test_holder_writes_lost_counts_again() -> None:
     async def commit() -> None:
         store = _Store()
-        first = duties.UsageCommits(store)
+        first = commits.UsageCommits(store)
         await first.note_era(1, 30_000)
         await first.commit(7, WINDOW_MS, {"acme": 3})
         await store.remove(Table.USAGE, ("7",))
         await first.note_era(2, 60_000)
         assert await first.commit(7, WINDOW_MS, {"acme": 9}) == {"acme": 3}
-        second = duties.UsageCommits(store)
+        second = commits.UsageCommits(store)
         await second.note_era(2, 60_000)
         assert await second.commit(7, WINDOW_MS, {"acme": 4}) == {"acme": 3}
 
--- a/laburnumpin/tests/test_forwarding_registry.py
+++ b/laburnumpin/tests/test_forwarding_registry.py
@@ -8,7 +8,7 @@
 from laburnumpin.forwarding import peer_link
 from laburnumpin.forwarding import reducer
 from laburnumpin.forwarding import upstreams
-from laburnumpin.forwarding import usage
+from laburnumpin.forwarding.usage_reports import counts as usage
 from laburnumpin.tests import forwarding_builders as build
 
 
--- a/laburnumpin/tests/test_platform_fuzz.py
+++ b/laburnumpin/tests/test_platform_fuzz.py
@@ -7,6 +7,7 @@
 import json
 import tomllib
 from typing import Any
+import zlib
 
 import cbor2
 import hypothesis
@@ -25,6 +26,8 @@
 from laburnumpin.forwarding import untrusted
 from laburnumpin.forwarding import upstream_limits
 from laburnumpin.forwarding import withholding_store
+from laburnumpin.forwarding.usage_reports import commits
+from laburnumpin.forwarding.usage_reports import rows
 from laburnumpin.platform import clients
 from laburnumpin.platform import documents
 from laburnumpin.platform import settings
@@ -232,7 +235,9 @@
 BYTE_DECODERS: dict[str, Callable[[bytes], object]] = {
     "entry row": lambda value: membership.Contact.decode("e", value),
     "lease row": lambda value: duties._decode_lease_row(1, value),
-    "usage row": duties._decode_counts,
+    "usage row": commits.decode_counts,
+    "usage counts": rows.decode,
+    "packed usage counts": lambda value: rows.decode(zlib.compress(value)),
     "withheld row": lambda value: withholding_store._decode(value, 1),
     "registration": lambda value: (
         documents.PlatformDocuments().decode_registration(
@@ -267,6 +272,8 @@
                 "written_ms",
                 "records",
                 "request_records",
+                "customers",
+                "entries",
             )
         ),
         JSON_VALUES,
@@ -277,6 +284,15 @@
 @hypothesis.example("usage row", NESTED)
 @hypothesis.example("withheld row", NESTED)
 @hypothesis.example("registration", NESTED)
+@hypothesis.example("usage counts", zlib.compress(b"[" * 2_000_000))
+@hypothesis.example(
+    "packed usage counts",
+    b'{"customers": ["c"], "entries": {"e/1": [1, {"\xd9\xa1": [0, 1]}]}}',
+)
+@hypothesis.example(
+    "packed usage counts",
+    b'{"customers": ["c"], "entries": {"e/1": [1, {"1": [7, 1]}]}}',
+)
 @hypothesis.example("lease row", b'{"fencing_token": 1' + b"0" * 400 + b"}")
 def test_rows_of_the_store(name: str, value: bytes) -> None:
     with contextlib.suppress(untrusted.MalformedError):
