Test usage reports against restored stores and replaced entries

Cause: mutations of the guards showed some that no test held. Measured: test_forwarding_usage_reports.py and test_platform_fuzz.py pass.

--- a/laburnumpin/forwarding/usage_reports/reporter.py
+++ b/laburnumpin/forwarding/usage_reports/reporter.py
@@ -264,7 +264,7 @@
                 continue
             merged += 1
             for record in records:
-                self._merge(record, current, wall_ms)
+                self._merge(record, current)
             newest_ms = max((r.counted_to_ms for r in records), default=0)
             if state.usage.window_of(newest_ms) < current - 2 * (
                 usage.KEPT_WINDOWS
@@ -278,7 +278,7 @@
         )
         await self._remove(old_keys)
 
-    def _merge(self, record: rows.Record, current: int, wall_ms: int) -> None:
+    def _merge(self, record: rows.Record, current: int) -> None:
         """Merge a record; windows out of range would displace the others."""
         if record.incarnation_name == self._incarnation_name:
             return
@@ -289,7 +289,7 @@
         self._shell.state.usage.record_peer_counts(
             record.incarnation_name,
             by_window,
-            min(record.counted_to_ms, wall_ms),
+            record.counted_to_ms,
         )
 
     def _note_malformed(
--- a/laburnumpin/tests/test_forwarding_usage_reports.py
+++ b/laburnumpin/tests/test_forwarding_usage_reports.py
@@ -182,6 +182,8 @@
 # Load: digests of all entries arrive.
 def test_connected_entries_add_no_store_calls_and_report_at_once() -> None:
     fleet = _Fleet("abc")
+    fleet.run_until(5_000 + windows.EARLIEST_COMMIT_MS - 100)
+    assert fleet.reported(20) is None
     fleet.run_until(6_500)
     fleet.platform.calls.clear()
     fleet.run_until(26_500)
@@ -204,10 +206,11 @@
 
 # Failure: all entries lose power while a window waits for an entry's counts.
 def test_ended_window_outlives_the_loss_of_all_entries() -> None:
-    fleet = _Fleet("abc")
+    fleet = _Fleet("abc", old="c")
     fleet.run_until(9_000)
     fleet.cut = "c"
     fleet.run_until(12_600)
+    assert fleet.reported(21) is None
     fleet.kill("abc")
     fleet.run_until(13_500)
     fleet.start("abc")
@@ -307,7 +310,8 @@
     fleet = _Fleet("ab")
     fleet.run_until(4_000)
     fleet.cut = "b"
-    far = rows.encode([rows.Record("x/1", 1, {10**9: {"acme": 1}})])
+    far_windows = {10**9 + n: {"acme": 1} for n in range(9)}
+    far = rows.encode([rows.Record("x/1", 1, far_windows)])
     assert far is not None
     for key, value in (("y/1", b"{"), ("x/1", far)):
         fleet.platform.rows[Table.USAGE_COUNTS, key] = interfaces.Row(
@@ -324,6 +328,32 @@
     assert "x/1" not in keys
 
 
+# Failure: a restored store has lost the rows of entries that are cut off.
+def test_entry_writes_its_row_again_in_a_new_era() -> None:
+    fleet = _Fleet("ab")
+    fleet.run_until(4_000)
+    fleet.cut = "b"
+    fleet.kill("a")
+    fleet.run_until(9_000)
+    rows_before = dict(fleet.platform.rows)
+    fleet.platform.rows.clear()
+    fleet.entries["b"].state.store_era = 1
+    fleet.run_until(9_900)
+    assert fleet.platform.rows.keys() & rows_before.keys() == {
+        (Table.USAGE_COUNTS, fleet.entries["b"].key)
+    }
+
+
+# Failure: an entry is restarted, and another has been gone for a while.
+def test_replaced_and_long_ended_entries_delay_no_report() -> None:
+    counted = usage.Usage(WINDOW_MS)
+    counted.record_peer_counts("b/1", {20: {"acme": 1}}, 103_000)
+    assert counted.missing(20, "a/1") == ["b"]
+    counted.record_peer_counts("b/2", {}, 106_000)
+    counted.record_peer_counts("c/1", {}, 105_000 - usage.EXPECTED_MS - 1)
+    assert counted.missing(20, "a/1") == []
+
+
 COUNTS = strategies.dictionaries(
     strategies.sampled_from("ab"), strategies.integers(0, 9)
 )
--- a/laburnumpin/tests/test_platform_fuzz.py
+++ b/laburnumpin/tests/test_platform_fuzz.py
@@ -289,6 +289,10 @@
     "packed usage counts",
     b'{"customers": ["c"], "entries": {"e/1": [1, {"\xd9\xa1": [0, 1]}]}}',
 )
+@hypothesis.example(
+    "packed usage counts",
+    b'{"customers": [], "entries": {"e/1": [1, {"x": []}]}}',
+)
 @hypothesis.example(
     "packed usage counts",
     b'{"customers": ["c"], "entries": {"e/1": [1, {"1": [7, 1]}]}}',
