Wait for missing usage counts until shortly before the limit

Change: an entry takes 2 s without a holder's digest as a cut instead of 3 s; the holder waits until 1.5 s before the limit and reads right before.

--- a/laburnumpin/forwarding/usage_reports/delivery.py
+++ b/laburnumpin/forwarding/usage_reports/delivery.py
@@ -9,8 +9,8 @@
 import random
 
 # An entry that has received no digest of a holder for this long takes its
-# counts as not delivered: three periods of a holder's digests and the delay.
-HOLDER_SILENCE_MS = 3_000
+# counts as not delivered: two and a half of the longest periods of its digests.
+HOLDER_SILENCE_MS = 2_000
 # A digest of the holder shows that its entry's counts of windows that ended
 # this long before have arrived, unless the holder names the entry.
 DELIVERED_MS = 2_500
--- a/laburnumpin/forwarding/usage_reports/windows.py
+++ b/laburnumpin/forwarding/usage_reports/windows.py
@@ -13,7 +13,9 @@
 READ_PERIOD_MS = 1_500
 # Time before the platform's limit at which a window is committed even if counts
 # are missing.
-COMMIT_MARGIN_MS = 2_000
+COMMIT_MARGIN_MS = 1_500
+# A window with missing counts is committed only after a read that is younger.
+LAST_READ_MS = 500
 # A window is not reported later than this before the limit.
 REPORT_MARGIN_MS = 500
 
@@ -53,8 +55,11 @@
             return Step.WAIT
         if is_inherited and elapsed_ms < late_ms - 2 * REPORT_MARGIN_MS:
             return Step.READ
+    period_ms = READ_PERIOD_MS
     if elapsed_ms >= commit_by_ms:
-        return Step.COMMIT
-    if read_after_ms is None or elapsed_ms >= read_after_ms + READ_PERIOD_MS:
+        if elapsed_ms >= late_ms - 2 * REPORT_MARGIN_MS:
+            return Step.COMMIT
+        period_ms = LAST_READ_MS
+    if read_after_ms is None or elapsed_ms >= read_after_ms + period_ms:
         return Step.READ
-    return Step.WAIT
+    return Step.COMMIT if elapsed_ms >= commit_by_ms else Step.WAIT
--- a/laburnumpin/tests/test_forwarding_usage_reports.py
+++ b/laburnumpin/tests/test_forwarding_usage_reports.py
@@ -305,6 +305,38 @@
             assert step is not windows.Step.COMMIT
 
 
+# Load: the counts of all entries arrive right after the end of a window.
+def test_clocks_may_differ_before_the_earliest_commit() -> None:
+    for elapsed_ms in (0, windows.EARLIEST_COMMIT_MS - 1):
+        step = windows.next_step(
+            elapsed_ms,
+            10_000,
+            missing=0,
+            read_after_ms=None,
+            is_inherited=False,
+        )
+        assert step is windows.Step.WAIT
+
+
+# Failure: a row is written between two reads, shortly before the limit.
+def test_last_read_comes_right_before_the_commit() -> None:
+    read_after_ms = 0
+    for elapsed_ms in range(windows.SETTLE_MS, 10_000, 100):
+        step = windows.next_step(
+            elapsed_ms,
+            10_000,
+            missing=1,
+            read_after_ms=read_after_ms,
+            is_inherited=False,
+        )
+        if step is windows.Step.COMMIT:
+            break
+        if step is windows.Step.READ:
+            read_after_ms = elapsed_ms
+    assert 8_500 <= elapsed_ms < 9_000
+    assert elapsed_ms <= read_after_ms + windows.LAST_READ_MS
+
+
 # Failure: a malformed row, and one of a window that would displace the others.
 def test_bad_rows_are_dropped_and_counted() -> None:
     fleet = _Fleet("ab")
