Count windows that no digest carries as missing

Ruled out: more windows in every digest (bytes at 125 digests a second). Change: the holder keeps the gap between the counts of an incarnation; the windows in it are missing, so it names the entry, which writes its row.

--- a/laburnumpin/forwarding/gossip.py
+++ b/laburnumpin/forwarding/gossip.py
@@ -162,7 +162,10 @@
         counted_to_ms = state.members.wall_ms(now_ms, digest.wall_ms)
         counted_to_ms -= UNDATED_DIGEST_DELAY_MS
     state.usage.record_peer_counts(
-        peer.incarnation_name, digest.windows, counted_to_ms
+        peer.incarnation_name,
+        digest.windows,
+        counted_to_ms,
+        max_windows=REPORTED_WINDOWS,
     )
     if digest.lease_token:
         state.usage.holder_heard_ms = now_ms
--- a/laburnumpin/forwarding/usage_reports/counts.py
+++ b/laburnumpin/forwarding/usage_reports/counts.py
@@ -29,6 +29,7 @@
 
     __slots__ = (
         "_counted_to_ms",
+        "_gaps",
         "_own_counts",
         "_peer_counts",
         "_window_ms",
@@ -44,6 +45,9 @@
         self._peer_counts: dict[int, dict[str, Counts]] = {}
         # Until when the counts of an incarnation are known, wall-clock time.
         self._counted_to_ms: dict[str, int] = {}
+        # Time before that of which the counts of an incarnation are not known:
+        # a digest after a cut has its newest windows only.
+        self._gaps: dict[str, tuple[int, int]] = {}
         # Names of entries without complete counts, while this one reports.
         self.missing_names: tuple[str, ...] = ()
         # When a holder's last digest arrived, and the last one that named this
@@ -84,19 +88,25 @@
         return found
 
     def counted_to_ms(self, incarnation_name: str) -> int:
-        """Return until when an incarnation's counts are known, 0 if never."""
-        return self._counted_to_ms.get(incarnation_name, 0)
+        """Return until when all counts of an incarnation are known."""
+        counted_to_ms = self._counted_to_ms.get(incarnation_name, 0)
+        gap = self._gaps.get(incarnation_name)
+        return counted_to_ms if gap is None else min(counted_to_ms, gap[0])
 
     def record_peer_counts(
         self,
         incarnation_name: str,
         windows: dict[int, Counts],
         counted_to_ms: int = 0,
+        *,
+        max_windows: int = KEPT_WINDOWS,
     ) -> None:
         """Merge counts of a peer's incarnation, of a digest or of a row.
 
-        `counted_to_ms` is when they were counted, wall-clock time.
+        `counted_to_ms` is when they were counted, wall-clock time. Where there
+        are `max_windows` windows, older ones may have been left out.
         """
+        self._note_gap(incarnation_name, windows, max_windows)
         for window, counts in windows.items():
             by_incarnation = self._peer_counts.setdefault(window, {})
             known = by_incarnation.setdefault(incarnation_name, {})
@@ -108,6 +118,30 @@
             counted_to_ms, self._counted_to_ms.get(incarnation_name, 0)
         )
 
+    def _note_gap(
+        self,
+        incarnation_name: str,
+        windows: dict[int, Counts],
+        max_windows: int,
+    ) -> None:
+        """Note until when counts are missing that these ones leave out."""
+        covered_from_ms = 0
+        if windows and len(windows) >= max_windows:
+            covered_from_ms = min(windows) * self._window_ms
+        known_ms = self._counted_to_ms.get(incarnation_name, 0)
+        gap = self._gaps.get(incarnation_name)
+        if gap is None:
+            # It has run nothing before its start.
+            from_ms = max(known_ms, _split(incarnation_name)[1])
+            if from_ms < covered_from_ms:
+                self._gaps[incarnation_name] = from_ms, covered_from_ms
+            return
+        from_ms, to_ms = gap
+        if covered_from_ms <= from_ms:
+            del self._gaps[incarnation_name]
+        elif covered_from_ms < to_ms or covered_from_ms > known_ms:
+            self._gaps[incarnation_name] = from_ms, covered_from_ms
+
     def missing(self, window: int, own_incarnation_name: str) -> list[str]:
         """Return the entries whose counts of an ended window may be partial.
 
@@ -123,6 +157,7 @@
         for key, counted_to_ms in list(self._counted_to_ms.items()):
             if counted_to_ms < oldest_ms:
                 del self._counted_to_ms[key]
+                self._gaps.pop(key, None)
                 continue
             name, incarnation = _split(key)
             newest[name] = max(incarnation, newest.get(name, 0))
@@ -133,7 +168,9 @@
                 continue
             if counted_to_ms < end_ms - max(EXPECTED_MS, 2 * self._window_ms):
                 continue
-            if counted_to_ms < end_ms + CLOCK_MARGIN_MS:
+            from_ms, to_ms = self._gaps.get(key, (0, 0))
+            is_in_gap = from_ms < end_ms + CLOCK_MARGIN_MS and end_ms <= to_ms
+            if is_in_gap or counted_to_ms < end_ms + CLOCK_MARGIN_MS:
                 names.append(name)
         return sorted(names)
 
--- a/laburnumpin/forwarding/usage_reports/reporter.py
+++ b/laburnumpin/forwarding/usage_reports/reporter.py
@@ -264,7 +264,7 @@
                 continue
             merged += 1
             for record in records:
-                self._merge(record, current)
+                self._merge(record, current, row.key == CHECKPOINT_KEY)
             newest_ms = max((r.counted_to_ms for r in records), default=0)
             if state.usage.window_of(newest_ms) < current - 2 * (
                 usage.KEPT_WINDOWS
@@ -278,7 +278,9 @@
         )
         await self._remove(old_keys)
 
-    def _merge(self, record: rows.Record, current: int) -> None:
+    def _merge(
+        self, record: rows.Record, current: int, is_checkpoint: bool
+    ) -> None:
         """Merge a record; windows out of range would displace the others."""
         if record.incarnation_name == self._incarnation_name:
             return
@@ -290,6 +292,8 @@
             record.incarnation_name,
             by_window,
             record.counted_to_ms,
+            # A checkpoint leaves out windows that were reported.
+            max_windows=0 if is_checkpoint else usage.KEPT_WINDOWS,
         )
 
     def _note_malformed(
--- a/laburnumpin/tests/test_forwarding_usage_reports.py
+++ b/laburnumpin/tests/test_forwarding_usage_reports.py
@@ -115,6 +115,8 @@
         self.entries: dict[str, _Entry] = {}
         # Names of entries without digests from and to the others.
         self.cut = ""
+        # Names of entries that do not reach the store.
+        self.unstored = ""
         # Requests that ran, by window.
         self.truth: dict[int, int] = {}
         for name in names:
@@ -147,7 +149,7 @@
         for entry in self.entries.values():
             entry.state.usage.record("acme", self.clock_ms)
             self.truth[window] = self.truth.get(window, 0) + 1
-            if not entry.is_old:
+            if not entry.is_old and entry.state.name not in self.unstored:
                 await entry.reporter._write_row_if_due()
         if self.clock_ms % 500 == 0:
             self._exchange()
@@ -165,10 +167,15 @@
                 continue
             counted_ms = self.clock_ms - (1_500 if source.is_old else 0)
             target.state.usage.record_peer_counts(
-                source.key, source.state.usage.newest_windows(2), counted_ms
+                source.key,
+                source.state.usage.newest_windows(2),
+                counted_ms,
+                max_windows=2,
             )
             if source is self.holder:
                 target.state.usage.holder_heard_ms = self.clock_ms
+                if target.state.name in source.state.usage.missing_names:
+                    target.state.usage.named_ms = self.clock_ms
 
     def reported(self, window: int) -> int | None:
         counts = self.platform.reports.get(window)
@@ -360,6 +367,34 @@
     assert "x/1" not in keys
 
 
+# Failure: the cut is from the store too; the first digest after it has only the
+# newest windows, the holder names the entries, and they write rows.
+def test_windows_that_no_digest_carries_are_in_the_reports() -> None:
+    fleet = _Fleet("abcdef")
+    fleet.run_until(3_000)
+    fleet.cut = "ef"
+    fleet.unstored = "ef"
+    fleet.run_until(16_200)
+    fleet.cut = ""
+    fleet.unstored = ""
+    fleet.run_until(40_000)
+    fleet.check(range(21, 27))
+
+
+def test_a_gap_is_closed_by_a_row_that_covers_it() -> None:
+    counted = usage.Usage(WINDOW_MS)
+    counts = {"acme": 1}
+    counted.record_peer_counts("b/1", {20: counts}, 103_000, max_windows=2)
+    digest = {22: counts, 23: counts}
+    counted.record_peer_counts("b/1", digest, 116_000, max_windows=2)
+    assert counted.missing(20, "a/1") == ["b"]
+    assert counted.missing(22, "a/1") == []
+    counted.record_peer_counts("b/1", {23: counts, 24: counts}, 121_000)
+    assert counted.missing(21, "a/1") == []
+    counted.record_peer_counts("c/1", digest, 116_000, max_windows=2)
+    assert counted.missing(21, "a/1") == ["c"]
+
+
 # Failure: a restored store has lost the rows of entries that are cut off.
 def test_entry_writes_its_row_again_in_a_new_era() -> None:
     fleet = _Fleet("ab")
