Close a gap in usage counts only by counts from after it

Cause: a row that an entry wrote in the middle of a cut, and that the holder read again after the first digest that followed, closed the gap between the two, so that windows in it were committed as complete without their counts. A checkpoint's record without windows counted as covering all of them. Ruled out: a list of gaps for each incarnation; one interval is conservative. Change: counts from before the gap's end move at most its begin. A record of a checkpoint covers only the windows that it has, also if it has none. Measured: test_a_row_from_before_the_end_of_a_gap_does_not_close_it and test_a_checkpoint_does_not_cover_windows_that_it_leaves_out[kept0] fail without the change; test_only_rows_of_entries_count_as_whole fails without max_windows=0, which no test held before.

--- a/laburnumpin/forwarding/usage_reports/counts.py
+++ b/laburnumpin/forwarding/usage_reports/counts.py
@@ -106,7 +106,7 @@
         `counted_to_ms` is when they were counted, wall-clock time. Where there
         are `max_windows` windows, older ones may have been left out.
         """
-        self._note_gap(incarnation_name, windows, max_windows)
+        self._note_gap(incarnation_name, windows, counted_to_ms, max_windows)
         for window, counts in windows.items():
             by_incarnation = self._peer_counts.setdefault(window, {})
             known = by_incarnation.setdefault(incarnation_name, {})
@@ -122,12 +122,14 @@
         self,
         incarnation_name: str,
         windows: dict[int, Counts],
+        counted_to_ms: int,
         max_windows: int,
     ) -> None:
         """Note until when counts are missing that these ones leave out."""
         covered_from_ms = 0
-        if windows and len(windows) >= max_windows:
-            covered_from_ms = min(windows) * self._window_ms
+        if len(windows) >= max_windows:
+            oldest = min(windows, default=self.window_of(counted_to_ms))
+            covered_from_ms = oldest * self._window_ms
         known_ms = self._counted_to_ms.get(incarnation_name, 0)
         gap = self._gaps.get(incarnation_name)
         if gap is None:
@@ -137,9 +139,16 @@
                 self._gaps[incarnation_name] = from_ms, covered_from_ms
             return
         from_ms, to_ms = gap
-        if covered_from_ms <= from_ms:
+        if covered_from_ms > known_ms:
+            self._gaps[incarnation_name] = from_ms, covered_from_ms
+        elif counted_to_ms < to_ms:
+            # Counted before the gap ended: a row that is read again, or a late
+            # digest.
+            if covered_from_ms <= from_ms < counted_to_ms:
+                self._gaps[incarnation_name] = counted_to_ms, to_ms
+        elif covered_from_ms <= from_ms:
             del self._gaps[incarnation_name]
-        elif covered_from_ms < to_ms or covered_from_ms > known_ms:
+        elif covered_from_ms < to_ms:
             self._gaps[incarnation_name] = from_ms, covered_from_ms
 
     def missing(self, window: int, own_incarnation_name: str) -> list[str]:
--- a/laburnumpin/tests/test_forwarding_usage_reports.py
+++ b/laburnumpin/tests/test_forwarding_usage_reports.py
@@ -398,6 +398,57 @@
     assert counted.missing(21, "a/1") == ["c"]
 
 
+# Failure: the holder reads a row again that was written in the middle of a cut,
+# after the first digest that followed the cut.
+def test_a_row_from_before_the_end_of_a_gap_does_not_close_it() -> None:
+    counted = usage.Usage(WINDOW_MS)
+    counts = {"acme": 1}
+    row = dict.fromkeys(range(19, 23), counts)
+    counted.record_peer_counts("b/95000", row, 111_000)
+    digest = {25: counts, 26: counts}
+    counted.record_peer_counts("b/95000", digest, 131_000, max_windows=2)
+    assert counted.missing(24, "a/1") == ["b"]
+    counted.record_peer_counts("b/95000", row, 111_000)
+    assert counted.missing(24, "a/1") == ["b"]
+    # A later one shortens it.
+    later_row = dict.fromkeys(range(20, 24), counts)
+    counted.record_peer_counts("b/95000", later_row, 116_000)
+    assert counted.missing(21, "a/1") == []
+    assert counted.missing(24, "a/1") == ["b"]
+
+
+# Failure: a new holder knows an entry by the checkpoint only, which leaves out
+# the windows that the holder before has reported.
+@pytest.mark.parametrize("kept", [{}, {22: {"acme": 1}}])
+def test_a_checkpoint_does_not_cover_windows_that_it_leaves_out(
+    kept: dict[int, usage.Counts],
+) -> None:
+    counted = usage.Usage(WINDOW_MS)
+    counted.record_peer_counts("b/1", kept, 114_000, max_windows=0)
+    assert counted.missing(21, "a/1") == ["b"]
+    assert counted.missing(22, "a/1") == ["b"]
+    counted.record_peer_counts("b/1", kept, 116_000, max_windows=0)
+    assert counted.missing(21, "a/1") == ["b"]
+    whole = {window: {"acme": 1} for window in range(20, 23)}
+    counted.record_peer_counts("b/1", whole, 116_000)
+    assert counted.missing(21, "a/1") == []
+
+
+@pytest.mark.parametrize("key", [reporter.CHECKPOINT_KEY, "b/95000"])
+def test_only_rows_of_entries_count_as_whole(key: str) -> None:
+    fleet = _Fleet("a")
+    fleet.clock_ms = 116_500
+    record = rows.Record("b/95000", 116_000, {22: {"acme": 1}})
+    value = rows.encode([record])
+    assert value is not None
+    row = interfaces.Row(key, value, 1)
+    fleet.platform.rows[Table.USAGE_COUNTS, key] = row
+    entry = fleet.entries["a"]
+    anyio.run(entry.reporter._read_rows, fleet.clock_ms)
+    missing = entry.state.usage.missing(21, entry.key)
+    assert missing == (["b"] if key == reporter.CHECKPOINT_KEY else [])
+
+
 # Failure: a restored store has lost the rows of entries that are cut off.
 def test_entry_writes_its_row_again_in_a_new_era() -> None:
     fleet = _Fleet("ab")
