Bound the times of usage counts by the reader's clock, and forget ended entries

Cause: an entry whose clock was ahead when it wrote its row or sent a digest counted as complete until that time, so that windows were committed without its counts; its windows displaced those of others. Names of ended incarnations were only forgotten at the holder, so they grew without limit everywhere else. For a digest of the build before the median of all clocks was computed at each digest. Ruled out: the median clock at each digest (its cost grows with the entries). Change: the median's offset is kept at each digest that is sent; times over 5 s ahead are ignored, and a row with one is malformed. Ended incarnations are forgotten once in a window of usage, at all entries.

--- a/laburnumpin/forwarding/gossip.py
+++ b/laburnumpin/forwarding/gossip.py
@@ -159,13 +159,17 @@
     counted_to_ms = digest.counted_to_ms
     if not counted_to_ms:
         # An entry of the release before: its digest is delayed by less.
-        counted_to_ms = state.members.wall_ms(now_ms, digest.wall_ms)
+        offset_ms = state.usage.wall_offset_ms
+        counted_to_ms = digest.wall_ms
+        if offset_ms is not None:
+            counted_to_ms = now_ms + offset_ms
         counted_to_ms -= UNDATED_DIGEST_DELAY_MS
     state.usage.record_peer_counts(
         peer.incarnation_name,
         digest.windows,
         counted_to_ms,
         max_windows=REPORTED_WINDOWS,
+        now_ms=now_ms,
     )
     if digest.lease_token:
         state.usage.holder_heard_ms = now_ms
@@ -251,6 +255,8 @@
         contacts = list(addresses)
     if len(contacts) > digests.MAX_CONTACTS:
         contacts = state.random.sample(contacts, digests.MAX_CONTACTS)
+    median_ms = state.members.wall_ms(now_ms, wall_ms)
+    state.usage.wall_offset_ms = median_ms - now_ms
     current = state.deployment
     repeats_all = not state.members.uses_relays() or (
         state.digests_sent % DIGESTS_PER_REPEAT == 0
@@ -277,6 +283,6 @@
         limits=upstream_limits.rows(state, now_ms, repeats_all=repeats_all),
         leaving=leaving.rows(state, now_ms, repeats_all=repeats_all),
         store_era=state.store_era,
-        counted_to_ms=state.members.wall_ms(now_ms, wall_ms),
+        counted_to_ms=median_ms,
         usage_missing=state.usage.missing_names,
     )
--- a/laburnumpin/forwarding/usage_reports/counts.py
+++ b/laburnumpin/forwarding/usage_reports/counts.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from laburnumpin.forwarding import untrusted
+
 # Windows that an entry keeps of its own counts; it keeps twice as many of its
 # peers' counts.
 KEPT_WINDOWS = 4
@@ -14,6 +16,9 @@
 # An incarnation's counts of a window are complete when they were counted this
 # long after its end, as the median of the clocks may go back a little.
 CLOCK_MARGIN_MS = 250
+# Times of others may be ahead of this entry's by this much. Later ones come
+# from a clock that was wrong, and tell nothing of what was counted.
+MAX_LEAD_MS = 5_000
 
 # Requests by customer.
 Counts = dict[str, int]
@@ -30,12 +35,14 @@
     __slots__ = (
         "_counted_to_ms",
         "_gaps",
+        "_next_forget_ms",
         "_own_counts",
         "_peer_counts",
         "_window_ms",
         "holder_heard_ms",
         "missing_names",
         "named_ms",
+        "wall_offset_ms",
     )
 
     def __init__(self, window_ms: int) -> None:
@@ -48,6 +55,11 @@
         # Time before that of which the counts of an incarnation are not known:
         # a digest after a cut has its newest windows only.
         self._gaps: dict[str, tuple[int, int]] = {}
+        # When ended incarnations are forgotten next, wall-clock time.
+        self._next_forget_ms = 0
+        # The median wall-clock time minus the boot clock; None before it is
+        # known.
+        self.wall_offset_ms: int | None = None
         # Names of entries without complete counts, while this one reports.
         self.missing_names: tuple[str, ...] = ()
         # When a holder's last digest arrived, and the last one that named this
@@ -100,24 +112,61 @@
         counted_to_ms: int = 0,
         *,
         max_windows: int = KEPT_WINDOWS,
+        now_ms: int | None = None,
     ) -> None:
         """Merge counts of a peer's incarnation, of a digest or of a row.
 
         `counted_to_ms` is when they were counted, wall-clock time. Where there
-        are `max_windows` windows, older ones may have been left out.
+        are `max_windows` windows, older ones may have been left out. Times that
+        are too far ahead of `now_ms`, on the boot clock, are ignored.
         """
-        self._note_gap(incarnation_name, windows, counted_to_ms, max_windows)
+        latest_ms = self.latest_ms(now_ms)
+        if counted_to_ms <= latest_ms:
+            self._note_counted(
+                incarnation_name, windows, counted_to_ms, max_windows
+            )
         for window, counts in windows.items():
+            if window * self._window_ms > latest_ms:
+                continue  # It would displace the others.
             by_incarnation = self._peer_counts.setdefault(window, {})
             known = by_incarnation.setdefault(incarnation_name, {})
             for customer, count in counts.items():
                 known[customer] = max(count, known.get(customer, 0))
         while len(self._peer_counts) > 2 * KEPT_WINDOWS:
             del self._peer_counts[min(self._peer_counts)]
+
+    def latest_ms(self, now_ms: int | None) -> int:
+        """Return the latest wall-clock time that others may name."""
+        if now_ms is None or self.wall_offset_ms is None:
+            return untrusted.MAX_UNIX_MS
+        return now_ms + self.wall_offset_ms + MAX_LEAD_MS
+
+    def _note_counted(
+        self,
+        incarnation_name: str,
+        windows: dict[int, Counts],
+        counted_to_ms: int,
+        max_windows: int,
+    ) -> None:
+        """Note until when the counts of an incarnation are known."""
+        self._note_gap(incarnation_name, windows, counted_to_ms, max_windows)
+        if incarnation_name not in self._counted_to_ms:
+            self._forget_ended(counted_to_ms)
         self._counted_to_ms[incarnation_name] = max(
             counted_to_ms, self._counted_to_ms.get(incarnation_name, 0)
         )
 
+    def _forget_ended(self, wall_ms: int) -> None:
+        """Forget incarnations that no window asks for, once in a window."""
+        if wall_ms < self._next_forget_ms:
+            return
+        self._next_forget_ms = wall_ms + self._window_ms
+        oldest_ms = wall_ms - EXPECTED_MS - 2 * KEPT_WINDOWS * self._window_ms
+        for key, counted_to_ms in list(self._counted_to_ms.items()):
+            if counted_to_ms < oldest_ms:
+                del self._counted_to_ms[key]
+                self._gaps.pop(key, None)
+
     def _note_gap(
         self,
         incarnation_name: str,
@@ -158,16 +207,10 @@
         have not counted past its end, unless a later one has replaced them.
         """
         end_ms = self.end_ms(window)
-        # Younger than all that any later window asks for.
-        oldest_ms = end_ms - EXPECTED_MS - 2 * KEPT_WINDOWS * self._window_ms
         newest: dict[str, int] = {}
         own_name, own_incarnation = _split(own_incarnation_name)
         newest[own_name] = own_incarnation
-        for key, counted_to_ms in list(self._counted_to_ms.items()):
-            if counted_to_ms < oldest_ms:
-                del self._counted_to_ms[key]
-                self._gaps.pop(key, None)
-                continue
+        for key in self._counted_to_ms:
             name, incarnation = _split(key)
             newest[name] = max(incarnation, newest.get(name, 0))
         names = []
--- a/laburnumpin/forwarding/usage_reports/reporter.py
+++ b/laburnumpin/forwarding/usage_reports/reporter.py
@@ -258,7 +258,7 @@
             if row.value is None:
                 continue
             try:
-                records = rows.decode(row.value)
+                records = rows.decode(row.value, wall_ms + usage.MAX_LEAD_MS)
             except exceptions.DocumentError as error:
                 self._note_malformed(row, error)
                 continue
--- a/laburnumpin/forwarding/usage_reports/rows.py
+++ b/laburnumpin/forwarding/usage_reports/rows.py
@@ -63,9 +63,13 @@
     return zlib.compress(encoded, COMPRESSION_LEVEL)
 
 
-def decode(value: bytes) -> list[Record]:
+def decode(
+    value: bytes, latest_ms: int = untrusted.MAX_UNIX_MS
+) -> list[Record]:
     """Return the records in the value of a row.
 
+    `latest_ms` is the latest time of a count that is plausible.
+
     Raises:
         MalformedError: The row is malformed.
     """
@@ -89,9 +93,7 @@
                 untrusted.text(
                     incarnation_name, "entries", untrusted.MAX_KEY_CHARS
                 ),
-                untrusted.integer(
-                    counted_to_ms, "counted_to_ms", 0, untrusted.MAX_UNIX_MS
-                ),
+                untrusted.integer(counted_to_ms, "counted_to_ms", 0, latest_ms),
                 windows,
             )
         )
--- a/laburnumpin/tests/test_forwarding_usage_reports.py
+++ b/laburnumpin/tests/test_forwarding_usage_reports.py
@@ -449,6 +449,41 @@
     assert missing == (["b"] if key == reporter.CHECKPOINT_KEY else [])
 
 
+# Failure: an entry's clock was years ahead when it wrote its row or sent a
+# digest; its later counts must still be awaited, and no window displaced.
+def test_counts_from_the_future_do_not_pass_for_complete() -> None:
+    fleet = _Fleet("a")
+    fleet.clock_ms = 106_000
+    entry = fleet.entries["a"]
+    far = rows.Record("b/1", 10**12, {20: {"acme": 1}})
+    value = rows.encode([far])
+    assert value is not None
+    row = interfaces.Row("b/1", value, 1)
+    fleet.platform.rows[Table.USAGE_COUNTS, "b/1"] = row
+    counted = entry.state.usage
+    counted.wall_offset_ms = 0
+    counted.record_peer_counts("b/1", {20: {"acme": 1}}, 104_000)
+    anyio.run(entry.reporter._read_rows, fleet.clock_ms)
+    assert counted.missing(20, entry.key) == ["b"]
+    counted.record_peer_counts("b/1", {}, 10**12, now_ms=106_000)
+    assert counted.missing(20, entry.key) == ["b"]
+    far_windows = {10**6 + n: {"acme": 1} for n in range(9)}
+    counted.record_peer_counts("b/1", far_windows, 10**12, now_ms=106_000)
+    assert counted.missing(20, entry.key) == ["b"]
+    assert counted.total(20) == {"acme": 1}
+    # A clock may be ahead a little.
+    counted.record_peer_counts("b/1", {}, 107_000, now_ms=106_000)
+    assert counted.missing(20, entry.key) == []
+
+
+# Load: entries are replaced all day beside one that never holds the lease.
+def test_ended_incarnations_are_forgotten_without_the_lease() -> None:
+    counted = usage.Usage(WINDOW_MS)
+    for start_ms in range(START_MS, START_MS + 3_600_000, 1_000):
+        counted.record_peer_counts(f"e/{start_ms}", {}, start_ms + 500)
+    assert len(counted._counted_to_ms) < 120
+
+
 # Failure: a restored store has lost the rows of entries that are cut off.
 def test_entry_writes_its_row_again_in_a_new_era() -> None:
     fleet = _Fleet("ab")
