Wait for missing usage counts no longer than entries keep theirs

Cause: entries keep their own counts of four windows. With windows of 2 s and a limit of 10 s the holder waited 8.5 s for an entry that was killed and had dropped its own counts by then. An entry whose clock was an hour ahead for a while sent only its windows of that hour afterwards. Ruled out: more windows in rows and digests, as digests have room for two. Change: the wait ends after three windows. Own windows that are later than the next one are dropped.

--- a/laburnumpin/forwarding/usage_reports/counts.py
+++ b/laburnumpin/forwarding/usage_reports/counts.py
@@ -81,7 +81,7 @@
         counts = self._own_counts.get(window)
         if counts is None:
             counts = self._own_counts[window] = {}
-            self._drop_old_windows(window)
+            self._drop_other_windows(window)
         counts[customer] = counts.get(customer, 0) + 1
 
     def newest_windows(self, windows: int) -> dict[int, Counts]:
@@ -234,9 +234,13 @@
                 total[customer] = total.get(customer, 0) + count
         return total
 
-    def _drop_old_windows(self, newest: int) -> None:
+    def _drop_other_windows(self, newest: int) -> None:
+        """Drop windows that are old, or later than a clock that was set back.
+
+        The later ones would take the places of the newest ones in digests.
+        """
         for window in list(self._own_counts):
-            if window <= newest - KEPT_WINDOWS:
+            if not newest - KEPT_WINDOWS < window <= newest + 1:
                 del self._own_counts[window]
 
 
--- a/laburnumpin/forwarding/usage_reports/reporter.py
+++ b/laburnumpin/forwarding/usage_reports/reporter.py
@@ -198,9 +198,11 @@
             read_after_ms = self._read_wall_ms - end_ms
             if read_after_ms < windows.SETTLE_MS:
                 read_after_ms = None
+        # Later than that, the entries have dropped their counts of the window.
+        kept_ms = (usage.KEPT_WINDOWS - 1) * self._settings.usage_window_ms
         step = windows.next_step(
             elapsed_ms,
-            self._settings.usage_late_ms,
+            min(self._settings.usage_late_ms, kept_ms),
             missing=len(missing),
             read_after_ms=read_after_ms,
             is_inherited=end_ms - self._settings.usage_window_ms
--- a/laburnumpin/tests/test_forwarding_usage_reports.py
+++ b/laburnumpin/tests/test_forwarding_usage_reports.py
@@ -72,9 +72,11 @@
 
 
 class _Settings:
-    usage_window_ms = WINDOW_MS
     usage_late_ms = 10_000
 
+    def __init__(self, window_ms: int) -> None:
+        self.usage_window_ms = window_ms
+
 
 class _Entry:
     """An entry with its state; also the shell of its reporter."""
@@ -86,6 +88,7 @@
         # An entry of the build before writes no rows and does not name a time.
         self.is_old = is_old
         self.state = build.state()
+        self.state.usage = usage.Usage(fleet.window_ms)
         self.state.name = name
         self.state.incarnation_ms = fleet.clock_ms
         self.key = f"{name}/{fleet.clock_ms}"
@@ -93,7 +96,7 @@
             cast(Any, self),
             cast(Any, fleet.platform),
             cast(Any, fleet.platform),
-            cast(Any, _Settings()),
+            cast(Any, _Settings(fleet.window_ms)),
         )
 
     def now_ms(self) -> int:
@@ -109,7 +112,10 @@
 class _Fleet:
     """Entries that run one request each in 100 ms; the first is the holder."""
 
-    def __init__(self, names: str, old: str = "") -> None:
+    def __init__(
+        self, names: str, old: str = "", window_ms: int = WINDOW_MS
+    ) -> None:
+        self.window_ms = window_ms
         self.clock_ms = START_MS
         self.platform = _Platform()
         self.entries: dict[str, _Entry] = {}
@@ -145,7 +151,7 @@
             anyio.run(self._step)
 
     async def _step(self) -> None:
-        window = self.clock_ms // WINDOW_MS
+        window = self.clock_ms // self.window_ms
         for entry in self.entries.values():
             entry.state.usage.record("acme", self.clock_ms)
             self.truth[window] = self.truth.get(window, 0) + 1
@@ -476,6 +482,30 @@
     assert counted.missing(20, entry.key) == []
 
 
+# Failure: the clock of an entry that is cut off was an hour ahead for a while.
+def test_own_windows_of_a_clock_that_was_set_back_hide_no_others() -> None:
+    counted = usage.Usage(WINDOW_MS)
+    for wall_ms in (3_700_000, 3_705_000, 101_000, 106_000):
+        counted.record("acme", wall_ms)
+    assert counted.newest_windows(2).keys() == {20, 21}
+
+
+# Failure: an entry is killed for good; windows of 2 s are much shorter than the
+# limit, so that a long wait outlasts the counts that entries keep.
+def test_missing_counts_are_awaited_no_longer_than_others_are_kept() -> None:
+    fleet = _Fleet("abc", window_ms=2_000)
+    fleet.run_until(5_000)
+    fleet.kill("c")
+    fleet.run_until(40_000)
+    fleet.check(range(50, 52))
+    ran_after_the_last_digest = 5
+    for window in (52, 53):
+        reported = fleet.reported(window)
+        assert reported is not None
+        assert reported >= fleet.truth[window] - ran_after_the_last_digest
+    fleet.check(range(55, 65))
+
+
 # Load: entries are replaced all day beside one that never holds the lease.
 def test_ended_incarnations_are_forgotten_without_the_lease() -> None:
     counted = usage.Usage(WINDOW_MS)
