Forget ended incarnations by the entry's own clock

Cause: the time of the next removal came from a peer's digest, so one from a clock that was ahead, before this entry knew its own, stopped the removal. Change: it follows the entry's median clock and restarts if that is set back. The test of gaps holds that a row from the middle of a gap shortens it, and the test of ended incarnations a clock that is set back.

--- a/laburnumpin/forwarding/usage_reports/counts.py
+++ b/laburnumpin/forwarding/usage_reports/counts.py
@@ -120,7 +120,11 @@
         are `max_windows` windows, older ones may have been left out. Times that
         are too far ahead of `now_ms`, on the boot clock, are ignored.
         """
-        latest_ms = self.latest_ms(now_ms)
+        latest_ms = untrusted.MAX_UNIX_MS
+        if now_ms is not None and self.wall_offset_ms is not None:
+            wall_ms = now_ms + self.wall_offset_ms
+            latest_ms = wall_ms + MAX_LEAD_MS
+            self._forget_ended(wall_ms)
         if counted_to_ms <= latest_ms:
             self._note_counted(
                 incarnation_name, windows, counted_to_ms, max_windows
@@ -135,12 +139,6 @@
         while len(self._peer_counts) > 2 * KEPT_WINDOWS:
             del self._peer_counts[min(self._peer_counts)]
 
-    def latest_ms(self, now_ms: int | None) -> int:
-        """Return the latest wall-clock time that others may name."""
-        if now_ms is None or self.wall_offset_ms is None:
-            return untrusted.MAX_UNIX_MS
-        return now_ms + self.wall_offset_ms + MAX_LEAD_MS
-
     def _note_counted(
         self,
         incarnation_name: str,
@@ -150,15 +148,14 @@
     ) -> None:
         """Note until when the counts of an incarnation are known."""
         self._note_gap(incarnation_name, windows, counted_to_ms, max_windows)
-        if incarnation_name not in self._counted_to_ms:
-            self._forget_ended(counted_to_ms)
         self._counted_to_ms[incarnation_name] = max(
             counted_to_ms, self._counted_to_ms.get(incarnation_name, 0)
         )
 
     def _forget_ended(self, wall_ms: int) -> None:
         """Forget incarnations that no window asks for, once in a window."""
-        if wall_ms < self._next_forget_ms:
+        # The clock may have been set back.
+        if 0 < self._next_forget_ms - wall_ms <= self._window_ms:
             return
         self._next_forget_ms = wall_ms + self._window_ms
         oldest_ms = wall_ms - EXPECTED_MS - 2 * KEPT_WINDOWS * self._window_ms
--- a/laburnumpin/tests/test_forwarding_usage_reports.py
+++ b/laburnumpin/tests/test_forwarding_usage_reports.py
@@ -416,10 +416,11 @@
     assert counted.missing(24, "a/1") == ["b"]
     counted.record_peer_counts("b/95000", row, 111_000)
     assert counted.missing(24, "a/1") == ["b"]
+    assert counted.missing(22, "a/1") == ["b"]
     # A later one shortens it.
     later_row = dict.fromkeys(range(20, 24), counts)
     counted.record_peer_counts("b/95000", later_row, 116_000)
-    assert counted.missing(21, "a/1") == []
+    assert counted.missing(22, "a/1") == []
     assert counted.missing(24, "a/1") == ["b"]
 
 
@@ -509,8 +510,13 @@
 # Load: entries are replaced all day beside one that never holds the lease.
 def test_ended_incarnations_are_forgotten_without_the_lease() -> None:
     counted = usage.Usage(WINDOW_MS)
+    counted.wall_offset_ms = 0
+    # The clock of this entry is far ahead at first.
+    counted.record_peer_counts("x/1", {}, 1, now_ms=10**12)
     for start_ms in range(START_MS, START_MS + 3_600_000, 1_000):
-        counted.record_peer_counts(f"e/{start_ms}", {}, start_ms + 500)
+        counted.record_peer_counts(
+            f"e/{start_ms}", {}, start_ms, now_ms=start_ms
+        )
     assert len(counted._counted_to_ms) < 120
 
 
