--- a/laburnumpin/forwarding/rollouts/model.py
+++ b/laburnumpin/forwarding/rollouts/model.py
@@ -31,13 +31,15 @@
 
     `FAILED` is an error of the upstream, `BROKEN` an answer that ended early or
     was malformed, and `SLOW` one whose first byte came much later than
-    predicted.
+    predicted. `LOST` says nothing of the version: the connection, the VM or its
+    zone was lost, or the upstream was ending. It is never counted.
     """
 
     SOUND = "sound"
     FAILED = "failed"
     BROKEN = "broken"
     SLOW = "slow"
+    LOST = "lost"
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -86,3 +88,57 @@
     exposure_share: float
     exposure_slack: int
     rollback_ms: int
+    unknown_version_hold_ms: int = 10_000
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class EvidenceRow:
+    """Counts of answers that one process got since it learnt of an order.
+
+    The counts only grow within one incarnation of the process. `era` and
+    `row_version` name the order. `zone` is the upstream's and may be empty,
+    `band` the index of its load band. `errors` are failed and broken answers.
+    """
+
+    service: str
+    era: int
+    row_version: int
+    is_target: bool
+    route: str
+    zone: str
+    band: int
+    answers: int
+    errors: int
+    slow: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class RolloutStatus:
+    """A roll-out as this process sees it, for the command line and logs.
+
+    `stage` is the written one, and `WAITING` before the first decision.
+    `is_stopped_here` says that this process sends nothing more to the target
+    version on its own evidence. `requests`, `sent_to_target` and `share` are
+    of this process since it learnt of the order; the answers are those of all
+    processes, as far as known here.
+    """
+
+    service: str
+    target_version: str
+    stage: Stage
+    is_paused: bool
+    is_stopped_here: bool
+    age_ms: int
+    duration_ms: int
+    requests: int
+    sent_to_target: int
+    share: float
+    target_answers: int
+    target_errors: int
+    target_slow: int
+    previous_answers: int
+    previous_errors: int
+    previous_slow: int
+    ready_target: int
+    ready_previous: int
+    reason: str
