--- a/laburnumpin/forwarding/rollouts/evidence.py
+++ b/laburnumpin/forwarding/rollouts/evidence.py
@@ -17,13 +17,17 @@
 MAX_NAMED_ROUTES = 12
 MAX_NAMED_ZONES = 4
 SHARED_ROUTES = 4
-# Rows of one process for one roll-out.
+# Rows of one process for one roll-out. Further answers count in rows of no
+# route and no zone of their own.
 MAX_ROWS = 128
+# Rows of all peers and roll-outs together.
+MAX_PEER_ROWS = 65_536
 MAX_PEERS = 4_096
 MAX_INCARNATIONS = 4
 # Recent counts are those of this slot and the ones before it.
 SLOT_MS = 1_000
 RECENT_SLOTS = 3
+OTHER_ROUTE = "#"
 OTHER_ZONE = "#"
 
 
@@ -60,6 +64,13 @@
 Table = dict[RowKey, Counts]
 
 
+@dataclasses.dataclass(slots=True)
+class RowLimit:
+    """Rows of peers that may still be held, over all roll-outs."""
+
+    left: int = MAX_PEER_ROWS
+
+
 def band_of(load_share: float) -> int:
     """Return the index of the load band of `load_share` (streams / slots)."""
     band = 0
@@ -79,10 +90,22 @@
     alike, so that recent counts stay comparable.
     """
 
-    __slots__ = ("_own", "_peers", "_routes", "_slots", "_zones", "total")
-
-    def __init__(self) -> None:
+    __slots__ = (
+        "_limit",
+        "_own",
+        "_peers",
+        "_routes",
+        "_slots",
+        "_zones",
+        "revision",
+        "total",
+    )
+
+    def __init__(self, limit: RowLimit) -> None:
         self.total: Table = {}
+        # Grows with each change of the counts.
+        self.revision = 0
+        self._limit = limit
         self._own: Table = {}
         self._peers: dict[str, dict[int, Table]] = {}
         self._slots: collections.deque[tuple[int, Table]] = collections.deque()
@@ -108,8 +131,9 @@
         counts = self._own.get(key)
         if counts is None:
             if len(self._own) >= MAX_ROWS:
-                return
-            counts = self._own[key] = Counts()
+                cell = Cell(OTHER_ROUTE, OTHER_ZONE, cell.band)
+                key = RowKey(is_target, cell)
+            counts = self._own.setdefault(key, Counts())
         errors = int(
             outcome in (model.AnswerOutcome.FAILED, model.AnswerOutcome.BROKEN)
         )
@@ -130,8 +154,8 @@
     ) -> None:
         """Take in rows of this order from one incarnation of a peer.
 
-        Rows of an incarnation older than the newest `MAX_INCARNATIONS`, and of
-        peers beyond `MAX_PEERS`, are left out.
+        Rows of an incarnation older than the newest `MAX_INCARNATIONS`, and
+        those beyond `MAX_PEERS` and `MAX_PEER_ROWS`, are left out.
         """
         table = self._peer_table(peer, incarnation_ms)
         if table is None:
@@ -142,8 +166,9 @@
             key = RowKey(row.is_target, Cell(row.route, row.zone, row.band))
             known = table.get(key)
             if known is None:
-                if len(table) >= MAX_ROWS:
+                if len(table) >= MAX_ROWS + BANDS * 2 or not self._limit.left:
                     continue
+                self._limit.left -= 1
                 known = table[key] = Counts()
             answers = max(0, row.answers - known.answers)
             errors = max(0, row.errors - known.errors)
@@ -163,6 +188,14 @@
                 known.add(counts.answers, counts.errors, counts.slow)
         return table
 
+    def release(self) -> None:
+        """Forget which counts came from whom; nothing may be merged later."""
+        for incarnations in self._peers.values():
+            for table in incarnations.values():
+                self._limit.left += len(table)
+        self._peers.clear()
+        self._own.clear()
+
     def _peer_table(self, peer: str, incarnation_ms: int) -> Table | None:
         incarnations = self._peers.get(peer)
         if incarnations is None:
@@ -177,13 +210,14 @@
             if incarnation_ms < oldest_ms:
                 return None
             # Its counts stay in the sums.
-            del incarnations[oldest_ms]
+            self._limit.left += len(incarnations.pop(oldest_ms))
         table = incarnations[incarnation_ms] = {}
         return table
 
     def _add(
         self, key: RowKey, answers: int, errors: int, slow: int, now_ms: int
     ) -> None:
+        self.revision += 1
         total = self.total.get(key)
         if total is None:
             if len(self.total) >= 4 * MAX_ROWS:
--- a/laburnumpin/forwarding/rollouts/exposure.py
+++ b/laburnumpin/forwarding/rollouts/exposure.py
@@ -11,6 +11,8 @@
 SPENT_PART = 0.85
 # With at least this slack the first request of the share is drawn at random.
 MIN_DITHER_SLACK = 40
+# While unspent share is caught up on, the part of requests is this multiple.
+CATCH_UP_FACTOR = 2.0
 # An offer that hasn't become a sent request after two of these has lapsed.
 OFFER_WINDOW_MS = 500
 
@@ -27,6 +29,7 @@
 
     __slots__ = (
         "_head_start",
+        "_next_base",
         "_offers",
         "_offers_before",
         "_share",
@@ -49,6 +52,7 @@
         self._head_start = 0.0
         if settings.exposure_slack >= MIN_DITHER_SLACK:
             self._head_start = generator.random()
+        self._next_base = 0.0
         self._offers = 0
         self._offers_before = 0
         self._window_start_ms = now_ms
@@ -80,6 +84,9 @@
         spent = self.sent_to_target + pending + 1
         if spent > self._share * base + self._head_start:
             return False
+        if base < self._next_base:
+            return False
+        self._next_base = base + 1.0 / (self._share * CATCH_UP_FACTOR)
         self._offers += 1
         return True
 
--- a/laburnumpin/forwarding/rollouts/rollouts.py
+++ b/laburnumpin/forwarding/rollouts/rollouts.py
@@ -15,9 +15,11 @@
 from laburnumpin.forwarding.rollouts import versions
 
 # Services whose versions are followed.
-MAX_SERVICES = 1_024
+MAX_SERVICES = 4_096
 # Bad answers of the target version are judged at most this often.
 JUDGE_INTERVAL_MS = 100
+# Rows of evidence in one digest; further ones take turns.
+MAX_DIGEST_ROWS = 256
 # Target upstreams that take the canary requests at least, while that leaves
 # time to use fewer: one failing upstream alone shouldn't speak for a version.
 MIN_CANARY_UPSTREAMS = 2
@@ -33,6 +35,7 @@
         "is_aborted",
         "is_withdrawn",
         "judged_ms",
+        "judged_revision",
         "judgement",
         "known_ms",
         "order",
@@ -45,6 +48,7 @@
         order: model.Order,
         settings: model.RolloutSettings,
         generator: random.Random,
+        limit: evidence.RowLimit,
         now_ms: int,
     ) -> None:
         self.order = order
@@ -52,9 +56,10 @@
         self.decision: model.Decision | None = None
         self.stage_ms = now_ms
         self.budget = exposure.ExposureBudget(settings, generator, now_ms)
-        self.evidence = evidence.Evidence()
+        self.evidence = evidence.Evidence(limit)
         self.judgement = verdict.Verdict(verdict.Kind.UNDECIDED)
         self.judged_ms: int | None = None
+        self.judged_revision = 0
         self.is_withdrawn = False
         self.is_aborted = False
         self.wanted_pause: bool | None = None
@@ -77,6 +82,7 @@
     def judge(self, now_ms: int) -> None:
         """Judge anew; a version that was found bad stays so."""
         self.judged_ms = now_ms
+        self.judged_revision = self.evidence.revision
         if self.judgement.kind is verdict.Kind.BAD:
             return
         self.judgement = verdict.judge(
@@ -126,7 +132,7 @@
     bounded: services, versions, peers and rows of evidence each have a limit.
     """
 
-    __slots__ = ("_generator", "_services", "_settings")
+    __slots__ = ("_generator", "_limit", "_rows_turn", "_services", "_settings")
 
     def __init__(
         self,
@@ -136,6 +142,8 @@
         self._settings = settings
         self._generator = generator or random.Random()
         self._services: dict[str, _Service] = {}
+        self._limit = evidence.RowLimit()
+        self._rows_turn = 0
 
     def apply_order(
         self, order: model.Order, now_ms: int, age_ms: int = 0
@@ -155,10 +163,10 @@
                 return False
             if not former.is_final:
                 service.versions.deny(former.order.target_version)
-        service.versions.denied.discard(order.target_version)
-        service.versions.held_since_ms.pop(order.target_version, None)
+            former.evidence.release()
+        service.versions.open_order(order.target_version, now_ms)
         service.rollout = _Rollout(
-            order, self._settings, self._generator, now_ms
+            order, self._settings, self._generator, self._limit, now_ms
         )
         service.rollout.known_ms = now_ms - age_ms
         service.refresh(now_ms)
@@ -200,6 +208,10 @@
             service.versions.take_over(decision.order.target_version)
         elif decision.stage is model.Stage.ROLLED_BACK:
             service.versions.deny(decision.order.target_version)
+        else:
+            service.versions.begin_canary(decision.order.target_version, now_ms)
+        if decision.stage.is_final:
+            rollout.evidence.release()
         service.refresh(now_ms)
         return True
 
@@ -336,7 +348,11 @@
                     counts.slow,
                 )
                 rows.append(row)
-        return tuple(rows)
+        if len(rows) <= MAX_DIGEST_ROWS:
+            return tuple(rows)
+        first = self._rows_turn % len(rows)
+        self._rows_turn += MAX_DIGEST_ROWS
+        return tuple((rows[first:] + rows[:first])[:MAX_DIGEST_ROWS])
 
     def merge_evidence(
         self,
@@ -553,6 +569,8 @@
 
 
 def _judge_if_due(rollout: _Rollout, now_ms: int) -> None:
+    if rollout.judged_revision == rollout.evidence.revision:
+        return
     judged_ms = rollout.judged_ms
     if judged_ms is None or now_ms - judged_ms >= JUDGE_INTERVAL_MS:
         rollout.judge(now_ms)
--- a/laburnumpin/forwarding/rollouts/stages.py
+++ b/laburnumpin/forwarding/rollouts/stages.py
@@ -15,7 +15,9 @@
 MIN_SHIFT_MS = 2_000
 # The last decision is made this long before the time limit.
 FINAL_RESERVE_MS = 1_000
-# Time in which entries learn of the shift before the old upstreams may stop.
+# Time in which entries learn of the shift before the old upstreams may stop,
+# and in which upstreams of another version are seen before an order counts as
+# one to the version in force.
 SETTLE_MS = 1_000
 
 
@@ -74,7 +76,9 @@
         return _roll_back("order_withdrawn")
     if facts.is_aborted:
         return _roll_back("aborted")
-    if facts.stage is None and facts.is_in_force:
+    if facts.is_in_force and facts.stage in (None, model.Stage.WAITING):
+        if facts.age_ms < SETTLE_MS:
+            return None
         return Step(model.Stage.COMPLETED, "already_in_force")
     if facts.judgement.kind is verdict.Kind.BAD:
         return _roll_back(reason_of(facts.judgement))
--- a/laburnumpin/forwarding/rollouts/verdict.py
+++ b/laburnumpin/forwarding/rollouts/verdict.py
@@ -19,7 +19,7 @@
 # A version is good where a version with this much more errors or slow answers
 # would show the same counts with a probability of at most exp(-nats).
 GOOD_EXCESS = 0.1
-GOOD_NATS = 4.0
+GOOD_NATS = 3.0
 GOOD_PART_NATS = 1.5
 # Routes and load bands with at least this part of the previous version's
 # answers have to be good on their own.
@@ -87,7 +87,7 @@
         verdict = _find_bad(strata)
         if verdict is not None:
             return verdict
-    return _find_good(total_strata, total)
+    return _find_good(total_strata, _strata(recent, total), total)
 
 
 def _strata(target: evidence.Table, wider: evidence.Table) -> list[Stratum]:
@@ -215,7 +215,11 @@
     return joined.values()
 
 
-def _find_good(strata: list[Stratum], total: evidence.Table) -> Verdict:
+def _find_good(
+    strata: list[Stratum], recent: list[Stratum], total: evidence.Table
+) -> Verdict:
+    if recent and not _is_as_good(recent, 0.0):
+        return Verdict(Kind.UNDECIDED, "recently_worse")
     scopes = _scopes(strata)
     if not _is_as_good(scopes[""], GOOD_NATS):
         return Verdict(Kind.UNDECIDED, "insufficient_evidence")
--- a/laburnumpin/forwarding/rollouts/versions.py
+++ b/laburnumpin/forwarding/rollouts/versions.py
@@ -89,8 +89,24 @@
             self.deny(other)
 
     def previous(self, target_version: str) -> frozenset[str]:
-        """Return the versions that a roll-out to the target moves away from."""
-        return frozenset(self.established - {target_version})
+        """Return the versions that a roll-out to the target moves away from.
+
+        Where the target alone was in force before the order, it's that one.
+        """
+        others = frozenset(self.established - {target_version})
+        return others or frozenset(self.established)
+
+    def open_order(self, target_version: str, now_ms: int) -> None:
+        """Make a version the target of an order."""
+        self.denied.discard(target_version)
+        self.held_since_ms.pop(target_version, None)
+        if not self.is_in_force(target_version):
+            self.begin_canary(target_version, now_ms)
+
+    def begin_canary(self, target_version: str, now_ms: int) -> None:
+        """Make sure that a target doesn't count as established."""
+        self.established.discard(target_version)
+        self.refresh(target_version, now_ms)
 
     def is_in_force(self, version: str) -> bool:
         """Return whether the service has ready upstreams of this one only."""
