--- a/laburnumpin/forwarding/rollouts/verdict.py
+++ b/laburnumpin/forwarding/rollouts/verdict.py
@@ -12,14 +12,15 @@
 
 # A version is bad where chance alone explains its counts with a probability of
 # at most exp(-BAD_NATS), by Chernoff's bound.
-BAD_NATS = 11.0
+BAD_NATS = 8.0
 MIN_BAD_ANSWERS = 5
 # Differences of the rates below this aren't called bad.
 MIN_EXCESS = 0.04
-# A version is good where a version with this much more errors or slow answers
-# would show the same counts with a probability of at most exp(-nats).
+# A version is good where one with this much more errors or slow answers would
+# show so few with a probability of at most exp(-nats).
 GOOD_EXCESS = 0.1
 GOOD_NATS = 3.0
+GOOD_PART_EXCESS = 0.2
 GOOD_PART_NATS = 1.5
 # Routes and load bands with at least this part of the previous version's
 # answers have to be good on their own.
@@ -218,18 +219,20 @@
 def _find_good(
     strata: list[Stratum], recent: list[Stratum], total: evidence.Table
 ) -> Verdict:
-    if recent and not _is_as_good(recent, 0.0):
+    if recent and not _is_as_good(recent, GOOD_EXCESS, 0.0):
         return Verdict(Kind.UNDECIDED, "recently_worse")
     scopes = _scopes(strata)
-    if not _is_as_good(scopes[""], GOOD_NATS):
+    if not _is_as_good(scopes[""], GOOD_EXCESS, GOOD_NATS):
         return Verdict(Kind.UNDECIDED, "insufficient_evidence")
     for scope in _large_scopes(total):
-        if not _is_as_good(scopes.get(scope, []), GOOD_PART_NATS):
+        if not _is_as_good(
+            scopes.get(scope, []), GOOD_PART_EXCESS, GOOD_PART_NATS
+        ):
             return Verdict(Kind.UNDECIDED, "insufficient_evidence", scope)
     return Verdict(Kind.GOOD, "as_good_as_previous")
 
 
-def _is_as_good(strata: list[Stratum], nats: float) -> bool:
+def _is_as_good(strata: list[Stratum], excess: float, nats: float) -> bool:
     answers = sum(stratum.target.answers for stratum in strata)
     if not answers:
         return False
@@ -243,7 +246,7 @@
                 * counter(stratum.previous)
                 / stratum.previous.answers
             )
-        bad_rate = min(1.0, baseline / answers + GOOD_EXCESS)
+        bad_rate = min(1.0, baseline / answers + excess)
         if bad >= bad_rate * answers:
             return False
         sound = answers - bad
