Compare versions within slots of time

An outage, or a change of the share, otherwise looks like a difference between the versions, since the share that goes to the target varies over time.

--- a/laburnumpin/bench/rollout_verdicts.py
+++ b/laburnumpin/bench/rollout_verdicts.py
@@ -58,29 +58,30 @@
     condition: Condition = lambda age_ms, route, load: True
 
 
-def _cases(duration_ms: int) -> list[Case]:
+def cases(duration_ms: int) -> list[Case]:
+    """Return the pairs of versions that the table shows."""
     late_ms = duration_ms // 2
-    cases = [Case("good"), Case("good, old fails 10%", previous_failures=0.1)]
-    cases.append(Case("good, old fails 30%", previous_failures=0.3))
-    cases.append(Case("good, both in a failing zone", both_fail=0.5))
+    pairs = [Case("good"), Case("good, old fails 10%", previous_failures=0.1)]
+    pairs.append(Case("good, old fails 30%", previous_failures=0.3))
+    pairs.append(Case("good, both in a failing zone", both_fail=0.5))
     for share in (0.1, 0.2, 0.3, 0.5):
-        cases.append(Case(f"fails {share:.0%}", share))
+        pairs.append(Case(f"fails {share:.0%}", share))
     for factor in (3.0, 5.0, 8.0):
-        cases.append(Case(f"30% slow x{factor:.0f}", 0.3, factor))
-    cases.append(Case("10% slow x3", 0.1, 3.0))
-    cases.append(Case("fails 30%, old 10%", 0.3, previous_failures=0.1))
-    cases.append(
+        pairs.append(Case(f"30% slow x{factor:.0f}", 0.3, factor))
+    pairs.append(Case("10% slow x3", 0.1, 3.0))
+    pairs.append(Case("fails 30%, old 10%", 0.3, previous_failures=0.1))
+    pairs.append(
         Case("fails 30%, on 12% route", 0.3, condition=_on_small_route)
     )
-    cases.append(Case("fails 30%, above 70% load", 0.3, condition=_under_load))
-    cases.append(
+    pairs.append(Case("fails 30%, above 70% load", 0.3, condition=_under_load))
+    pairs.append(
         Case(
             "fails 30%, from half time",
             0.3,
             condition=lambda age_ms, route, load: age_ms >= late_ms,
         )
     )
-    return cases
+    return pairs
 
 
 def _on_small_route(age_ms: int, route: str, load: float) -> bool:
@@ -136,7 +137,7 @@
         ):
             counts.record(*delayed[read][1], outcomes[read], age_ms)
             read += 1
-        judgement = verdict.judge(counts.total, counts.recent(age_ms))
+        judgement = verdict.judge(counts, age_ms)
         is_shift_due = age_ms >= stages.shift_at_ms(duration_ms)
         if judgement.kind is verdict.Kind.BAD:
             return Result(judgement.kind, age_ms, answers, bad)
@@ -175,7 +176,7 @@
         "bad answers p50 / max | s p50 |",
         "|---|---|---|---|---|---|---|",
     ]
-    for case in _cases(duration_ms):
+    for case in cases(duration_ms):
         results = [
             simulate(case, requests_per_s, duration_ms, seed)
             for seed in range(seeds)
--- a/laburnumpin/forwarding/rollouts/evidence.py
+++ b/laburnumpin/forwarding/rollouts/evidence.py
@@ -5,14 +5,12 @@
 import collections
 from collections.abc import Iterable
 import dataclasses
-from typing import NamedTuple
 import zlib
 
+from laburnumpin.forwarding.rollouts import comparison
+from laburnumpin.forwarding.rollouts import counts
 from laburnumpin.forwarding.rollouts import model
 
-# Lower bounds of the load bands above the first, in streams for each slot.
-BAND_LIMITS = (0.6,)
-BANDS = len(BAND_LIMITS) + 1
 # Routes and zones beyond these share buckets by their names' checksums.
 MAX_NAMED_ROUTES = 12
 MAX_NAMED_ZONES = 4
@@ -24,46 +22,13 @@
 MAX_PEER_ROWS = 65_536
 MAX_PEERS = 4_096
 MAX_INCARNATIONS = 4
-# Recent counts are those of this slot and the ones before it.
+# Versions are compared within slots; the recent ones are judged on their own.
 SLOT_MS = 1_000
 RECENT_SLOTS = 3
 OTHER_ROUTE = "#"
 OTHER_ZONE = "#"
 
 
-class Cell(NamedTuple):
-    """Answers that are compared with each other."""
-
-    route: str
-    zone: str
-    band: int
-
-
-class RowKey(NamedTuple):
-    """One cell's answers of the target version or of the previous one."""
-
-    is_target: bool
-    cell: Cell
-
-
-@dataclasses.dataclass(slots=True)
-class Counts:
-    """Answers, and those among them that failed or were slow."""
-
-    answers: int = 0
-    errors: int = 0
-    slow: int = 0
-
-    def add(self, answers: int, errors: int, slow: int) -> None:
-        """Add to each count."""
-        self.answers += answers
-        self.errors += errors
-        self.slow += slow
-
-
-Table = dict[RowKey, Counts]
-
-
 @dataclasses.dataclass(slots=True)
 class RowLimit:
     """Rows of peers that may still be held, over all roll-outs."""
@@ -71,44 +36,44 @@
     left: int = MAX_PEER_ROWS
 
 
-def band_of(load_share: float) -> int:
-    """Return the index of the load band of `load_share` (streams / slots)."""
-    band = 0
-    for limit in BAND_LIMITS:
-        if load_share < limit:
-            break
-        band += 1
-    return band
-
-
 class Evidence:
     """What is known of one order's versions, from all processes together.
 
     Counts of a peer belong to one incarnation of it and only grow, so a row
     adds the difference to what was known, in any order and however often it
     comes. A peer's counts are dated by their arrival, those of both versions
-    alike, so that recent counts stay comparable.
+    alike. The versions are compared within slots of time, so that an outage, or
+    a change of the share, isn't mistaken for a difference between them.
     """
 
     __slots__ = (
+        "_closed",
         "_limit",
+        "_open",
         "_own",
         "_peers",
+        "_recent",
         "_routes",
-        "_slots",
+        "_slot_number",
         "_zones",
         "revision",
         "total",
     )
 
     def __init__(self, limit: RowLimit) -> None:
-        self.total: Table = {}
+        self.total: counts.Table = {}
         # Grows with each change of the counts.
         self.revision = 0
         self._limit = limit
-        self._own: Table = {}
-        self._peers: dict[str, dict[int, Table]] = {}
-        self._slots: collections.deque[tuple[int, Table]] = collections.deque()
+        self._own: counts.Table = {}
+        self._peers: dict[str, dict[int, counts.Table]] = {}
+        # Counts of the current slot, and the comparison of those before.
+        self._open: counts.Table = {}
+        self._slot_number = 0
+        self._closed: comparison.Tallies = {}
+        self._recent: collections.deque[tuple[int, comparison.Tallies]] = (
+            collections.deque(maxlen=RECENT_SLOTS)
+        )
         self._routes: set[str] = set()
         self._zones: set[str] = set()
 
@@ -124,24 +89,26 @@
         """Count one answer of this process."""
         if outcome is model.AnswerOutcome.LOST:
             return
-        cell = Cell(
-            self._route_name(route), self._zone_name(zone), band_of(load_share)
+        cell = counts.Cell(
+            self._route_name(route),
+            self._zone_name(zone),
+            counts.band_of(load_share),
         )
-        key = RowKey(is_target, cell)
-        counts = self._own.get(key)
-        if counts is None:
+        key = counts.RowKey(is_target, cell)
+        known = self._own.get(key)
+        if known is None:
             if len(self._own) >= MAX_ROWS:
-                cell = Cell(OTHER_ROUTE, OTHER_ZONE, cell.band)
-                key = RowKey(is_target, cell)
-            counts = self._own.setdefault(key, Counts())
+                cell = counts.Cell(OTHER_ROUTE, OTHER_ZONE, cell.band)
+                key = counts.RowKey(is_target, cell)
+            known = self._own.setdefault(key, counts.Counts())
         errors = int(
             outcome in (model.AnswerOutcome.FAILED, model.AnswerOutcome.BROKEN)
         )
         slow = int(outcome is model.AnswerOutcome.SLOW)
-        counts.add(1, errors, slow)
+        known.add(1, errors, slow)
         self._add(key, 1, errors, slow, now_ms)
 
-    def own_rows(self) -> Iterable[tuple[RowKey, Counts]]:
+    def own_rows(self) -> Iterable[tuple[counts.RowKey, counts.Counts]]:
         """Return this process's counts."""
         return self._own.items()
 
@@ -163,13 +130,18 @@
         for row in rows:
             if not _is_sane(row):
                 continue
-            key = RowKey(row.is_target, Cell(row.route, row.zone, row.band))
+            key = counts.RowKey(
+                row.is_target, counts.Cell(row.route, row.zone, row.band)
+            )
             known = table.get(key)
             if known is None:
-                if len(table) >= MAX_ROWS + BANDS * 2 or not self._limit.left:
+                if (
+                    len(table) >= MAX_ROWS + counts.BANDS * 2
+                    or not self._limit.left
+                ):
                     continue
                 self._limit.left -= 1
-                known = table[key] = Counts()
+                known = table[key] = counts.Counts()
             answers = max(0, row.answers - known.answers)
             errors = max(0, row.errors - known.errors)
             slow = max(0, row.slow - known.slow)
@@ -178,15 +150,23 @@
             known.add(answers, errors, slow)
             self._add(key, answers, errors, slow, now_ms)
 
-    def recent(self, now_ms: int) -> Table:
-        """Return the counts of the last `RECENT_SLOTS` slots."""
-        self._drop_old_slots(now_ms)
-        table: Table = {}
-        for _, slot in self._slots:
-            for key, counts in slot.items():
-                known = table.setdefault(key, Counts())
-                known.add(counts.answers, counts.errors, counts.slow)
-        return table
+    def tallies(self) -> comparison.Tallies:
+        """Return the comparison since the order, second by second."""
+        sums: comparison.Tallies = {}
+        comparison.add_tallies(sums, self._closed)
+        comparison.add_tallies(sums, self._open_tallies())
+        return sums
+
+    def recent_tallies(self, now_ms: int) -> comparison.Tallies:
+        """Return the comparison of the last `RECENT_SLOTS` slots."""
+        first = now_ms // SLOT_MS - RECENT_SLOTS + 1
+        sums: comparison.Tallies = {}
+        for slot_number, tallies in self._recent:
+            if slot_number >= first:
+                comparison.add_tallies(sums, tallies)
+        if self._slot_number >= first:
+            comparison.add_tallies(sums, self._open_tallies())
+        return sums
 
     def release(self) -> None:
         """Forget which counts came from whom; nothing may be merged later."""
@@ -196,7 +176,9 @@
         self._peers.clear()
         self._own.clear()
 
-    def _peer_table(self, peer: str, incarnation_ms: int) -> Table | None:
+    def _peer_table(
+        self, peer: str, incarnation_ms: int
+    ) -> counts.Table | None:
         incarnations = self._peers.get(peer)
         if incarnations is None:
             if len(self._peers) >= MAX_PEERS:
@@ -215,29 +197,34 @@
         return table
 
     def _add(
-        self, key: RowKey, answers: int, errors: int, slow: int, now_ms: int
+        self,
+        key: counts.RowKey,
+        answers: int,
+        errors: int,
+        slow: int,
+        now_ms: int,
     ) -> None:
         self.revision += 1
         total = self.total.get(key)
         if total is None:
             if len(self.total) >= 4 * MAX_ROWS:
                 return
-            total = self.total[key] = Counts()
+            total = self.total[key] = counts.Counts()
         total.add(answers, errors, slow)
         slot_number = now_ms // SLOT_MS
-        if not self._slots or self._slots[-1][0] < slot_number:
-            self._slots.append((slot_number, {}))
-            self._drop_old_slots(now_ms)
-        slot = self._slots[-1][1]
-        counts = slot.get(key)
-        if counts is None:
-            counts = slot[key] = Counts()
-        counts.add(answers, errors, slow)
+        if slot_number > self._slot_number:
+            self._close_slot(slot_number)
+        self._open.setdefault(key, counts.Counts()).add(answers, errors, slow)
+
+    def _close_slot(self, next_number: int) -> None:
+        tallies = self._open_tallies()
+        comparison.add_tallies(self._closed, tallies)
+        self._recent.append((self._slot_number, tallies))
+        self._open = {}
+        self._slot_number = next_number
 
-    def _drop_old_slots(self, now_ms: int) -> None:
-        first_kept = now_ms // SLOT_MS - RECENT_SLOTS + 1
-        while self._slots and self._slots[0][0] < first_kept:
-            self._slots.popleft()
+    def _open_tallies(self) -> comparison.Tallies:
+        return comparison.compare(self._open, self.total)
 
     def _route_name(self, route: str) -> str:
         if route in self._routes:
@@ -257,7 +244,7 @@
 
 
 def _is_sane(row: model.EvidenceRow) -> bool:
-    if not 0 <= row.band < BANDS:
+    if not 0 <= row.band < counts.BANDS:
         return False
     if row.errors < 0 or row.slow < 0:
         return False
--- a/laburnumpin/forwarding/rollouts/rollouts.py
+++ b/laburnumpin/forwarding/rollouts/rollouts.py
@@ -7,6 +7,7 @@
 import math
 import random
 
+from laburnumpin.forwarding.rollouts import counts
 from laburnumpin.forwarding.rollouts import evidence
 from laburnumpin.forwarding.rollouts import exposure
 from laburnumpin.forwarding.rollouts import model
@@ -85,9 +86,7 @@
         self.judged_revision = self.evidence.revision
         if self.judgement.kind is verdict.Kind.BAD:
             return
-        self.judgement = verdict.judge(
-            self.evidence.total, self.evidence.recent(now_ms)
-        )
+        self.judgement = verdict.judge(self.evidence, now_ms)
 
 
 class _Service:
@@ -334,7 +333,7 @@
             rollout = self._open(service)
             if known.rollout is None or rollout is None:
                 continue
-            for key, counts in rollout.evidence.own_rows():
+            for key, known_counts in rollout.evidence.own_rows():
                 row = model.EvidenceRow(
                     service,
                     rollout.order.era,
@@ -343,9 +342,9 @@
                     key.cell.route,
                     key.cell.zone,
                     key.cell.band,
-                    counts.answers,
-                    counts.errors,
-                    counts.slow,
+                    known_counts.answers,
+                    known_counts.errors,
+                    known_counts.slow,
                 )
                 rows.append(row)
         if len(rows) <= MAX_DIGEST_ROWS:
@@ -465,11 +464,11 @@
             return None
         rollout = known.rollout
         budget = rollout.budget
-        target = evidence.Counts()
-        previous = evidence.Counts()
-        for key, counts in rollout.evidence.total.items():
+        target = counts.Counts()
+        previous = counts.Counts()
+        for key, known_counts in rollout.evidence.total.items():
             sums = target if key.is_target else previous
-            sums.add(counts.answers, counts.errors, counts.slow)
+            sums.add_counts(known_counts)
         decision = rollout.decision
         reason = decision.reason if decision else "no_decision"
         if rollout.is_stopped and not rollout.is_final:
--- a/laburnumpin/forwarding/rollouts/verdict.py
+++ b/laburnumpin/forwarding/rollouts/verdict.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from collections.abc import Iterable
 import dataclasses
 import enum
 import math
 
+from laburnumpin.forwarding.rollouts import comparison
+from laburnumpin.forwarding.rollouts import counts
 from laburnumpin.forwarding.rollouts import evidence
 
 # A version is bad where chance alone explains its counts with a probability of
@@ -25,10 +25,6 @@
 # Routes and load bands with at least this part of the previous version's
 # answers have to be good on their own.
 MIN_PART = 0.1
-# Fewer previous answers in a cell are taken from a wider one.
-MIN_BASELINE_ANSWERS = 10
-# Levels of widening within which answers of the same time are preferred.
-NEAR_LEVELS = 3
 
 
 class Kind(enum.Enum):
@@ -51,131 +47,47 @@
     scope: str = ""
 
 
-@dataclasses.dataclass(slots=True)
-class Stratum:
-    """The counts of one cell, the previous version's perhaps of a wider one."""
+_REASONS = ("target_errors", "target_slow")
 
-    cell: evidence.Cell
-    target: evidence.Counts
-    previous: evidence.Counts
 
+def judge(counted: evidence.Evidence, now_ms: int) -> Verdict:
+    """Judge by the answers since the order and by the latest ones.
 
-Counter = Callable[[evidence.Counts], int]
-
-
-def _errors(counts: evidence.Counts) -> int:
-    return counts.errors
-
-
-def _slow(counts: evidence.Counts) -> int:
-    return counts.slow
-
-
-_COUNTERS: tuple[tuple[str, Counter], ...] = (
-    ("target_errors", _errors),
-    ("target_slow", _slow),
-)
-
-
-def judge(total: evidence.Table, recent: evidence.Table) -> Verdict:
-    """Judge by the counts since the order and by the latest ones.
-
-    The latest counts show a version that turns bad; where they hold too few
-    previous answers, those since the order are compared.
+    The latest ones show a version that turns bad after many good answers.
     """
-    total_strata = _strata(total, total)
-    for strata in (total_strata, _strata(recent, total)):
-        verdict = _find_bad(strata)
+    since_order = _scopes(counted.tallies())
+    recent = _scopes(counted.recent_tallies(now_ms))
+    for scopes in (since_order, recent):
+        verdict = _find_bad(scopes)
         if verdict is not None:
             return verdict
-    return _find_good(total_strata, _strata(recent, total), total)
-
-
-def _strata(target: evidence.Table, wider: evidence.Table) -> list[Stratum]:
-    """Return the target's counts beside previous ones, each of these once."""
-    baseline = Baseline(target, wider)
-    strata: dict[tuple[int, str, int], Stratum] = {}
-    for key, counts in target.items():
-        if not key.is_target:
-            continue
-        previous = baseline.find(key.cell)
-        if previous is None:
-            continue
-        name = (id(previous), key.cell.route, key.cell.band)
-        stratum = strata.get(name)
-        if stratum is None:
-            stratum = Stratum(key.cell, evidence.Counts(), previous)
-            strata[name] = stratum
-        stratum.target.add(counts.answers, counts.errors, counts.slow)
-    return list(strata.values())
+    return _find_good(since_order, recent, counted.total)
 
 
-class Baseline:
-    """Finds previous answers that compare with a cell of the target version.
+def _scopes(tallies: comparison.Tallies) -> dict[str, comparison.Tally]:
+    """Return the sums over all, by route and by load band."""
+    scopes = {"": comparison.Tally()}
+    for part, tally in tallies.items():
+        for scope in ("", f"route={part.route}", f"band={part.band}"):
+            scopes.setdefault(scope, comparison.Tally()).add(tally)
+    return scopes
 
-    Answers of the same time and zone come first, so that a failing zone is
-    compared with itself, and among them those of the same route and band.
-    """
 
-    __slots__ = ("_near", "_wider")
-
-    def __init__(self, near: evidence.Table, wider: evidence.Table) -> None:
-        self._near = _sums(near)
-        self._wider = _sums(wider)
-
-    def find(self, cell: evidence.Cell) -> evidence.Counts | None:
-        """Return the nearest counts with enough answers, or None."""
-        names = _widening(cell)
-        for name in names[:NEAR_LEVELS]:
-            counts = self._near.get(name)
-            if counts and counts.answers >= MIN_BASELINE_ANSWERS:
-                return counts
-        for name in names:
-            counts = self._wider.get(name)
-            if counts and counts.answers >= MIN_BASELINE_ANSWERS:
-                return counts
-        return None
-
-
-def _sums(table: evidence.Table) -> dict[tuple[object, ...], evidence.Counts]:
-    sums: dict[tuple[object, ...], evidence.Counts] = {}
-    for key, counts in table.items():
-        if key.is_target:
-            continue
-        for name in _widening(key.cell):
-            known = sums.setdefault(name, evidence.Counts())
-            known.add(counts.answers, counts.errors, counts.slow)
-    return sums
-
-
-def _widening(cell: evidence.Cell) -> tuple[tuple[object, ...], ...]:
-    return (
-        ("cell", cell),
-        ("route and zone", cell.route, cell.zone),
-        ("zone", cell.zone),
-        ("route", cell.route),
-        ("all",),
-    )
-
-
-def _scopes(strata: list[Stratum]) -> dict[str, list[Stratum]]:
-    scopes: dict[str, list[Stratum]] = {"": strata}
-    for stratum in strata:
-        names = (f"route={stratum.cell.route}", f"band={stratum.cell.band}")
-        for name in names:
-            scopes.setdefault(name, []).append(stratum)
-    return scopes
+def _kinds(
+    tally: comparison.Tally,
+) -> tuple[comparison.KindTally, comparison.KindTally]:
+    return (tally.errors, tally.slow)
 
 
-def _find_bad(strata: list[Stratum]) -> Verdict | None:
-    for scope, members in _scopes(strata).items():
-        for reason, counter in _COUNTERS:
-            if _is_worse(members, counter):
+def _find_bad(scopes: dict[str, comparison.Tally]) -> Verdict | None:
+    for scope, tally in scopes.items():
+        for reason, kind in zip(_REASONS, _kinds(tally), strict=True):
+            if _is_worse(tally.answers, kind):
                 return Verdict(Kind.BAD, reason, scope)
     return None
 
 
-def _is_worse(strata: Iterable[Stratum], counter: Counter) -> bool:
+def _is_worse(answers: int, kind: comparison.KindTally) -> bool:
     """Return whether the target version has more of them than chance allows.
 
     Given all bad answers of a stratum, an equal version would get its part of
@@ -183,87 +95,54 @@
     bounded by the binomial of the same mean (Hoeffding, "Probability
     inequalities for sums of bounded random variables", 1963).
     """
-    bad = 0
-    answers = 0
-    expected = 0.0
-    total_bad = 0
-    baseline = 0.0
-    for stratum in _by_baseline(strata):
-        target_bad = counter(stratum.target)
-        previous_bad = counter(stratum.previous)
-        size = stratum.target.answers
-        all_answers = size + stratum.previous.answers
-        bad += target_bad
-        answers += size
-        total_bad += target_bad + previous_bad
-        expected += (target_bad + previous_bad) * size / all_answers
-        baseline += size * previous_bad / stratum.previous.answers
-    if bad < MIN_BAD_ANSWERS or bad - baseline < MIN_EXCESS * answers:
+    if kind.bad < MIN_BAD_ANSWERS:
         return False
-    return chernoff_nats(bad, total_bad, expected / total_bad) >= BAD_NATS
-
-
-def _by_baseline(strata: Iterable[Stratum]) -> Iterable[Stratum]:
-    """Join strata that are compared with the same previous answers."""
-    joined: dict[int, Stratum] = {}
-    for stratum in strata:
-        known = joined.get(id(stratum.previous))
-        if known is None:
-            known = Stratum(stratum.cell, evidence.Counts(), stratum.previous)
-            joined[id(stratum.previous)] = known
-        counts = stratum.target
-        known.target.add(counts.answers, counts.errors, counts.slow)
-    return joined.values()
+    if kind.bad - kind.baseline < MIN_EXCESS * answers:
+        return False
+    probability = kind.expected / kind.all_bad
+    return chernoff_nats(kind.bad, kind.all_bad, probability) >= BAD_NATS
 
 
 def _find_good(
-    strata: list[Stratum], recent: list[Stratum], total: evidence.Table
+    scopes: dict[str, comparison.Tally],
+    recent: dict[str, comparison.Tally],
+    total: counts.Table,
 ) -> Verdict:
-    if recent and not _is_as_good(recent, GOOD_EXCESS, 0.0):
+    if recent[""].answers and not _is_as_good(recent[""], GOOD_EXCESS, 0.0):
         return Verdict(Kind.UNDECIDED, "recently_worse")
-    scopes = _scopes(strata)
     if not _is_as_good(scopes[""], GOOD_EXCESS, GOOD_NATS):
         return Verdict(Kind.UNDECIDED, "insufficient_evidence")
     for scope in _large_scopes(total):
-        if not _is_as_good(
-            scopes.get(scope, []), GOOD_PART_EXCESS, GOOD_PART_NATS
-        ):
+        tally = scopes.get(scope, comparison.Tally())
+        if not _is_as_good(tally, GOOD_PART_EXCESS, GOOD_PART_NATS):
             return Verdict(Kind.UNDECIDED, "insufficient_evidence", scope)
     return Verdict(Kind.GOOD, "as_good_as_previous")
 
 
-def _is_as_good(strata: list[Stratum], excess: float, nats: float) -> bool:
-    answers = sum(stratum.target.answers for stratum in strata)
+def _is_as_good(tally: comparison.Tally, excess: float, nats: float) -> bool:
+    answers = tally.answers
     if not answers:
         return False
-    for _, counter in _COUNTERS:
-        bad = 0
-        baseline = 0.0
-        for stratum in strata:
-            bad += counter(stratum.target)
-            baseline += (
-                stratum.target.answers
-                * counter(stratum.previous)
-                / stratum.previous.answers
-            )
-        bad_rate = min(1.0, baseline / answers + excess)
-        if bad >= bad_rate * answers:
+    for kind in _kinds(tally):
+        bad_rate = min(1.0, kind.baseline / answers + excess)
+        if kind.bad >= bad_rate * answers:
             return False
-        sound = answers - bad
+        sound = answers - kind.bad
         if chernoff_nats(sound, answers, 1.0 - bad_rate) < nats:
             return False
     return True
 
 
-def _large_scopes(total: evidence.Table) -> list[str]:
+def _large_scopes(total: counts.Table) -> list[str]:
+    """Return the routes and bands with a large part of previous answers."""
     sizes: dict[str, int] = {}
     answers = 0
-    for key, counts in total.items():
+    for key, known in total.items():
         if key.is_target:
             continue
-        answers += counts.answers
+        answers += known.answers
         for name in (f"route={key.cell.route}", f"band={key.cell.band}"):
-            sizes[name] = sizes.get(name, 0) + counts.answers
+            sizes[name] = sizes.get(name, 0) + known.answers
     return [name for name, size in sizes.items() if size >= MIN_PART * answers]
 
 
