--- a/laburnumpin/forwarding/rollouts/evidence.py
+++ b/laburnumpin/forwarding/rollouts/evidence.py
@@ -56,14 +56,14 @@
         "_routes",
         "_slot_number",
         "_zones",
-        "revision",
+        "has_new_bad",
         "total",
     )
 
     def __init__(self, limit: RowLimit) -> None:
         self.total: counts.Table = {}
-        # Grows with each change of the counts.
-        self.revision = 0
+        # Whether bad answers of the target have come since it was cleared.
+        self.has_new_bad = False
         self._limit = limit
         self._own: counts.Table = {}
         self._peers: dict[str, dict[int, counts.Table]] = {}
@@ -204,7 +204,8 @@
         slow: int,
         now_ms: int,
     ) -> None:
-        self.revision += 1
+        if key.is_target and (errors or slow):
+            self.has_new_bad = True
         total = self.total.get(key)
         if total is None:
             if len(self.total) >= 4 * MAX_ROWS:
--- a/laburnumpin/forwarding/rollouts/rollouts.py
+++ b/laburnumpin/forwarding/rollouts/rollouts.py
@@ -36,7 +36,6 @@
         "is_aborted",
         "is_withdrawn",
         "judged_ms",
-        "judged_revision",
         "judgement",
         "known_ms",
         "order",
@@ -60,7 +59,6 @@
         self.evidence = evidence.Evidence(limit)
         self.judgement = verdict.Verdict(verdict.Kind.UNDECIDED)
         self.judged_ms: int | None = None
-        self.judged_revision = 0
         self.is_withdrawn = False
         self.is_aborted = False
         self.wanted_pause: bool | None = None
@@ -83,7 +81,7 @@
     def judge(self, now_ms: int) -> None:
         """Judge anew; a version that was found bad stays so."""
         self.judged_ms = now_ms
-        self.judged_revision = self.evidence.revision
+        self.evidence.has_new_bad = False
         if self.judgement.kind is verdict.Kind.BAD:
             return
         self.judgement = verdict.judge(self.evidence, now_ms)
@@ -241,6 +239,7 @@
         rollout = known.rollout
         if rollout is None or rollout.is_final:
             return known.allowed
+        _judge_if_due(rollout, now_ms)
         target = rollout.order.target_version
         if rollout.is_stopped or target not in known.versions.ready:
             return known.previous
@@ -323,8 +322,7 @@
         rollout.evidence.record(
             is_target, route, zone, load_share, outcome, now_ms
         )
-        if is_target and outcome is not model.AnswerOutcome.SOUND:
-            _judge_if_due(rollout, now_ms)
+        _judge_if_due(rollout, now_ms)
 
     def evidence_rows(self) -> tuple[model.EvidenceRow, ...]:
         """Return this process's counts for orders that haven't ended."""
@@ -568,7 +566,7 @@
 
 
 def _judge_if_due(rollout: _Rollout, now_ms: int) -> None:
-    if rollout.judged_revision == rollout.evidence.revision:
+    if not rollout.evidence.has_new_bad:
         return
     judged_ms = rollout.judged_ms
     if judged_ms is None or now_ms - judged_ms >= JUDGE_INTERVAL_MS:
