--- a/laburnumpin/tests/test_rollouts_decision.py
+++ b/laburnumpin/tests/test_rollouts_decision.py
@@ -197,6 +197,24 @@
     assert _serve(second, 500, 2_300) == 0
 
 
+def test_bad_version_stays_stopped_when_good_answers_come_late() -> None:
+    """Guards against late digests that cover what was found."""
+    entry, peer = _in_canary(), _in_canary()
+    _answer(entry, 40, 1_000, failed_target=8)
+    assert _serve(entry, 300, 1_500) == 0
+    _answer(peer, 3_000, 1_000)
+    entry.merge_evidence("peer", 1, peer.evidence_rows(), 2_500)
+    entry.record_answer("s", "v2", "/a", 0.2, FAILED, 2_600)
+    assert _serve(entry, 300, 2_700) == 0
+
+
+def test_share_ends_at_the_time_limit() -> None:
+    """Guards against an entry that no decision reaches any more."""
+    entry = _in_canary()
+    assert _serve(entry, 300, 11_000) > 0
+    assert _serve(entry, 300, 12_000) == 0
+
+
 def test_bad_version_in_the_shift_is_rolled_back() -> None:
     """Guards against a version that turns bad after the verdict."""
     entry = _in_shifting()
@@ -324,6 +342,8 @@
     entry.note_upstreams("s", {"v1": 6, "v2": 6, "v3": 6}, 9_700)
     assert entry.allowed_versions("s", "/a", 9_700) == frozenset(["v1"])
     assert _advance(entry, 9_700).order == second
+    entry.note_upstreams("s", {"v1": 6, "v2": 6}, 9_800)
+    assert entry.allowed_versions("s", "/a", 30_000) == frozenset(["v1"])
 
 
 def test_order_to_the_version_in_force_completes() -> None:
--- a/laburnumpin/tests/test_rollouts_evidence.py
+++ b/laburnumpin/tests/test_rollouts_evidence.py
@@ -118,9 +118,13 @@
 def test_answers_beyond_the_rows_still_count() -> None:
     """Guards against a bad version that hides behind many routes and zones."""
     counts = _new()
-    for number in range(400):
-        _record(counts, True, 1, 0, f"/{number % 40}", str(number // 40))
-    assert sum(known.answers for known in counts.total.values()) == 400
+    for number in range(800):
+        route, zone = f"/{number % 40}", str(number // 80)
+        load = 0.1 + 0.8 * (number // 40 % 2)
+        _record(counts, number % 3 == 0, 1, 0, route, zone, load)
+    assert sum(known.answers for known in counts.total.values()) == 800
+    rows = list(counts.own_rows())
+    assert len(rows) <= evidence.MAX_ROWS + 2 * counts_module.BANDS
 
 
 @pytest.mark.parametrize(
@@ -131,6 +135,7 @@
         ((70, 30), (630, 270), verdict.Kind.UNDECIDED),
         ((210, 90), (1_890, 810), verdict.Kind.GOOD),
         ((20, 0), (200, 0), verdict.Kind.UNDECIDED),
+        ((7, 13), (630, 270), verdict.Kind.UNDECIDED),
         ((0, 4), (100, 0), verdict.Kind.UNDECIDED),
         ((970, 30), (9_000, 0), verdict.Kind.GOOD),
     ],
@@ -185,6 +190,13 @@
     _record(counts, False, 18_000, 600)
     assert _judge(counts).kind is verdict.Kind.GOOD
     late_ms = 20_000
+    _record(counts, True, 20, 4, now_ms=late_ms)
+    _record(counts, False, 260, 8, now_ms=late_ms)
+    found = _judge(counts, late_ms)
+    assert (found.kind, found.reason) == (
+        verdict.Kind.UNDECIDED,
+        "recently_worse",
+    )
     _record(counts, True, 20, 9, now_ms=late_ms)
     _record(counts, False, 260, 8, now_ms=late_ms)
     assert _judge(counts, late_ms).kind is verdict.Kind.BAD
@@ -213,6 +225,10 @@
     _record(counts, False, 60, 60, zone="failing")
     _record(counts, False, 4_000, 0, zone="sound")
     assert _judge(counts).kind is not verdict.Kind.BAD
+    # Also where the previous version has only other routes in that zone.
+    _record(counts, True, 30, 30, route="/b", zone="failing")
+    _record(counts, False, 600, 0, route="/b", zone="sound")
+    assert _judge(counts).kind is not verdict.Kind.BAD
 
 
 def test_lost_answers_never_count() -> None:
