--- a/laburnumpin/forwarding/rollouts/rollouts.py
+++ b/laburnumpin/forwarding/rollouts/rollouts.py
@@ -223,14 +223,14 @@
         known.refresh(now_ms)
 
     def allowed_versions(
-        self, service: str, route: str, now_ms: int
+        self, service: str, route: str, now_ms: int, is_retry: bool = False
     ) -> frozenset[str] | None:
         """Return the versions that one request may be sent to; None means any.
 
         The empty set means that it has to wait. In the canary stage, a request
         that may be one of the share gets both versions; the caller then tries
-        `preferred_version` first. A retry of a request should not ask to be one
-        of them again. The share is spent by `record_sent`.
+        `preferred_version` first. A retry is never one of them: its caller has
+        waited long enough. The share is spent by `record_sent`.
         """
         known = self._services.get(service)
         if known is None:
@@ -249,7 +249,7 @@
             return known.previous
         if now_ms - rollout.known_ms >= rollout.order.duration_ms:
             return known.previous
-        if rollout.budget.try_offer(now_ms):
+        if not is_retry and rollout.budget.try_offer(now_ms):
             return known.both
         return known.previous
 
