--- a/laburnumpin/forwarding/rollouts/comparison.py
+++ b/laburnumpin/forwarding/rollouts/comparison.py
@@ -14,15 +14,18 @@
 NEAR_LEVELS = 3
 # Previous answers since the order that a cell is compared with otherwise.
 MIN_EARLIER_ANSWERS = 10
+# Above this rate of bad previous answers, a comparison shows little.
+MAX_STEADY_RATE = 0.2
 
 Name = tuple[object, ...]
 
 
 class Part(NamedTuple):
-    """A route and a load band."""
+    """A route and a load band, apart while the previous version fails there."""
 
     route: str
     band: int
+    is_steady: bool
 
 
 @dataclasses.dataclass(slots=True)
@@ -93,7 +96,7 @@
             previous = _find(wider, names, MIN_EARLIER_ANSWERS)
         if previous is None:
             continue
-        part = Part(key.cell.route, key.cell.band)
+        part = Part(key.cell.route, key.cell.band, _is_steady(previous))
         stratum = strata.setdefault(
             (part, id(previous)), (counts.Counts(), previous)
         )
@@ -104,6 +107,11 @@
     return tallies
 
 
+def _is_steady(previous: counts.Counts) -> bool:
+    bad = previous.errors + previous.slow
+    return bad <= MAX_STEADY_RATE * previous.answers
+
+
 def _tally(target: counts.Counts, previous: counts.Counts) -> Tally:
     return Tally(
         target.answers,
--- a/laburnumpin/forwarding/rollouts/verdict.py
+++ b/laburnumpin/forwarding/rollouts/verdict.py
@@ -22,6 +22,9 @@
 GOOD_NATS = 3.0
 GOOD_PART_EXCESS = 0.2
 GOOD_PART_NATS = 1.5
+# Answers beside sound previous ones are enough for a good version if they are
+# this part at least, so that a failing zone doesn't hide that it's good.
+MIN_STEADY_PART = 0.3
 # Routes and load bands with at least this part of the previous version's
 # answers have to be good on their own.
 MIN_PART = 0.1
@@ -55,22 +58,38 @@
 
     The latest ones show a version that turns bad after many good answers.
     """
-    since_order = _scopes(counted.tallies())
-    recent = _scopes(counted.recent_tallies(now_ms))
-    for scopes in (since_order, recent):
-        verdict = _find_bad(scopes)
+    since_order = _View(counted.tallies())
+    recent = _View(counted.recent_tallies(now_ms))
+    for view in (since_order, recent):
+        verdict = _find_bad(view)
         if verdict is not None:
             return verdict
     return _find_good(since_order, recent, counted.total)
 
 
-def _scopes(tallies: comparison.Tallies) -> dict[str, comparison.Tally]:
-    """Return the sums over all, by route and by load band."""
-    scopes = {"": comparison.Tally()}
-    for part, tally in tallies.items():
-        for scope in ("", f"route={part.route}", f"band={part.band}"):
-            scopes.setdefault(scope, comparison.Tally()).add(tally)
-    return scopes
+class _View:
+    """Sums over all, by route and by load band, and those of steady parts."""
+
+    __slots__ = ("scopes", "steady")
+
+    def __init__(self, tallies: comparison.Tallies) -> None:
+        self.scopes = {"": comparison.Tally()}
+        self.steady = {"": comparison.Tally()}
+        for part, tally in tallies.items():
+            for scope in ("", f"route={part.route}", f"band={part.band}"):
+                self.scopes.setdefault(scope, comparison.Tally()).add(tally)
+                if part.is_steady:
+                    self.steady.setdefault(scope, comparison.Tally()).add(tally)
+
+    def is_as_good(self, scope: str, excess: float, nats: float) -> bool:
+        """Return whether all answers, or enough steady ones, are as good."""
+        tally = self.scopes.get(scope, comparison.Tally())
+        if _is_as_good(tally, excess, nats):
+            return True
+        steady = self.steady.get(scope, comparison.Tally())
+        if steady.answers < MIN_STEADY_PART * tally.answers:
+            return False
+        return _is_as_good(steady, excess, nats)
 
 
 def _kinds(
@@ -79,8 +98,8 @@
     return (tally.errors, tally.slow)
 
 
-def _find_bad(scopes: dict[str, comparison.Tally]) -> Verdict | None:
-    for scope, tally in scopes.items():
+def _find_bad(view: _View) -> Verdict | None:
+    for scope, tally in view.scopes.items():
         for reason, kind in zip(_REASONS, _kinds(tally), strict=True):
             if _is_worse(tally.answers, kind):
                 return Verdict(Kind.BAD, reason, scope)
@@ -104,17 +123,15 @@
 
 
 def _find_good(
-    scopes: dict[str, comparison.Tally],
-    recent: dict[str, comparison.Tally],
-    total: counts.Table,
+    since_order: _View, recent: _View, total: counts.Table
 ) -> Verdict:
-    if recent[""].answers and not _is_as_good(recent[""], GOOD_EXCESS, 0.0):
+    has_recent = bool(recent.scopes[""].answers)
+    if has_recent and not recent.is_as_good("", GOOD_EXCESS, 0.0):
         return Verdict(Kind.UNDECIDED, "recently_worse")
-    if not _is_as_good(scopes[""], GOOD_EXCESS, GOOD_NATS):
+    if not since_order.is_as_good("", GOOD_EXCESS, GOOD_NATS):
         return Verdict(Kind.UNDECIDED, "insufficient_evidence")
     for scope in _large_scopes(total):
-        tally = scopes.get(scope, comparison.Tally())
-        if not _is_as_good(tally, GOOD_PART_EXCESS, GOOD_PART_NATS):
+        if not since_order.is_as_good(scope, GOOD_PART_EXCESS, GOOD_PART_NATS):
             return Verdict(Kind.UNDECIDED, "insufficient_evidence", scope)
     return Verdict(Kind.GOOD, "as_good_as_previous")
 
