--- a/laburnumpin/tests/test_rollouts_decision.py
+++ b/laburnumpin/tests/test_rollouts_decision.py
@@ -147,6 +147,33 @@
     assert not budget.try_offer(2 * exposure.OFFER_WINDOW_MS)
 
 
+def test_retries_never_go_to_the_target_version_in_the_canary_stage() -> None:
+    """Guards a caller from two bad answers in a row."""
+    entry = _in_canary()
+    assert _serve(entry, 300, 0) > 0
+    _serve(entry, 40, 2_000)
+    for now_ms in range(3_000, 6_000, 100):
+        entry.record_request("s", now_ms)
+        entry.record_sent("s", "v1", now_ms)
+        allowed = entry.allowed_versions("s", "/a", now_ms, is_retry=True)
+        assert allowed == frozenset(["v1"])
+
+
+def test_digest_rows_take_turns_beyond_their_number() -> None:
+    """Guards digests against many roll-outs at once."""
+    entry = rollouts.Rollouts(SETTINGS)
+    for service in range(8):
+        name = f"s{service}"
+        entry.apply_order(model.Order(name, "v2", 12_000, 1, 5), 0)
+        entry.note_upstreams(name, {"v1": 1, "v2": 1}, 0)
+        for number in range(50):
+            zone, route = str(number % 5), f"/{number // 5}"
+            entry.record_answer(name, "v1", route, 0.1, SOUND, 0, zone)
+    first, second = entry.evidence_rows(), entry.evidence_rows()
+    assert len(first) == len(second) == rollouts.MAX_DIGEST_ROWS
+    assert len(set(first + second)) == 400
+
+
 def test_saved_share_is_spent_at_a_bounded_pace() -> None:
     """Guards against a burst after a long wait for upstreams."""
     entry = _entry(target=0)
--- a/laburnumpin/tests/test_rollouts_evidence.py
+++ b/laburnumpin/tests/test_rollouts_evidence.py
@@ -220,17 +220,27 @@
 def test_good_version_beside_a_failing_zone_is_not_blamed() -> None:
     """Guards against a zone's failures where most target upstreams are."""
     counts = _new()
-    _record(counts, True, 40, 40, zone="failing")
+    _record(counts, True, 30, 30, zone="failing")
     _record(counts, True, 60, 0, zone="sound")
     _record(counts, False, 60, 60, zone="failing")
     _record(counts, False, 4_000, 0, zone="sound")
-    assert _judge(counts).kind is not verdict.Kind.BAD
+    assert _judge(counts).kind is verdict.Kind.GOOD
     # Also where the previous version has only other routes in that zone.
     _record(counts, True, 30, 30, route="/b", zone="failing")
     _record(counts, False, 600, 0, route="/b", zone="sound")
     assert _judge(counts).kind is not verdict.Kind.BAD
 
 
+def test_few_answers_beside_sound_ones_do_not_make_a_version_good() -> None:
+    """Guards against a verdict from the one small zone that doesn't fail."""
+    counts = _new()
+    _record(counts, True, 100, 130, zone="failing")
+    _record(counts, True, 40, 0, zone="sound")
+    _record(counts, False, 1_000, 1_000, zone="failing")
+    _record(counts, False, 800, 0, zone="sound")
+    assert _judge(counts).kind is verdict.Kind.UNDECIDED
+
+
 def test_lost_answers_never_count() -> None:
     """Guards against a reclaim that is counted against a version."""
     counts = _new()
