--- a/laburnumpin/tests/test_rollouts_decision.py
+++ b/laburnumpin/tests/test_rollouts_decision.py
@@ -174,6 +174,20 @@
     assert len(set(first + second)) == 400
 
 
+def test_offers_that_are_not_taken_up_lapse() -> None:
+    """Guards against a share that busy target upstreams use up."""
+    budget = exposure.ExposureBudget(SETTINGS, random.Random(1), 0)
+    for _ in range(30):
+        budget.record_request()
+        budget.record_sent(is_target=False)
+    granted = 0
+    for now_ms in range(0, 10_000, 100):
+        granted += budget.try_offer(now_ms)
+        budget.record_request()
+        budget.record_sent(is_target=False)
+    assert granted > 0.1 * 130
+
+
 def test_saved_share_is_spent_at_a_bounded_pace() -> None:
     """Guards against a burst after a long wait for upstreams."""
     entry = _entry(target=0)
