--- a/laburnumpin/forwarding/rollouts/versions.py
+++ b/laburnumpin/forwarding/rollouts/versions.py
@@ -6,6 +6,9 @@
 
 # Versions of one service that are remembered.
 MAX_VERSIONS = 16
+# A denied version whose upstreams are the only ones for this long is used
+# again. Those of a version that was rolled back are drained well before.
+DENIED_ALONE_MS = 60_000
 
 
 class KnownVersions:
@@ -13,16 +16,25 @@
 
     A version that appears beside an established one is held back for a bounded
     time, since an order for it may be on its way. Versions that a roll-out has
-    left stay denied until an order names them.
+    left stay denied until an order names them, or nothing else has been there
+    for long.
     """
 
-    __slots__ = ("_hold_ms", "denied", "established", "held_since_ms", "ready")
+    __slots__ = (
+        "_alone_since_ms",
+        "_hold_ms",
+        "denied",
+        "established",
+        "held_since_ms",
+        "ready",
+    )
 
     def __init__(self, hold_ms: int) -> None:
         self.established: set[str] = set()
         self.denied: set[str] = set()
         self.held_since_ms: dict[str, int] = {}
         self.ready: dict[str, int] = {}
+        self._alone_since_ms: int | None = None
         self._hold_ms = hold_ms
 
     def note(
@@ -44,6 +56,7 @@
 
     def refresh(self, target_version: str | None, now_ms: int) -> None:
         """Establish versions whose time has come."""
+        self._readmit(target_version, now_ms)
         candidates = [
             version
             for version in self.ready
@@ -67,6 +80,8 @@
 
     def next_change_ms(self) -> int | None:
         """Return when the next version is established by time alone."""
+        if self._alone_since_ms is not None:
+            return self._alone_since_ms + DENIED_ALONE_MS
         if not self.held_since_ms:
             return None
         return min(self.held_since_ms.values()) + self._hold_ms
@@ -114,6 +129,21 @@
         is_only = self.established <= {version}
         return is_only and not others and version in self.ready
 
+    def _readmit(self, target_version: str | None, now_ms: int) -> None:
+        """Establish a denied version that has been alone for long."""
+        others = set(self.ready) - {target_version}
+        if not others or not others <= self.denied:
+            self._alone_since_ms = None
+            return
+        if self._alone_since_ms is None:
+            self._alone_since_ms = now_ms
+        if now_ms - self._alone_since_ms < DENIED_ALONE_MS:
+            return
+        self._alone_since_ms = None
+        version = min(others, key=lambda name: (-self.ready[name], name))
+        self.denied.discard(version)
+        self._establish(version)
+
     def _establish(self, version: str) -> None:
         self.held_since_ms.pop(version, None)
         self.established.add(version)
--- a/laburnumpin/tests/test_rollouts_decision.py
+++ b/laburnumpin/tests/test_rollouts_decision.py
@@ -420,6 +420,17 @@
     assert not entry.withdraw_order("s", 99_000)
 
 
+def test_version_that_was_left_is_used_again_if_nothing_else_is_there() -> None:
+    """Guards against a service that an old decision stops for good."""
+    entry = _in_canary()
+    entry.abort("s")
+    _advance(entry, 100)
+    entry.note_upstreams("s", {"v2": 6}, 1_000)
+    assert entry.allowed_versions("s", "/a", 60_999) == frozenset(["v1"])
+    entry.note_upstreams("s", {"v2": 6}, 30_000)
+    assert entry.allowed_versions("s", "/a", 61_000) is None
+
+
 def test_pause_holds_the_stage_and_resume_goes_on() -> None:
     """Guards against a promotion that the operator stopped."""
     entry = _in_canary()
