Wire staged roll-outs into requests, digests, the duty and the command line

Orders of roll-outs were not read, requests went to any version, and no status was written.

Change: orders are decoded in platform/rollouts.py and handed to the reducer by one call of the synchronizer. Requests, retries, moves and continuations ask for the versions they may go to, again right before the send. Answers are evidence; broken connections only if their upstream still accepts one, and late ones without the time for the connection and not at cold upstreams. The lease holder writes a decision under a condition on its row before it takes effect, and the status after it. Evidence and decisions are optional fields of digests. Entries read the decisions at their start, and while they hear of no holder. Commands `rollout show`, `pause`, `resume`, `abort`. A 421 no longer counts as an attempt of its route, so that it leads to another upstream.

--- a/laburnumpin/__main__.py
+++ b/laburnumpin/__main__.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import os
 import pathlib
 import sys
 import time
 from typing import Annotated
 
+import anyio
 import typer
 
 from laburnumpin import exceptions
@@ -27,6 +29,7 @@
 URL_VARIABLE = "LABURNUMPIN_URL"
 CUSTOMER_VARIABLE = "LABURNUMPIN_CUSTOMER_KEY"
 KEY_VARIABLE = "LABURNUMPIN_OPERATOR_KEY"
+STORE_VARIABLE = "LABURNUMPIN_STORE"
 LOOPBACK = "127.0.0.1"
 DEFAULT_URL = "http://127.0.0.1:7002"
 
@@ -43,6 +46,9 @@
 )
 request_app = typer.Typer(no_args_is_help=True, help="Inspect requests.")
 standin_app = typer.Typer(no_args_is_help=True, help="Run a stand-in.")
+rollout_app = typer.Typer(
+    no_args_is_help=True, help="Show, pause or abort staged roll-outs."
+)
 docs_app = typer.Typer(
     no_args_is_help=True, help="Generate the reference pages."
 )
@@ -50,6 +56,7 @@
 app.add_typer(config_app, name="config")
 app.add_typer(request_app, name="request")
 app.add_typer(standin_app, name="stand-in")
+app.add_typer(rollout_app, name="rollout")
 app.add_typer(docs_app, name="docs", hidden=True)
 
 
@@ -91,6 +98,15 @@
 JsonPath = Annotated[
     pathlib.Path | None, typer.Option(help="Write the figures as JSON.")
 ]
+StoreAddress = Annotated[
+    str,
+    typer.Option(
+        "--store",
+        envvar=STORE_VARIABLE,
+        help="IP:PORT of the platform's store.",
+        show_default=False,
+    ),
+]
 File = Annotated[str, typer.Argument(help="Document; `-` is standard input.")]
 
 
@@ -238,6 +254,36 @@
         entry.show_request(api, request_id, as_json)
 
 
+@rollout_app.command("show")
+def rollout_show(
+    store: StoreAddress,
+    service: Annotated[str | None, typer.Argument()] = None,
+    as_json: Json = False,
+) -> None:
+    """Print the written state of the roll-outs, or of a service's."""
+    from laburnumpin.commands import rollout
+
+    anyio.run(rollout.show, rollout.store_client(store), service, as_json)
+
+
+@rollout_app.command("pause")
+def rollout_pause(service: str, store: StoreAddress) -> None:
+    """Keep a roll-out in its stage; its time limit goes on."""
+    _control_rollout(service, store, is_paused=True)
+
+
+@rollout_app.command("resume")
+def rollout_resume(service: str, store: StoreAddress) -> None:
+    """Let a roll-out that was paused go on."""
+    _control_rollout(service, store)
+
+
+@rollout_app.command("abort")
+def rollout_abort(service: str, store: StoreAddress) -> None:
+    """Roll a roll-out back."""
+    _control_rollout(service, store, is_aborted=True)
+
+
 @docs_app.command("reference")
 def docs_reference(
     directory: Annotated[
@@ -464,6 +510,26 @@
     typer.echo(capacity.format_table(measured))
 
 
+def _control_rollout(
+    service: str,
+    store: str,
+    *,
+    is_paused: bool = False,
+    is_aborted: bool = False,
+) -> None:
+    from laburnumpin.commands import rollout
+
+    anyio.run(
+        functools.partial(
+            rollout.control,
+            rollout.store_client(store),
+            service,
+            is_paused=is_paused,
+            is_aborted=is_aborted,
+        )
+    )
+
+
 def _client(url: str, timeout_s: float) -> client.Client:
     errors: problems.Errors = []
     checked_url = addresses.Url().check(url, URL_VARIABLE, errors)
--- a/laburnumpin/commands/exits.py
+++ b/laburnumpin/commands/exits.py
@@ -32,9 +32,11 @@
     Exit.OUTCOME_UNKNOWN: "The answer was lost; the change may have taken "
     "effect. Repeat it with the change id that the message names.",
     Exit.REFUSED: "The entry refused the call, for example for a wrong key.",
-    Exit.NOT_FOUND: "There is no such version or request.",
+    Exit.NOT_FOUND: "There is no such version, request or roll-out.",
 }
 
+# A change of a row that another operator has changed meanwhile.
+ROW_CONFLICT = "transaction_conflict"
 # Codes of `exceptions.OperatorApiError` that the client sets, not the entry.
 ENTRY_UNREACHABLE = "entry_unreachable"
 ANSWER_LOST = "answer_lost"
@@ -42,6 +44,8 @@
 _BY_CODE = {
     ENTRY_UNREACHABLE: Exit.UNAVAILABLE,
     exceptions.PlatformUnavailableError.code: Exit.UNAVAILABLE,
+    exceptions.RolloutNotFoundError.code: Exit.NOT_FOUND,
+    ROW_CONFLICT: Exit.CONFLICT,
     ANSWER_LOST: Exit.OUTCOME_UNKNOWN,
     exceptions.PlatformAnswerLostError.code: Exit.OUTCOME_UNKNOWN,
 }
@@ -60,4 +64,4 @@
         if error.status == _HTTP_NOT_FOUND:
             return Exit.NOT_FOUND
         return _BY_CODE.get(error.code, Exit.REFUSED)
-    return Exit.FAILED
+    return _BY_CODE.get(error.code, Exit.FAILED)
--- a/laburnumpin/commands/explain.py
+++ b/laburnumpin/commands/explain.py
@@ -60,6 +60,13 @@
     "requests_withheld",
     "requests_released",
 )
+# Log types of a service's roll-out, for requests to that service.
+_ROLLOUT_CHANGES = (
+    "rollout_decision",
+    "rollout_order",
+    "rollout_status",
+    "rollout_stopped_here",
+)
 _STATE_CHANGES = (
     "configuration_in_force",
     "configuration_kept",
@@ -135,6 +142,12 @@
     upstreams = {
         line["upstream"] for line in request_lines if "upstream" in line
     }
+    # Only lines of requests to a service with a roll-out name the version.
+    services = {
+        line.get("service")
+        for line in request_lines
+        if "target_version" in line
+    }
     entries = {line.get("entry") for line in request_lines}
     first_s = (
         min(_timestamp_s(line) for line in request_lines) - CONTEXT_BEFORE_S
@@ -155,8 +168,13 @@
         same_upstream = line.get("upstream") in upstreams
         parts_changed = line.get("message_type") in _PART_CHANGES
         state_changed = line.get("message_type") in _STATE_CHANGES
+        rollout_changed = (
+            line.get("message_type") in _ROLLOUT_CHANGES
+            and line.get("service") in services
+        )
         if (
             same_upstream
+            or rollout_changed
             or (depends_on_state and state_changed)
             or (is_withheld and parts_changed)
         ):
@@ -208,6 +226,7 @@
         text += f"; answered {rejection.get('status')}, it {execution}"
         text += _describe_losses(rejection)
     text += _describe_end(request_id, related)
+    text += _describe_version(request_id, related)
     if failure is not None:
         upstream = str(failure.get("upstream"))
         text += (
@@ -232,6 +251,21 @@
     return ""
 
 
+def _describe_version(request_id: str, related: list[LogLine]) -> str:
+    """Return which version of a service with a roll-out got the request."""
+    text = ""
+    for line in related:
+        if line.get("request_id") != request_id or (
+            "target_version" not in line
+        ):
+            continue
+        text = (
+            f"; sent to version {line['version']} of {line.get('service')} "
+            f"during a roll-out of {line.get('target_version')}"
+        )
+    return text
+
+
 def _read_lines(files: tuple[pathlib.Path, ...]) -> Iterable[LogLine]:
     if not files:
         yield from _parse_lines(sys.stdin)
--- a/laburnumpin/exceptions.py
+++ b/laburnumpin/exceptions.py
@@ -103,3 +103,9 @@
     """A row of the table service doesn't have the documented form."""
 
     code = "stored_row_malformed"
+
+
+class RolloutNotFoundError(LaburnumpinError):
+    """There is no such roll-out, or it has ended."""
+
+    code = "rollout_not_found"
--- a/laburnumpin/forwarding/attempts.py
+++ b/laburnumpin/forwarding/attempts.py
@@ -19,6 +19,7 @@
 from laburnumpin.forwarding import requests
 from laburnumpin.forwarding import shell as shells
 from laburnumpin.forwarding import stall_timer
+from laburnumpin.forwarding.rollouts import routing
 from laburnumpin.server import logs
 
 # Answers up to this size are received completely before the first byte is
@@ -194,6 +195,9 @@
                 NOT_RUN,
                 "before it was sent, its upstream left or it was withheld",
             )
+        routing.on_connected(
+            self._shell.state, self._request.request_id, self._shell.now_ms()
+        )
         complete = False
         try:
             await self._exchange(connection)
--- a/laburnumpin/forwarding/daemon.py
+++ b/laburnumpin/forwarding/daemon.py
@@ -23,6 +23,9 @@
 from laburnumpin.forwarding import state as forwarding_state
 from laburnumpin.forwarding import synchronization
 from laburnumpin.forwarding import withholding_store
+from laburnumpin.forwarding.rollouts import documents as rollout_documents
+from laburnumpin.forwarding.rollouts import holder
+from laburnumpin.forwarding.rollouts import orders
 from laburnumpin.server import logs
 from laburnumpin.server import stop_signals
 from laburnumpin.server import tasks
@@ -40,6 +43,7 @@
     documents: interfaces.Documents,
     clients: interfaces.Clients,
     inbox: signals.Inbox,
+    rollouts: rollout_documents.RolloutDocuments | None = None,
 ) -> None:
     """Serve requests until SIGTERM or SIGINT, then drain and return."""
     if (
@@ -64,6 +68,7 @@
         settings.quota_slack_units,
         settings.withholding,
         settings.backoff,
+        settings.rollouts,
     )
     if not settings.is_first_start:
         state.budget.withhold_slack(boot_clock.now_ms())
@@ -81,13 +86,26 @@
         store = clients.store(settings)
         cloud = clients.cloud(settings)
         withheld_parts = withholding_store.WithholdingStore(shell, store)
+        rollout_holder = None
+        if rollouts is not None and settings.rollouts is not None:
+            rollout_holder = holder.RolloutHolder(shell, store, rollouts)
+
+        async def load_shared_rows() -> None:
+            await withheld_parts.load()
+            if rollout_holder is not None:
+                await rollout_holder.load()
+
         synchronizer = synchronization.Synchronizer(
             shell,
             store,
             documents,
-            withheld_parts.load,
+            load_shared_rows,
             settings.call_times,
         )
+        if rollouts is not None and rollout_holder is not None:
+            order_reader = orders.OrderReader(shell, rollouts)
+            synchronizer.on_operator_rows = order_reader.read
+            rollout_holder.on_read = order_reader.check_withdrawn
         peer_exchange = peer_link.PeerLink(
             shell, synchronizer, settings.peer_address
         )
@@ -101,7 +119,12 @@
         runner.keep_running(peer_exchange.maintain_relay_links)
         runner.keep_running(withheld_parts.run)
         duty_runner = duties.Duties(
-            shell, store, cloud, settings, synchronizer.on_tick
+            shell,
+            store,
+            cloud,
+            settings,
+            synchronizer.on_tick,
+            rollout_holder,
         )
         runner.keep_running(duty_runner.run)
         logs.write(
--- a/laburnumpin/forwarding/digests.py
+++ b/laburnumpin/forwarding/digests.py
@@ -8,6 +8,7 @@
 from laburnumpin.forwarding import membership
 from laburnumpin.forwarding import part_losses
 from laburnumpin.forwarding import usage
+from laburnumpin.forwarding.rollouts import model
 
 # Limits of the lists in a digest, so that it fits into a datagram.
 MAX_LOADS = 60
@@ -45,6 +46,8 @@
     `limits` the limits that upstreams named, and `leaving` the upstreams that
     said that they leave. `store_era` is the era of the store that
     `registry_version` belongs to, 0 from an entry of an earlier release.
+    `rollout_evidence` are answers by version and `rollout_decisions` the
+    decisions of the holder, both of roll-outs in force.
     """
 
     contact: membership.Contact
@@ -66,6 +69,8 @@
     limits: tuple[LimitRow, ...] = ()
     store_era: int = 0
     leaving: tuple[LeavingRow, ...] = ()
+    rollout_evidence: tuple[model.EvidenceRow, ...] = ()
+    rollout_decisions: tuple[model.Decision, ...] = ()
 
 
 def in_turn(rows: list[_Row], position: int, count: int) -> list[_Row]:
--- a/laburnumpin/forwarding/duties.py
+++ b/laburnumpin/forwarding/duties.py
@@ -22,6 +22,7 @@
 from laburnumpin.forwarding import shell as shells
 from laburnumpin.forwarding import untrusted
 from laburnumpin.forwarding import usage
+from laburnumpin.forwarding.rollouts import holder
 from laburnumpin.server import logs
 
 LEASE_KEY = "lease"
@@ -155,6 +156,7 @@
         "_lease",
         "_next_scale_ms",
         "_on_tick",
+        "_rollouts",
         "_scaler",
         "_settings",
         "_shell",
@@ -169,8 +171,10 @@
         cloud: interfaces.CloudClient,
         settings: forwarding_settings.ForwardingSettings,
         on_tick: Callable[[], None],
+        rollouts: holder.RolloutHolder | None = None,
     ) -> None:
         self._shell = shell
+        self._rollouts = rollouts
         # Called after each tick.
         self._on_tick = on_tick
         self._store = store
@@ -203,6 +207,12 @@
                 task_group.start_soon(self._report_usage)
             if "upstreams" in self._settings.duties:
                 task_group.start_soon(self._order_upstreams)
+            if self._rollouts is not None:
+                task_group.start_soon(
+                    self._rollouts.run,
+                    self._may_act,
+                    lambda: self._lease.fencing_token,
+                )
             while True:
                 # The VM's own clock; the entries use the median of all.
                 own_wall_ms = time.time_ns() // 1_000_000
--- a/laburnumpin/forwarding/events.py
+++ b/laburnumpin/forwarding/events.py
@@ -15,6 +15,7 @@
 from laburnumpin.forwarding import part_losses
 from laburnumpin.forwarding import requests
 from laburnumpin.forwarding import upstreams
+from laburnumpin.forwarding.rollouts import model
 
 
 class Ending(enum.Enum):
@@ -198,6 +199,24 @@
     request_rows: tuple[part_losses.RequestRow, ...] = ()
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class RolloutsOrdered:
+    """Orders of roll-outs were read; `withdrawn` are services without one."""
+
+    now_ms: int
+    orders: tuple[model.Order, ...]
+    withdrawn: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class RolloutsDecided:
+    """Decisions on roll-outs were read from the store, or written to it."""
+
+    now_ms: int
+    decisions: tuple[model.Decision, ...]
+    source: str
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Ticked:
     """The periodic timer fired; `wall_ms` is from this VM's own clock."""
@@ -221,5 +240,7 @@
     | UpstreamStated
     | DigestReceived
     | PartLossesRead
+    | RolloutsOrdered
+    | RolloutsDecided
     | Ticked
 )
--- a/laburnumpin/forwarding/frontend.py
+++ b/laburnumpin/forwarding/frontend.py
@@ -20,6 +20,7 @@
 from laburnumpin.forwarding import part_losses
 from laburnumpin.forwarding import requests
 from laburnumpin.forwarding import shell as shells
+from laburnumpin.forwarding.rollouts import routing
 from laburnumpin.server import logs
 
 LISTEN_BACKLOG = 512
@@ -492,6 +493,7 @@
                 "remaining_ms": request.deadline_ms - self._shell.now_ms(),
                 "configuration": self._configuration_version(),
                 "registry": self._shell.state.registry_version,
+                **routing.log_fields(self._shell.state, registration),
             },
         )
 
--- a/laburnumpin/forwarding/gossip.py
+++ b/laburnumpin/forwarding/gossip.py
@@ -11,6 +11,7 @@
 from laburnumpin.forwarding import state as forwarding_state
 from laburnumpin.forwarding import upstream_limits
 from laburnumpin.forwarding import withholding
+from laburnumpin.forwarding.rollouts import routing
 
 # Period of an entry's digests, and what each known entry adds to it, so that an
 # entry receives fewer than 125 digests a second.
@@ -128,6 +129,16 @@
             upstream.record_cached_part(part_id, now_ms)
     produced.extend(upstream_limits.merge(state, digest.limits, now_ms))
     produced.extend(leaving.merge(state, digest.leaving, now_ms))
+    produced.extend(
+        routing.merge(
+            state,
+            name,
+            digest.incarnation_ms,
+            digest.rollout_evidence,
+            digest.rollout_decisions,
+            now_ms,
+        )
+    )
     peer.reports_losses = digest.part_losses is not None
     if digest.part_losses or digest.request_losses:
         produced.extend(
@@ -251,4 +262,8 @@
         limits=upstream_limits.rows(state, now_ms, repeats_all=repeats_all),
         leaving=leaving.rows(state, now_ms, repeats_all=repeats_all),
         store_era=state.store_era,
+        rollout_evidence=routing.evidence_rows(state, repeats_all=repeats_all),
+        rollout_decisions=routing.decision_rows(
+            state, now_ms, repeats_all=repeats_all
+        ),
     )
--- a/laburnumpin/forwarding/interfaces.py
+++ b/laburnumpin/forwarding/interfaces.py
@@ -59,6 +59,7 @@
     DUTIES = "duties"
     USAGE = "usage"
     WITHHOLDING = "withholding"
+    STATUS = "status"
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/laburnumpin/forwarding/lifecycle.py
+++ b/laburnumpin/forwarding/lifecycle.py
@@ -14,6 +14,7 @@
 from laburnumpin.forwarding import state as forwarding_state
 from laburnumpin.forwarding import statements
 from laburnumpin.forwarding import withholding
+from laburnumpin.forwarding.rollouts import routing
 
 # Requests that arrive later than this after the start of the exit are rejected,
 # since the exit could interrupt them.
@@ -75,6 +76,7 @@
     active.is_trial = is_trial
     state.active[request.request_id] = active
     state.budget.record_request(request.service, now_ms)
+    routing.on_arrived(state, request.service, now_ms)
     produced = _send_or_reject(state, active, now_ms, effects.Reason.NO_ROOM)
     if request.prompt is not None:
         tokens = request.prompt.tokens
@@ -106,6 +108,7 @@
     choice = active.choice
     if not active.first_event_ms and choice is not None:
         _record_log_ratio(state, active, event.now_ms)
+        routing.on_first_event(state, active, event.now_ms)
     active.first_event_ms = active.first_event_ms or event.now_ms
     release_pending(active)
     if choice is None or request.prompt is None:
@@ -197,7 +200,7 @@
     state.counters.increment("attempts_failed", event.ending.value)
     record_verdict(active, event)
     active.answer_started = event.answer_started
-    if event.ending is events.Ending.REJECTED:
+    if event.ending in (events.Ending.REJECTED, events.Ending.WRONG_UPSTREAM):
         active.rejections += 1
     if active.choice is not None:
         upstream_id = active.choice.upstream.registration.upstream_id
@@ -232,6 +235,7 @@
     if active is None:
         return []
     _count_slot_time(state, active, event.now_ms)
+    routing.on_ended(state, active, event)
     if event.delivered and active.choice is not None:
         active.choice.upstream.record_success()
         withholding.on_answered(state, active, event.now_ms, is_complete=True)
@@ -251,6 +255,8 @@
     """
     if not statements.may_send(state, effect, now_ms):
         return False
+    if not routing.may_send(state, effect):
+        return False
     active = state.active.get(effect.request_id)
     if active is None or active.is_trial:
         return True
@@ -306,19 +312,27 @@
     request = active.request
     service = state.service(request.service)
     max_wait_ms = int(request.route.objective_ms * MAX_WAIT_SHARE)
-    candidates = state.upstreams.usable(request.service, now_ms, max_wait_ms)
-    if service is None or not candidates:
+    if service is None:
         return None
-    return selection.choose(
-        candidates,
-        request,
-        service,
-        state.zone,
-        excluded,
-        now_ms,
-        state.random,
-        state.view(request.service),
-    )
+    for versions in routing.choices(state, active, now_ms):
+        candidates = routing.usable(
+            state, request.service, now_ms, max_wait_ms, versions
+        )
+        if not candidates:
+            continue
+        choice = selection.choose(
+            candidates,
+            request,
+            service,
+            state.zone,
+            excluded,
+            now_ms,
+            state.random,
+            state.view(request.service),
+        )
+        if choice is not None:
+            return choice
+    return None
 
 
 def _send_or_reject(
@@ -362,10 +376,11 @@
             first_byte_timeout_ms,
             max(MIN_FIRST_BYTE_TIMEOUT_MS, int(timeout_ms)),
         )
-    return [assign(active, choice, now_ms, first_byte_timeout_ms)]
+    return [assign(state, active, choice, now_ms, first_byte_timeout_ms)]
 
 
 def assign(
+    state: forwarding_state.ForwardingState,
     active: forwarding_state.ActiveRequest,
     choice: selection.Choice,
     now_ms: int,
@@ -381,6 +396,7 @@
     upstream.take(now_ms)
     active.pending_tokens = choice.uncached_tokens
     upstream.own_pending_tokens += choice.uncached_tokens
+    routing.on_assigned(state, active, now_ms)
     return effects.Send(
         request_id=request.request_id,
         upstream_id=upstream.registration.upstream_id,
--- a/laburnumpin/forwarding/moves.py
+++ b/laburnumpin/forwarding/moves.py
@@ -13,6 +13,7 @@
 from laburnumpin.forwarding import selection
 from laburnumpin.forwarding import state as forwarding_state
 from laburnumpin.forwarding import upstreams
+from laburnumpin.forwarding.rollouts import routing
 
 # A stream is moved this long before its engine shuts down. Most streams end
 # before that, and each moved one takes capacity from those at its target.
@@ -35,11 +36,19 @@
 def on_tick(
     state: forwarding_state.ForwardingState, event: events.Ticked
 ) -> list[effects.Effect]:
-    """Move the streams whose engine is about to shut down."""
+    """Move the streams whose engine is about to shut down.
+
+    Those at the previous version of a roll-out are moved ahead of its end.
+    """
     produced: list[effects.Effect] = []
     for active in list(state.active.values()):
         if active.choice is None or not active.has_started:
             continue
+        if routing.must_move(state, active, event.now_ms):
+            produced.extend(_request_move(state, active, event.now_ms))
+            # Tried again until there is room at the target version.
+            active.move_requested = active.move_target is not None
+            continue
         leaves_at_ms = active.choice.upstream.leaves_at_ms
         if leaves_at_ms is None:
             continue
@@ -60,7 +69,7 @@
     active.move_requested = False
     if active.choice is not None:
         active.move_fallback = active.choice.upstream
-    return _resume(active, target, event.now_ms)
+    return _resume(state, active, target, event.now_ms)
 
 
 def on_failed(
@@ -77,7 +86,7 @@
     if event.verdict is not verdicts.Verdict.NOT_RUN:
         return []
     lifecycle.record_verdict(active, event)
-    return _resume(active, fallback, event.now_ms)
+    return _resume(state, active, fallback, event.now_ms)
 
 
 def _request_move(
@@ -98,8 +107,16 @@
         return []
     active.move_requested = True
     excluded = _reclaimed_with(state, choice.upstream.registration)
+    versions, *fallbacks = routing.choices(state, active, now_ms)
+    usable = routing.usable(state, request.service, now_ms, 0, versions)
+    if (
+        fallbacks
+        and not usable
+        and not routing.must_move(state, active, now_ms)
+    ):
+        usable = routing.usable(state, request.service, now_ms, 0, fallbacks[0])
     target = selection.choose(
-        state.upstreams.usable(request.service, now_ms),
+        usable,
         request,
         service,
         choice.upstream.registration.zone,
@@ -144,6 +161,7 @@
 
 
 def _resume(
+    state: forwarding_state.ForwardingState,
     active: forwarding_state.ActiveRequest,
     upstream: upstreams.Upstream,
     now_ms: int,
@@ -154,6 +172,11 @@
     first_byte_timeout_ms = max(0, active.request.deadline_ms - now_ms)
     return [
         lifecycle.assign(
-            active, choice, now_ms, first_byte_timeout_ms, active.kv_source
+            state,
+            active,
+            choice,
+            now_ms,
+            first_byte_timeout_ms,
+            active.kv_source,
         )
     ]
--- a/laburnumpin/forwarding/peer_link.py
+++ b/laburnumpin/forwarding/peer_link.py
@@ -28,6 +28,7 @@
 from laburnumpin.forwarding import untrusted
 from laburnumpin.forwarding import upstream_limits
 from laburnumpin.forwarding import usage
+from laburnumpin.forwarding.rollouts import codec
 from laburnumpin.server import logs
 
 DIGEST_FORMAT = 1
@@ -162,8 +163,14 @@
 
 def encode(digest: digests.Digest) -> bytes:
     """Return a digest as CBOR, with short keys so that it fits a datagram."""
+    rollouts: dict[str, Any] = {}
+    if digest.rollout_evidence:
+        rollouts["x"] = codec.encode_evidence(digest.rollout_evidence)
+    if digest.rollout_decisions:
+        rollouts["d"] = codec.encode_decisions(digest.rollout_decisions)
     return cbor2.dumps(
         {
+            **rollouts,
             "f": DIGEST_FORMAT,
             "n": digest.contact.name,
             "a": digest.contact.address,
@@ -234,6 +241,9 @@
         limits=upstream_limits.decode_rows(fields.get("h", ())),
         store_era=untrusted.integer(fields.get("v", 0), "v"),
         leaving=leaving.decode_rows(fields.get("g", ())),
+        # Present only while there are roll-outs.
+        rollout_evidence=codec.decode_evidence(fields.get("x", ())),
+        rollout_decisions=codec.decode_decisions(fields.get("d", ())),
     )
 
 
--- a/laburnumpin/forwarding/rollouts/rollouts.py
+++ b/laburnumpin/forwarding/rollouts/rollouts.py
@@ -258,6 +258,26 @@
         rollout = self._open(service)
         return rollout.order.target_version if rollout else None
 
+    def fallback_versions(self, service: str) -> frozenset[str]:
+        """Return the versions to use where no target upstream is usable."""
+        known = self._services.get(service)
+        return frozenset() if known is None else known.previous
+
+    def may_use(self, service: str, version: str) -> bool:
+        """Return whether a request may still go to a version it was given.
+
+        Since then the version may have been stopped here, or left for good.
+        """
+        known = self._services.get(service)
+        if known is None:
+            return True
+        if version in known.versions.denied:
+            return False
+        rollout = known.rollout
+        if rollout is None or rollout.is_final or not rollout.is_stopped:
+            return True
+        return version != rollout.order.target_version
+
     def canary_limit(self, service: str, now_ms: int) -> int | None:
         """Return how many target upstreams to use now; None means all.
 
--- a/laburnumpin/forwarding/state.py
+++ b/laburnumpin/forwarding/state.py
@@ -16,6 +16,9 @@
 from laburnumpin.forwarding import size_classes
 from laburnumpin.forwarding import upstreams
 from laburnumpin.forwarding import usage
+from laburnumpin.forwarding.rollouts import book
+from laburnumpin.forwarding.rollouts import model
+from laburnumpin.forwarding.rollouts import rollouts
 
 # Digests that follow at once when an entry has learned what its peers need;
 # more than one, since datagrams get lost.
@@ -33,9 +36,11 @@
     __slots__ = (
         "answer_started",
         "choice",
+        "connected_ms",
         "excluded",
         "first_event_ms",
         "has_started",
+        "is_judged",
         "is_trial",
         "kv_source",
         "move_fallback",
@@ -64,6 +69,10 @@
         # Prompt tokens that the current upstream has not read yet.
         self.pending_tokens = 0
         self.sent_ms = 0
+        # When the attempt had a connection; 0 before.
+        self.connected_ms = 0
+        # Whether a roll-out counts the answer to the current attempt.
+        self.is_judged = False
         # Time of the first event of the answer; 0 before.
         self.first_event_ms = 0
         # The engine that a stream is being moved to, and its former engine,
@@ -160,6 +169,9 @@
         "registry_read",
         "registry_version",
         "reported_withheld",
+        "rollout_book",
+        "rollout_settings",
+        "rollouts",
         "store_era",
         "store_era_since_ms",
         "upstreams",
@@ -180,6 +192,7 @@
         quota_slack_units: float = 0.0,
         withholding: part_losses.WithholdingSettings | None = None,
         backoff_settings: backoff.BackoffSettings | None = None,
+        rollout_settings: model.RolloutSettings | None = None,
     ) -> None:
         self.contact = contact
         self.name = contact.name
@@ -191,6 +204,10 @@
         self.deployment: deployment.Deployment | None = None
         self.upstreams = upstreams.UpstreamTable()
         self.backoff_settings = backoff_settings or backoff.BackoffSettings()
+        # None if the deployment has no roll-outs.
+        self.rollout_settings = rollout_settings
+        self.rollouts = rollouts.Rollouts(rollout_settings, generator)
+        self.rollout_book = book.Book()
         # The newest era of the store that is known, 0 if it names none, and
         # when it was first heard of here.
         self.store_era = 0
--- a/laburnumpin/forwarding/synchronization.py
+++ b/laburnumpin/forwarding/synchronization.py
@@ -105,6 +105,7 @@
         "_tombstones",
         "_upstream_rows",
         "is_synced_by_relay",
+        "on_operator_rows",
         "on_rows",
     )
 
@@ -155,6 +156,11 @@
         self.on_rows: (
             Callable[[interfaces.Table, interfaces.Rows, bool], None] | None
         ) = None
+        # Called with all rows of the operator, by key.
+        self.on_operator_rows: (
+            Callable[[dict[str, interfaces.Row], interfaces.Position], None]
+            | None
+        ) = None
         # Returns whether a relay keeps this entry in sync with the store.
         self.is_synced_by_relay: Callable[[], bool] = lambda: False
 
@@ -779,6 +785,8 @@
         An older one comes from an older copy of the store. The newer one stays
         in force and in snapshots, until the operator has written it again.
         """
+        if self.on_operator_rows is not None:
+            self.on_operator_rows(rows, self._positions[Table.OPERATOR])
         found = self._adopt_configuration(
             rows, self._positions[Table.OPERATOR].era
         )
--- a/laburnumpin/forwarding/upstreams.py
+++ b/laburnumpin/forwarding/upstreams.py
@@ -65,6 +65,7 @@
     it runs at once; 0 leaves it to the service's engine profile. `leaves_in_ms`
     is the remaining time until it shuts down, None if it has announced none.
     `revision` counts what this incarnation has written; 0 if that is unknown.
+    `version` is that of its software, empty if it names none.
     """
 
     upstream_id: str
@@ -78,6 +79,7 @@
     cold_ms: int
     leaves_in_ms: int | None
     revision: int = 0
+    version: str = ""
 
     @property
     def key(self) -> tuple[str, int]:
@@ -373,9 +375,13 @@
         return matching
 
     def usable(
-        self, service: str, now_ms: int, max_wait_ms: int = 0
+        self,
+        service: str,
+        now_ms: int,
+        max_wait_ms: int = 0,
+        versions: frozenset[str] | None = None,
     ) -> list[Upstream]:
-        """Return the ready upstreams of a service.
+        """Return the ready upstreams of a service, of some versions if given.
 
         Those that are paused or full, or whose registration is missing after
         an outage of the store, are returned only if there are no others. Those
@@ -387,6 +393,8 @@
             registration = upstream.registration
             if registration.service != service:
                 continue
+            if versions is not None and registration.version not in versions:
+                continue
             wait_ms = upstream.wait_ms(now_ms)
             if wait_ms is None or wait_ms > max_wait_ms:
                 continue
--- a/laburnumpin/platform/clients.py
+++ b/laburnumpin/platform/clients.py
@@ -30,7 +30,8 @@
 MAX_STORE_ANSWER_BYTES = 16_777_216
 MAX_ANSWER_BYTES = 262_144
 
-# The platform defines the first two tables; the entries own the others.
+# The platform defines the first two tables and the last one, which the entries
+# write; they own the others.
 _TABLE_NAMES = {
     interfaces.Table.OPERATOR: "op",
     interfaces.Table.UPSTREAMS: "servers",
@@ -38,6 +39,7 @@
     interfaces.Table.DUTIES: "laburnumpin-duties",
     interfaces.Table.USAGE: "laburnumpin-usage",
     interfaces.Table.WITHHOLDING: "laburnumpin-withholding",
+    interfaces.Table.STATUS: "status",
 }
 
 
--- a/laburnumpin/platform/documents.py
+++ b/laburnumpin/platform/documents.py
@@ -24,6 +24,8 @@
 MAX_LIMIT_BYTES = 2**40
 # Longest text in a configuration: a path prefix or a key.
 MAX_TEXT_CHARS = 8_192
+# Longest version of an upstream's software.
+MAX_VERSION_CHARS = 200
 _LIFECYCLE_BY_STATE = {
     "ready": upstreams.Lifecycle.READY,
     "draining": upstreams.Lifecycle.LEAVING,
@@ -88,6 +90,7 @@
             if leaves_ms is None
             else untrusted.duration_ms(leaves_ms, "leaves_ms"),
             revision=_decode_revision(document.get("seq")),
+            version=_decode_version(document.get("version")),
         )
 
 
@@ -99,6 +102,17 @@
         return 0
 
 
+def _decode_version(value: object) -> str:
+    """Return the version of an upstream's software, empty if it has none.
+
+    An upstream whose version cannot be read serves all the same.
+    """
+    try:
+        return untrusted.text(value, "version", MAX_VERSION_CHARS)
+    except untrusted.MalformedError:
+        return ""
+
+
 def _get(document: dict[str, Any], field: str) -> Any:
     return untrusted.required(document, field)
 
--- a/laburnumpin/platform/program.py
+++ b/laburnumpin/platform/program.py
@@ -14,6 +14,7 @@
 from laburnumpin.forwarding import daemon
 from laburnumpin.platform import clients
 from laburnumpin.platform import documents
+from laburnumpin.platform import rollouts
 from laburnumpin.platform import settings
 from laburnumpin.platform import wire
 from laburnumpin.server import logs
@@ -44,6 +45,7 @@
                 documents.PlatformDocuments(),
                 clients.PlatformClients(),
                 inbox,
+                rollouts.PlatformRollouts(),
             )
         )
     signals.ignore()
--- a/laburnumpin/platform/settings.py
+++ b/laburnumpin/platform/settings.py
@@ -16,6 +16,7 @@
 from laburnumpin.forwarding import part_losses
 from laburnumpin.forwarding import settings as forwarding_settings
 from laburnumpin.forwarding import untrusted
+from laburnumpin.forwarding.rollouts import model
 
 PATH_VARIABLE = "LABURNUMPIN_SETTINGS"
 DEFAULT_PATH = "/etc/laburnumpin/boot.toml"
@@ -31,6 +32,12 @@
 # are twice as many while they are copied.
 BUFFER_MEMORY_SHARE = 1 / 3
 BYTES_PER_MB = 1_000_000
+# Part of the platform's rules under which it orders roll-outs, and the limits
+# of a roll-out if the platform names none.
+ROLLOUT_CONTRACT = "rollout"
+DEFAULT_EXPOSURE_SHARE = 0.05
+DEFAULT_EXPOSURE_SLACK = 20
+DEFAULT_ROLLBACK_MS = 3_000
 # Maps the platform's names of duties to those of `ForwardingSettings`.
 _DUTY_BY_PLATFORM_NAME = {"usage_report": "usage", "autoscale": "upstreams"}
 
@@ -171,6 +178,7 @@
         answers=_read_answers(reader),
         call_times=_read_call_times(reader),
         buffers=_read_buffers(reader),
+        rollouts=_read_rollouts(reader),
         is_first_start=document.get("bootstrap") is True,
     )
     if reader.errors:
@@ -256,6 +264,26 @@
     return buffers.BufferSettings(int(budget_mb * BYTES_PER_MB))
 
 
+def _read_rollouts(reader: _Reader) -> model.RolloutSettings | None:
+    """Return the limits of roll-outs; None where the platform orders none."""
+    if ROLLOUT_CONTRACT not in reader.strings("contracts"):
+        return None
+    share = reader.number(
+        "bounds", "exposure_share", default=DEFAULT_EXPOSURE_SHARE
+    )
+    if share > 1:
+        reader.add_error(
+            ("bounds", "exposure_share"), "a number up to 1 is expected"
+        )
+    slack = reader.number(
+        "bounds", "exposure_slack", default=DEFAULT_EXPOSURE_SLACK
+    )
+    rollback_ms = reader.number(
+        "bounds", "rollback_ms", default=DEFAULT_ROLLBACK_MS
+    )
+    return model.RolloutSettings(share, int(slack), int(rollback_ms))
+
+
 def _read_call_times(reader: _Reader) -> freshness.CallTimes:
     """Return the times of calls that the platform's bounds lead to."""
     contact_ms = reader.number(
--- a/laburnumpin/platform/standins.py
+++ b/laburnumpin/platform/standins.py
@@ -38,6 +38,9 @@
 CRASH_S = 0.03
 # Pause between two events of a stream.
 EVENT_PAUSE_S = 0.01
+# Limits of roll-outs.
+EXPOSURE_SHARE = 0.3
+EXPOSURE_SLACK = 40
 # Beginnings of answers without end, and what follows them again and again.
 _ENDLESS_CHUNKS = b"Transfer-Encoding: chunked\r\n\r\n"
 ENDLESS_ANSWERS = (
@@ -121,6 +124,22 @@
     counts: dict[str, int]
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class BadVersion:
+    """How the runners of a bad version answer.
+
+    `share` of their answers fail, or come `slow_ms` later. That begins at
+    `from_ms`, and only holds for paths that begin with `path_prefix` and while
+    at least `min_active` requests run.
+    """
+
+    share: float = 0.5
+    slow_ms: int = 0
+    from_ms: int = 0
+    path_prefix: str = "/"
+    min_active: int = 0
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class StoreCopy:
     """The contents of a store at one moment."""
@@ -149,6 +168,11 @@
         self.era = 1
         self.mode = "ok"
         self.lost_answer_share = 0.0
+        # By table: `silent` leaves its writes undone and unanswered, `lost`
+        # carries them out without an answer.
+        self.write_faults: dict[str, str] = {}
+        # Reported states of roll-outs, in the order of their writes.
+        self.rollout_states: list[str] = []
         self.reports: list[UsageReport] = []
         self.highest_fencing_token = 0
         # Names of the entries that sent each fencing token.
@@ -164,6 +188,31 @@
         encoded = base64.b64encode(value).decode()
         self._write([("servers", key, encoded)])
 
+    def document(self, table: str, key: str) -> dict[str, Any] | None:
+        """Return the JSON object in a row, None without the row."""
+        if (table, key) not in self._rows:
+            return None
+        encoded, _ = self._rows[table, key]
+        document: dict[str, Any] = json.loads(base64.b64decode(encoded))
+        return document
+
+    def remove(self, table: str, key: str) -> None:
+        """Remove a row, as the operator does."""
+        self._write([(table, key, None)])
+
+    def order_rollout(self, service: str, to: str, duration_s: float) -> None:
+        """Order that a service is moved to a version, as the operator does."""
+        self.put(
+            "op",
+            f"rollout/{service}",
+            {"service": service, "to": to, "duration_s": duration_s},
+        )
+
+    def rollout_state(self, service: str) -> str | None:
+        """Return the state of a roll-out as it was reported, if it was."""
+        document = self.document("status", f"rollout/{service}")
+        return None if document is None else document["state"]
+
     def configure(self, version: int, probe_route: str) -> None:
         """Write a configuration, as the operator does."""
         self.put("op", "config", configuration(version, probe_route))
@@ -269,13 +318,25 @@
         url = urllib.parse.urlsplit(bytes(head.target).decode())
         query = dict(urllib.parse.parse_qsl(url.query))
         fields = json.loads(body or b"{}")
+        fault = self._write_fault(fields)
+        if fault == "silent":
+            await anyio.sleep(30.0)
+            return False
         answer = await self._respond(url.path, query, fields, head)
         is_write = head.method == b"POST"
         if is_write and self._random.random() < self.lost_answer_share:
             return False
+        if fault == "lost":
+            return False
         await self._answer(caller, answer)
         return True
 
+    def _write_fault(self, fields: dict[str, Any]) -> str:
+        for row in fields.get("set_keys", ()):
+            if row["table"] in self.write_faults:
+                return self.write_faults[row["table"]]
+        return ""
+
     async def _answer(self, caller: callers.Caller, answer: Answer) -> None:
         status, headers, body = answer
         era = (b"Store-Era", str(self.era).encode())
@@ -336,6 +397,9 @@
                 return _json_answer(412, {"rows": [], "ver": self.version})
         row_changes: list[tuple[str, str, str | None]] = []
         for row in fields["set_keys"]:
+            if row["table"] == "status":
+                document = json.loads(base64.b64decode(row["value"]))
+                self.rollout_states.append(document["state"])
             row_changes.append((row["table"], row["key"], row["value"]))
         for row in fields["remove"]:
             row_changes.append((row["table"], row["key"], None))
@@ -434,6 +498,10 @@
         self._now_ms = now_ms
         self._random = rng
         self.arrivals: list[Arrival] = []
+        # Its software's version, and how that is bad, if it is.
+        self.version = "v1"
+        self.bad: BadVersion | None = None
+        self.active = 0
         self._streams: dict[str, Stream] = {}
         # Last event of each copied stream, by its handle. A copy can be resumed
         # once.
@@ -472,7 +540,7 @@
             "service": self.service,
             "address": address,
             "zone": "a",
-            "version": "v1",
+            "version": self.version,
             "slots": 64,
             "state": state,
             "cold_remaining_ms": 0,
@@ -529,9 +597,28 @@
         if self.endless_share and self._random.random() < self.endless_share:
             return await self._send_without_end(caller)
         is_failure = failure_draw < self.reject_share + self.error_share
-        return await self._run(
-            caller, headers, attempt_header, resume_after, is_failure
-        )
+        self.active += 1
+        try:
+            if self._is_bad(bytes(head.target).decode()):
+                assert self.bad is not None
+                await anyio.sleep(self.bad.slow_ms / 1_000)
+                is_failure = is_failure or not self.bad.slow_ms
+            return await self._run(
+                caller, headers, attempt_header, resume_after, is_failure
+            )
+        finally:
+            self.active -= 1
+
+    def _is_bad(self, path: str) -> bool:
+        """Return whether the next answer is one of those of a bad version."""
+        bad = self.bad
+        if bad is None or self._now_ms() < bad.from_ms:
+            return False
+        if not path.startswith(bad.path_prefix):
+            return False
+        if self.active < bad.min_active:
+            return False
+        return self._random.random() < bad.share
 
     async def _run(
         self,
@@ -780,18 +867,21 @@
     store: str,
     *,
     zone: str = "a",
+    has_rollouts: bool = False,
 ) -> str:
     """Return the settings file of an entry.
 
     `ports` are those of callers, readiness, peers and the control plane.
     """
     frontend, readiness, internal, control = ports
+    contracts = '["rollout"]' if has_rollouts else "[]"
     return f"""
 node_name = "{name}"
 ip = "{ip}"
 zone = "{zone}"
 internal_ports = [{internal}, {internal}]
 seeds = []
+contracts = {contracts}
 [listen]
 frontend = "{ip}:{frontend}"
 readiness = "{ip}:{readiness}"
@@ -804,6 +894,9 @@
 retry_slack = 20
 usage_window_s = 2
 usage_late_s = 10
+exposure_share = {EXPOSURE_SHARE}
+exposure_slack = {EXPOSURE_SLACK}
+rollback_ms = 3000
 [platform]
 address = "{store}"
 [cloud_api]
--- a/laburnumpin/soak/processes.py
+++ b/laburnumpin/soak/processes.py
@@ -44,6 +44,8 @@
         zone: str,
         directory: pathlib.Path,
         store_address: str,
+        *,
+        has_rollouts: bool = False,
     ) -> None:
         self.name = name
         self._directory = directory
@@ -52,7 +54,12 @@
         self._settings_path = directory / f"{name}.toml"
         self._settings_path.write_text(
             standins.settings_text(
-                name, "127.0.0.1", ports, store_address, zone=zone
+                name,
+                "127.0.0.1",
+                ports,
+                store_address,
+                zone=zone,
+                has_rollouts=has_rollouts,
             ),
             encoding="utf-8",
         )
