--- a/laburnumpin/forwarding/digests.py
+++ b/laburnumpin/forwarding/digests.py
@@ -7,6 +7,7 @@
 
 from laburnumpin.forwarding import membership
 from laburnumpin.forwarding import part_losses
+from laburnumpin.forwarding.rollouts import model
 from laburnumpin.forwarding.usage_reports import counts as usage
 
 # Limits of the lists in a digest, so that it fits into a datagram.
@@ -48,6 +49,8 @@
     `counted_to_ms` is the median wall-clock time until which `windows` are
     counted, 0 from an entry of an earlier release; a holder names entries whose
     counts it lacks in `usage_missing`.
+    `rollout_evidence` are answers by version and `rollout_decisions` the
+    decisions of the holder, both of roll-outs in force.
     """
 
     contact: membership.Contact
@@ -71,6 +74,8 @@
     leaving: tuple[LeavingRow, ...] = ()
     counted_to_ms: int = 0
     usage_missing: tuple[str, ...] = ()
+    rollout_evidence: tuple[model.EvidenceRow, ...] = ()
+    rollout_decisions: tuple[model.Decision, ...] = ()
 
 
 def in_turn(rows: list[_Row], position: int, count: int) -> list[_Row]:
--- a/laburnumpin/forwarding/gossip.py
+++ b/laburnumpin/forwarding/gossip.py
@@ -11,6 +11,7 @@
 from laburnumpin.forwarding import state as forwarding_state
 from laburnumpin.forwarding import upstream_limits
 from laburnumpin.forwarding import withholding
+from laburnumpin.forwarding.rollouts import routing
 
 # Period of an entry's digests, and what each known entry adds to it, so that an
 # entry receives fewer than 125 digests a second.
@@ -130,6 +131,16 @@
             upstream.record_cached_part(part_id, now_ms)
     produced.extend(upstream_limits.merge(state, digest.limits, now_ms))
     produced.extend(leaving.merge(state, digest.leaving, now_ms))
+    produced.extend(
+        routing.merge(
+            state,
+            name,
+            digest.incarnation_ms,
+            digest.rollout_evidence,
+            digest.rollout_decisions,
+            now_ms,
+        )
+    )
     peer.reports_losses = digest.part_losses is not None
     if digest.part_losses or digest.request_losses:
         produced.extend(
@@ -285,4 +296,8 @@
         store_era=state.store_era,
         counted_to_ms=median_ms,
         usage_missing=state.usage.missing_names,
+        rollout_evidence=routing.evidence_rows(state, repeats_all=repeats_all),
+        rollout_decisions=routing.decision_rows(
+            state, now_ms, repeats_all=repeats_all
+        ),
     )
--- a/laburnumpin/forwarding/interfaces.py
+++ b/laburnumpin/forwarding/interfaces.py
@@ -69,6 +69,7 @@
     USAGE = "usage"
     USAGE_COUNTS = "usage_counts"
     WITHHOLDING = "withholding"
+    STATUS = "status"
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/laburnumpin/forwarding/peer_link.py
+++ b/laburnumpin/forwarding/peer_link.py
@@ -29,6 +29,7 @@
 from laburnumpin.forwarding import upstream_limits
 from laburnumpin.forwarding.configurations import intake
 from laburnumpin.forwarding.configurations import tables
+from laburnumpin.forwarding.rollouts import codec
 from laburnumpin.forwarding.usage_reports import counts as usage
 from laburnumpin.server import logs
 
@@ -224,8 +225,14 @@
 
 def encode(digest: digests.Digest) -> bytes:
     """Return a digest as CBOR, with short keys so that it fits a datagram."""
+    rollouts: dict[str, Any] = {}
+    if digest.rollout_evidence:
+        rollouts["x"] = codec.encode_evidence(digest.rollout_evidence)
+    if digest.rollout_decisions:
+        rollouts["d"] = codec.encode_decisions(digest.rollout_decisions)
     return cbor2.dumps(
         {
+            **rollouts,
             "f": DIGEST_FORMAT,
             "n": digest.contact.name,
             "a": digest.contact.address,
@@ -305,6 +312,9 @@
             untrusted.text(name, "um")
             for name in untrusted.sequence(fields.get("um", ()), "um")
         ),
+        # Present only while there are roll-outs.
+        rollout_evidence=codec.decode_evidence(fields.get("x", ())),
+        rollout_decisions=codec.decode_decisions(fields.get("d", ())),
     )
 
 
--- a/laburnumpin/forwarding/settings.py
+++ b/laburnumpin/forwarding/settings.py
@@ -11,6 +11,7 @@
 from laburnumpin.forwarding import freshness
 from laburnumpin.forwarding import part_losses
 from laburnumpin.forwarding.configurations import limits
+from laburnumpin.forwarding.rollouts import model
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -28,7 +29,8 @@
     upstreams that ask for a back-off, and `answers` for the ends of upstreams'
     answers. `call_times` are those of calls to the platform, and `buffers`
     is for the bytes of requests and answers. A configuration that is longer
-    than `max_configuration_bytes` is rejected. `is_first_start` is whether the
+    than `max_configuration_bytes` is rejected. `rollouts` limits staged
+    roll-outs, None if the deployment has none. `is_first_start` is whether the
     whole system starts for the first time.
     """
 
@@ -64,4 +66,5 @@
         default_factory=buffers.BufferSettings
     )
     max_configuration_bytes: int = limits.MAX_CONFIGURATION_BYTES
+    rollouts: model.RolloutSettings | None = None
     is_first_start: bool = False
--- a/laburnumpin/forwarding/synchronization.py
+++ b/laburnumpin/forwarding/synchronization.py
@@ -177,9 +177,11 @@
         self.on_rows: (
             Callable[[interfaces.Table, interfaces.Rows, bool], None] | None
         ) = None
-        # Called with all rows of the operator by key, after each change.
+        # Called with all rows of the operator by key and the position of the
+        # table, after each change.
         self.on_operator_rows: (
-            Callable[[Mapping[str, interfaces.Row]], None] | None
+            Callable[[Mapping[str, interfaces.Row], interfaces.Position], None]
+            | None
         ) = None
         # Returns whether a relay keeps this entry in sync with the store.
         self.is_synced_by_relay: Callable[[], bool] = lambda: False
@@ -981,7 +983,9 @@
         self._operator_rows = rows
         self.large_values.set_current(rows.values())
         if self.on_operator_rows is not None:
-            self.on_operator_rows(self.operator_rows)
+            self.on_operator_rows(
+                self.operator_rows, self._positions[Table.OPERATOR]
+            )
 
     def _report_kept(self, found: int, kept: int) -> None:
         self._shell.state.counters.increment("configurations_kept")
--- a/laburnumpin/platform/clients.py
+++ b/laburnumpin/platform/clients.py
@@ -35,7 +35,8 @@
 # So many bytes of an answer within its timeout show that it still arrives.
 MIN_PROGRESS_BYTES = 32_768
 
-# The platform defines the first two tables; the entries own the others.
+# The platform defines the first two tables and the last one, which the entries
+# write; they own the others.
 _TABLE_NAMES = {
     interfaces.Table.OPERATOR: "op",
     interfaces.Table.UPSTREAMS: "servers",
@@ -44,6 +45,7 @@
     interfaces.Table.USAGE: "laburnumpin-usage",
     interfaces.Table.USAGE_COUNTS: "laburnumpin-usage-counts",
     interfaces.Table.WITHHOLDING: "laburnumpin-withholding",
+    interfaces.Table.STATUS: "status",
 }
 
 
--- a/laburnumpin/tests/test_platform_configurations.py
+++ b/laburnumpin/tests/test_platform_configurations.py
@@ -407,7 +407,7 @@
         store.configure(4, "old")
         entry = _limited_entry(address)
         seen: list[set[str]] = []
-        entry.synchronizer.on_operator_rows = lambda rows: seen.append(
+        entry.synchronizer.on_operator_rows = lambda rows, _: seen.append(
             set(rows)
         )
         entry.start(task_group)
