Admit callers by the memory and the descriptors of the VM

Cause: the budget of `buffers.py` knew neither, and left each connection 64 KB; connections were accepted without a limit and read ahead in pieces of up to 256 KB; bodies were read before their announced length, key and route were looked at; ended exchanges, refusals and lingering connections kept their bodies in reference cycles, tracebacks and frames; small chunks were parsed without a limit.

Change: `forwarding/admission`. A listener that accepts what the gate has places for (kernel buffers set); a gate that finds places and room, first by pausing, then by refusing, then by ending what has made no progress, never what runs; turns for small chunks. The budget counts every byte, a fifth of it is for requests of up to 16 KB, and a long body takes its announced length before it is read. 413, 401 and 404 are answered on the head where the body can't change them; a refused caller may send on for a while so that it can read its answer. Bodies go to upstreams in slices. Settings table `callers`, log line `callers_crowded`, counters and gauges. Readiness has 32 places of its own.

Ruled out: a brake by the measured memory (freed memory does not return), an own chunk parser (a second reading of the same bytes), limits by address.

--- a/laburnumpin/commands/explain.py
+++ b/laburnumpin/commands/explain.py
@@ -35,6 +35,10 @@
     "upstream_rejected": "the upstream rejected the request without running it",
     "upstream_failed": "the upstream failed after it may have run the request",
     "deadline": "the deadline of the caller or the route had passed",
+    "crowded_out": (
+        "others needed its room or its place before it was read; answered "
+        "503, it had not run"
+    ),
     "caller_gone": "the caller closed its connection",
     "cut": "the upstream's answer broke off after a part was delivered",
 }
@@ -61,6 +65,7 @@
     "requests_released",
 )
 _STATE_CHANGES = (
+    "callers_crowded",
     "configuration_in_force",
     "configuration_kept",
     "entry_started",
@@ -141,7 +146,8 @@
     )
     last_s = max(_timestamp_s(line) for line in request_lines) + CONTEXT_AFTER_S
     depends_on_state = any(
-        line.get("reason") in _STATE_REASONS for line in request_lines
+        line.get("reason") in _STATE_REASONS or _is_crowded_out(line)
+        for line in request_lines
     )
     is_withheld = any(
         line.get("reason") == "withheld" for line in request_lines
@@ -165,6 +171,14 @@
     return related
 
 
+def _is_crowded_out(line: LogLine) -> bool:
+    """Return whether a request was refused before it was read."""
+    return line.get("message_type") == "buffers_full" and line.get("part") in (
+        "head",
+        "body",
+    )
+
+
 def _describe_losses(rejection: LogLine) -> str:
     """Return what ended under a withheld request."""
     losses = rejection.get("engine_losses")
@@ -192,6 +206,8 @@
             outcome = str(line.get("outcome", ""))
         elif message_type == "attempt_failed":
             failure = line
+        elif _is_crowded_out(line):
+            outcome = "crowded_out"
         elif message_type == "request_rejected":
             rejection = line
     text = _CAUSES.get(
--- /dev/null
+++ b/laburnumpin/forwarding/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Which callers' connections and bytes an entry takes on, within its VM."""
--- a/laburnumpin/forwarding/attempts.py
+++ b/laburnumpin/forwarding/attempts.py
@@ -127,6 +127,13 @@
         # The engine's answer to the move, once there is one.
         self._move_result: interfaces.MoveResult | None = None
 
+    def forget_body(self) -> None:
+        """Drop the request's body, since the attempt has ended.
+
+        References in a cycle would keep it until the next collection.
+        """
+        self._body = b""
+
     def move(self, effect: effects.MoveStream) -> None:
         """Start to move the stream to another engine, at most once."""
         if self._move_done is None:
--- a/laburnumpin/forwarding/byte_stream.py
+++ b/laburnumpin/forwarding/byte_stream.py
@@ -34,15 +34,21 @@
 # A closed connection is aborted if the peer has not taken the written bytes
 # after this time.
 CLOSE_TIMEOUT_S = 1.0
+# Where the event loop reads into before the bytes are copied to the buffer of
+# their connection; one for the process, which has one event loop.
+_RECEIVED = memoryview(bytearray(READ_AHEAD_BYTES))
 
 
 class StreamClosedError(Exception):
     """The connection was closed or reset."""
 
 
-class ByteStream(asyncio.Protocol):
+class ByteStream(asyncio.BufferedProtocol):
     """One TCP connection.
 
+    At most `read_ahead_bytes` are read at once, and reading pauses while so
+    many are buffered.
+
     `ended` is whether the peer has closed or reset the connection, and
     `was_reset` whether it did not close it normally. `on_end` is called once,
     when `ended` becomes true. At most one task may wait in `receive`, and one
@@ -62,10 +68,13 @@
         "_writer",
         "_writing_paused",
         "ended",
+        "interruption",
         "on_end",
         "was_reset",
     )
 
+    read_ahead_bytes = READ_AHEAD_BYTES
+
     def __init__(self, on_open: Callable[[ByteStream], None] | None) -> None:
         self._loop = asyncio.get_running_loop()
         self._on_open = on_open
@@ -83,6 +92,8 @@
         self._timer: asyncio.TimerHandle | None = None
         self.ended = False
         self.was_reset = False
+        # What `receive` raises instead of waiting.
+        self.interruption: Exception | None = None
         self.on_end: Callable[[], None] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -97,13 +108,21 @@
         if self._on_open is not None:
             self._on_open(self)
 
-    def data_received(self, data: bytes) -> None:
-        """Buffer bytes; called by the event loop."""
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return where to read into; called by the event loop."""
+        return _RECEIVED[: self.read_ahead_bytes]
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Take what was read; called by the event loop."""
+        self.data_received(_RECEIVED[:nbytes])
+
+    def data_received(self, data: bytes | memoryview) -> None:
+        """Buffer bytes."""
         if self._is_idle:
             self.abort()
             return
         self._buffer += data
-        if len(self._buffer) >= READ_AHEAD_BYTES and self._transport:
+        if len(self._buffer) >= self.read_ahead_bytes and self._transport:
             self._reading_paused = True
             self._transport.pause_reading()
         _wake(self._reader)
@@ -166,8 +185,11 @@
         Raises:
             StreamClosedError: The connection was reset, or closed here.
             TimeoutError: Nothing arrived within the timeout.
+            Exception: The one of `interrupt`.
         """
         while not self._buffer:
+            if self.interruption is not None:
+                raise self.interruption
             if self.was_reset:
                 raise StreamClosedError("the connection was reset")
             if self.ended:
@@ -183,6 +205,18 @@
             self._transport.resume_reading()
         return data
 
+    def interrupt(self, error: Exception) -> None:
+        """Make `receive` raise an error instead of waiting."""
+        self.interruption = error
+        _wake(self._reader)
+
+    def end_sending(self) -> None:
+        """Tell the peer that nothing more will be written."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        with contextlib.suppress(OSError):
+            self._transport.write_eof()
+
     def set_idle(self, is_idle: bool) -> None:
         """Set whether received bytes end the connection, instead of waiting."""
         self._is_idle = is_idle
--- a/laburnumpin/forwarding/connections.py
+++ b/laburnumpin/forwarding/connections.py
@@ -10,6 +10,8 @@
 
 # Longest body of an answer to an earlier request that is skipped.
 MAX_SKIPPED_BODY_BYTES = 1_048_576
+# Most bytes of a body that are written at once.
+SENT_SLICE_BYTES = 65_536
 # Interim responses (1xx) before a final one.
 MAX_INFORMATIONAL_RESPONSES = 16
 # Parsing a chunk takes the same time whatever its length. Of bodies in chunks
@@ -87,11 +89,21 @@
             h11.Request(method=method, target=target, headers=headers)
         )
         assert data is not None
+        encoded_body = b""
         if body:
-            data += self._h11.send(h11.Data(data=body)) or b""
-        data += self._h11.send(h11.EndOfMessage()) or b""
+            encoded_body = self._h11.send(h11.Data(data=body)) or b""
+        end = self._h11.send(h11.EndOfMessage()) or b""
         try:
+            if len(encoded_body) <= SENT_SLICE_BYTES:
+                await self._stream.send(data + encoded_body + end)
+                return
+            # Slices, so that no second copy of the body is kept.
             await self._stream.send(data)
+            for start in range(0, len(encoded_body), SENT_SLICE_BYTES):
+                await self._stream.send(
+                    encoded_body[start : start + SENT_SLICE_BYTES]
+                )
+            await self._stream.send(end)
         except byte_stream.StreamClosedError as error:
             raise ConnectionLostError(str(error)) from error
 
--- a/laburnumpin/forwarding/daemon.py
+++ b/laburnumpin/forwarding/daemon.py
@@ -77,6 +77,7 @@
             state, wire, upstream_pool, runner, boot_clock, engines
         )
         shell.buffers = buffers.Budget(settings.buffers)
+        shell.admission = settings.admission
         shell.end_check_timeout_ms = settings.answers.end_check_timeout_ms
         store = clients.store(settings)
         cloud = clients.cloud(settings)
--- a/laburnumpin/forwarding/frontend.py
+++ b/laburnumpin/forwarding/frontend.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import functools
+
 import anyio
 import h11
 
@@ -9,7 +11,6 @@
 from laburnumpin.forwarding import answers
 from laburnumpin.forwarding import attempts
 from laburnumpin.forwarding import buffers
-from laburnumpin.forwarding import byte_stream
 from laburnumpin.forwarding import caller as callers
 from laburnumpin.forwarding import completeness
 from laburnumpin.forwarding import connections
@@ -20,6 +21,9 @@
 from laburnumpin.forwarding import part_losses
 from laburnumpin.forwarding import requests
 from laburnumpin.forwarding import shell as shells
+from laburnumpin.forwarding.admission import caller_stream
+from laburnumpin.forwarding.admission import gate as gates
+from laburnumpin.forwarding.admission import listener
 from laburnumpin.server import logs
 
 LISTEN_BACKLOG = 512
@@ -31,6 +35,10 @@
 MAX_LOGGED_PARTS = 8
 
 
+class _RefusedOnHeadError(Exception):
+    """The head of a request decides its answer, so its body is not read."""
+
+
 class Frontend:
     """Serves callers' connections.
 
@@ -58,11 +66,15 @@
 
     async def serve(self, address: str) -> None:
         """Accept connections until cancelled."""
-        await byte_stream.serve(address, LISTEN_BACKLOG, self._handle)
+        gate = gates.Gate(self._shell.admission, self._shell.state.counters)
+        self._shell.gate = gate
+        await listener.serve(address, LISTEN_BACKLOG, gate, self._handle)
 
-    async def _handle(self, stream: byte_stream.ByteStream) -> None:
+    async def _handle(self, stream: caller_stream.CallerStream) -> None:
         limits = self._limits()
-        caller = callers.Caller(stream, limits.max_header_bytes)
+        caller = callers.Caller(
+            stream, limits.max_header_bytes, self._shell.gate
+        )
         try:
             await self._serve_requests(caller)
         except callers.CallerDisconnectedError as error:
@@ -97,39 +109,99 @@
         """Serve the next request; return whether another one may follow."""
         limits = self._limits()
         head: h11.Request | None = None
+        body: bytes | None = None
+        received_ms = 0
+        refusal: callers.CallerInputError | None = None
         try:
             head = await caller.read_head(
-                limits.idle_timeout_ms, limits.header_timeout_ms
+                limits.idle_timeout_ms, limits.header_timeout_ms, account
             )
             if head is None:
                 return False
             received_ms = self._shell.now_ms()
             body = await caller.read_body(
-                limits.max_body_bytes, limits.idle_timeout_ms, account
+                limits.max_body_bytes,
+                limits.idle_timeout_ms,
+                account,
+                functools.partial(self._check_head, caller, head),
+                _announced_bytes(head),
             )
         except callers.CallerInputError as error:
-            if error.retry_after_ms is not None:
-                self._report_body_without_room(head, error)
-            await self._answer_input_error(caller, error)
-            return False
+            # A copy: the error and this frame would hold each other.
+            refusal = callers.CallerInputError(
+                error.status, str(error), error.retry_after_ms
+            )
+        except _RefusedOnHeadError:
+            pass
         except callers.CallerDisconnectedError:
             return False
+        if body is None:
+            await self._refuse(caller, head, received_ms, refusal, account)
+            return False
+        assert head is not None
         exchange = _Exchange(
             self._shell, caller, head, received_ms, body, account
         )
+        body = None  # The exchange drops it when it ends.
         self.active += 1
         self._exchanges.add(exchange)
+        caller.enter(callers.Phase.RUNNING)
+        gate = self._shell.gate
+        exchange.closes_connection = gate is not None and gate.is_full()
         try:
             keep_alive = await exchange.run()
         finally:
             self._exchanges.discard(exchange)
             self.active -= 1
+        if keep_alive and exchange.closes_connection:
+            await self._end_connection(caller, account)
+            return False
         return keep_alive and caller.prepare_next_request()
 
-    def _report_body_without_room(
+    async def _refuse(
+        self,
+        caller: callers.Caller,
+        head: h11.Request | None,
+        received_ms: int,
+        refusal: callers.CallerInputError | None,
+        account: buffers.Account,
+    ) -> None:
+        """Answer a request whose body is not read, and end its connection.
+
+        Without a `refusal` its head decides the answer.
+        """
+        if refusal is None:
+            assert head is not None
+            exchange = _Exchange(
+                self._shell, caller, head, received_ms, b"", account
+            )
+            exchange.closes_connection = True
+            await exchange.run()
+        else:
+            if refusal.retry_after_ms is not None:
+                self._report_without_room(head, refusal)
+            await self._answer_input_error(caller, refusal)
+        await self._end_connection(caller, account)
+
+    async def _end_connection(
+        self, caller: callers.Caller, account: buffers.Account
+    ) -> None:
+        account.close()
+        await caller.linger()
+
+    def _check_head(self, caller: callers.Caller, head: h11.Request) -> None:
+        """Raise if the head alone decides that the request is rejected."""
+        customer = _customer_on_head(self._shell, _caller_head(head, 0))
+        if customer is None:
+            raise _RefusedOnHeadError
+        caller.show_customer(customer)
+
+    def _report_without_room(
         self, head: h11.Request | None, error: callers.CallerInputError
     ) -> None:
-        assert head is not None
+        if head is None:
+            self._shell.report_no_room("", None, "head", str(error))
+            return
         try:
             fields = self._shell.wire.decode(_caller_head(head, 0))
             request_id = fields.request_id
@@ -174,6 +246,7 @@
         "_request_head",
         "_scope",
         "_shell",
+        "closes_connection",
     )
 
     def __init__(
@@ -200,6 +273,9 @@
         # Cancels the attempts.
         self._scope = anyio.CancelScope()
         self._ends_for_exit = False
+        # Whether the answer ends the connection: the request's body is not
+        # read, or others wait for its place.
+        self.closes_connection = False
 
     def end_for_exit(self) -> None:
         """Give the attempts up, since the process exits."""
@@ -285,6 +361,7 @@
         except callers.CallerDisconnectedError:
             self._outcome = self._outcome or "caller_gone"
         finally:
+            self._body = b""
             self._caller.stream.on_end = None
             self._shell.stream_movers.pop(request.request_id, None)
             self._shell.apply(
@@ -367,6 +444,7 @@
                 continue
             finally:
                 self._framing = attempt.framing or self._framing
+                attempt.forget_body()
             self._delivered = relay.status < 500
             self._outcome = f"status_{relay.status}"
             return not self._shell.leaving.is_set()
@@ -464,7 +542,7 @@
         return True
 
     def _connection_headers(self) -> connections.Headers:
-        if self._shell.leaving.is_set():
+        if self._shell.leaving.is_set() or self.closes_connection:
             return [(b"Connection", b"close")]
         return []
 
@@ -541,6 +619,37 @@
         )
 
 
+def _customer_on_head(
+    shell: shells.Shell, head: interfaces.CallerHead
+) -> str | None:
+    """Return the name of a request's customer, empty for an anonymous one.
+
+    Return None if the request is rejected whatever its body.
+    """
+    configuration = shell.deployment()
+    try:
+        fields = shell.wire.decode(head)
+    except exceptions.DocumentError:
+        return None
+    if configuration is None:
+        return None
+    route = configuration.match(fields.host, fields.path)
+    if route is None:
+        return None
+    if not configuration.customers or route.anonymous:
+        return ""
+    customer = configuration.customer_of(fields.key or "")
+    return None if customer is None else customer.name
+
+
+def _announced_bytes(head: h11.Request) -> int:
+    """Return the announced length of a body, 0 if there is none."""
+    for name, value in head.headers:
+        if name == b"content-length":
+            return int(value)
+    return 0
+
+
 def _caller_head(head: h11.Request, received_ms: int) -> interfaces.CallerHead:
     return interfaces.CallerHead(
         bytes(head.method),
--- a/laburnumpin/forwarding/settings.py
+++ b/laburnumpin/forwarding/settings.py
@@ -10,6 +10,7 @@
 from laburnumpin.forwarding import completeness
 from laburnumpin.forwarding import freshness
 from laburnumpin.forwarding import part_losses
+from laburnumpin.forwarding.admission import settings as admission_settings
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -26,7 +27,8 @@
     network link. `withholding` is for prompts that end engines, `backoff` for
     upstreams that ask for a back-off, and `answers` for the ends of upstreams'
     answers. `call_times` are those of calls to the platform, and `buffers`
-    is for the bytes of requests and answers. `is_first_start` is whether the
+    is for the bytes of requests and answers, `admission` for the connections
+    of callers. `is_first_start` is whether the
     whole system starts for the first time.
     """
 
@@ -61,4 +63,7 @@
     buffers: buffers.BufferSettings = dataclasses.field(
         default_factory=buffers.BufferSettings
     )
+    admission: admission_settings.AdmissionSettings = dataclasses.field(
+        default_factory=admission_settings.default
+    )
     is_first_start: bool = False
--- a/laburnumpin/forwarding/shell.py
+++ b/laburnumpin/forwarding/shell.py
@@ -19,6 +19,8 @@
 from laburnumpin.forwarding import state as forwarding_state
 from laburnumpin.forwarding import statements
 from laburnumpin.forwarding import upstreams
+from laburnumpin.forwarding.admission import gate as gates
+from laburnumpin.forwarding.admission import settings as admission_settings
 from laburnumpin.server import logs
 from laburnumpin.server import metrics
 from laburnumpin.server import tasks
@@ -36,11 +38,13 @@
     """
 
     __slots__ = (
+        "admission",
         "buffers",
         "clock",
         "end_check_timeout_ms",
         "engines",
         "fetch_from_peer",
+        "gate",
         "leaving",
         "metrics",
         "pool",
@@ -68,6 +72,9 @@
         self.engines = engines
         # What all requests together keep of what others send.
         self.buffers = buffers.Budget()
+        self.admission = admission_settings.default()
+        # Of the callers' connections; set by `Frontend`.
+        self.gate: gates.Gate | None = None
         # Longest time for which the end of an answer without length waits for
         # a check of its upstream.
         self.end_check_timeout_ms = CHECK_TIMEOUT_MS
--- a/laburnumpin/platform/settings.py
+++ b/laburnumpin/platform/settings.py
@@ -16,6 +16,7 @@
 from laburnumpin.forwarding import part_losses
 from laburnumpin.forwarding import settings as forwarding_settings
 from laburnumpin.forwarding import untrusted
+from laburnumpin.forwarding.admission import settings as admission_settings
 
 PATH_VARIABLE = "LABURNUMPIN_SETTINGS"
 DEFAULT_PATH = "/etc/laburnumpin/boot.toml"
@@ -27,9 +28,8 @@
 
 # Shorter times to detect a silent connection can't be kept on a busy VM.
 MIN_CONTACT_MS = 500
-# Share of the VM's memory for the bytes that requests and answers keep, which
-# are twice as many while they are copied.
-BUFFER_MEMORY_SHARE = 1 / 3
+# With less, bodies of many small chunks would never be read.
+MIN_PARSER_SHARE = 0.01
 BYTES_PER_MB = 1_000_000
 # Maps the platform's names of duties to those of `ForwardingSettings`.
 _DUTY_BY_PLATFORM_NAME = {"usage_report": "usage", "autoscale": "upstreams"}
@@ -171,6 +171,7 @@
         answers=_read_answers(reader),
         call_times=_read_call_times(reader),
         buffers=_read_buffers(reader),
+        admission=_read_admission(reader),
         is_first_start=document.get("bootstrap") is True,
     )
     if reader.errors:
@@ -246,16 +247,62 @@
 
     Without it, the memory that the platform names decides.
     """
-    default_mb = buffers.DEFAULT_BUDGET_BYTES / BYTES_PER_MB
-    memory_mb = reader.number(
-        "limits", "memory_mb", default=default_mb / BUFFER_MEMORY_SHARE
-    )
+    left_bytes = admission_settings.left_bytes(_memory_bytes(reader))
+    default_bytes = left_bytes * admission_settings.BYTES_SHARE
     budget_mb = reader.number(
-        "buffers", "budget_mb", default=memory_mb * BUFFER_MEMORY_SHARE
+        "buffers", "budget_mb", default=default_bytes / BYTES_PER_MB
     )
     return buffers.BufferSettings(int(budget_mb * BYTES_PER_MB))
 
 
+def _read_admission(
+    reader: _Reader,
+) -> admission_settings.AdmissionSettings:
+    """Return the optional `callers` table, which is the project's own.
+
+    Without `max_connections`, the VM that the platform names decides.
+    """
+    descriptors = reader.number(
+        "limits", "max_fds", default=admission_settings.DEFAULT_DESCRIPTORS
+    )
+    fitting = admission_settings.connections_for(
+        _memory_bytes(reader), descriptors
+    )
+    default = admission_settings.AdmissionSettings(fitting)
+    numbers = []
+    for name, default_value in (
+        ("max_connections", default.max_connections),
+        ("stall_ms", default.stall_ms),
+        ("progress_bytes", default.progress_bytes),
+        ("room_wait_ms", default.room_wait_ms),
+    ):
+        value = reader.number("callers", name, default=default_value)
+        if name != "room_wait_ms" and value < 1:
+            reader.add_error(
+                ("callers", name), "a number of at least 1 is expected"
+            )
+        numbers.append(int(value))
+    share = reader.number(
+        "callers", "parser_share", default=default.parser_share
+    )
+    if not MIN_PARSER_SHARE <= share <= 1:
+        reader.add_error(
+            ("callers", "parser_share"),
+            f"a number from {MIN_PARSER_SHARE} to 1 is expected",
+        )
+        share = default.parser_share
+    max_connections, stall_ms, progress_bytes, room_wait_ms = numbers
+    return admission_settings.AdmissionSettings(
+        max_connections, stall_ms, progress_bytes, room_wait_ms, share
+    )
+
+
+def _memory_bytes(reader: _Reader) -> float:
+    default_mb = admission_settings.DEFAULT_MEMORY_BYTES / BYTES_PER_MB
+    memory_mb = reader.number("limits", "memory_mb", default=default_mb)
+    return memory_mb * BYTES_PER_MB
+
+
 def _read_call_times(reader: _Reader) -> freshness.CallTimes:
     """Return the times of calls that the platform's bounds lead to."""
     contact_ms = reader.number(
--- a/laburnumpin/platform/standins.py
+++ b/laburnumpin/platform/standins.py
@@ -164,9 +164,15 @@
         encoded = base64.b64encode(value).decode()
         self._write([("servers", key, encoded)])
 
-    def configure(self, version: int, probe_route: str) -> None:
+    def configure(
+        self,
+        version: int,
+        probe_route: str,
+        limits: dict[str, int] | None = None,
+    ) -> None:
         """Write a configuration, as the operator does."""
-        self.put("op", "config", configuration(version, probe_route))
+        document = configuration(version, probe_route)
+        self.put("op", "config", {**document, "limits": limits or {}})
 
     def register(
         self,
--- a/laburnumpin/tests/crowds.py
+++ b/laburnumpin/tests/crowds.py
@@ -66,13 +66,13 @@
     *lines: str, path: str = "/reads/x", key: str = "key-1", number: int = 0
 ) -> bytes:
     """Return the head of a request with further header lines."""
-    rows = [
-        f"POST {path} HTTP/1.1",
-        "Host: h.example",
-        f"X-Laburnumpin-Attempt-Id: crowd{number}",
-        f"X-Laburnumpin-Credential: {key}",
-        *lines,
-    ]
+    host, request_id, _, credential = standins.request_headers(
+        f"crowd{number}", is_stream=False, key=key, deadline_ms=0
+    )
+    rows = [f"POST {path} HTTP/1.1"]
+    for name, value in (host, request_id, credential):
+        rows.append(f"{name.decode()}: {value.decode()}")
+    rows.extend(lines)
     return "\r\n".join(rows).encode() + b"\r\n\r\n"
 
 
@@ -109,12 +109,11 @@
         """Start the stand-ins and the process; wait until it serves."""
         store = standins.Store(random.Random(1))
         store_address = await task_group.start(standins.serve, store.handle)
-        document = standins.configuration(1, "v1")
-        document["limits"] = {
+        limits = {
             "max_body_bytes": MAX_BODY_BYTES,
             "max_header_bytes": MAX_HEADER_BYTES,
         }
-        store.put("op", "config", document)
+        store.configure(1, "v1", limits)
         runner = standins.Runner(
             "desk-1", "desk", [], clock.SystemClock().now_ms, random.Random(1)
         )
@@ -193,6 +192,25 @@
             self._process.wait()
 
 
+async def call_alone(directory: pathlib.Path, text: bytes) -> bytes:
+    """Return the status line of one request to an entry without a crowd."""
+    entry = Entry(directory, MEMORY_MB, MAX_DESCRIPTORS)
+    try:
+        async with anyio.create_task_group() as task_group:
+            await entry.start(task_group)
+            host, _, port = entry.address.rpartition(":")
+            async with await anyio.connect_tcp(host, int(port)) as stream:
+                await stream.send(text)
+                received = b""
+                with anyio.fail_after(ANSWER_TIMEOUT_S):
+                    while b"\r\n" not in received:
+                        received += await stream.receive()
+            task_group.cancel_scope.cancel()
+    finally:
+        entry.kill()
+    return received.partition(b"\r\n")[0]
+
+
 class Crowd:
     """Callers that send what their script says and stay open.
 
--- a/laburnumpin/tests/test_process_crowds.py
+++ b/laburnumpin/tests/test_process_crowds.py
@@ -198,6 +198,21 @@
     _check(anyio.run(crowds.meet, tmp_path, script))
 
 
+# A guard, green before too: limits on crowds must not refuse sound requests.
+@pytest.mark.parametrize("chunk_bytes", [0, 100_000, 1_000, 100])
+def test_longest_legal_request_is_served_in_calm(
+    chunk_bytes: int, tmp_path: pathlib.Path
+) -> None:
+    size_bytes = crowds.MAX_BODY_BYTES
+    text = crowds.length_head(size_bytes) + b"x" * size_bytes
+    if chunk_bytes:
+        chunk = crowds.chunk(b"x" * chunk_bytes)
+        text = crowds.chunked_head() + chunk * (size_bytes // chunk_bytes)
+        text += b"0\r\n\r\n"
+    status = anyio.run(crowds.call_alone, tmp_path, text)
+    assert status.startswith(b"HTTP/1.1 200")
+
+
 # Answers that nobody takes are kept by the entry and by its kernel.
 def test_crowd_that_never_reads_leaves_the_entry_serving(
     tmp_path: pathlib.Path,
--- a/laburnumpin/tests/test_server_logs.py
+++ b/laburnumpin/tests/test_server_logs.py
@@ -27,7 +27,7 @@
     written = set()
     for path in PACKAGE.glob("core/*.py"):
         written.update(MESSAGE_TYPE_CALL.findall(path.read_text()))
-    for path in PACKAGE.glob("forwarding/*.py"):
+    for path in PACKAGE.glob("forwarding/**/*.py"):
         written.update(MESSAGE_TYPE_CALL.findall(path.read_text()))
     for path in PACKAGE.glob("server/*.py"):
         written.update(MESSAGE_TYPE_CALL.findall(path.read_text()))
