--- a/laburnumpin/forwarding/settings.py
+++ b/laburnumpin/forwarding/settings.py
@@ -10,6 +10,7 @@
 from laburnumpin.forwarding import completeness
 from laburnumpin.forwarding import freshness
 from laburnumpin.forwarding import part_losses
+from laburnumpin.forwarding.admission import settings as admission_settings
 from laburnumpin.forwarding.configurations import limits
 from laburnumpin.forwarding.rollouts import model
 
@@ -28,10 +29,11 @@
     network link. `withholding` is for prompts that end engines, `backoff` for
     upstreams that ask for a back-off, and `answers` for the ends of upstreams'
     answers. `call_times` are those of calls to the platform, and `buffers`
-    is for the bytes of requests and answers. A configuration that is longer
-    than `max_configuration_bytes` is rejected. `rollouts` limits staged
-    roll-outs, None if the deployment has none. `is_first_start` is whether the
-    whole system starts for the first time.
+    is for the bytes of requests and answers, `admission` for the connections
+    of callers. A configuration that is longer than `max_configuration_bytes` is
+    rejected. `rollouts` limits staged roll-outs, None if the deployment has
+    none. `is_first_start` is whether the whole system starts for the first
+    time.
     """
 
     name: str
@@ -67,4 +69,7 @@
     )
     max_configuration_bytes: int = limits.MAX_CONFIGURATION_BYTES
     rollouts: model.RolloutSettings | None = None
+    admission: admission_settings.AdmissionSettings = dataclasses.field(
+        default_factory=admission_settings.default
+    )
     is_first_start: bool = False
--- a/laburnumpin/platform/standins.py
+++ b/laburnumpin/platform/standins.py
@@ -213,9 +213,15 @@
         document = self.document("status", f"rollout/{service}")
         return None if document is None else document["state"]
 
-    def configure(self, version: int, probe_route: str) -> None:
+    def configure(
+        self,
+        version: int,
+        probe_route: str,
+        limits: dict[str, int] | None = None,
+    ) -> None:
         """Write a configuration, as the operator does."""
-        self.put("op", "config", configuration(version, probe_route))
+        document = configuration(version, probe_route)
+        self.put("op", "config", {**document, "limits": limits or {}})
 
     def register(
         self,
