Let a restarted entry move streams off engines that are reclaimed

Cause: a move draws on the retry budget, and a new process has no slack for a window.

A new test; its second half has no room before the change.

--- a/laburnumpin/forwarding/budgets.py
+++ b/laburnumpin/forwarding/budgets.py
@@ -99,23 +99,32 @@
         """
         self._slack_from_ms = now_ms + self._limit.window_ms
 
-    def has_room(self, service: str, now_ms: int, entries: int) -> bool:
+    def has_room(
+        self, service: str, now_ms: int, entries: int, *, is_move: bool = False
+    ) -> bool:
         """Return whether the budget allows one more retry.
 
-        `entries` is the number of entries that share the slack.
+        `entries` is the number of entries that share the slack. The move of a
+        stream, which would break off otherwise, may use what the former process
+        in this one's place has left of the slack in any case.
         """
         request_times = self._times_in_window(
             self._request_times, service, now_ms
         )
         retry_times = self._times_in_window(self._retry_times, service, now_ms)
-        allowed = self._limit.ratio * len(request_times)
+        slack = self._limit.slack / max(1, entries)
+        allowed = self._limit.ratio * len(request_times) * RETRY_LIMIT_SHARE
         if self._slack_from_ms is None or now_ms >= self._slack_from_ms:
-            allowed += self._limit.slack / max(1, entries)
-        return len(retry_times) + 1 <= allowed * RETRY_LIMIT_SHARE
-
-    def take(self, service: str, now_ms: int, entries: int) -> bool:
+            allowed += slack * RETRY_LIMIT_SHARE
+        elif is_move:
+            allowed += slack * (1 - RETRY_LIMIT_SHARE)
+        return len(retry_times) + 1 <= allowed
+
+    def take(
+        self, service: str, now_ms: int, entries: int, *, is_move: bool = False
+    ) -> bool:
         """Take one retry out of the budget; return False if it is spent."""
-        if not self.has_room(service, now_ms, entries):
+        if not self.has_room(service, now_ms, entries, is_move=is_move):
             return False
         self._times_in_window(self._retry_times, service, now_ms).append(now_ms)
         return True
--- a/laburnumpin/forwarding/moves.py
+++ b/laburnumpin/forwarding/moves.py
@@ -127,7 +127,7 @@
     )
     entries = state.members.expected_count(now_ms)
     if target is None or not state.budget.take(
-        request.service, now_ms, entries
+        request.service, now_ms, entries, is_move=True
     ):
         state.counters.increment("moves_refused", "no_room_or_budget")
         return []
--- a/laburnumpin/tests/test_forwarding_budgets.py
+++ b/laburnumpin/tests/test_forwarding_budgets.py
@@ -227,6 +227,24 @@
         assert max(retry_times) > limit.window_ms
 
 
+# A stream on an engine that was reclaimed broke off, since an entry that had
+# started within the last window had no slack to move it.
+def test_restarted_entry_moves_a_stream_within_the_limit() -> None:
+    limit = budgets.RetryLimit(ratio=0.2, slack=10, window_ms=1_000)
+    budget = budgets.RetryBudget(limit)
+    retries = 0
+    while budget.take("s", 0, 1):
+        retries += 1
+    budget = budgets.RetryBudget(limit)
+    budget.withhold_slack(10)
+    assert not budget.take("s", 10, 1)
+    moves = 0
+    while budget.take("s", 10, 1, is_move=True):
+        moves += 1
+    assert moves > 0
+    assert retries + moves <= limit.slack
+
+
 def test_uneven_use_below_the_quota_is_admitted() -> None:
     # Clients are hashed to entries, so that one entry gets most of a
     # customer's requests.
