Ask other peers for a value that one does not send; bound differences

A relay that froze while it held a value kept it from its members for the whole timeout of 2 s, which is config_apply_ms, although another peer's table with the same value waited. The value is now also asked from these, 300 ms after the first request.

A table that led to an exception took the peer's next table with it, which was dropped without having been tried. Operations without bytes in a difference grew a list without a limit: they are malformed now, and the value is built in one buffer.

--- a/laburnumpin/forwarding/configurations/differences.py
+++ b/laburnumpin/forwarding/configurations/differences.py
@@ -67,8 +67,7 @@
         MalformedError: The difference is malformed, or the value longer than
             `max_bytes`.
     """
-    parts: list[bytes] = []
-    total_bytes = 0
+    value = bytearray()
     unread = bytearray()
     decompressor = zlib.decompressobj()
     while not decompressor.eof:
@@ -82,16 +81,15 @@
         unread += chunk
         read_bytes = 0
         for part, end in _read_operations(base, unread):
-            parts.append(part)
             read_bytes = end
-            total_bytes += len(part)
-            if total_bytes > max_bytes:
+            if len(value) + len(part) > max_bytes:
                 raise _malformed("too_large")
+            value += part
         del unread[:read_bytes]
         yield
     if unread:
         raise _malformed("unreadable")
-    return b"".join(parts)
+    return bytes(value)
 
 
 class _Writer:
@@ -152,6 +150,8 @@
     while at + _HEADER.size <= len(data):
         kind, offset, length = _HEADER.unpack_from(data, at)
         at += _HEADER.size
+        if not length:
+            raise _malformed("out_of_range")
         if kind == _COPY:
             if offset + length > len(base):
                 raise _malformed("out_of_range")
--- a/laburnumpin/forwarding/configurations/intake.py
+++ b/laburnumpin/forwarding/configurations/intake.py
@@ -23,6 +23,9 @@
 # Tries to fetch a value that one message names, and the pause between them.
 MAX_TRIES = 4
 RETRY_PAUSE_MS = 150
+# A peer that has not answered within this time is not waited for alone: the
+# value is also asked from others that have it.
+HEDGE_PAUSE_MS = 300
 MAX_LOGGED_ERROR_CHARS = 400
 
 # Sends a request for a value to an address and returns the answer.
@@ -89,12 +92,13 @@
             await self._wake.wait()
             self._wake = anyio.Event()
             while self._tables:
-                peer = next(iter(self._tables))
+                peer, table = next(iter(self._tables.items()))
                 try:
                     await self._take(peer)
                 except Exception as error:
                     # Whatever a table has led to, the others are taken.
-                    self._tables.pop(peer, None)
+                    if self._tables.get(peer) is table:
+                        del self._tables[peer]
                     _log_failure(peer, "unexpected_error", repr(error))
 
     async def _take(self, peer: str) -> None:
@@ -141,15 +145,43 @@
                 return found
             if not self._target.lacks(table):
                 return None
-            try:
-                return await self._fetch_value(table.address, value_hash)
-            except exceptions.LaburnumpinError as error:
-                _log_failure(peer, error.code, error.message)
+            found = await self._fetch_from_any(peer, table, value_hash)
+            if found is not None:
+                return found
             if self._tables:
                 return None  # This peer's newer table, or another's, is next.
             await anyio.sleep(RETRY_PAUSE_MS / 1_000)
         return None
 
+    async def _fetch_from_any(
+        self, peer: str, table: tables.Table, value_hash: bytes
+    ) -> bytes | None:
+        """Return a value from a peer, or from others whose tables wait."""
+        found: list[bytes] = []
+        asked = {table.address}
+        running = {table.address}
+
+        async def fetch(name: str, address: str) -> None:
+            try:
+                found.append(await self._fetch_value(address, value_hash))
+            except exceptions.LaburnumpinError as error:
+                _log_failure(name, error.code, error.message)
+            running.discard(address)
+            if found or not running:
+                task_group.cancel_scope.cancel()
+
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(fetch, peer, table.address)
+            while True:
+                await anyio.sleep(HEDGE_PAUSE_MS / 1_000)
+                for name, other in self._tables.items():
+                    if other.address in asked or not other.names(value_hash):
+                        continue
+                    asked.add(other.address)
+                    running.add(other.address)
+                    task_group.start_soon(fetch, name, other.address)
+        return found[0] if found else None
+
     async def _fetch_value(self, address: str, value_hash: bytes) -> bytes:
         large_values = self._target.large_values
         answer = tables.decode_answer(
--- a/laburnumpin/forwarding/configurations/tables.py
+++ b/laburnumpin/forwarding/configurations/tables.py
@@ -45,6 +45,10 @@
     configuration: int
     address: str
 
+    def names(self, value_hash: bytes) -> bool:
+        """Return whether a row has the value with a hash."""
+        return any(row.value_hash == value_hash for row in self.rows)
+
 
 def accepts(message: dict[str, Any]) -> bool:
     """Return whether the writer of a message knows this format."""
--- a/laburnumpin/tests/test_platform_configurations.py
+++ b/laburnumpin/tests/test_platform_configurations.py
@@ -5,10 +5,13 @@
 from collections.abc import Generator
 from collections.abc import Sequence
 import contextlib
+import dataclasses
 import json
 import random
+import struct
 from typing import Any
 from typing import cast
+import zlib
 
 import anyio
 import cbor2
@@ -215,7 +218,8 @@
 def test_malformed_differences_are_rejected(data: bytes) -> None:
     bomb = pacing.run_at_once(differences.encode(b"", bytes(1_000_000)))
     behind = pacing.run_at_once(differences.encode(b"{}," * 9, b"{}," * 9))
-    for difference in (data, bomb, bomb[:-9], behind):
+    empty = zlib.compress(struct.pack(">cII", b"C", 0, 0) * 1_000)
+    for difference in (data, bomb, bomb[:-9], behind, empty):
         with pytest.raises(untrusted.MalformedError):
             pacing.run_at_once(differences.decode(b"", difference, 100_000))
 
@@ -229,6 +233,8 @@
         self.position = interfaces.Position(1, 0)
         self.applied: list[int] = []
         self.reads_store = False
+        # Versions that lead to an exception.
+        self.failing: set[int] = set()
 
     def lacks(self, table: tables.Table) -> bool:
         return table.position > self.position
@@ -242,6 +248,8 @@
     def apply_table(
         self, rows: tuple[interfaces.Row, ...], position: interfaces.Position
     ) -> None:
+        if position.version in self.failing:
+            raise RuntimeError("not applied")
         self.position = position
         self.applied.append(position.version)
         self.large_values.set_current(rows)
@@ -261,6 +269,8 @@
         self.sent_bytes: list[int] = []
         self.gate = anyio.Event()
         self.asked = anyio.Event()
+        # Addresses that answer at once.
+        self.answering: set[str] = set()
 
     def table(self, version: int, value: bytes) -> tables.Table:
         row = interfaces.Row("config", value, version)
@@ -278,7 +288,8 @@
         self, address: str, request: dict[str, Any]
     ) -> dict[str, Any]:
         self.asked.set()
-        await self.gate.wait()
+        if address not in self.answering:
+            await self.gate.wait()
         answer = await tables.serve_request(request, self.large_values)
         self.sent_bytes.append(len(answer["difference"] or b""))
         return answer
@@ -370,6 +381,37 @@
     _run_intake(check)
 
 
+# A relay froze while it held the value; the next one had it already.
+def test_value_of_a_silent_peer_is_asked_from_another() -> None:
+    async def check(target: _Target, peer: _Peer, taken: intake.Intake) -> None:
+        value = _value([_route(number) for number in range(200)])
+        table = peer.table(1, value)
+        taken.offer("frozen", table)
+        await peer.asked.wait()
+        other = dataclasses.replace(table, address="127.0.0.1:2")
+        peer.answering.add(other.address)
+        taken.offer("other", other)
+        await _until_applied(target, 1)
+        assert not peer.gate.is_set()
+
+    _run_intake(check)
+
+
+# A table led to an exception, and the peer's next one was lost with it.
+def test_table_after_one_that_fails_is_taken() -> None:
+    async def check(target: _Target, peer: _Peer, taken: intake.Intake) -> None:
+        value = _value([_route(number) for number in range(200)])
+        taken.offer("a", peer.table(1, value))
+        await peer.asked.wait()
+        taken.offer("a", peer.table(2, value))
+        target.failing.add(1)
+        peer.gate.set()
+        await _until_applied(target, 2)
+        assert target.applied == [2]
+
+    _run_intake(check)
+
+
 def test_long_values_of_an_answer_are_cut_out() -> None:
     long = "QUJD" * 30_000
     rows = [{"key": "a", "value": long, "x": '"'}, {"key": "b", "value": "QQ"}]
