Record the answer to an order with the autoscaler that placed it

A gain or loss of the lease replaces the autoscaler. An order that was in flight was recorded with the new one, which does not know the service: KeyError, and Duties.run ended. Services that leave the configuration are not the cause: an autoscaler never drops one. The answer now goes to the autoscaler of the order, and the orders that remain of it are not placed under a new lease.

The new test fails with KeyError on the code before, for an accepted, a refused and an unknown order.

--- a/laburnumpin/forwarding/duties.py
+++ b/laburnumpin/forwarding/duties.py
@@ -401,12 +401,16 @@
             if not self._may_act() or now_ms < self._next_scale_ms:
                 continue
             self._next_scale_ms = now_ms + AUTOSCALING_PERIOD_MS
-            for order in self._scaler.due_orders(self._shell.state, now_ms):
-                if not self._may_act():
+            scaler = self._scaler
+            for order in scaler.due_orders(self._shell.state, now_ms):
+                if not self._may_act() or scaler is not self._scaler:
                     break
-                await self._place_order(order)
+                await self._place_order(scaler, order)
 
-    async def _place_order(self, order: autoscaling.Order) -> None:
+    async def _place_order(
+        self, scaler: autoscaling.Autoscaler, order: autoscaling.Order
+    ) -> None:
+        """Place an order of `scaler`, which a lost lease may replace."""
         fields: dict[str, str | int | float | bool | None] = {
             "service": order.service,
             "zone": order.zone,
@@ -425,17 +429,17 @@
                 order.count,
                 reclaimable=order.reclaimable,
             )
-            self._scaler.record_accepted(order, self._shell.now_ms())
+            scaler.record_accepted(order, self._shell.now_ms())
         except interfaces.OrderRefusedError as error:
             outcome = "refused"
             fields["reason"] = error.message
-            self._scaler.record_refused(order, self._shell.now_ms())
+            scaler.record_refused(order, self._shell.now_ms())
         except interfaces.FencedError:
             outcome = "fenced"
             self._on_fenced()
         except exceptions.LaburnumpinError as error:
             outcome = error.code
-            self._scaler.record_unknown(order, self._shell.now_ms())
+            scaler.record_unknown(order, self._shell.now_ms())
         logs.write("upstreams_ordered", "info", {**fields, "outcome": outcome})
 
     def _on_fenced(self) -> None:
--- a/laburnumpin/tests/test_forwarding_duties.py
+++ b/laburnumpin/tests/test_forwarding_duties.py
@@ -1,11 +1,22 @@
-"""Tests of usage reports by successive holders of the lease."""
+"""Tests of usage reports and orders by successive holders of the lease."""
 
 from __future__ import annotations
 
+import tomllib
+from typing import cast
+
 import anyio
+import pytest
 
+from laburnumpin import exceptions
+from laburnumpin.forwarding import autoscaling
 from laburnumpin.forwarding import duties
 from laburnumpin.forwarding import interfaces
+from laburnumpin.forwarding import lease as leases
+from laburnumpin.platform import settings
+from laburnumpin.platform import standins
+from laburnumpin.tests import forwarding_builders as build
+from laburnumpin.tests import test_forwarding_store_era as store_era
 
 Table = interfaces.Table
 
@@ -111,3 +122,81 @@
         assert await second.commit(7, WINDOW_MS, {"acme": 4}) == {"acme": 3}
 
     anyio.run(commit)
+
+
+class _Lease:
+    """A lease that this entry may use, and that it has lost at each look."""
+
+    fencing_token = 1
+
+    def may_act(self, now_ms: int) -> bool:
+        return True
+
+    def holds(self, now_ms: int) -> bool:
+        return False
+
+
+class _Scaler(autoscaling.Autoscaler):
+    """Has one order at each time."""
+
+    def due_orders(self, *_: object) -> list[autoscaling.Order]:
+        self._services[build.ENGINES] = autoscaling._ServiceScaler()
+        return [autoscaling.Order(build.ENGINES, "a", 2, True, 1.0, 2)]
+
+
+class _Cloud:
+    """A cloud during whose call the entry notes that the lease is lost."""
+
+    def __init__(self, error: Exception | None) -> None:
+        self.error = error
+        self.duties: duties.Duties | None = None
+        self.was_called = anyio.Event()
+
+    async def order_upstreams(self, *_: object, **__: object) -> None:
+        assert self.duties is not None
+        self.duties._was_holder = True
+        self.duties._update_holder(0)
+        self.was_called.set()
+        if self.error is not None:
+            raise self.error
+
+
+# The answer to an order raised KeyError after a change of the lease, which
+# ended the ticks of the entry.
+@pytest.mark.parametrize(
+    "error",
+    [
+        None,
+        interfaces.OrderRefusedError("none left"),
+        exceptions.PlatformAnswerLostError("silent"),
+    ],
+)
+def test_order_is_answered_after_the_lease_was_lost(
+    error: Exception | None,
+) -> None:
+    async def order() -> None:
+        cloud = _Cloud(error)
+        entry = store_era.Entry("e1", "127.0.0.1:1")
+        text = standins.settings_text(
+            "e1", "127.0.0.1", (1, 2, 3, 4), "127.0.0.1:5"
+        )
+        ordering = duties.Duties(
+            entry.shell,
+            entry.store,
+            cast(interfaces.CloudClient, cloud),
+            settings.decode(tomllib.loads(text)),
+            lambda: None,
+        )
+        cloud.duties = ordering
+        ordering._lease = cast(leases.Lease, _Lease())
+        ordering._scaler = _Scaler()
+        ordering._holder_event.set()
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(ordering._order_upstreams)
+            with anyio.fail_after(20):
+                await cloud.was_called.wait()
+            await anyio.sleep(0)
+            task_group.cancel_scope.cancel()
+        assert not ordering._scaler._services
+
+    anyio.run(order)
