Keep errors apart from answers that are too large; release old versions

An error status or the answer to a write with a long body counted as a configuration that is too large; only a read that succeeds does now.

An entry that takes its tables from entries of the release before never released the versions that were replaced: the decoder releases them before the next one. A text of thousands of digits after the mark of a long value raised ValueError outside the decoder's errors.

--- a/laburnumpin/forwarding/configurations/reader.py
+++ b/laburnumpin/forwarding/configurations/reader.py
@@ -55,6 +55,7 @@
     async def prepare(self, rows: tuple[interfaces.Row, ...]) -> None:
         """Decode a configuration that `read` will need, in slices."""
         async with self._lock:
+            await self.release()
             await self._large_values.add(
                 row.value for row in rows if self._may_hash(row)
             )
--- a/laburnumpin/platform/clients.py
+++ b/laburnumpin/platform/clients.py
@@ -65,6 +65,10 @@
             return {}
 
 
+class _BodyTooLongError(Exception):
+    """The body of an answer is longer than the limit."""
+
+
 class HttpClient:
     """Calls one address with JSON bodies and reuses its connections."""
 
@@ -97,7 +101,7 @@
         answer extends it while it arrives.
 
         Raises:
-            AnswerTooLargeError: The answer is longer than the limit.
+            AnswerTooLargeError: The answer to a read is longer than the limit.
             PlatformUnavailableError: No connection, or a status of 429 or 503
                 that is not in `accepted_statuses`; the call had no effect.
             PlatformAnswerLostError: No complete response; the call may have
@@ -124,11 +128,16 @@
                 head = await connection.head()
                 status = head.status_code
                 response_headers = list(head.headers)
-                self._check_length(method, target, response_headers)
+                self._check_length(response_headers)
                 response_body = await self._read_body(connection, scope)
             is_reusable = (
                 connection.finish() and len(self._idle) < MAX_IDLE_CONNECTIONS
             )
+        except _BodyTooLongError as error:
+            message = f"{method} {target.partition('?')[0]}: {error}"
+            if method == "GET" and status == 200:
+                raise interfaces.AnswerTooLargeError(message) from error
+            raise exceptions.PlatformAnswerLostError(message) from error
         except (
             TimeoutError,
             connections.ConnectionLostError,
@@ -156,17 +165,14 @@
         while self._idle:
             self._idle.pop().close()
 
-    def _check_length(
-        self, method: str, target: str, headers: connections.Headers
-    ) -> None:
+    def _check_length(self, headers: connections.Headers) -> None:
         """Raise if the announced length of an answer exceeds the limit."""
         for name, value in headers:
             if name.lower() != b"content-length" or not value.isdigit():
                 continue
             if int(value) > self._max_answer_bytes:
-                raise interfaces.AnswerTooLargeError(
-                    f"{method} {target.partition('?')[0]}: {int(value)} bytes, "
-                    f"the limit is {self._max_answer_bytes}"
+                raise _BodyTooLongError(
+                    f"{int(value)} bytes, the limit is {self._max_answer_bytes}"
                 )
 
     async def _read_body(
@@ -182,7 +188,9 @@
         while chunk := await connection.chunk():
             read += chunk
             if len(read) > self._max_answer_bytes:
-                raise connections.ProtocolError("the body is too long")
+                raise _BodyTooLongError(
+                    f"longer than {self._max_answer_bytes} bytes"
+                )
             if len(read) >= due_bytes:
                 due_bytes = len(read) + MIN_PROGRESS_BYTES
                 timeout_s = self._times.answer_timeout_ms / 1_000
--- a/laburnumpin/platform/long_answers.py
+++ b/laburnumpin/platform/long_answers.py
@@ -15,6 +15,7 @@
 _QUOTE = b'"'
 # No base64 text has these characters.
 _PREFIX = "#long-value "
+_MAX_INDEX_DIGITS = 6
 
 
 def parse(
@@ -53,7 +54,9 @@
     if not isinstance(value, str) or not value.startswith(_PREFIX):
         return None
     number = value[len(_PREFIX) :]
-    return int(number) if number.isdecimal() else None
+    if len(number) > _MAX_INDEX_DIGITS or not number.isdecimal():
+        return None
+    return int(number)
 
 
 def _mark(index: int) -> bytes:
--- a/laburnumpin/tests/test_platform_configurations.py
+++ b/laburnumpin/tests/test_platform_configurations.py
@@ -17,6 +17,7 @@
 import cbor2
 import pytest
 
+from laburnumpin import exceptions
 from laburnumpin.forwarding import byte_stream
 from laburnumpin.forwarding import frames
 from laburnumpin.forwarding import freshness
@@ -421,6 +422,7 @@
     assert found == [b"ABC" * 30_000]
     assert long_answers.index_of(document["rows"][0]["value"]) == 0
     assert long_answers.index_of(document["rows"][1]["value"]) is None
+    assert long_answers.index_of("#long-value " + "1" * 5_000) is None
     broken = body.replace(b"QUJDQUJD", b"QUJD****", 1)
     document, found = pacing.run_at_once(long_answers.parse(broken, 10_000_000))
     assert not found
@@ -527,6 +529,76 @@
     anyio.run(main)
 
 
+async def _serve_head(task_group: anyio.abc.TaskGroup, head: bytes) -> str:
+    """Answer each request with a head and a chunked body without an end."""
+
+    async def handle(stream: byte_stream.ByteStream) -> None:
+        await stream.receive()
+        chunk = b"10000\r\n" + b" " * 65_536 + b"\r\n"
+        with contextlib.suppress(byte_stream.StreamClosedError):
+            await stream.send(b"HTTP/1.1 " + head + b"\r\n\r\n")
+            while True:
+                await stream.send(chunk)
+
+    address: str = await task_group.start(
+        byte_stream.serve, "127.0.0.1:0", 8, handle
+    )
+    return address
+
+
+# An error with a long body counted as a configuration that is too large, and a
+# long answer without a length as one that was lost, to be read again at once.
+@pytest.mark.parametrize(
+    ("method", "head", "expected"),
+    [
+        (
+            "GET",
+            b"200 OK\r\nTransfer-Encoding: chunked",
+            interfaces.AnswerTooLargeError,
+        ),
+        (
+            "GET",
+            b"500 Failed\r\nContent-Length: 20000000",
+            exceptions.PlatformAnswerLostError,
+        ),
+        (
+            "POST",
+            b"200 OK\r\nContent-Length: 20000000",
+            exceptions.PlatformAnswerLostError,
+        ),
+    ],
+)
+def test_only_a_read_that_succeeds_can_be_too_large(
+    method: str, head: bytes, expected: type[Exception]
+) -> None:
+    async def main() -> None:
+        async with anyio.create_task_group() as task_group:
+            address = await _serve_head(task_group, head)
+            http = clients.HttpClient(address, None, 1_000_000)
+            with pytest.raises(expected):
+                await http.call(method, "/rows-feed")
+            task_group.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+# An entry beside a relay of the release before kept every earlier version.
+def test_earlier_versions_of_old_entries_are_released() -> None:
+    async def check() -> None:
+        entry = store_era.Entry("e1", "127.0.0.1:1")
+        for version in range(1, 6):
+            value = _value([_route(n) for n in range(300)], version)
+            rows = (interfaces.Row("config", value, version),)
+            await entry.synchronizer.prepare(rows)
+            entry.synchronizer.apply_changes(
+                interfaces.Table.OPERATOR, interfaces.Rows(rows, version)
+            )
+            assert entry.configuration() == version
+            assert len(entry.synchronizer._configurations._retired) <= 1
+
+    anyio.run(check)
+
+
 class _Frames:
     """Keeps the messages that are sent over a link."""
 
