Bound the length of an answer to a request for a value

A peer could name 32 MB, which were collected until the timeout and copied twice, on VMs of 160 MB. The new test fails on the commit before.

--- a/laburnumpin/forwarding/peer_link.py
+++ b/laburnumpin/forwarding/peer_link.py
@@ -29,6 +29,7 @@
 from laburnumpin.forwarding import upstream_limits
 from laburnumpin.forwarding import usage
 from laburnumpin.forwarding.configurations import intake
+from laburnumpin.forwarding.configurations import limits
 from laburnumpin.forwarding.configurations import tables
 from laburnumpin.server import logs
 
@@ -40,6 +41,9 @@
 FETCH_TIMEOUT_S = 1.5
 # Longest time for a large value of a row.
 VALUE_TIMEOUT_S = 2.0
+# Longest answer to a request for a value: one that is hardly compressed, and
+# what is around it.
+MAX_VALUE_MESSAGE_BYTES = limits.LONGEST_CONFIGURATION_BYTES + 131_072
 # Longest first message of a connection.
 MAX_HELLO_BYTES = 4_096
 LISTEN_BACKLOG = 256
@@ -212,7 +216,9 @@
             stream = await frames.connect(address, relay.CONNECT_TIMEOUT_S)
             frame_stream = frames.FrameStream(stream)
             frame_stream.write(request)
-            answer = await frame_stream.read(VALUE_TIMEOUT_S)
+            answer = await frame_stream.read(
+                VALUE_TIMEOUT_S, MAX_VALUE_MESSAGE_BYTES
+            )
         except frames.FrameError as error:
             raise intake.FetchError(str(error)) from error
         finally:
--- a/laburnumpin/tests/test_platform_configurations.py
+++ b/laburnumpin/tests/test_platform_configurations.py
@@ -22,6 +22,7 @@
 from laburnumpin.forwarding import frames
 from laburnumpin.forwarding import freshness
 from laburnumpin.forwarding import interfaces
+from laburnumpin.forwarding import peer_link
 from laburnumpin.forwarding import relay
 from laburnumpin.forwarding import synchronization
 from laburnumpin.forwarding import untrusted
@@ -599,6 +600,30 @@
     anyio.run(check)
 
 
+# A peer named 30 MB, which were collected until the timeout.
+def test_longer_message_than_any_value_is_not_read() -> None:
+    async def handle(stream: byte_stream.ByteStream) -> None:
+        await stream.receive()
+        await stream.send((30_000_000).to_bytes(4, "big"))
+        with contextlib.suppress(byte_stream.StreamClosedError):
+            await stream.receive()
+
+    async def check() -> None:
+        entry = store_era.Entry("e1", "127.0.0.1:1")
+        link = peer_link.PeerLink(
+            entry.shell, entry.synchronizer, "127.0.0.1:0"
+        )
+        async with anyio.create_task_group() as task_group:
+            address = await task_group.start(
+                byte_stream.serve, "127.0.0.1:0", 8, handle
+            )
+            with pytest.raises(intake.FetchError, match="maximum length"):
+                await link._fetch_value(address, {"kind": "value"})
+            task_group.cancel_scope.cancel()
+
+    anyio.run(check)
+
+
 class _Frames:
     """Keeps the messages that are sent over a link."""
 
