Bound the time by which progress prolongs a call to the store

A store that trickles 27 KB/s held up its table for ten minutes, while the entry counted as in sync: members of a relay would not have read the store themselves. Progress prolongs a call by up to 30 s now, the time of the longest answer at 5 Mbit/s. The new test fails without the bound.

--- a/laburnumpin/platform/clients.py
+++ b/laburnumpin/platform/clients.py
@@ -34,6 +34,9 @@
 MAX_ANSWER_BYTES = 262_144
 # So many bytes of an answer within its timeout show that it still arrives.
 MIN_PROGRESS_BYTES = 32_768
+# Longest time by which progress prolongs a call: the longest answer takes 27 s
+# at 5 Mbit/s.
+MAX_PROLONGED_MS = 30_000
 
 # The platform defines the first two tables; the entries own the others.
 _TABLE_NAMES = {
@@ -180,11 +183,13 @@
     ) -> bytes:
         """Return the body of an answer.
 
-        Each `MIN_PROGRESS_BYTES` of it prolong the timeout: on a slow link, a
-        long answer takes longer than any time that would detect a silence.
+        Each `MIN_PROGRESS_BYTES` of it prolong the timeout, together by up to
+        `MAX_PROLONGED_MS`: on a slow link, a long answer takes longer than any
+        time that would detect a silence.
         """
         read = bytearray()
         due_bytes = MIN_PROGRESS_BYTES
+        last_deadline = scope.deadline + MAX_PROLONGED_MS / 1_000
         while chunk := await connection.chunk():
             read += chunk
             if len(read) > self._max_answer_bytes:
@@ -194,9 +199,8 @@
             if len(read) >= due_bytes:
                 due_bytes = len(read) + MIN_PROGRESS_BYTES
                 timeout_s = self._times.answer_timeout_ms / 1_000
-                scope.deadline = max(
-                    scope.deadline, anyio.current_time() + timeout_s
-                )
+                deadline = max(scope.deadline, anyio.current_time() + timeout_s)
+                scope.deadline = min(deadline, last_deadline)
         return bytes(read)
 
     async def _acquire_connection(self) -> connections.ClientConnection:
--- a/laburnumpin/tests/test_platform_configurations.py
+++ b/laburnumpin/tests/test_platform_configurations.py
@@ -517,6 +517,24 @@
     anyio.run(main)
 
 
+# A store that trickled would have held up its table for ten minutes.
+def test_long_answer_is_not_awaited_without_end(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(clients, "MAX_PROLONGED_MS", 200)
+
+    async def main() -> None:
+        async with anyio.create_task_group() as task_group:
+            address = await _serve_answer(task_group, 80 * 65_536, 80, 0.05)
+            times = freshness.CallTimes(answer_timeout_ms=400)
+            http = clients.HttpClient(address, times, 16_777_216)
+            with pytest.raises(exceptions.PlatformAnswerLostError):
+                await http.call("GET", "/rows-feed")
+            task_group.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
 # An answer that will not fit is not received at all.
 def test_answer_that_is_announced_too_long_is_not_read() -> None:
     async def main() -> None:
