--- a/laburnumpin/platform/clients.py
+++ b/laburnumpin/platform/clients.py
@@ -34,8 +34,7 @@
 MAX_ANSWER_BYTES = 262_144
 # So many bytes of an answer within its timeout show that it still arrives.
 MIN_PROGRESS_BYTES = 32_768
-# Longest time by which progress prolongs a call: the longest answer takes 27 s
-# at 5 Mbit/s.
+# Longest time by which progress prolongs a call.
 MAX_PROLONGED_MS = 30_000
 
 # The platform defines the first two tables; the entries own the others.
