--- a/laburnumpin/tests/test_platform_configurations.py
+++ b/laburnumpin/tests/test_platform_configurations.py
@@ -5,19 +5,24 @@
 from collections.abc import Generator
 from collections.abc import Sequence
 import contextlib
+import dataclasses
 import json
 import random
+import struct
 from typing import Any
 from typing import cast
+import zlib
 
 import anyio
 import cbor2
 import pytest
 
+from laburnumpin import exceptions
 from laburnumpin.forwarding import byte_stream
 from laburnumpin.forwarding import frames
 from laburnumpin.forwarding import freshness
 from laburnumpin.forwarding import interfaces
+from laburnumpin.forwarding import peer_link
 from laburnumpin.forwarding import relay
 from laburnumpin.forwarding import synchronization
 from laburnumpin.forwarding import untrusted
@@ -215,7 +220,8 @@
 def test_malformed_differences_are_rejected(data: bytes) -> None:
     bomb = pacing.run_at_once(differences.encode(b"", bytes(1_000_000)))
     behind = pacing.run_at_once(differences.encode(b"{}," * 9, b"{}," * 9))
-    for difference in (data, bomb, bomb[:-9], behind):
+    empty = zlib.compress(struct.pack(">cII", b"C", 0, 0) * 1_000)
+    for difference in (data, bomb, bomb[:-9], behind, empty):
         with pytest.raises(untrusted.MalformedError):
             pacing.run_at_once(differences.decode(b"", difference, 100_000))
 
@@ -229,6 +235,8 @@
         self.position = interfaces.Position(1, 0)
         self.applied: list[int] = []
         self.reads_store = False
+        # Versions that lead to an exception.
+        self.failing: set[int] = set()
 
     def lacks(self, table: tables.Table) -> bool:
         return table.position > self.position
@@ -242,6 +250,8 @@
     def apply_table(
         self, rows: tuple[interfaces.Row, ...], position: interfaces.Position
     ) -> None:
+        if position.version in self.failing:
+            raise RuntimeError("not applied")
         self.position = position
         self.applied.append(position.version)
         self.large_values.set_current(rows)
@@ -261,6 +271,8 @@
         self.sent_bytes: list[int] = []
         self.gate = anyio.Event()
         self.asked = anyio.Event()
+        # Addresses that answer at once.
+        self.answering: set[str] = set()
 
     def table(self, version: int, value: bytes) -> tables.Table:
         row = interfaces.Row("config", value, version)
@@ -278,7 +290,8 @@
         self, address: str, request: dict[str, Any]
     ) -> dict[str, Any]:
         self.asked.set()
-        await self.gate.wait()
+        if address not in self.answering:
+            await self.gate.wait()
         answer = await tables.serve_request(request, self.large_values)
         self.sent_bytes.append(len(answer["difference"] or b""))
         return answer
@@ -370,6 +383,37 @@
     _run_intake(check)
 
 
+# A relay froze while it held the value; the next one had it already.
+def test_value_of_a_silent_peer_is_asked_from_another() -> None:
+    async def check(target: _Target, peer: _Peer, taken: intake.Intake) -> None:
+        value = _value([_route(number) for number in range(200)])
+        table = peer.table(1, value)
+        taken.offer("frozen", table)
+        await peer.asked.wait()
+        other = dataclasses.replace(table, address="127.0.0.1:2")
+        peer.answering.add(other.address)
+        taken.offer("other", other)
+        await _until_applied(target, 1)
+        assert not peer.gate.is_set()
+
+    _run_intake(check)
+
+
+# A table led to an exception, and the peer's next one was lost with it.
+def test_table_after_one_that_fails_is_taken() -> None:
+    async def check(target: _Target, peer: _Peer, taken: intake.Intake) -> None:
+        value = _value([_route(number) for number in range(200)])
+        taken.offer("a", peer.table(1, value))
+        await peer.asked.wait()
+        taken.offer("a", peer.table(2, value))
+        target.failing.add(1)
+        peer.gate.set()
+        await _until_applied(target, 2)
+        assert target.applied == [2]
+
+    _run_intake(check)
+
+
 def test_long_values_of_an_answer_are_cut_out() -> None:
     long = "QUJD" * 30_000
     rows = [{"key": "a", "value": long, "x": '"'}, {"key": "b", "value": "QQ"}]
@@ -379,6 +423,7 @@
     assert found == [b"ABC" * 30_000]
     assert long_answers.index_of(document["rows"][0]["value"]) == 0
     assert long_answers.index_of(document["rows"][1]["value"]) is None
+    assert long_answers.index_of("#long-value " + "1" * 5_000) is None
     broken = body.replace(b"QUJDQUJD", b"QUJD****", 1)
     document, found = pacing.run_at_once(long_answers.parse(broken, 10_000_000))
     assert not found
@@ -472,6 +517,24 @@
     anyio.run(main)
 
 
+# A store that trickled would have held up its table for ten minutes.
+def test_long_answer_is_not_awaited_without_end(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(clients, "MAX_PROLONGED_MS", 200)
+
+    async def main() -> None:
+        async with anyio.create_task_group() as task_group:
+            address = await _serve_answer(task_group, 80 * 65_536, 80, 0.05)
+            times = freshness.CallTimes(answer_timeout_ms=400)
+            http = clients.HttpClient(address, times, 16_777_216)
+            with pytest.raises(exceptions.PlatformAnswerLostError):
+                await http.call("GET", "/rows-feed")
+            task_group.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
 # An answer that will not fit is not received at all.
 def test_answer_that_is_announced_too_long_is_not_read() -> None:
     async def main() -> None:
@@ -485,6 +548,100 @@
     anyio.run(main)
 
 
+async def _serve_head(task_group: anyio.abc.TaskGroup, head: bytes) -> str:
+    """Answer each request with a head and a chunked body without an end."""
+
+    async def handle(stream: byte_stream.ByteStream) -> None:
+        await stream.receive()
+        chunk = b"10000\r\n" + b" " * 65_536 + b"\r\n"
+        with contextlib.suppress(byte_stream.StreamClosedError):
+            await stream.send(b"HTTP/1.1 " + head + b"\r\n\r\n")
+            while True:
+                await stream.send(chunk)
+
+    address: str = await task_group.start(
+        byte_stream.serve, "127.0.0.1:0", 8, handle
+    )
+    return address
+
+
+# An error with a long body counted as a configuration that is too large, and a
+# long answer without a length as one that was lost, to be read again at once.
+@pytest.mark.parametrize(
+    ("method", "head", "expected"),
+    [
+        (
+            "GET",
+            b"200 OK\r\nTransfer-Encoding: chunked",
+            interfaces.AnswerTooLargeError,
+        ),
+        (
+            "GET",
+            b"500 Failed\r\nContent-Length: 20000000",
+            exceptions.PlatformAnswerLostError,
+        ),
+        (
+            "POST",
+            b"200 OK\r\nContent-Length: 20000000",
+            exceptions.PlatformAnswerLostError,
+        ),
+    ],
+)
+def test_only_a_read_that_succeeds_can_be_too_large(
+    method: str, head: bytes, expected: type[Exception]
+) -> None:
+    async def main() -> None:
+        async with anyio.create_task_group() as task_group:
+            address = await _serve_head(task_group, head)
+            http = clients.HttpClient(address, None, 1_000_000)
+            with pytest.raises(expected):
+                await http.call(method, "/rows-feed")
+            task_group.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+# An entry beside a relay of the release before kept every earlier version.
+def test_earlier_versions_of_old_entries_are_released() -> None:
+    async def check() -> None:
+        entry = store_era.Entry("e1", "127.0.0.1:1")
+        for version in range(1, 6):
+            value = _value([_route(n) for n in range(300)], version)
+            rows = (interfaces.Row("config", value, version),)
+            await entry.synchronizer.prepare(rows)
+            entry.synchronizer.apply_changes(
+                interfaces.Table.OPERATOR, interfaces.Rows(rows, version)
+            )
+            assert entry.configuration() == version
+            assert len(entry.synchronizer._configurations._retired) <= 1
+
+    anyio.run(check)
+
+
+# A peer named 30 MB, which were collected until the timeout.
+def test_longer_message_than_any_value_is_not_read() -> None:
+    async def handle(stream: byte_stream.ByteStream) -> None:
+        await stream.receive()
+        await stream.send((30_000_000).to_bytes(4, "big"))
+        with contextlib.suppress(byte_stream.StreamClosedError):
+            await stream.receive()
+
+    async def check() -> None:
+        entry = store_era.Entry("e1", "127.0.0.1:1")
+        link = peer_link.PeerLink(
+            entry.shell, entry.synchronizer, "127.0.0.1:0"
+        )
+        async with anyio.create_task_group() as task_group:
+            address = await task_group.start(
+                byte_stream.serve, "127.0.0.1:0", 8, handle
+            )
+            with pytest.raises(intake.FetchError, match="maximum length"):
+                await link._fetch_value(address, {"kind": "value"})
+            task_group.cancel_scope.cancel()
+
+    anyio.run(check)
+
+
 class _Frames:
     """Keeps the messages that are sent over a link."""
 
