Predict the time to the first byte from measured capacity

Cause: predictions used constants of the deployments' data sheets. Upstreams of one service differ by 2.4 times, and the ratio of observed to predicted times was used from twice the mean only.

Change: times of the service and the slowness of each upstream are learned from answers (laburnumpin/forwarding/capacity/), shared in digests in bounded rows, and used in the prediction. The load that the autoscaler counts stays in engines of the start values.

--- /dev/null
+++ b/laburnumpin/forwarding/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""What upstreams can do, as measured from their answers."""
--- a/laburnumpin/forwarding/digests.py
+++ b/laburnumpin/forwarding/digests.py
@@ -13,6 +13,8 @@
 MAX_LOADS = 60
 MAX_PARTS = 24
 MAX_CONTACTS = 24
+MAX_SLOWNESS_ROWS = 2
+MAX_TIMES_ROWS = 1
 
 # Limit of an upstream: its id, its incarnation in ms, the limit in requests a
 # second or `NO_LIMIT`, and the age in ms of the answer that named it.
@@ -21,6 +23,13 @@
 # An upstream that has said that it leaves: its id, its incarnation in ms, and
 # the age in ms of the answer that said so.
 LeavingRow = tuple[str, int, int]
+# Slowness of an upstream: its id, its incarnation in ms, the logarithm of its
+# time to that of a typical one of its service, and the answers it is from.
+SlownessRow = tuple[str, int, float, int]
+# Times of a service: its name, an engine's time to the first token without
+# reading in ms, ms per prompt token, a plain service's work time in ms, and the
+# answers they are from.
+TimesRow = tuple[str, float, float, float, int]
 
 _Row = TypeVar("_Row")
 
@@ -35,16 +44,18 @@
     newest usage windows. `loads` are streams and pending prompt tokens by
     upstream id; `parts` are prompt parts that upstreams have read since the
     last digest; `latency_log_ratios` are the answers since then with the sum of
-    the logarithms of their ratio of observed to predicted time to the first
-    byte, by upstream id; `used` are the units admitted since the start, by
-    customer; `work_ms` is the engine time of the requests that arrived since
-    the start, by service, and by service and prompt size class.
+    the logarithms of their time to the first byte to that of a typical upstream
+    of the service, by upstream id; `used` are the units admitted since the
+    start, by customer; `work_ms` is the engine time of the requests that
+    arrived since the start, by service, and by service and prompt size class.
     `contacts` are addresses of other entries, `part_losses` and
     `request_losses` the ends of upstreams under prompt parts (None from an
     entry of an earlier release, which does not report them) and under requests,
     `limits` the limits that upstreams named, and `leaving` the upstreams that
     said that they leave. `store_era` is the era of the store that
     `registry_version` belongs to, 0 from an entry of an earlier release.
+    `slowness` and `times` are what the entry measured of some upstreams and
+    services, in turn.
     """
 
     contact: membership.Contact
@@ -66,6 +77,8 @@
     limits: tuple[LimitRow, ...] = ()
     store_era: int = 0
     leaving: tuple[LeavingRow, ...] = ()
+    slowness: tuple[SlownessRow, ...] = ()
+    times: tuple[TimesRow, ...] = ()
 
 
 def in_turn(rows: list[_Row], position: int, count: int) -> list[_Row]:
--- a/laburnumpin/forwarding/effects.py
+++ b/laburnumpin/forwarding/effects.py
@@ -8,6 +8,7 @@
 from laburnumpin.forwarding import digests
 from laburnumpin.forwarding import part_losses
 from laburnumpin.forwarding import upstreams
+from laburnumpin.forwarding.capacity import model
 
 
 class Reason(enum.Enum):
@@ -64,6 +65,8 @@
     # Names the KV cache of the stream that this attempt continues.
     kv_source: str | None = None
     wait_ms: int = 0
+    # What the predicted time is from; None without a prediction.
+    load: model.Load | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/laburnumpin/forwarding/gossip.py
+++ b/laburnumpin/forwarding/gossip.py
@@ -11,6 +11,7 @@
 from laburnumpin.forwarding import state as forwarding_state
 from laburnumpin.forwarding import upstream_limits
 from laburnumpin.forwarding import withholding
+from laburnumpin.forwarding.capacity import rows
 
 # Period of an entry's digests, and what each known entry adds to it, so that an
 # entry receives fewer than 125 digests a second.
@@ -62,7 +63,7 @@
     state.early_digests = max(0, state.early_digests - 1)
     if state.members.uses_relays():
         state.early_digests = 0
-    state.update_service_statistics(now_ms)
+    state.update_service_statistics()
     _drop_expired_loads(state, now_ms)
     period_ms = digest_period_ms(state.members.count())
     if state.lease_token:
@@ -120,8 +121,12 @@
     _update_peer_loads(state, peer, digest, is_new=is_new)
     for upstream_id, (answers, total) in digest.latency_log_ratios.items():
         upstream = state.upstreams.get(upstream_id)
-        if upstream is not None and answers > 0:
-            upstream.record_log_ratio(total / answers, answers, now_ms)
+        if upstream is None:
+            state.counters.increment("measurements_dropped", "unknown_upstream")
+            continue
+        if answers > 0:
+            upstream.slowness.observe(total / answers, answers, now_ms)
+    rows.merge(state, digest, now_ms)
     for upstream_id, part_id in digest.parts:
         upstream = state.upstreams.get(upstream_id)
         if upstream is not None:
@@ -251,4 +256,6 @@
         limits=upstream_limits.rows(state, now_ms, repeats_all=repeats_all),
         leaving=leaving.rows(state, now_ms, repeats_all=repeats_all),
         store_era=state.store_era,
+        slowness=rows.upstream_rows(state, now_ms),
+        times=rows.service_rows(state),
     )
--- a/laburnumpin/forwarding/lifecycle.py
+++ b/laburnumpin/forwarding/lifecycle.py
@@ -14,6 +14,8 @@
 from laburnumpin.forwarding import state as forwarding_state
 from laburnumpin.forwarding import statements
 from laburnumpin.forwarding import withholding
+from laburnumpin.forwarding.capacity import learning
+from laburnumpin.forwarding.capacity import model
 
 # Requests that arrive later than this after the start of the exit are rejected,
 # since the exit could interrupt them.
@@ -80,7 +82,7 @@
         tokens = request.prompt.tokens
         if active.choice is not None:
             tokens = active.choice.uncached_tokens
-        work_ms = tokens / selection.PREFILL_TOKENS_PER_MS
+        work_ms = tokens / model.START_TOKENS_PER_MS
         state.add_work(request.service, work_ms)
         counted = state.work_requests.get(request.service, 0)
         state.work_requests[request.service] = counted + 1
@@ -178,7 +180,7 @@
     prompt = request.prompt
     if prompt is not None:
         # The caller's limit on the output is tighter than its deadline.
-        step_ms = selection.STEP_MS + selection.STEP_MS_PER_STREAM * BATCH_SIZE
+        step_ms = model.step_ms(BATCH_SIZE)
         output_ms = prompt.max_output_tokens * step_ms * LONGEST_RUN_FACTOR
         first_ms = request.route.objective_ms * FIRST_BYTE_OBJECTIVE_FACTOR
         longest_ms = min(longest_ms, math.ceil(first_ms + output_ms))
@@ -391,6 +393,7 @@
         attempt=active.sends,
         kv_source=kv_source,
         wait_ms=choice.wait_ms,
+        load=choice.load,
     )
 
 
@@ -503,13 +506,20 @@
     active: forwarding_state.ActiveRequest,
     now_ms: int,
 ) -> None:
-    """Record the logarithm of observed to predicted time to the first byte."""
+    """Learn from the time to the first byte, and note it for the peers."""
     choice = active.choice
-    if choice is None or choice.predicted_ms <= 0:
+    if choice is None or choice.load is None:
+        return
+    log_ratio = learning.observe(
+        state.service_model(active.request.service),
+        choice.upstream.slowness,
+        choice.load,
+        now_ms - active.sent_ms,
+        now_ms,
+    )
+    if log_ratio is None:
+        state.counters.increment("measurements_dropped", "out_of_range")
         return
-    elapsed_ms = max(1, now_ms - active.sent_ms)
-    log_ratio = math.log(elapsed_ms / choice.predicted_ms)
-    choice.upstream.record_log_ratio(log_ratio, 1, now_ms)
     upstream_id = choice.upstream.registration.upstream_id
     answers, total = state.new_log_ratios.get(upstream_id, (0, 0.0))
     state.new_log_ratios[upstream_id] = (answers + 1, total + log_ratio)
--- a/laburnumpin/forwarding/peer_link.py
+++ b/laburnumpin/forwarding/peer_link.py
@@ -28,6 +28,7 @@
 from laburnumpin.forwarding import untrusted
 from laburnumpin.forwarding import upstream_limits
 from laburnumpin.forwarding import usage
+from laburnumpin.forwarding.capacity import rows
 from laburnumpin.server import logs
 
 DIGEST_FORMAT = 1
@@ -190,6 +191,8 @@
             "g": [list(row) for row in digest.leaving],
             "q": part_losses.encode_rows(digest.part_losses or ()),
             "j": part_losses.encode_request_rows(digest.request_losses),
+            "x": [list(row) for row in digest.slowness],
+            "y": [list(row) for row in digest.times],
         }
     )
 
@@ -234,6 +237,8 @@
         limits=upstream_limits.decode_rows(fields.get("h", ())),
         store_era=untrusted.integer(fields.get("v", 0), "v"),
         leaving=leaving.decode_rows(fields.get("g", ())),
+        slowness=rows.decode_slowness(fields.get("x", ())),
+        times=rows.decode_times(fields.get("y", ())),
     )
 
 
--- a/laburnumpin/forwarding/selection.py
+++ b/laburnumpin/forwarding/selection.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import dataclasses
-import math
 import random
 import zlib
 
@@ -15,16 +14,8 @@
 from laburnumpin.forwarding import requests
 from laburnumpin.forwarding import size_classes
 from laburnumpin.forwarding import upstreams
+from laburnumpin.forwarding.capacity import model
 
-# Prompt tokens that an engine reads in a millisecond (prefill), and the time of
-# a decoding step with what each stream adds; from the deployments' data sheets.
-PREFILL_TOKENS_PER_MS = 68.2
-STEP_MS = 3.82
-STEP_MS_PER_STREAM = 0.0227
-# Time to the first token without reading the prompt (data sheet).
-FIRST_TOKEN_OVERHEAD_MS = 36.0
-# Mean service time of a plain service's request (data sheet).
-PLAIN_SERVICE_MS = 45.0
 # Penalty for a round trip to another zone, which includes the price of traffic
 # between zones.
 OTHER_ZONE_SCORE_MS = 6.0
@@ -39,11 +30,6 @@
 # Penalty for an engine of another prompt size class: the time to read a prompt
 # of medium size.
 OTHER_CLASS_SCORE_MS = 150.0
-# An upstream counts as slow when its ratio of observed to predicted times is
-# this many times the mean of its service; the factor on its score is limited to
-# the second number.
-SLOW_RATIO = 2.0
-MAX_SLOW_RATIO = 10.0
 # Time after its last use for which a prompt part counts as cached.
 PREFIX_CACHE_TTL_MS = 30_000
 
@@ -63,23 +49,26 @@
     """Statistics of a service that the choice of an upstream depends on.
 
     `entries` is the number of entries. `shares` are the shares of the prompt
-    size classes in the work, None if unknown. `mean_log_ratio` is the mean of
-    the upstreams' logarithms of observed to predicted time to the first byte.
+    size classes in the work, None if unknown. `model` has the times of the
+    service's typical upstream.
     """
 
     entries: int = 1
     shares: list[float] | None = None
-    mean_log_ratio: float = 0.0
+    model: model.ServiceModel = dataclasses.field(
+        default_factory=model.ServiceModel
+    )
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
+@dataclasses.dataclass(slots=True)
 class Choice:
     """The chosen upstream and the figures that led to the choice.
 
     `predicted_ms` is the predicted time to the first byte, `uncached_tokens`
     the prompt tokens to read, and `streams` the number of requests that run
     there without this one. The request is to be sent after `wait_ms`, when the
-    upstream's limit and its back-off allow it.
+    upstream's limit and its back-off allow it. `load` is the load that the
+    prediction is from, None if there was no prediction.
     """
 
     upstream: upstreams.Upstream
@@ -88,6 +77,7 @@
     uncached_tokens: int
     streams: int
     wait_ms: int = 0
+    load: model.Load | None = None
 
 
 def choose(
@@ -104,7 +94,6 @@
 
     `zone` is the preferred zone; `excluded` are ids of upstreams to skip.
     """
-    best: Choice | None = None
     own_class, other_classes = _split_by_class(
         candidates, request, service, view
     )
@@ -117,35 +106,53 @@
         other_classes = _sample(
             other_classes, "", generator, OTHER_CLASS_SAMPLE_SIZE
         )
+    best: Choice | None = None
     for position, upstream in enumerate(own_class + other_classes):
+        choice = _rate(upstream, request, service, now_ms, view)
         registration = upstream.registration
-        streams = upstream.streams()
-        if service.engine is None:
-            predicted_ms = _plain_service_ms(upstream, streams)
-            uncached = 0
-        else:
-            uncached = uncached_tokens(upstream, request, now_ms)
-            predicted_ms = first_token_ms(upstream, uncached, streams)
-        score_ms = predicted_ms * _slowness_factor(upstream, view, now_ms)
-        if now_ms < upstream.cold_until_ms:
-            score_ms *= COLD_FACTOR
-        score_ms += upstream.failure_rate * FAILURE_SCORE_MS
         if registration.zone != zone:
-            score_ms += OTHER_ZONE_SCORE_MS
+            choice.score_ms += OTHER_ZONE_SCORE_MS
         if registration.upstream_id == preferred_id:
-            score_ms -= PREFIX_AFFINITY_SCORE_MS
+            choice.score_ms -= PREFIX_AFFINITY_SCORE_MS
         if position >= len(own_class):
-            score_ms += OTHER_CLASS_SCORE_MS
-        wait_ms = upstream.wait_ms(now_ms) or 0
-        score_ms += wait_ms
-        score_ms += generator.random()
-        if best is None or score_ms < best.score_ms:
-            best = Choice(
-                upstream, score_ms, predicted_ms, uncached, streams, wait_ms
-            )
+            choice.score_ms += OTHER_CLASS_SCORE_MS
+        choice.score_ms += generator.random()
+        if best is None or choice.score_ms < best.score_ms:
+            best = choice
     return best
 
 
+def _rate(
+    upstream: upstreams.Upstream,
+    request: requests.Request,
+    service: deployment.Service,
+    now_ms: int,
+    view: ServiceView,
+) -> Choice:
+    """Return an upstream's prediction and its score without preferences."""
+    streams = upstream.streams()
+    uncached = 0
+    if service.engine is not None:
+        uncached = uncached_tokens(upstream, request, now_ms)
+    load = _load(upstream, service, uncached, streams)
+    predicted_ms = view.model.predict_ms(load)
+    predicted_ms *= upstream.slowness.factor(now_ms)
+    score_ms = predicted_ms
+    if now_ms < upstream.cold_until_ms:
+        score_ms *= COLD_FACTOR
+    score_ms += upstream.failure_rate * FAILURE_SCORE_MS
+    wait_ms = upstream.wait_ms(now_ms) or 0
+    return Choice(
+        upstream,
+        score_ms + wait_ms,
+        predicted_ms,
+        uncached,
+        streams,
+        wait_ms,
+        load,
+    )
+
+
 def _split_by_class(
     candidates: list[upstreams.Upstream],
     request: requests.Request,
@@ -175,19 +182,6 @@
     return own_class, other_classes
 
 
-def _slowness_factor(
-    upstream: upstreams.Upstream, view: ServiceView, now_ms: int
-) -> float:
-    """Return how many times slower than the mean an upstream is.
-
-    1 if it is not slow.
-    """
-    ratio = math.exp(upstream.log_ratio(now_ms) - view.mean_log_ratio)
-    if ratio < SLOW_RATIO:
-        return 1.0
-    return min(ratio, MAX_SLOW_RATIO)
-
-
 def _with_free_slots(
     candidates: list[upstreams.Upstream],
     service: deployment.Service,
@@ -244,21 +238,16 @@
     return max(0, request.prompt.tokens - cached)
 
 
-def first_token_ms(
-    upstream: upstreams.Upstream, uncached: int, streams: int
-) -> float:
-    """Predict the time to the first token at an engine, queueing included."""
-    step_ms = STEP_MS + STEP_MS_PER_STREAM * streams
-    prefill_ms = (uncached + upstream.pending_tokens()) / PREFILL_TOKENS_PER_MS
-    return FIRST_TOKEN_OVERHEAD_MS + prefill_ms + 2 * step_ms
-
-
-def _plain_service_ms(upstream: upstreams.Upstream, streams: int) -> float:
-    """Predict the time to the answer of a plain service."""
-    slots = max(1, upstream.registration.slots)
-    queued_rounds = max(0, streams + 1 - slots) / slots
-    # Prefers the less loaded upstream also while no request has to wait.
-    return PLAIN_SERVICE_MS * (1 + queued_rounds + 0.2 * streams / slots)
+def _load(
+    upstream: upstreams.Upstream,
+    service: deployment.Service,
+    uncached: int,
+    streams: int,
+) -> model.Load:
+    """Return what is known of the load that a request meets."""
+    if service.engine is None:
+        return model.Load(0, streams, max(1, upstream.registration.slots))
+    return model.Load(uncached + upstream.pending_tokens(), streams)
 
 
 def _slots(
--- a/laburnumpin/forwarding/state.py
+++ b/laburnumpin/forwarding/state.py
@@ -16,6 +16,7 @@
 from laburnumpin.forwarding import size_classes
 from laburnumpin.forwarding import upstreams
 from laburnumpin.forwarding import usage
+from laburnumpin.forwarding.capacity import model
 
 # Digests that follow at once when an entry has learned what its peers need;
 # more than one, since datagrams get lost.
@@ -149,7 +150,6 @@
         "lease_token",
         "leaving_since_ms",
         "limits_due_ms",
-        "mean_log_ratios",
         "members",
         "name",
         "new_cached_parts",
@@ -160,6 +160,7 @@
         "registry_read",
         "registry_version",
         "reported_withheld",
+        "service_models",
         "store_era",
         "store_era_since_ms",
         "upstreams",
@@ -228,11 +229,11 @@
         # Requests that the engine time of each service is from.
         self.work_requests: dict[str, int] = {}
         # By service: the shares of the prompt size classes in the work, and
-        # the mean logarithm of observed to predicted latencies.
+        # the times of its typical upstream.
         self.work_shares: dict[str, size_classes.WorkShares] = {}
-        self.mean_log_ratios: dict[str, float] = {}
+        self.service_models: dict[str, model.ServiceModel] = {}
         # By upstream: the answers since the last digest and the sum of the
-        # logarithms of their observed to predicted latencies.
+        # logarithms of their observed latency to that of a typical upstream.
         self.new_log_ratios: dict[str, tuple[int, float]] = {}
         self.part_losses = part_losses.PartLosses(
             withholding or part_losses.WithholdingSettings()
@@ -274,18 +275,19 @@
         return selection.ServiceView(
             self.members.count(),
             None if work_shares is None else work_shares.shares,
-            self.mean_log_ratios.get(service, 0.0),
+            self.service_model(service),
         )
 
-    def update_service_statistics(self, now_ms: int) -> None:
-        """Update the latency ratios and class shares of all services."""
+    def service_model(self, service: str) -> model.ServiceModel:
+        """Return the times of a service's typical upstream."""
+        return self.service_models.setdefault(service, model.ServiceModel())
+
+    def update_service_statistics(self) -> None:
+        """Update the class shares of all services."""
         if self.deployment is None:
             return
         for service in self.deployment.services.values():
             name = service.name
-            self.mean_log_ratios[name] = self.upstreams.mean_log_ratio(
-                name, now_ms
-            )
             if service.engine is None:
                 continue
             work_shares = self.work_shares.setdefault(
--- a/laburnumpin/forwarding/upstreams.py
+++ b/laburnumpin/forwarding/upstreams.py
@@ -9,11 +9,11 @@
 from collections.abc import Iterable
 import dataclasses
 import enum
-import math
 import zlib
 
 from laburnumpin.forwarding import backoff
 from laburnumpin.forwarding import limit_shares
+from laburnumpin.forwarding.capacity import model
 
 # An upstream whose registration expired while the store was unavailable is
 # registered again within this time of the end of the outage, as the platform
@@ -34,10 +34,6 @@
 FAILURES_BEFORE_PAUSE = 3
 MIN_PAUSE_MS = 500
 MAX_PAUSE_MS = 4_000
-# Weight of one answer in the moving average of an upstream's latency ratio, and
-# the time constant with which the average decays without answers.
-LOG_RATIO_WEIGHT = 0.15
-LOG_RATIO_TIME_CONSTANT_MS = 6_000
 # Prompt parts that are recorded as cached for one engine.
 MAX_CACHED_PARTS = 4_096
 # Incarnations that have said that they leave and are remembered; those that are
@@ -122,8 +118,6 @@
     """An upstream with its load, latency, failures and cached prompt parts."""
 
     __slots__ = (
-        "_log_ratio",
-        "_log_ratio_ms",
         "_peer_load",
         "_peer_streams",
         "_peer_tokens",
@@ -143,6 +137,7 @@
         "paused_until_ms",
         "registration",
         "seen_ms",
+        "slowness",
     )
 
     def __init__(self, registration: Registration, now_ms: int) -> None:
@@ -175,10 +170,8 @@
         # Until when it is avoided after failures, and after a rejection.
         self.paused_until_ms = 0
         self.full_until_ms = 0
-        # Moving average of the logarithm of observed to predicted time to the
-        # first byte, and the time of its last update.
-        self._log_ratio = 0.0
-        self._log_ratio_ms = now_ms
+        # How much slower it is than its service's typical upstream.
+        self.slowness = model.Slowness(now_ms)
         # Sort key that is the same at all entries.
         self.order_hash = zlib.crc32(registration.upstream_id.encode())
         # Cached prompt parts by id with the time of the last use, oldest first.
@@ -216,25 +209,6 @@
         """Return the names of the peers with a load."""
         return list(self._peer_load)
 
-    def record_log_ratio(
-        self, log_ratio: float, answers: int, now_ms: int
-    ) -> None:
-        """Add the latency of a number of answers to the moving average.
-
-        `log_ratio` is the mean logarithm of observed to predicted times.
-        """
-        weight = 1 - (1 - LOG_RATIO_WEIGHT) ** answers
-        previous = self.log_ratio(now_ms)
-        self._log_ratio = previous + (log_ratio - previous) * weight
-        self._log_ratio_ms = now_ms
-
-    def log_ratio(self, now_ms: int) -> float:
-        """Return the moving average, decayed by the time without answers."""
-        elapsed_ms = max(0, now_ms - self._log_ratio_ms)
-        return self._log_ratio * math.exp(
-            -elapsed_ms / LOG_RATIO_TIME_CONSTANT_MS
-        )
-
     def record_cached_part(self, part_id: int, now_ms: int) -> None:
         """Record that the engine has a prompt part in its prefix cache."""
         self.cached_parts[part_id] = now_ms
@@ -463,11 +437,6 @@
                 return
         self._leaving.popitem(last=False)
 
-    def mean_log_ratio(self, service: str, now_ms: int) -> float:
-        """Return the mean logarithm of the latency ratio over a service."""
-        log_ratios = [u.log_ratio(now_ms) for u in self.of_service(service)]
-        return sum(log_ratios) / len(log_ratios) if log_ratios else 0.0
-
     def update(self, registration: Registration, now_ms: int) -> Changes:
         """Apply a new or changed registration."""
         changes = Changes()
--- a/laburnumpin/tests/test_forwarding_load_sizes.py
+++ b/laburnumpin/tests/test_forwarding_load_sizes.py
@@ -17,9 +17,9 @@
 from laburnumpin.forwarding import events
 from laburnumpin.forwarding import gossip
 from laburnumpin.forwarding import reducer
-from laburnumpin.forwarding import selection
 from laburnumpin.forwarding import size_classes
 from laburnumpin.forwarding import state as forwarding_state
+from laburnumpin.forwarding.capacity import model
 from laburnumpin.tests import forwarding_builders as build
 
 ENTRIES = 40
@@ -43,9 +43,9 @@
         self.slowdown = 1.0
 
     def first_event_ms(self, now_ms: float, tokens: int) -> float:
-        read_ms = tokens / selection.PREFILL_TOKENS_PER_MS * self.slowdown
+        read_ms = tokens / model.START_TOKENS_PER_MS * self.slowdown
         self.free_ms = max(self.free_ms, now_ms) + read_ms
-        return self.free_ms + selection.FIRST_TOKEN_OVERHEAD_MS * self.slowdown
+        return self.free_ms + model.START_FIXED_MS * self.slowdown
 
 
 class _Simulation:
@@ -71,7 +71,7 @@
                 contact = build.contact(f"entry-{peer}", f"10.0.0.{peer}:1")
                 entry.members.add_entry(contact, 0)
         mean_tokens = (1 - LONG_SHARE) * SHORT_TOKENS + LONG_SHARE * LONG_TOKENS
-        engine_ms = mean_tokens / selection.PREFILL_TOKENS_PER_MS
+        engine_ms = mean_tokens / model.START_TOKENS_PER_MS
         self.arrivals_per_ms = utilization * ENGINES / engine_ms
         self.first_event_delays_ms: dict[bool, list[float]] = {
             False: [],
