--- a/laburnumpin/forwarding/peer_link.py
+++ b/laburnumpin/forwarding/peer_link.py
@@ -27,6 +27,7 @@
 from laburnumpin.forwarding import synchronization
 from laburnumpin.forwarding import untrusted
 from laburnumpin.forwarding import upstream_limits
+from laburnumpin.forwarding.capacity import rows
 from laburnumpin.forwarding.configurations import intake
 from laburnumpin.forwarding.configurations import limits
 from laburnumpin.forwarding.configurations import tables
@@ -267,6 +268,8 @@
             "um": list(digest.usage_missing),
             "q": part_losses.encode_rows(digest.part_losses or ()),
             "j": part_losses.encode_request_rows(digest.request_losses),
+            "cu": [list(row) for row in digest.slowness],
+            "cs": [list(row) for row in digest.times],
         }
     )
 
@@ -321,6 +324,8 @@
         # Present only while there are roll-outs.
         rollout_evidence=codec.decode_evidence(fields.get("x", ())),
         rollout_decisions=codec.decode_decisions(fields.get("d", ())),
+        slowness=rows.decode_slowness(fields.get("cu", ())),
+        times=rows.decode_times(fields.get("cs", ())),
     )
 
 
--- a/laburnumpin/forwarding/rollouts/routing.py
+++ b/laburnumpin/forwarding/rollouts/routing.py
@@ -466,17 +466,19 @@
 def _is_slow(active: forwarding_state.ActiveRequest, now_ms: int) -> bool:
     """Return whether an answer's first byte is late by now.
 
-    An upstream that is slower for a while after its start is not late.
+    The times of a typical upstream decide: the upstream's own slowness may be
+    that of its version. One that is slower for a while after its start is not
+    late.
     """
     choice = active.choice
-    if choice is None or choice.predicted_ms <= 0:
+    if choice is None or choice.typical_ms <= 0:
         return False
     if active.sent_ms < choice.upstream.cold_until_ms:
         return False
     elapsed_ms = now_ms - max(active.sent_ms, active.connected_ms)
     limit_ms = max(
-        choice.predicted_ms * SLOW_FACTOR,
-        choice.predicted_ms + MIN_SLOW_EXCESS_MS,
+        choice.typical_ms * SLOW_FACTOR,
+        choice.typical_ms + MIN_SLOW_EXCESS_MS,
     )
     return elapsed_ms > limit_ms
 
