Keep the order of a roll-out over a restore of the store

An order's position has the store's era, so after a restore from a copy with its row each entry read the same row as a new order: a version that had been rolled back got its share again, and the status went back from its final state. Entries that started after the restore ignored the written decision, which names the era before. Orders that differ in their era alone are now one, and the written decision says which era its evidence is exchanged under. An order whose row was there in the new era and is gone is taken back.

Upstreams of a withheld version got nothing for up to 300 ms after the last one of the others had left, since versions are counted by a timer: requests were rejected with `no_room`. They are counted again before a request is rejected.

A request whose canary couldn't be connected to counted as one that had not been sent, and could be offered to a canary again. It is a retry now. Predictions of the time of a resend take no offer; a test says so.

Each new guard was taken out on a copy, and a test failed each time.

--- a/laburnumpin/forwarding/lifecycle.py
+++ b/laburnumpin/forwarding/lifecycle.py
@@ -309,6 +309,21 @@
     now_ms: int,
 ) -> selection.Choice | None:
     """Choose an upstream that is not excluded; None if there is none."""
+    choice = _choose_by_version(state, active, excluded, now_ms)
+    if choice is not None:
+        return choice
+    if not routing.note_again(state, active.request.service, now_ms):
+        return None
+    return _choose_by_version(state, active, excluded, now_ms)
+
+
+def _choose_by_version(
+    state: forwarding_state.ForwardingState,
+    active: forwarding_state.ActiveRequest,
+    excluded: set[str],
+    now_ms: int,
+) -> selection.Choice | None:
+    """Choose an upstream of the first version that has one."""
     request = active.request
     service = state.service(request.service)
     max_wait_ms = int(request.route.objective_ms * MAX_WAIT_SHARE)
--- a/laburnumpin/forwarding/rollouts/orders.py
+++ b/laburnumpin/forwarding/rollouts/orders.py
@@ -84,9 +84,12 @@
                 continue
             self._known[service] = written
             orders.append(order)
+        removed: set[str] = set()
+        if position.era == self._position.era:
+            removed = self._present - present
         self._present = present
         self._position = position
-        self._apply(tuple(orders))
+        self._apply(tuple(orders), removed)
 
     def check_withdrawn(self) -> None:
         """Apply that orders were taken back before they were read here.
@@ -94,17 +97,22 @@
         An entry may know them from their decisions alone.
         """
         if self._position.version:
-            self._apply(())
+            self._apply((), set())
 
-    def _apply(self, orders: tuple[model.Order, ...]) -> None:
-        withdrawn = self._withdrawn()
+    def _apply(
+        self, orders: tuple[model.Order, ...], removed: set[str]
+    ) -> None:
+        withdrawn = self._withdrawn(removed)
         if orders or withdrawn:
             self._shell.apply(
                 events.RolloutsOrdered(self._shell.now_ms(), orders, withdrawn)
             )
 
-    def _withdrawn(self) -> tuple[str, ...]:
-        """Return the services whose order was removed in the same era."""
+    def _withdrawn(self, removed: set[str]) -> tuple[str, ...]:
+        """Return the services whose order was removed in the same era.
+
+        `removed` are those whose row was there when the table was read before.
+        """
         state = self._shell.state
         missing = []
         for service in state.rollouts.services():
@@ -114,9 +122,9 @@
             written = interfaces.Position(
                 entry.order.era, entry.order.row_version
             )
-            if written.era != self._position.era:
-                continue
-            if written.version <= self._position.version:
+            is_older = written.version <= self._position.version
+            is_read = written.era == self._position.era and is_older
+            if is_read or service in removed:
                 missing.append(service)
                 self._known.pop(service, None)
         return tuple(missing)
--- a/laburnumpin/forwarding/rollouts/rollouts.py
+++ b/laburnumpin/forwarding/rollouts/rollouts.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable
 from collections.abc import Mapping
+import dataclasses
 import math
 import random
 
@@ -158,6 +159,8 @@
         if former is not None:
             if _position(order) <= _position(former.order):
                 return False
+            if _is_same(order, former.order):
+                return False
             if not former.is_final:
                 service.versions.deny(former.order.target_version)
             former.evidence.release()
@@ -190,7 +193,7 @@
         rollout = service.rollout
         if rollout is None:
             return False
-        if _position(rollout.order) != _position(decision.order):
+        if not _is_same(rollout.order, decision.order):
             return False
         known = rollout.decision
         if known is not None:
@@ -198,6 +201,7 @@
                 return False
         if known is None or known.stage is not decision.stage:
             rollout.stage_ms = now_ms
+        rollout.order = decision.order
         rollout.decision = decision
         if rollout.wanted_pause == decision.is_paused:
             rollout.wanted_pause = None
@@ -597,5 +601,13 @@
     return (order.era, order.row_version)
 
 
+def _is_same(first: model.Order, second: model.Order) -> bool:
+    """Return whether two orders are one row.
+
+    Its era is another one after a restore of the store from a copy with it.
+    """
+    return dataclasses.replace(first, era=second.era) == second
+
+
 def _rank(decision: model.Decision) -> tuple[int, int]:
     return (decision.fencing_token, decision.sequence)
--- a/laburnumpin/forwarding/rollouts/routing.py
+++ b/laburnumpin/forwarding/rollouts/routing.py
@@ -187,7 +187,7 @@
         request.service,
         request.route.name,
         now_ms,
-        is_retry=active.sends > 0,
+        is_retry=active.sends > 0 or bool(active.excluded),
     )
     target = state.rollouts.preferred_version(request.service)
     if allowed is None or target is None or target not in allowed:
@@ -197,6 +197,22 @@
     return [frozenset((target,)), allowed - {target}]
 
 
+def note_again(
+    state: forwarding_state.ForwardingState, service: str, now_ms: int
+) -> bool:
+    """Note a service's versions when none of them can take a request.
+
+    The last upstream of an established version may have left since, so that
+    those of a withheld one take its place. Return whether a version has left.
+    """
+    versions = state.rollout_book.versions.get(service, frozenset())
+    if len(versions) < 2:
+        return False
+    found = state.upstreams.of_service(service)
+    _note_service(state, service, found, now_ms)
+    return state.rollout_book.versions.get(service) != versions
+
+
 def usable(
     state: forwarding_state.ForwardingState,
     service: str,
--- a/laburnumpin/tests/test_forwarding_rollout_holder.py
+++ b/laburnumpin/tests/test_forwarding_rollout_holder.py
@@ -367,6 +367,24 @@
     assert "rolled_back" in store.state()
 
 
+# The store comes back in a new era, and then the order is taken back.
+def test_order_is_taken_back_after_a_restore() -> None:
+    store, _, entry = _canary()
+    reader = orders.OrderReader(
+        entry.shell, platform_rollouts.PlatformRollouts()
+    )
+    key = f"rollout/{DESK}"
+    value = b'{"service": "%s", "to": "v2", "duration_s": 12}' % DESK.encode()
+    row = interfaces.Row(key, value, ORDER.row_version)
+    reader.read({key: row}, interfaces.Position(1, 8))
+    reader.read({key: row}, interfaces.Position(2, 8))
+    entry.act(1)
+    assert store.decision().stage is Stage.CANARY
+    reader.read({}, interfaces.Position(2, 9))
+    entry.act(1)
+    assert store.decision().reason == "order_withdrawn"
+
+
 # All entries end after the roll-out has, and its order is still there.
 def test_entry_that_starts_after_the_end_uses_the_new_version() -> None:
     store, clock, first = _canary()
--- a/laburnumpin/tests/test_forwarding_rollout_routing.py
+++ b/laburnumpin/tests/test_forwarding_rollout_routing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import unittest.mock
 
 import pytest
 
@@ -18,6 +19,7 @@
 from laburnumpin.forwarding import requests
 from laburnumpin.forwarding import state as forwarding_state
 from laburnumpin.forwarding import upstreams
+from laburnumpin.forwarding.rollouts import exposure
 from laburnumpin.forwarding.rollouts import model
 from laburnumpin.forwarding.rollouts import routing
 from laburnumpin.tests import forwarding_builders as build
@@ -182,6 +184,58 @@
     assert _send_many(state, 50) == {"v1": 50}
 
 
+# All upstreams are replaced by ones of a new version, without an order.
+def test_unknown_version_serves_as_soon_as_the_others_have_left() -> None:
+    state = _state(OLD, order=None)
+    leaving = [
+        _upstream(
+            registration.upstream_id,
+            "v1",
+            lifecycle=upstreams.Lifecycle.LEAVING,
+            revision=1,
+        )
+        for registration in OLD
+    ]
+    for number, registration in enumerate([*NEW, *leaving]):
+        reducer.reduce(
+            state, events.UpstreamChanged(0, 2 + number, registration)
+        )
+    assert _send_many(state, 50) == {"v2": 50}
+
+
+# The canary that was chosen doesn't accept a connection.
+def test_request_that_no_canary_accepted_goes_to_the_previous_version() -> None:
+    state = _state(OLD + NEW)
+    _decide(state, Stage.CANARY)
+    with unittest.mock.patch.object(
+        exposure.ExposureBudget, "try_offer", return_value=True
+    ):
+        first = _send(state, "r1", 0, build.calls(max_attempts=3))
+        not_run = verdicts.Verdict.NOT_RUN
+        failed = events.AttemptFailed(
+            1, "r1", Ending.UNREACHABLE, not_run, False
+        )
+        (again,) = reducer.reduce(state, failed)
+    assert first.registration.version == "v2"
+    assert isinstance(again, effects.Send)
+    assert again.registration.version == "v1"
+
+
+# The time of a resend is predicted again and again for one slow request.
+def test_predictions_take_nothing_of_the_share() -> None:
+    state = _state(OLD + NEW)
+    _decide(state, Stage.CANARY)
+    _send_many(state, 200)
+    route = build.calls(max_attempts=3)
+    name = "slow"
+    while _send(state, name, 0, route).registration.version == "v2":
+        name += "1"
+    with unittest.mock.patch.object(
+        exposure.ExposureBudget, "try_offer", side_effect=AssertionError
+    ):
+        assert lifecycle.resend_delay_ms(state, name, 1) is not None
+
+
 def test_deployment_without_roll_outs_is_unchanged() -> None:
     state = _state(OLD + NEW, settings=None)
     sent = _send_many(state, 200)
--- a/laburnumpin/tests/test_rollouts_decision.py
+++ b/laburnumpin/tests/test_rollouts_decision.py
@@ -387,6 +387,28 @@
     assert entry.allowed_versions("s", "/a", 30_000) == frozenset(["v1"])
 
 
+@pytest.mark.parametrize("is_known", [True, False])
+def test_restored_store_orders_nothing_again(is_known: bool) -> None:
+    """Guards against a bad version that comes back with the store's era."""
+    again = dataclasses.replace(ORDER, era=2)
+    entry = _entry(ORDER if is_known else again)
+    canary = model.Decision(ORDER, model.Stage.CANARY, 1, 1, WALL_MS, "ready")
+    assert entry.apply_decision(canary, 500)
+    _answer(entry, 1, 600)
+    # Peers merge the rows of one order.
+    assert {row.era for row in entry.evidence_rows()} == {ORDER.era}
+    rolled_back = model.Decision(
+        ORDER, model.Stage.ROLLED_BACK, 1, 2, WALL_MS, "target_errors"
+    )
+    assert entry.apply_decision(rolled_back, 1_000)
+    assert not entry.apply_order(again, 2_000)
+    assert not entry.services()
+    assert _decide(entry, 3_000, token=2) is None
+    assert entry.allowed_versions("s", "/a", 3_000) == frozenset(["v1"])
+    newer = dataclasses.replace(again, row_version=6)
+    assert entry.apply_order(newer, 4_000)
+
+
 def test_order_to_the_version_in_force_completes() -> None:
     """Guards against a service that stops for an order to what it has."""
     order = model.Order("s", "v1", 12_000, 1, 5)
