Forget orders that are gone, and describe scenarios that time out

The reader of orders kept a position for each service whose roll-out had ended, also after its row was removed, so that the 65th service of an entry's lifetime got no roll-out. Positions of absent rows are forgotten now.

One of 60 scenarios of test_platform_rollouts had timed out without a trace; a time-out now names the decision, the states, the lease, entries that have ended and the last answers. Nothing of the scenarios is changed.

--- a/laburnumpin/forwarding/rollouts/orders.py
+++ b/laburnumpin/forwarding/rollouts/orders.py
@@ -67,11 +67,16 @@
             return
         orders: list[model.Order] = []
         present: set[str] = set()
+        for key, row in rows.items():
+            service = self._documents.ordered_service(key)
+            if service is not None and row.value is not None:
+                present.add(service)
+        for service in self._known.keys() - present:
+            del self._known[service]
         for key, row in rows.items():
             service = self._documents.ordered_service(key)
             if service is None or row.value is None:
                 continue
-            present.add(service)
             # A version of 0 is not of this entry's history of the store.
             written = (position.era, row.version)
             if not row.version or self._known.get(service, (0, 0)) >= written:
--- a/laburnumpin/tests/test_forwarding_rollout_holder.py
+++ b/laburnumpin/tests/test_forwarding_rollout_holder.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import json
 import random
 from typing import cast
 
@@ -385,6 +386,25 @@
     assert store.decision().reason == "order_withdrawn"
 
 
+# More services than are followed at once get an order, one after the other has
+# ended.
+def test_orders_that_are_gone_leave_room_for_others() -> None:
+    _, _, entry = _canary()
+    reader = orders.OrderReader(
+        entry.shell, platform_rollouts.PlatformRollouts()
+    )
+    for number in range(orders.MAX_ORDERS + 1):
+        document = {"service": f"s{number}", "to": "v2", "duration_s": 12}
+        key = f"rollout/s{number}"
+        row = interfaces.Row(key, json.dumps(document).encode(), 20 + number)
+        reader.read({key: row}, interfaces.Position(1, 20 + number))
+        order = model.Order(f"s{number}", "v2", 12_000, 1, row.version)
+        done = model.Decision(order, Stage.ROLLED_BACK, 1, 1, 1, "test")
+        entry.shell.apply(events.RolloutsDecided(0, (done,), "store"))
+    counters = entry.state.counters
+    assert counters.total("rollout_orders_malformed") == 0
+
+
 # All entries end after the roll-out has, and its order is still there.
 def test_entry_that_starts_after_the_end_uses_the_new_version() -> None:
     store, clock, first = _canary()
--- a/laburnumpin/tests/test_platform_rollouts.py
+++ b/laburnumpin/tests/test_platform_rollouts.py
@@ -128,6 +128,17 @@
                 return entry
         raise AssertionError(f"{name!r} is no entry")
 
+    def describe(self) -> str:
+        """Return where a scenario stands, for its time-out."""
+        row = self.store.document("laburnumpin-duties", f"rollout/{SERVICE}")
+        lease = self.store.document("laburnumpin-duties", "lease")
+        ended = [entry.name for entry in self.entries if entry.has_ended()]
+        return (
+            f"decision {row}, states {self.store.rollout_states}, "
+            f"lease {lease}, ended entries {ended}, {self._number} calls, "
+            f"{len(self.statuses)} answers, last {self.statuses[-10:]}"
+        )
+
     def sent_to(self, version: str, since_ms: int = 0) -> int:
         """Return the requests that reached a version's upstreams."""
         count = 0
@@ -162,6 +173,8 @@
                 await fleet.start(tasks)
                 await play(fleet, tasks)
                 tasks.cancel_scope.cancel()
+    except TimeoutError as error:
+        raise AssertionError(fleet.describe()) from error
     finally:
         for entry in fleet.entries:
             entry.kill()
