Don't reuse a connection whose request was sent by half

Cause: bodies go to upstreams in slices, while the parser counts the whole request as sent. An upstream that answered early ended the writer between two slices, and the connection went back to the pool: the next request's bytes came where the rest of the body was due. Change: the connection records whether its stream has taken the whole request, and can't be reused before. Result: test_connection_with_half_a_body_is_not_used_again fails before and passes now.

--- a/laburnumpin/forwarding/connections.py
+++ b/laburnumpin/forwarding/connections.py
@@ -42,6 +42,7 @@
 
     __slots__ = (
         "_h11",
+        "_is_sent",
         "_last_request",
         "_small_chunks",
         "_stream",
@@ -53,6 +54,9 @@
     def __init__(self, stream: byte_stream.ByteStream) -> None:
         self._stream = stream
         self._h11 = h11.Connection(h11.CLIENT)
+        # Whether the stream has taken the whole last request. An answer may come
+        # earlier, while the peer still expects the rest of the body.
+        self._is_sent = True
         self._last_request: tuple[bytes, bytes, Headers] | None = None
         # Small chunks of the current response.
         self._small_chunks = 0
@@ -65,7 +69,7 @@
 
         The connection has to be open and idle, without unsolicited bytes.
         """
-        if self._stream.ended or self._stream.has_bytes:
+        if self._stream.ended or self._stream.has_bytes or not self._is_sent:
             return False
         return (
             self._h11.our_state is h11.IDLE
@@ -98,12 +102,15 @@
                 await self._stream.send(data + encoded_body + end)
                 return
             # Slices, so that no second copy of the body is kept.
+            self._is_sent = False
             await self._stream.send(data)
             for start in range(0, len(encoded_body), SENT_SLICE_BYTES):
                 await self._stream.send(
                     encoded_body[start : start + SENT_SLICE_BYTES]
                 )
-            await self._stream.send(end)
+            self._stream.write(end)
+            self._is_sent = True
+            await self._stream.drain()
         except byte_stream.StreamClosedError as error:
             raise ConnectionLostError(str(error)) from error
 
@@ -217,7 +224,7 @@
         """Reset for the next request; return False if none can follow."""
         if self._h11.trailing_data[0] or self._stream.has_bytes:
             return False
-        if self._stream.ended:
+        if self._stream.ended or not self._is_sent:
             return False
         return start_next_cycle(self._h11)
 
--- a/laburnumpin/tests/test_forwarding_admission.py
+++ b/laburnumpin/tests/test_forwarding_admission.py
@@ -604,3 +604,30 @@
         assert kept_bytes < len(body) / 4
 
     _run(main)
+
+
+# The next request was sent where the rest of a long body was due.
+def test_connection_with_half_a_body_is_not_used_again() -> None:
+    body = b"x" * 16_000_000
+    headers = [(b"Host", b"h"), (b"Content-Length", b"%d" % len(body))]
+
+    async def main() -> None:
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            address = f"127.0.0.1:{server.getsockname()[1]}"
+            connection = await connections.connect(address, 5_000)
+            accepted, _ = server.accept()
+            with accepted:
+                async with anyio.create_task_group() as task_group:
+                    task_group.start_soon(
+                        connection.send, b"POST", b"/", headers, body
+                    )
+                    accepted.send(
+                        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+                    )
+                    assert (await connection.head()).status_code == 200
+                    assert await connection.body(2) == b"ok"
+                    task_group.cancel_scope.cancel()
+                assert not connection.finish()
+            connection.close()
+
+    _run(main)
