--- a/laburnumpin/tests/test_commands_explain.py
+++ b/laburnumpin/tests/test_commands_explain.py
@@ -198,3 +198,14 @@
     )
     types = [line["message_type"] for line in related]
     assert types[:2] == ["store_era_changed", "configuration_kept"]
+
+
+def test_request_that_was_refused_before_it_was_read() -> None:
+    """Guards against a 503 in a crowd that nothing explains."""
+    related = _related(
+        _line(1.0, "callers_crowded", reason="closed_for_room"),
+        _line(1.1, "buffers_full", request_id="r1", part="body"),
+    )
+    types = [line["message_type"] for line in related]
+    assert types == ["callers_crowded", "buffers_full"]
+    assert "it had not run" in explain.cause("r1", related)
