--- a/laburnumpin/forwarding/admission/gate.py
+++ b/laburnumpin/forwarding/admission/gate.py
@@ -208,6 +208,8 @@
         limit = max(1, int(self._settings.max_connections * EVICTED_SHARE))
         weights = self._weights()
         for stream in heapq.nlargest(limit, weights, weights.__getitem__):
+            if stream.phase is Phase.IDLE and stream.has_unread():
+                continue  # Its next request has arrived.
             self._evict(stream, "place")
 
     def _may_search(self, need: str) -> bool:
--- a/laburnumpin/forwarding/admission/listener.py
+++ b/laburnumpin/forwarding/admission/listener.py
@@ -101,8 +101,20 @@
             task.add_done_callback(self._openings.discard)
 
     async def _open(self, accepted: socket.socket, peer: str) -> None:
-        stream = self._gate.open(self._on_open, peer)
-        await self._loop.connect_accepted_socket(lambda: stream, accepted)
+        is_open = False
+
+        def start(stream: caller_stream.CallerStream) -> None:
+            nonlocal is_open
+            is_open = True
+            self._on_open(stream)
+
+        stream = self._gate.open(start, peer)
+        try:
+            await self._loop.connect_accepted_socket(lambda: stream, accepted)
+        except OSError:  # The peer has reset the connection already.
+            if not is_open:
+                accepted.close()
+                self._gate.return_place()
 
 
 async def serve(
--- a/laburnumpin/forwarding/byte_stream.py
+++ b/laburnumpin/forwarding/byte_stream.py
@@ -172,12 +172,28 @@
         """
         if self.ended or self._transport is None:
             return True
+        return bool(self._poll(select.POLLRDHUP))
+
+    def has_unread(self) -> bool:
+        """Return whether bytes have arrived, even if they are unread yet."""
+        if self._buffer:
+            return True
+        if self.ended or self._transport is None:
+            return False
+        return bool(self._poll(select.POLLIN) & select.POLLIN)
+
+    def _poll(self, events: int) -> int:
+        """Return which of some events, and which errors, the socket has."""
+        assert self._transport is not None
         descriptor = self._transport.get_extra_info("socket").fileno()
         if descriptor < 0:
-            return True  # This side has closed the socket already.
+            return select.POLLNVAL  # This side has closed the socket already.
         poll = select.poll()
-        poll.register(descriptor, select.POLLRDHUP)
-        return bool(poll.poll(0))
+        poll.register(descriptor, events)
+        seen = 0
+        for _, found in poll.poll(0):
+            seen |= found
+        return seen
 
     async def receive(self, timeout_ms: int | None = None) -> bytes:
         """Return the next bytes; none when the peer has closed normally.
--- a/laburnumpin/forwarding/connections.py
+++ b/laburnumpin/forwarding/connections.py
@@ -54,8 +54,8 @@
     def __init__(self, stream: byte_stream.ByteStream) -> None:
         self._stream = stream
         self._h11 = h11.Connection(h11.CLIENT)
-        # Whether the stream has taken the whole last request. An answer may come
-        # earlier, while the peer still expects the rest of the body.
+        # Whether the stream has taken the whole last request. An answer may
+        # come earlier, while the peer still expects the rest of the body.
         self._is_sent = True
         self._last_request: tuple[bytes, bytes, Headers] | None = None
         # Small chunks of the current response.
--- a/laburnumpin/forwarding/frontend.py
+++ b/laburnumpin/forwarding/frontend.py
@@ -310,6 +310,7 @@
             customer = configuration.customer_of(fields.key or "")
             if customer is None:
                 return _rejection(request_id, effects.Reason.UNKNOWN_KEY)
+            self._caller.show_customer(customer.name)
         timeout_ms = route.timeout_ms
         if fields.deadline_in_ms is not None:
             timeout_ms = min(timeout_ms, fields.deadline_in_ms)
--- a/laburnumpin/tests/test_forwarding_admission.py
+++ b/laburnumpin/tests/test_forwarding_admission.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
+import errno
 import gc
 import socket
 import time
@@ -24,12 +25,15 @@
 from laburnumpin.forwarding import buffers
 from laburnumpin.forwarding import caller as callers
 from laburnumpin.forwarding import connections
+from laburnumpin.forwarding import events
+from laburnumpin.forwarding import reducer
 from laburnumpin.forwarding.admission import caller_stream
 from laburnumpin.forwarding.admission import gate as gates
 from laburnumpin.forwarding.admission import listener
 from laburnumpin.forwarding.admission import settings as admission_settings
 from laburnumpin.forwarding.admission import turns
 from laburnumpin.platform import settings as platform_settings
+from laburnumpin.tests import forwarding_builders as build
 from laburnumpin.tests import test_platform_relay as relay
 
 Phase = caller_stream.Phase
@@ -631,3 +635,135 @@
             connection.close()
 
     _run(main)
+
+
+class _FailingSocket(socket.socket):
+    """Listens, but has no descriptors for the first connections."""
+
+    failures = 3
+
+    def accept(self) -> tuple[socket.socket, Any]:
+        if self.failures:
+            self.failures -= 1
+            raise OSError(errno.EMFILE, "too many open files")
+        return super().accept()
+
+
+# A connection that could not be opened kept its place for good.
+def test_listener_accepts_after_failures(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def main() -> None:
+        gate = gates.Gate(SETTINGS, counters.Counters())
+        opened = anyio.Event()
+        loop = asyncio.get_running_loop()
+        connect = loop.connect_accepted_socket
+        failures = CONNECTIONS
+
+        async def fail_first(factory: Any, accepted: socket.socket) -> Any:
+            nonlocal failures
+            if failures:
+                failures -= 1
+                raise OSError(errno.ENOTCONN, "the peer has reset")
+            return await connect(factory, accepted)
+
+        with monkeypatch.context() as patch:
+            patch.setattr(loop, "connect_accepted_socket", fail_first)
+            listening = _FailingSocket()
+            listening.setblocking(False)
+            listening.bind(("127.0.0.1", 0))
+            listening.listen(64)
+            port = listening.getsockname()[1]
+            server = listener._Listener(listening, gate, lambda _: opened.set())
+            server.resume()
+            streams = []
+            for _ in range(CONNECTIONS + 1):
+                streams.append(await anyio.connect_tcp("127.0.0.1", port))
+            await opened.wait()
+            assert gate.connections == 1
+            server.close()
+            for stream in streams:
+                await anyio.aclose_forcefully(stream)
+
+    _run(main)
+
+
+# A request that was in the socket got a reset.
+def test_idle_caller_whose_request_has_arrived_keeps_its_place() -> None:
+    async def main() -> None:
+        setting = _Setting()
+        ours, theirs = socket.socketpair()
+        with ours, theirs:
+            rows = []
+            for _ in range(CONNECTIONS):
+                rows.append(setting.connect(Phase.IDLE, 0.0))
+            rows[0][1]._extra["socket"] = ours  # type: ignore[attr-defined]
+            theirs.send(b"POST")
+            for stream, _ in rows:
+                stream.progress_s -= LONG_AGO_S
+            rows[0][0].progress_s -= LONG_AGO_S
+            setting.gate._last_search_s["place"] = 0.0
+            setting.gate.take_place()
+            assert not rows[0][1].was_ended
+            assert any(transport.was_ended for _, transport in rows)
+
+    _run(main)
+
+
+# What else the loop had to run counted as the time of a turn.
+def test_turns_do_not_pay_for_other_tasks(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    now_s = 10.0
+    delays_s: list[float] = []
+
+    async def main() -> None:
+        shared = turns.Turns(0.25)
+        loop = asyncio.get_running_loop()
+
+        def work() -> None:
+            nonlocal now_s
+            now_s += 5.0
+
+        async def take() -> None:
+            nonlocal now_s
+            await shared.wait()
+            now_s += 2.0
+
+        with monkeypatch.context() as patch:
+            patch.setattr(time, "perf_counter", lambda: now_s)
+            patch.setattr(loop, "call_later", lambda s, _: delays_s.append(s))
+            task = loop.create_task(take())
+            # Between the turn that is given and its task.
+            loop.call_soon(loop.call_soon, work)
+            await task
+            await anyio.sleep(0)
+
+    _run(main)
+    assert delays_s == [6.0]
+
+
+# Only customers with long bodies came before those without a key.
+def test_customer_of_a_short_request_is_known() -> None:
+    async def script(connection: relay.UpstreamConnection) -> None:
+        await connection.read_request()
+        await connection.send_answer("r1", b"done")
+
+    async def run_callers(harness: relay.Harness) -> None:
+        customer = build.customer()
+        current = build.configuration(2, customers=(customer,))
+        reducer.reduce(harness.state, events.DeploymentRead(0, current))
+        assert harness.frontend is not None
+        gate = harness.frontend._shell.gate
+        assert gate is not None
+        key = f"X-Laburnumpin-Credential: {customer.keys[0]}"
+        host, _, port = harness.address.rpartition(":")
+        async with await anyio.connect_tcp(host, int(port)) as stream:
+            await stream.send(
+                relay._encode_request("r1", "/reads/x", b"hi", key)
+            )
+            assert (await stream.receive()).startswith(b"HTTP/1.1 200")
+            shown = {open_stream.customer for open_stream in gate._streams}
+        assert customer.name in shown
+
+    relay.run_with_frontend(script, run_callers)
