Find a failed attempt that keeps its body

Cause: no test found it when an ended attempt kept its body. Change: a test with eight requests, each of which fails first.

--- a/laburnumpin/tests/test_forwarding_admission.py
+++ b/laburnumpin/tests/test_forwarding_admission.py
@@ -565,6 +565,31 @@
     relay.run_with_frontend(script, run_callers)
 
 
+# The error of a failed attempt kept the body until the next collection.
+def test_failed_attempts_keep_no_bodies() -> None:
+    size_bytes = 500_000
+    requests_read = 0
+
+    async def script(connection: relay.UpstreamConnection) -> None:
+        nonlocal requests_read
+        while True:
+            await connection.read_request()
+            requests_read += 1
+            if requests_read % 2:
+                return
+            await connection.send_answer("r1", b"done")
+
+    async def run_callers(harness: relay.Harness) -> None:
+        with _traced():
+            for _ in range(8):
+                request = relay._encode_request("r1", body=b"x" * size_bytes)
+                assert b"200" in (await harness.call(request))[:15]
+            del request
+            assert tracemalloc.get_traced_memory()[0] < 3 * size_bytes
+
+    relay.run_with_frontend(script, run_callers, upstreams=2)
+
+
 # The traceback of a refusal kept the body until its caller had gone.
 def test_refused_callers_keep_no_bodies() -> None:
     size_bytes = 1_000_000
