--- a/laburnumpin/forwarding/connections.py
+++ b/laburnumpin/forwarding/connections.py
@@ -69,7 +69,7 @@
 
         The connection has to be open and idle, without unsolicited bytes.
         """
-        if self._stream.ended or self._stream.has_bytes or not self._is_sent:
+        if self._stream.ended or self._stream.has_bytes:
             return False
         return (
             self._h11.our_state is h11.IDLE
