Test that a cancelled turn takes no time

Cause: no test found it when the start of an earlier turn was kept. Change: one test. Result: it passes, and fails without the reset of the start.

--- a/laburnumpin/tests/test_forwarding_admission.py
+++ b/laburnumpin/tests/test_forwarding_admission.py
@@ -768,6 +768,40 @@
     assert delays_s == [6.0]
 
 
+# The time since the last turn counted as that of a cancelled one.
+def test_cancelled_turn_takes_no_time(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    now_s = 10.0
+    delays_s: list[float] = []
+
+    async def main() -> None:
+        nonlocal now_s
+        shared = turns.Turns(0.25)
+        loop = asyncio.get_running_loop()
+
+        def call_later(delay_s: float, callback: Callable[[], None]) -> None:
+            delays_s.append(delay_s)
+            loop.call_soon(callback)
+
+        with monkeypatch.context() as patch:
+            patch.setattr(time, "perf_counter", lambda: now_s)
+            patch.setattr(loop, "call_later", call_later)
+            await shared.wait()
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            now_s += 100.0
+            task = loop.create_task(shared.wait())
+            # Between the turn that is given and its task.
+            loop.call_soon(lambda: loop.call_soon(task.cancel))
+            with pytest.raises(asyncio.CancelledError):
+                await task
+            await asyncio.sleep(0)
+
+    _run(main)
+    assert delays_s == [0.0, 0.0]
+
+
 # Only customers with long bodies came before those without a key.
 def test_customer_of_a_short_request_is_known() -> None:
     async def script(connection: relay.UpstreamConnection) -> None:
