Count nothing as held by a caller between two requests

Cause: an idle caller, and one that sent its next head, counted as holding the body of its last request, so that it went before idle ones of a crowd and was ended for room that it did not hold. Change: what is held is cleared when a connection becomes idle. Result: a test, which fails before and passes now.

--- a/laburnumpin/forwarding/admission/caller_stream.py
+++ b/laburnumpin/forwarding/admission/caller_stream.py
@@ -80,6 +80,8 @@
         self.phase = phase
         if phase is Phase.IDLE or phase is Phase.RUNNING:
             self.interruption = None  # The request was read before.
+        if phase is Phase.IDLE:
+            self.held_bytes = 0
         self.progress_s = self._loop.time()
         self._unmarked_bytes = 0
 
--- a/laburnumpin/tests/test_forwarding_admission.py
+++ b/laburnumpin/tests/test_forwarding_admission.py
@@ -802,6 +802,40 @@
     assert delays_s == [0.0, 0.0]
 
 
+# An idle caller counted as holding the body of its last request.
+def test_caller_that_waits_for_its_next_request_holds_nothing() -> None:
+    async def main() -> None:
+        setting = _Setting()
+        stream, _ = setting.connect()
+        caller = callers.Caller(stream, 16_384, setting.gate)
+        account = buffers.Account(setting.budget)
+        size_bytes = 50_000
+        stream.data_received(HEAD + b"Content-Length: %d\r\n\r\n" % size_bytes)
+        await caller.read_head(60_000, 60_000, account)
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(
+                caller.read_body,
+                MAX_BODY_BYTES,
+                60_000,
+                account,
+                None,
+                size_bytes,
+            )
+            await anyio.wait_all_tasks_blocked()
+            assert stream.held_bytes == size_bytes
+            stream.data_received(b"x" * size_bytes)
+        caller.enter(Phase.RUNNING)
+        await caller.answer(200, [(b"Content-Length", b"0")], b"")
+        assert caller.prepare_next_request()
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(caller.read_head, 60_000, 60_000, account)
+            await anyio.wait_all_tasks_blocked()
+            assert stream.held_bytes == 0
+            task_group.cancel_scope.cancel()
+
+    _run(main)
+
+
 # Only customers with long bodies came before those without a key.
 def test_customer_of_a_short_request_is_known() -> None:
     async def script(connection: relay.UpstreamConnection) -> None:
