Start entries of roll-out scenarios again if their ports were taken

Cause: a free port is looked for before the entry binds it, and other suites on the same machine take ports from the same range. An entry that cannot bind one keeps trying and logs it, and the scenario waited for it until its time-out of 120 s. That is a way to the one time-out of 60 scenarios, whose cause was not recorded; it is not proved to be that one.

Change: such an entry is replaced by one with other ports before the load begins. Scenarios, limits and checks are as they were.

Ruled out: the scenario alone. It passed 4 of 4 times, and 14 of 14 beside one busy process at a load average of 8 to 16 (before this commit).

Measured: with the port of callers taken on purpose, the scenario failed at its time-out (40 s in that trial) before, and passed after; also with each of the other three ports taken.

--- a/laburnumpin/tests/test_platform_rollouts.py
+++ b/laburnumpin/tests/test_platform_rollouts.py
@@ -29,6 +29,8 @@
 NEW_RUNNERS = 3
 # Time after which the platform starts a process again that has ended.
 RESTART_S = 1.0
+# Logged by an entry one of whose ports another process has taken.
+PORT_TAKEN = "address already in use"
 # Far above the duration of a scenario.
 TIMEOUT_S = 120.0
 # Time in which the other entries learn that a version is stopped.
@@ -48,6 +50,7 @@
         self.now_ms = clock.SystemClock().now_ms
         self._directory = directory
         self._number = 0
+        self._started = 0
 
     async def start(self, tasks: abc.TaskGroup) -> None:
         """Start two entries beside the old upstreams, and the load."""
@@ -55,18 +58,16 @@
         self.store.configure(1, "v1")
         for number in range(OLD_RUNNERS):
             await self.add_runner(tasks, f"old-{number}", "v1", None)
-        for number in range(2):
-            entry = processes.EntryProcess(
-                f"entry-{number}",
-                "a",
-                self._directory,
-                address,
-                has_rollouts=True,
-            )
-            self.entries.append(entry)
-            entry.start()
-        for entry in self.entries:
-            while await self._call(entry, "/reads/x") != 200:
+        self.entries = [self._start_entry(address) for _ in range(2)]
+        for index in range(2):
+            while True:
+                entry = self.entries[index]
+                status = await self._call(entry, "/reads/x")
+                if PORT_TAKEN in entry.log_text():
+                    entry.kill()
+                    self.entries[index] = self._start_entry(address)
+                elif status == 200:
+                    break
                 await anyio.sleep(0.1)
         for entry in self.entries:
             for caller in range(CALLERS_PER_ENTRY):
@@ -148,6 +149,19 @@
                 count += runner.version == version
         return count
 
+    def _start_entry(self, store_address: str) -> processes.EntryProcess:
+        """Start an entry with ports that are free now."""
+        self._started += 1
+        entry = processes.EntryProcess(
+            f"entry-{self._started}",
+            "a",
+            self._directory,
+            store_address,
+            has_rollouts=True,
+        )
+        entry.start()
+        return entry
+
     async def _run_caller(
         self, entry: processes.EntryProcess, path: str
     ) -> None:
