Keep the platform's header names in the tests of the platform

The test of a customer that is known from a short request stands beside its harness now; test_platform_names found the header's name outside. The test is the same.

--- a/laburnumpin/tests/test_forwarding_admission.py
+++ b/laburnumpin/tests/test_forwarding_admission.py
@@ -25,15 +25,12 @@
 from laburnumpin.forwarding import buffers
 from laburnumpin.forwarding import caller as callers
 from laburnumpin.forwarding import connections
-from laburnumpin.forwarding import events
-from laburnumpin.forwarding import reducer
 from laburnumpin.forwarding.admission import caller_stream
 from laburnumpin.forwarding.admission import gate as gates
 from laburnumpin.forwarding.admission import listener
 from laburnumpin.forwarding.admission import settings as admission_settings
 from laburnumpin.forwarding.admission import turns
 from laburnumpin.platform import settings as platform_settings
-from laburnumpin.tests import forwarding_builders as build
 from laburnumpin.tests import test_platform_relay as relay
 
 Phase = caller_stream.Phase
@@ -834,29 +831,3 @@
             task_group.cancel_scope.cancel()
 
     _run(main)
-
-
-# Only customers with long bodies came before those without a key.
-def test_customer_of_a_short_request_is_known() -> None:
-    async def script(connection: relay.UpstreamConnection) -> None:
-        await connection.read_request()
-        await connection.send_answer("r1", b"done")
-
-    async def run_callers(harness: relay.Harness) -> None:
-        customer = build.customer()
-        current = build.configuration(2, customers=(customer,))
-        reducer.reduce(harness.state, events.DeploymentRead(0, current))
-        assert harness.frontend is not None
-        gate = harness.frontend._shell.gate
-        assert gate is not None
-        key = f"X-Laburnumpin-Credential: {customer.keys[0]}"
-        host, _, port = harness.address.rpartition(":")
-        async with await anyio.connect_tcp(host, int(port)) as stream:
-            await stream.send(
-                relay._encode_request("r1", "/reads/x", b"hi", key)
-            )
-            assert (await stream.receive()).startswith(b"HTTP/1.1 200")
-            shown = {open_stream.customer for open_stream in gate._streams}
-        assert customer.name in shown
-
-    relay.run_with_frontend(script, run_callers)
--- a/laburnumpin/tests/test_platform_relay.py
+++ b/laburnumpin/tests/test_platform_relay.py
@@ -563,3 +563,27 @@
         assert harness.connection_count == 0
 
     run_with_frontend(script, run_callers)
+
+
+# Only customers with long bodies came before those without a key.
+def test_customer_of_a_short_request_is_known() -> None:
+    async def script(connection: UpstreamConnection) -> None:
+        await connection.read_request()
+        await connection.send_answer("r1", b"done")
+
+    async def run_callers(harness: Harness) -> None:
+        customer = build.customer()
+        current = build.configuration(2, customers=(customer,))
+        reducer.reduce(harness.state, events.DeploymentRead(0, current))
+        assert harness.frontend is not None
+        gate = harness.frontend._shell.gate
+        assert gate is not None
+        key = f"X-Laburnumpin-Credential: {customer.keys[0]}"
+        host, _, port = harness.address.rpartition(":")
+        async with await anyio.connect_tcp(host, int(port)) as stream:
+            await stream.send(_encode_request("r1", "/reads/x", b"hi", key))
+            assert (await stream.receive()).startswith(b"HTTP/1.1 200")
+            shown = {open_stream.customer for open_stream in gate._streams}
+        assert customer.name in shown
+
+    run_with_frontend(script, run_callers)
