--- a/laburnumpin/forwarding/rollouts/routing.py
+++ b/laburnumpin/forwarding/rollouts/routing.py
@@ -18,8 +18,8 @@
 from laburnumpin.forwarding.rollouts import codec
 from laburnumpin.forwarding.rollouts import model
 
-# An answer is slow if its first byte took this many times the predicted time,
-# and at least this much longer.
+# An answer is slow if its first byte took this many times what is predicted for
+# a typical upstream of the service, and at least this much longer.
 SLOW_FACTOR = 2.5
 MIN_SLOW_EXCESS_MS = 60.0
 # Time after which streams at the previous version are moved, once all new
