Pass no status on that promises "not run" without proof

Cause: `_answer_failure` passes the upstream's last failure on, and did not ask what its status promises. 408 and 429 without `Not-Executed` counted as answers. Ruled out: a wrong verdict (`attempt_failed` says `ran`, and the answers bear the upstream's receipt).

Change: `PlatformWire.classify`, through which each answer goes, has the kind `UNPROVED_REFUSAL`. It ends the attempt as a failure that may have run. The caller gets another upstream's answer or 502. The soak's failing runners use these statuses.

--- a/laburnumpin/forwarding/attempts.py
+++ b/laburnumpin/forwarding/attempts.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import typing
+
 import anyio
 import h11
 
@@ -46,6 +48,11 @@
 MAY_HAVE_RUN = verdicts.Verdict.MAY_HAVE_RUN
 RAN = verdicts.Verdict.RAN
 
+_FAILURE_KINDS = (
+    interfaces.AnswerKind.FAILURE,
+    interfaces.AnswerKind.UNPROVED_REFUSAL,
+)
+
 
 class AttemptError(Exception):
     """The attempt ended without a complete answer.
@@ -436,22 +443,9 @@
                 MAY_HAVE_RUN,
                 f"answered with {status} without a receipt",
             )
-        if kind is interfaces.AnswerKind.FAILURE:
-            self._relay.mark_running()
+        if kind in _FAILURE_KINDS:
             stall.stop()
-            body = await self._read_failure_body(connection)
-            if body is not None:
-                self._account.hold("answer", 0)
-                self._account.hold("failure", len(body))
-                self._relay.failure = answers.Answer(
-                    status,
-                    self._with_length(caller_headers, len(body)),
-                    body,
-                    has_length=not self._ends_with_connection,
-                )
-            raise AttemptError(
-                events.Ending.ERROR_STATUS, RAN, f"answered with {status}"
-            )
+            await self._handle_failure(connection, status, caller_headers, kind)
         if self._relay.answer_started and not completeness.may_continue(
             status, headers, self._relay.started_headers
         ):
@@ -467,6 +461,44 @@
         stall.stop()
         await self._relay_answer(connection, status, caller_headers)
 
+    async def _handle_failure(
+        self,
+        connection: connections.ClientConnection,
+        status: int,
+        headers: connections.Headers,
+        kind: interfaces.AnswerKind,
+    ) -> typing.NoReturn:
+        """Keep a failure that may be passed on, and end the attempt.
+
+        Raises:
+            AttemptError: Always.
+        """
+        self._relay.mark_running()
+        # A connection can be used again after the whole answer.
+        body = await self._read_failure_body(connection)
+        if kind is interfaces.AnswerKind.UNPROVED_REFUSAL:
+            self._shell.state.counters.increment(
+                "upstream_statuses_withheld", str(status)
+            )
+            raise AttemptError(
+                events.Ending.ERROR_STATUS,
+                MAY_HAVE_RUN,
+                f"answered with {status}, which promises that the request has"
+                " not run, but nothing shows that",
+            )
+        if body is not None:
+            self._account.hold("answer", 0)
+            self._account.hold("failure", len(body))
+            self._relay.failure = answers.Answer(
+                status,
+                self._with_length(headers, len(body)),
+                body,
+                has_length=not self._ends_with_connection,
+            )
+        raise AttemptError(
+            events.Ending.ERROR_STATUS, RAN, f"answered with {status}"
+        )
+
     async def _relay_answer(
         self,
         connection: connections.ClientConnection,
--- a/laburnumpin/forwarding/interfaces.py
+++ b/laburnumpin/forwarding/interfaces.py
@@ -236,15 +236,18 @@
     """The meaning of an upstream's status and headers.
 
     `NOT_RUN` is a rejection before the request ran, and `FAILURE` an error of
-    the upstream. `WRONG_UPSTREAM` shows that another upstream answers at the
-    address, `OTHER_REQUEST` that the response is not known to belong to this
-    request; it may be that to an earlier one on the connection. A success
+    the upstream. The status of an `UNPROVED_REFUSAL` promises a caller that the
+    request has not run, which nothing in the answer shows: the status must not
+    reach the caller. `WRONG_UPSTREAM` shows that another upstream answers at
+    the address, `OTHER_REQUEST` that the response is not known to belong to
+    this request; it may be that to an earlier one on the connection. A success
     `WITHOUT_RECEIPT` is not known to be a result of the upstream.
     """
 
     ANSWER = "answer"
     FAILURE = "failure"
     NOT_RUN = "not_run"
+    UNPROVED_REFUSAL = "unproved_refusal"
     WRONG_UPSTREAM = "wrong_upstream"
     OTHER_REQUEST = "other_request"
     WITHOUT_RECEIPT = "without_receipt"
--- a/laburnumpin/platform/standins.py
+++ b/laburnumpin/platform/standins.py
@@ -66,6 +66,9 @@
     b'"address": "127.0.0.1:9", "born": 1' + b"0" * 400 + b"}",
     b"\xff\x00",
 )
+# Statuses of requests that were executed and failed. All but 500 would promise
+# a caller that its request has not run.
+FAILURE_STATUSES = (500, 503, 429, 408)
 # Share of the answers without length that end early.
 OPEN_ENDED_CUT_SHARE = 0.5
 
@@ -483,11 +486,11 @@
     """An upstream that answers calls and streams.
 
     Shares of the requests: `reject_share` is rejected without being executed,
-    `error_share` is executed and answered 500, and of the others `cut_share`
-    loses its connection before the response is complete. `open_ended_share` of
-    the answers have neither a length nor chunks, and `OPEN_ENDED_CUT_SHARE` of
-    these end early. `on_crash` ends the runner when it begins to answer a
-    prompt with `CRASHING_PART`.
+    `error_share` is executed and answered with one of `FAILURE_STATUSES`, and
+    of the others `cut_share` loses its connection before the response is
+    complete. `open_ended_share` of the answers have neither a length nor
+    chunks, and `OPEN_ENDED_CUT_SHARE` of these end early. `on_crash` ends the
+    runner when it begins to answer a prompt with `CRASHING_PART`.
     """
 
     def __init__(
@@ -642,7 +645,8 @@
         seal = [(SEAL_HEADER, request_id.encode() + b"." + b"1")]
         if is_failure:
             no_body = [(b"Content-Length", b"0")]
-            await caller.answer(500, answer_headers + no_body + seal, b"")
+            status = self._random.choice(FAILURE_STATUSES)
+            await caller.answer(status, answer_headers + no_body + seal, b"")
             return True
         is_open_ended, is_cut = self._draw_ending(request_id)
         if wire.TOKEN_COUNT not in headers:
--- a/laburnumpin/platform/wire.py
+++ b/laburnumpin/platform/wire.py
@@ -30,6 +30,8 @@
 LAST_EVENT_ID = b"last-event-id"
 NOT_EXECUTED = HEADER_PREFIX + b"not-executed"
 MISDIRECTED_STATUS = 421
+# These statuses promise a caller that its request has not run and never will.
+PROMISING_STATUSES = frozenset((408, MISDIRECTED_STATUS, 429, 503))
 # The upstream's signature of a result; a success without it is none.
 RECEIPT = HEADER_PREFIX + b"response-seal"
 # Requests a second, a decimal number, that an upstream takes from all entries.
@@ -200,6 +202,8 @@
             return interfaces.AnswerKind.WRONG_UPSTREAM
         if NOT_EXECUTED in values:
             return interfaces.AnswerKind.NOT_RUN
+        if status in PROMISING_STATUSES:
+            return interfaces.AnswerKind.UNPROVED_REFUSAL
         if status >= 500:
             return interfaces.AnswerKind.FAILURE
         if 200 <= status < 300 and not values.get(RECEIPT):
--- /dev/null
+++ b/laburnumpin/tests/test_platform_statuses.py
@@ -0,0 +1,161 @@
+"""Which statuses of an upstream reach its caller, over real sockets."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+
+from laburnumpin.forwarding import deployment
+from laburnumpin.tests import forwarding_builders as build
+from laburnumpin.tests import test_platform_relay as relay
+
+IDENTITY = b"X-Laburnumpin-Attempt-Id: r1\r\nX-Laburnumpin-Response-Seal: s\r\n"
+NOT_EXECUTED = b"X-Laburnumpin-Not-Executed: 1\r\n"
+CALL = relay._encode_request("r1")
+LONG_CALL = relay._encode_request("r1", "/reads/x", b"x" * 400_000)
+STREAM = relay._encode_request(
+    "r1",
+    "/drafts/x",
+    b"hi",
+    "X-Laburnumpin-Token-Count: 100,10",
+    "X-Laburnumpin-Prompt-Prefix: a1:40,c3:20",
+)
+SINGLE_CALL = (build.calls(may_repeat=False, max_attempts=2),)
+REPEATABLE_CALL = (build.calls(may_repeat=True, max_attempts=2),)
+SINGLE_STREAM = (build.route(max_attempts=2),)
+REPEATABLE_STREAM = (build.route(may_repeat=True, max_attempts=2),)
+Routes = tuple[deployment.Route, ...]
+
+every_route = pytest.mark.parametrize(
+    ("request_text", "routes"),
+    [
+        (CALL, SINGLE_CALL),
+        (CALL, REPEATABLE_CALL),
+        (LONG_CALL, SINGLE_CALL),
+        (STREAM, SINGLE_STREAM),
+        (STREAM, REPEATABLE_STREAM),
+    ],
+    ids=["call", "repeatable call", "long call", "stream", "resumable stream"],
+)
+statuses_that_promise = pytest.mark.parametrize(
+    "status", [b"408 Late", b"429 Busy", b"503 Failed"]
+)
+
+
+def _answer(
+    status: bytes, extra: bytes = b"", framing: bytes = b"Content-Length: 4\r\n"
+) -> bytes:
+    head = b"HTTP/1.1 " + status + b"\r\n" + IDENTITY + extra + framing
+    return head + b"\r\nbody"
+
+
+def _assert_promises_nothing(received: bytes) -> None:
+    assert relay._status_code(received) == 502
+    assert b"seal" not in received.lower()
+    assert b"retry-after" not in received.lower()
+    assert received.endswith(b"\r\n\r\n")
+
+
+# A call had run and was answered 503 or 429. Its caller took the status that
+# was passed on for the promise that it had not, and placed its order twice.
+@statuses_that_promise
+@pytest.mark.parametrize(
+    "framing", [b"Content-Length: 4\r\n", b""], ids=["length", "no length"]
+)
+@every_route
+def test_status_that_promises_without_proof_is_not_passed_on(
+    request_text: bytes, routes: Routes, framing: bytes, status: bytes
+) -> None:
+    answer = _answer(status, b"Retry-After: 3\r\n", framing)
+
+    async def run_callers(harness: relay.Harness) -> None:
+        _assert_promises_nothing(await harness.call(request_text))
+        counters = harness.state.counters
+        number = status.partition(b" ")[0].decode()
+        assert counters.value("upstream_statuses_withheld", number) == 1
+
+    relay.run_with_frontend(relay.answering(answer), run_callers, routes=routes)
+
+
+@statuses_that_promise
+def test_call_that_may_have_run_is_not_sent_again(status: bytes) -> None:
+    async def run_callers(harness: relay.Harness) -> None:
+        _assert_promises_nothing(await harness.call(CALL))
+        assert harness.connection_count == 1
+
+    relay.run_with_frontend(
+        relay.answering(_answer(status)),
+        run_callers,
+        routes=SINGLE_CALL,
+        upstreams=2,
+    )
+
+
+@statuses_that_promise
+def test_repeatable_call_is_answered_by_another_upstream(status: bytes) -> None:
+    async def script(connection: relay.UpstreamConnection) -> None:
+        await connection.read_request()
+        if connection.number == 1:
+            await connection.stream.send(_answer(status))
+            await connection.stream.receive()
+            return
+        await connection.send_answer("r1", b"ran")
+
+    async def run_callers(harness: relay.Harness) -> None:
+        assert (await harness.call(CALL)).endswith(b"ran")
+
+    relay.run_with_frontend(
+        script, run_callers, routes=REPEATABLE_CALL, upstreams=2
+    )
+
+
+# The promise of a second upstream speaks of its own attempt alone.
+def test_promise_of_a_later_attempt_does_not_cover_an_earlier_run() -> None:
+    async def script(connection: relay.UpstreamConnection) -> None:
+        await connection.read_request()
+        extra = b"" if connection.number == 1 else NOT_EXECUTED
+        await connection.stream.send(_answer(b"503 Failed", extra))
+        await connection.stream.receive()
+
+    async def run_callers(harness: relay.Harness) -> None:
+        _assert_promises_nothing(await harness.call(CALL))
+        assert harness.connection_count == 2
+
+    relay.run_with_frontend(
+        script, run_callers, routes=REPEATABLE_CALL, upstreams=2
+    )
+
+
+@pytest.mark.parametrize("extra", [b"", NOT_EXECUTED], ids=["ran", "not run"])
+def test_refusal_before_the_body_is_read(extra: bytes) -> None:
+    async def script(connection: relay.UpstreamConnection) -> None:
+        await connection.stream.receive()
+        await connection.stream.send(_answer(b"503 Failed", extra))
+        with anyio.move_on_after(1):
+            await connection.read_request()
+
+    async def run_callers(harness: relay.Harness) -> None:
+        received = await harness.call(LONG_CALL)
+        if not extra:
+            _assert_promises_nothing(received)
+            return
+        assert relay._status_code(received) == 503
+        assert b"seal" not in received.lower()
+
+    relay.run_with_frontend(script, run_callers, routes=SINGLE_CALL)
+
+
+# Of the upstream, the entry learns what came.
+def test_backoff_of_a_withheld_status_is_kept() -> None:
+    answer = _answer(b"503 Failed", b"Retry-After: 3\r\n")
+
+    async def run_callers(harness: relay.Harness) -> None:
+        await harness.call(CALL)
+        received = await harness.call(CALL)
+        assert relay._status_code(received) == 503
+        assert b"Retry-After" in received
+        assert harness.connection_count == 1
+
+    relay.run_with_frontend(
+        relay.answering(answer), run_callers, routes=SINGLE_CALL
+    )
--- a/laburnumpin/tests/test_platform_wire.py
+++ b/laburnumpin/tests/test_platform_wire.py
@@ -134,7 +134,9 @@
         (421, [OWN_ID], "wrong_upstream"),
         (503, [OWN_ID, NOT_EXECUTED], "not_run"),
         (429, [OWN_ID, NOT_EXECUTED], "not_run"),
-        (503, [OWN_ID], "failure"),
+        (503, [OWN_ID], "unproved_refusal"),
+        (429, [OWN_ID], "unproved_refusal"),
+        (408, [OWN_ID, RECEIPT], "unproved_refusal"),
         (500, [OWN_ID], "failure"),
         # Late copies of the response to an earlier request.
         (200, [OTHER_ID], "other_request"),
