Judge the end of an answer by what its upstream is found to be after it

What callers saw: an upstream was reclaimed on notice and ended in the middle of its answers without length.

Cause: `has_upstream_ended` did not look for the end of an upstream that leaves or whose registration is gone, took a connection that was not accepted in time, or was accepted by anybody, for its life, and failures without length were not judged. Ruled out for the case: another listener, as the runner is the only process there.

Change: `end_checks.py` asks at the health path who is there, whatever was announced, over an idle connection first; `judge` gets the state found.

--- a/laburnumpin/forwarding/attempts.py
+++ b/laburnumpin/forwarding/attempts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import typing
 
 import anyio
@@ -486,6 +487,10 @@
                 f"answered with {status}, which promises that the request has"
                 " not run, but nothing shows that",
             )
+        if body is not None:
+            end, _ = await self._find_end(has_content=bool(body))
+            if end is completeness.End.BROKEN:
+                body = None
         if body is not None:
             self._account.hold("answer", 0)
             self._account.hold("failure", len(body))
@@ -630,26 +635,41 @@
             AttemptError: The answer is not whole, or the response to the caller
                 would claim that it is although nothing shows that.
         """
+        end, reason = await self._find_end(
+            has_content=has_content,
+            is_inside_event=is_inside_event,
+            may_be_stopped=may_be_stopped,
+        )
+        if end is completeness.End.BROKEN:
+            raise AttemptError(events.Ending.BROKEN, MAY_HAVE_RUN, reason)
+
+    async def _find_end(
+        self,
+        *,
+        has_content: bool,
+        is_inside_event: bool = False,
+        may_be_stopped: bool = False,
+    ) -> tuple[completeness.End, str]:
+        """Return what the end of the answer shows, and the reason for it."""
         assert self.framing is not None
         registration = self._send_effect.registration
-        has_upstream_ended = False
-        if self._ends_with_connection and has_content and not is_inside_event:
-            has_upstream_ended = await self._shell.has_upstream_ended(
-                registration
-            )
-        end, reason = completeness.judge(
-            completeness.Evidence(
-                self.framing,
-                is_inside_event,
-                has_content,
-                has_upstream_ended,
-                may_be_stopped,
-                self._relay.may_be_unproved,
-            )
+        evidence = completeness.Evidence(
+            self.framing,
+            is_inside_event,
+            has_content,
+            completeness.UpstreamState.UNCHECKED,
+            may_be_stopped,
+            self._relay.may_be_unproved,
         )
+        end, reason = completeness.judge(evidence)
         if end is completeness.End.PROVED:
-            return
+            return end, reason
+        if end is completeness.End.UNPROVED:
+            state = await self._shell.end_checks.check(registration)
+            evidence = dataclasses.replace(evidence, upstream=state)
+            end, reason = completeness.judge(evidence)
         self._shell.state.counters.increment("answer_ends", end.value)
+        current = self._shell.state.upstreams.get(registration.upstream_id)
         logs.write(
             "answer_end_judged",
             "info",
@@ -659,12 +679,14 @@
                 "framing": self.framing.value,
                 "end": end.value,
                 "reason": reason,
-                "upstream_ended": has_upstream_ended,
+                "upstream_state": evidence.upstream.value,
+                "lifecycle": (
+                    current.registration.lifecycle.value if current else "gone"
+                ),
                 "stop_requested": may_be_stopped,
             },
         )
-        if end is completeness.End.BROKEN:
-            raise AttemptError(events.Ending.BROKEN, MAY_HAVE_RUN, reason)
+        return end, reason
 
     def _with_length(
         self, headers: connections.Headers, body_bytes: int
--- a/laburnumpin/forwarding/completeness.py
+++ b/laburnumpin/forwarding/completeness.py
@@ -22,8 +22,8 @@
     """Settings for the ends of upstreams' answers.
 
     `end_check_timeout_ms` is the longest time for which the end of an answer
-    without length waits for a connection to its upstream, which shows whether
-    that has ended; with 0 no connection is tried.
+    without length waits for its upstream to say who it is; with 0 it is not
+    asked.
     """
 
     end_check_timeout_ms: int = DEFAULT_END_CHECK_TIMEOUT_MS
@@ -77,6 +77,31 @@
     return b""
 
 
+class UpstreamState(enum.Enum):
+    """What is known of an upstream after an answer of it has ended.
+
+    `SAME`: it says that it is the one that answered. `LISTENING`: a new
+    connection was accepted, and nobody has said who did. `REPLACED`: another
+    one, or a newer incarnation, has its place. `REFUSED`: a new connection was
+    refused. `SILENT`: none was accepted in time. `UNCHECKED`: nobody has asked.
+    """
+
+    SAME = "same"
+    LISTENING = "listening"
+    REPLACED = "replaced"
+    REFUSED = "refused"
+    SILENT = "silent"
+    UNCHECKED = "unchecked"
+
+
+_GONE = {
+    UpstreamState.REPLACED: "another upstream has the place of this one",
+    UpstreamState.REFUSED: "the upstream ended with an answer without length",
+    UpstreamState.SILENT: "the upstream was silent after an answer without "
+    "length",
+}
+
+
 class End(enum.Enum):
     """What is known when an answer has ended.
 
@@ -96,7 +121,8 @@
 
     `is_inside_event` is whether a stream ended in the middle of an event, and
     `has_content` whether a stream had an event, or another body a byte.
-    `has_upstream_ended` is whether the upstream ended unannounced at that time.
+    `upstream` is what was found out after the end, also for an upstream that
+    was expected to leave: that it was does not show that its answer had ended.
     `may_be_stopped` is whether this entry has asked the upstream to stop the
     stream, unless that had ended before.
     `may_be_unproved` is whether the response to the caller leaves open where
@@ -106,7 +132,7 @@
     framing: Framing
     is_inside_event: bool
     has_content: bool
-    has_upstream_ended: bool
+    upstream: UpstreamState
     may_be_stopped: bool
     may_be_unproved: bool
 
@@ -121,8 +147,8 @@
         return End.BROKEN, "an answer without length ended before its content"
     if evidence.may_be_stopped:
         return End.BROKEN, "the upstream was asked to stop the stream"
-    if evidence.has_upstream_ended:
-        return End.BROKEN, "the upstream ended with an answer without length"
+    if evidence.upstream in _GONE:
+        return End.BROKEN, _GONE[evidence.upstream]
     if not evidence.may_be_unproved:
         return (
             End.BROKEN,
--- a/laburnumpin/forwarding/daemon.py
+++ b/laburnumpin/forwarding/daemon.py
@@ -83,7 +83,7 @@
         )
         shell.buffers = buffers.Budget(settings.buffers)
         shell.admission = settings.admission
-        shell.end_check_timeout_ms = settings.answers.end_check_timeout_ms
+        shell.end_checks.timeout_ms = settings.answers.end_check_timeout_ms
         store = clients.store(settings)
         cloud = clients.cloud(settings)
         withheld_parts = withholding_store.WithholdingStore(shell, store)
--- a/laburnumpin/forwarding/deployment.py
+++ b/laburnumpin/forwarding/deployment.py
@@ -81,13 +81,15 @@
     """A named kind of upstream; `engine` is None for a plain service.
 
     `max_connections` is the number of connections that one upstream accepts
-    from all entries together.
+    from all entries together. An upstream says who it is at `identity_path`;
+    empty if it doesn't.
     """
 
     name: str
     max_connections: int
     engine: EngineProfile | None
     autoscaling: Autoscaling | None
+    identity_path: str = ""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/laburnumpin/forwarding/interfaces.py
+++ b/laburnumpin/forwarding/interfaces.py
@@ -13,6 +13,7 @@
 from typing import Protocol
 
 from laburnumpin import exceptions
+from laburnumpin.forwarding import completeness
 from laburnumpin.forwarding import connections
 from laburnumpin.forwarding import deployment
 from laburnumpin.forwarding import effects
@@ -282,6 +283,19 @@
     ) -> AnswerKind:
         """Return the kind of a response received for `request_id`."""
 
+    def identity_headers(
+        self, registration: upstreams.Registration
+    ) -> connections.Headers:
+        """Return the headers of the question whether an upstream is there."""
+
+    def identify(
+        self,
+        registration: upstreams.Registration,
+        status: int,
+        headers: connections.Headers,
+    ) -> completeness.UpstreamState:
+        """Return who answers that question."""
+
     def answer_headers(
         self, headers: connections.Headers
     ) -> connections.Headers:
--- a/laburnumpin/forwarding/shell.py
+++ b/laburnumpin/forwarding/shell.py
@@ -12,6 +12,7 @@
 from laburnumpin.forwarding import connections
 from laburnumpin.forwarding import deployment
 from laburnumpin.forwarding import effects
+from laburnumpin.forwarding import end_checks
 from laburnumpin.forwarding import events
 from laburnumpin.forwarding import interfaces
 from laburnumpin.forwarding import pool
@@ -41,7 +42,7 @@
         "admission",
         "buffers",
         "clock",
-        "end_check_timeout_ms",
+        "end_checks",
         "engines",
         "fetch_from_peer",
         "gate",
@@ -75,9 +76,7 @@
         self.admission = admission_settings.default()
         # Of the callers' connections; set by `Frontend`.
         self.gate: gates.Gate | None = None
-        # Longest time for which the end of an answer without length waits for
-        # a check of its upstream.
-        self.end_check_timeout_ms = CHECK_TIMEOUT_MS
+        self.end_checks = end_checks.EndChecks(state, wire, upstream_pool)
         # Callbacks that move a stream, by request id.
         self.stream_movers: dict[str, Callable[[effects.MoveStream], None]] = {}
         self.metrics = metrics.Metrics()
@@ -162,29 +161,6 @@
             )
         )
 
-    async def has_upstream_ended(
-        self, registration: upstreams.Registration
-    ) -> bool:
-        """Return whether an upstream has ended without having announced it.
-
-        An upstream that leaves may end right after its last answer, so its end
-        tells nothing about that.
-        """
-        upstream = self.state.upstreams.get(registration.upstream_id)
-        if upstream is None:
-            return False
-        current = upstream.registration
-        if current.lifecycle is upstreams.Lifecycle.LEAVING:
-            return False
-        if current.incarnation_ms > registration.incarnation_ms:
-            return True
-        if not self.end_check_timeout_ms:
-            return False
-        _, is_refused = await self._try_connection(
-            registration, self.end_check_timeout_ms
-        )
-        return is_refused
-
     async def _try_connection(
         self, registration: upstreams.Registration, timeout_ms: int
     ) -> tuple[bool, bool]:
--- a/laburnumpin/platform/documents.py
+++ b/laburnumpin/platform/documents.py
@@ -303,9 +303,19 @@
         ),
         engine=engine,
         autoscaling=autoscaling,
+        identity_path=_decode_path(fields.get("health_path")),
     )
 
 
+def _decode_path(value: object) -> str:
+    """Return a path that can be requested, empty if it cannot."""
+    if not isinstance(value, str) or not value.startswith("/"):
+        return ""
+    if len(value) > MAX_TEXT_CHARS or not value.isascii():
+        return ""
+    return "" if any(c <= " " or c == "\x7f" for c in value) else value
+
+
 def _decode_autoscaling(fields: dict[str, Any]) -> deployment.Autoscaling:
     boot_s = untrusted.number(
         fields.get("boot_time_s", 5),
--- a/laburnumpin/platform/standins.py
+++ b/laburnumpin/platform/standins.py
@@ -66,6 +66,7 @@
     b'"address": "127.0.0.1:9", "born": 1' + b"0" * 400 + b"}",
     b"\xff\x00",
 )
+HEALTH_PATH = "/healthz"
 # Statuses of requests that were executed and failed. All but 500 would promise
 # a caller that its request has not run.
 FAILURE_STATUSES = (500, 503, 429, 408)
@@ -564,6 +565,10 @@
         if bytes(head.target) == b"/kv-move":
             await caller.answer(*self._move(json.loads(body)))
             return True
+        if bytes(head.target) == HEALTH_PATH.encode():
+            identity = (b"X-Laburnumpin-Instance-Id", self.runner_id.encode())
+            await caller.answer(200, [identity, (b"Content-Length", b"0")], b"")
+            return True
         headers = {n.lower(): v for n, v in head.headers}
         request_id = headers.get(wire.ATTEMPT_ID, b"").decode()
         expected = headers.get(b"x-laburnumpin-expect-instance", b"")
@@ -828,10 +833,10 @@
         "version": version,
         "routes": routes,
         "services": [
-            {"name": "desk", "health_path": "/healthz", "max_connections": 96},
+            {"name": "desk", "health_path": HEALTH_PATH, "max_connections": 96},
             {
                 "name": "engines",
-                "health_path": "/healthz",
+                "health_path": HEALTH_PATH,
                 "max_connections": 300,
                 "engine": {
                     "slots": 64,
--- a/laburnumpin/platform/wire.py
+++ b/laburnumpin/platform/wire.py
@@ -6,6 +6,7 @@
 
 from laburnumpin import exceptions
 from laburnumpin.forwarding import caller as callers
+from laburnumpin.forwarding import completeness
 from laburnumpin.forwarding import connections
 from laburnumpin.forwarding import effects
 from laburnumpin.forwarding import interfaces
@@ -28,6 +29,8 @@
 PART_ID_MODULUS = 2**61 - 1
 MODEL = HEADER_PREFIX + b"model"
 LAST_EVENT_ID = b"last-event-id"
+# Names the upstream that answers a health check.
+INSTANCE_ID = HEADER_PREFIX + b"instance-id"
 NOT_EXECUTED = HEADER_PREFIX + b"not-executed"
 MISDIRECTED_STATUS = 421
 # These statuses promise a caller that its request has not run and never will.
@@ -210,6 +213,35 @@
             return interfaces.AnswerKind.WITHOUT_RECEIPT
         return interfaces.AnswerKind.ANSWER
 
+    def identity_headers(
+        self, registration: upstreams.Registration
+    ) -> connections.Headers:
+        """Return the headers of a health check of an upstream."""
+        return [
+            (b"Host", registration.address.encode()),
+            (
+                b"X-Laburnumpin-Expect-Instance",
+                registration.upstream_id.encode(),
+            ),
+        ]
+
+    def identify(
+        self,
+        registration: upstreams.Registration,
+        status: int,
+        headers: connections.Headers,
+    ) -> completeness.UpstreamState:
+        """Return who answers a health check, whether healthy or not."""
+        if status == MISDIRECTED_STATUS:
+            return completeness.UpstreamState.REPLACED
+        for name, value in headers:
+            if name.lower() != INSTANCE_ID:
+                continue
+            if value == registration.upstream_id.encode():
+                return completeness.UpstreamState.SAME
+            return completeness.UpstreamState.REPLACED
+        return completeness.UpstreamState.LISTENING
+
     def answer_headers(
         self, headers: connections.Headers
     ) -> connections.Headers:
--- a/laburnumpin/soak/promises.py
+++ b/laburnumpin/soak/promises.py
@@ -56,6 +56,12 @@
 BACKOFF_ARRIVALS = 2
 # Prefixes of the faults that do not keep entries from learning of each other.
 FAULTS_OUTSIDE_ENTRIES = ("runner", "service", "clock", "store", "reload")
+# Faults that close no connection to a runner, and those that end it.
+FAULTS_THAT_CLOSE_NOTHING = (
+    *("store", "entry", "kill", "pause", "exit", "reload", "clock"),
+    *("runner_errors", "runner_rejects", "service"),
+    *("runner_leaves", "runner_reclaimed", "runner_crash"),
+)
 # Tolerance for delays of the machine that runs the soak.
 DELAY_TOLERANCE_MS = 1_500
 
@@ -271,7 +277,8 @@
 def _check_end(history: History, outcome: Outcome, name: str) -> list[str]:
     """Check a response that ended without an error.
 
-    Only one without length or chunks may be short, if a runner's answer was.
+    Only one without length or chunks may be short: if a runner's answer was, or
+    a fault has closed the connection of a runner that seemed to go on.
     """
     expected = _expected_body(outcome)
     if not outcome.is_open_ended:
@@ -283,9 +290,17 @@
         lines.append(f"{name}: lost the length of its answer")
     if not outcome.body or not expected.startswith(outcome.body):
         lines.append(f"{name}: response without length has a wrong body")
-    if outcome.body != expected and outcome.request_id in history.stopped_ids:
-        if outcome.request_id not in history.cut_short_ids:
-            lines.append(f"{name}: response ends where its stream was stopped")
+    if outcome.body == expected or outcome.request_id in history.cut_short_ids:
+        return lines
+    if outcome.request_id in history.stopped_ids:
+        lines.append(f"{name}: response ends where its stream was stopped")
+    elif history.is_fault_free(
+        outcome.sent_ms,
+        outcome.ended_ms,
+        allow_planned=True,
+        allowed_prefixes=FAULTS_THAT_CLOSE_NOTHING,
+    ):
+        lines.append(f"{name}: response ends where its runner ended")
     return lines
 
 
--- a/laburnumpin/soak/run.py
+++ b/laburnumpin/soak/run.py
@@ -770,14 +770,23 @@
     async def _reclaim_runner(
         self, runner: _ProxiedRunner, task_group: abc.TaskGroup
     ) -> None:
-        """Replace a runner and cut it off when a short notice ends."""
-        if await self._register_as_leaving(
+        """Replace a runner and end it when a short notice ends.
+
+        Every other one is cut off instead: its host accepts connections, and
+        answers nothing.
+        """
+        if not await self._register_as_leaving(
             runner, task_group, reclaimable=True
         ):
-            await anyio.sleep(RECLAIM_NOTICE_S)
-            runner.proxy.silent = True
-            await runner.proxy.reset_all()
-            self._store.unregister(runner.runner.runner_id)
+            return
+        await anyio.sleep(RECLAIM_NOTICE_S)
+        if len(self._history.leaving_since_ms) % 2:
+            await runner.proxy.end()
+        else:
+            with self._fault_span("runner_cut_off"):
+                runner.proxy.silent = True
+                await runner.proxy.reset_all()
+        self._store.unregister(runner.runner.runner_id)
 
     async def _register_as_leaving(
         self,
--- a/laburnumpin/tests/test_platform_documents.py
+++ b/laburnumpin/tests/test_platform_documents.py
@@ -305,3 +305,23 @@
     with pytest.raises(exceptions.ConfigurationError) as raised:
         _decode_configuration_limit(value)
     assert "configuration.max_mb" in str(raised.value)
+
+
+@pytest.mark.parametrize(
+    ("path", "expected"),
+    [
+        ("/healthz", "/healthz"),
+        (None, ""),
+        (7, ""),
+        ("healthz", ""),
+        ("/a b", ""),
+        ("/a\r\nHost: other", ""),
+        ("/\u00e9", ""),
+        ("/" * 1_000_000, ""),
+    ],
+)
+def test_health_path_that_cannot_be_requested_is_not_used(
+    path: object, expected: str
+) -> None:
+    service = documents._decode_service({"name": "s", "health_path": path})
+    assert service.identity_path == expected
--- a/laburnumpin/tests/test_platform_wire.py
+++ b/laburnumpin/tests/test_platform_wire.py
@@ -244,3 +244,22 @@
     first, second = fields.prompt.shared_part_ids()
     assert 0 <= first < wire.PART_ID_MODULUS
     assert second == 0x5C1E07A2
+
+
+# The owner of an address after an upstream was taken for that upstream.
+@pytest.mark.parametrize(
+    ("status", "headers", "state"),
+    [
+        (200, [(b"X-Laburnumpin-Instance-Id", b"u1")], "same"),
+        (503, [(b"x-laburnumpin-instance-id", b"u1")], "same"),
+        (200, [(b"X-Laburnumpin-Instance-Id", b"u2")], "replaced"),
+        (421, [], "replaced"),
+        (503, [NOT_EXECUTED], "listening"),
+        (200, [], "listening"),
+    ],
+)
+def test_answer_to_a_health_check_says_who_is_there(
+    status: int, headers: list[tuple[bytes, bytes]], state: str
+) -> None:
+    found = WIRE.identify(build.registration("u1"), status, headers)
+    assert found.value == state
