Take no end for whole while the request is still being sent

What callers saw: an upstream answered a long upload at once without a length, sent a part, closed and rejected the rest of the upload.

Cause: the writing direction ends without an error when the connection is lost, and `judge` did not ask whether the request had been sent; a reset after a normal close was not recorded. Ruled out: a reset at once, which was broken before.

Change: `has_sent_request` is evidence for `judge`, at the end of the answer and again after the check of the upstream.

--- a/laburnumpin/forwarding/attempts.py
+++ b/laburnumpin/forwarding/attempts.py
@@ -488,7 +488,7 @@
                 " not run, but nothing shows that",
             )
         if body is not None:
-            end, _ = await self._find_end(has_content=bool(body))
+            end, _ = await self._find_end(connection, has_content=bool(body))
             if end is completeness.End.BROKEN:
                 body = None
         if body is not None:
@@ -517,7 +517,7 @@
             chunk = await connection.chunk()
             if relay.answer_started:
                 if not chunk:
-                    await self._judge_end(has_content=True)
+                    await self._judge_end(connection, has_content=True)
                     await relay.end()
                     return
                 await relay.write(chunk)
@@ -535,7 +535,7 @@
                     ends_with_connection=self._ends_with_connection,
                 )
                 continue
-            await self._judge_end(has_content=bool(body))
+            await self._judge_end(connection, has_content=bool(body))
             relay.mark_running()
             await relay.send_complete(
                 answers.Answer(
@@ -602,6 +602,7 @@
         stall.stop()
         may_be_stopped = await self._check_move()
         await self._judge_end(
+            connection,
             has_content=has_events,
             is_inside_event=bool(splitter.incomplete_event.strip()),
             may_be_stopped=may_be_stopped,
@@ -624,6 +625,7 @@
 
     async def _judge_end(
         self,
+        connection: connections.ClientConnection,
         *,
         has_content: bool,
         is_inside_event: bool = False,
@@ -636,6 +638,7 @@
                 would claim that it is although nothing shows that.
         """
         end, reason = await self._find_end(
+            connection,
             has_content=has_content,
             is_inside_event=is_inside_event,
             may_be_stopped=may_be_stopped,
@@ -645,6 +648,7 @@
 
     async def _find_end(
         self,
+        connection: connections.ClientConnection,
         *,
         has_content: bool,
         is_inside_event: bool = False,
@@ -657,6 +661,7 @@
             self.framing,
             is_inside_event,
             has_content,
+            connection.has_sent_request(),
             completeness.UpstreamState.UNCHECKED,
             may_be_stopped,
             self._relay.may_be_unproved,
@@ -666,7 +671,12 @@
             return end, reason
         if end is completeness.End.UNPROVED:
             state = await self._shell.end_checks.check(registration)
-            evidence = dataclasses.replace(evidence, upstream=state)
+            evidence = dataclasses.replace(
+                evidence,
+                # A rejection of the rest of the request has arrived by now.
+                is_request_sent=connection.has_sent_request(),
+                upstream=state,
+            )
             end, reason = completeness.judge(evidence)
         self._shell.state.counters.increment("answer_ends", end.value)
         current = self._shell.state.upstreams.get(registration.upstream_id)
@@ -683,6 +693,7 @@
                 "lifecycle": (
                     current.registration.lifecycle.value if current else "gone"
                 ),
+                "request_sent": evidence.is_request_sent,
                 "stop_requested": may_be_stopped,
             },
         )
--- a/laburnumpin/forwarding/byte_stream.py
+++ b/laburnumpin/forwarding/byte_stream.py
@@ -134,7 +134,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Record the end of the connection; called by the event loop."""
-        if not self.ended:
+        if not self.ended or exc is not None:
             self.was_reset = True
         self._transport = None
         if self._timer is not None:
@@ -164,6 +164,16 @@
             return 0
         return self._transport.get_write_buffer_size()
 
+    def has_sent_all(self) -> bool:
+        """Return whether all that was written was sent, and not rejected.
+
+        A peer that has closed rejects what still arrives with a reset, which
+        may be unread yet.
+        """
+        if self.was_reset or self._transport is None or self.unsent_bytes:
+            return False
+        return not self._poll(0)
+
     def has_closed(self) -> bool:
         """Return whether the peer has closed, even if that is unread yet.
 
--- a/laburnumpin/forwarding/completeness.py
+++ b/laburnumpin/forwarding/completeness.py
@@ -121,8 +121,10 @@
 
     `is_inside_event` is whether a stream ended in the middle of an event, and
     `has_content` whether a stream had an event, or another body a byte.
-    `upstream` is what was found out after the end, also for an upstream that
-    was expected to leave: that it was does not show that its answer had ended.
+    `is_request_sent` is whether the upstream's host has taken the whole request
+    and not reset the connection since. `upstream` is what was found out after
+    the end, also for an upstream that was expected to leave: that it was does
+    not show that its answer had ended.
     `may_be_stopped` is whether this entry has asked the upstream to stop the
     stream, unless that had ended before.
     `may_be_unproved` is whether the response to the caller leaves open where
@@ -132,6 +134,7 @@
     framing: Framing
     is_inside_event: bool
     has_content: bool
+    is_request_sent: bool
     upstream: UpstreamState
     may_be_stopped: bool
     may_be_unproved: bool
@@ -147,6 +150,8 @@
         return End.BROKEN, "an answer without length ended before its content"
     if evidence.may_be_stopped:
         return End.BROKEN, "the upstream was asked to stop the stream"
+    if not evidence.is_request_sent:
+        return End.BROKEN, "the connection ended before the request was sent"
     if evidence.upstream in _GONE:
         return End.BROKEN, _GONE[evidence.upstream]
     if not evidence.may_be_unproved:
--- a/laburnumpin/forwarding/connections.py
+++ b/laburnumpin/forwarding/connections.py
@@ -216,6 +216,13 @@
         if unparsed:
             self._h11.receive_data(unparsed)
 
+    def has_sent_request(self) -> bool:
+        """Return whether the peer has taken the whole last request.
+
+        False if it has rejected a part of it.
+        """
+        return self._is_sent and self._stream.has_sent_all()
+
     def set_idle(self, is_idle: bool) -> None:
         """Set whether no response is due, so that any bytes end the use."""
         self._stream.set_idle(is_idle)
--- a/laburnumpin/tests/test_platform_ends.py
+++ b/laburnumpin/tests/test_platform_ends.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import itertools
+import socket
 
 import anyio
+from anyio import abc
 import pytest
 
+from laburnumpin.forwarding import byte_stream
 from laburnumpin.forwarding import completeness
 from laburnumpin.forwarding import connections
 from laburnumpin.forwarding import deployment
@@ -20,6 +23,9 @@
 from laburnumpin.tests import test_platform_relay as relay
 
 IDENTITY_PATH = "/healthz"
+# More than the kernel takes, whose buffers are limited in the test.
+LONG_BODY = b"x" * 3_000_000
+KERNEL_BYTES = 65_536
 HALF = b"one half"
 BOTH_ROUTES = pytest.mark.parametrize(
     ("request_text", "head", "part", "routes"),
@@ -343,11 +349,11 @@
 def test_verdict_for_each_end_and_state(
     framing: completeness.Framing, state: completeness.UpstreamState
 ) -> None:
-    for facts in itertools.product([False, True], repeat=4):
-        inside, content, stopped, may_be_unproved = facts
+    for facts in itertools.product([False, True], repeat=5):
+        inside, content, sent, stopped, may_be_unproved = facts
         end, reason = completeness.judge(
             completeness.Evidence(
-                framing, inside, content, state, stopped, may_be_unproved
+                framing, inside, content, sent, state, stopped, may_be_unproved
             )
         )
         assert reason
@@ -355,8 +361,90 @@
             expected = completeness.End.BROKEN
         elif framing is not completeness.Framing.CLOSE:
             expected = completeness.End.PROVED
-        elif content and not stopped and may_be_unproved and state not in _GONE:
+        elif (
+            content
+            and sent
+            and not stopped
+            and may_be_unproved
+            and state not in _GONE
+        ):
             expected = completeness.End.UNPROVED
         else:
             expected = completeness.End.BROKEN
         assert end is expected, (framing, state, facts)
+
+
+# An upstream answered a long upload at once without a length, sent a part and
+# ended the connection while the upload was still being written.
+@pytest.mark.parametrize("ending", ["reset", "close", "close, then reset"])
+@pytest.mark.parametrize("part", [HALF, ends.LARGE_BODY])
+@pytest.mark.parametrize("is_stream", [False, True])
+def test_answer_that_ends_before_the_request_is_sent_is_broken(
+    monkeypatch: pytest.MonkeyPatch, ending: str, part: bytes, is_stream: bool
+) -> None:
+    connect = byte_stream.connect
+
+    async def connect_with_small_buffer(
+        address: str,
+    ) -> byte_stream.ByteStream:
+        stream = await connect(address)
+        assert stream._transport is not None
+        raw = stream._transport.get_extra_info("socket")
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, KERNEL_BYTES)
+        return stream
+
+    monkeypatch.setattr(byte_stream, "connect", connect_with_small_buffer)
+    head, path, routes = ends.OPEN_HEAD, "/reads/x", ends.SINGLE_CALL
+    if is_stream:
+        head, path, routes = ends.OPEN_STREAM, "/drafts/x", ends.SINGLE_STREAM
+        part = ends.EVENT_1 + b"data: " + part + b"\n\n"
+
+    async def script(connection: relay.UpstreamConnection) -> None:
+        if connection.number > 1:
+            await connection.stream.receive()  # The check of the end.
+            return
+        raw = connection.stream.extra(abc.SocketAttribute.raw_socket)
+        while b"\r\n\r\n" not in connection.received:
+            connection.received += await connection.stream.receive(512)
+        await connection.stream.send(head + part)
+        await anyio.sleep(0.05)
+        if ending != "reset":
+            raw.shutdown(socket.SHUT_WR)
+            await anyio.sleep(0.05 if ending == "close, then reset" else 1)
+        await connection.reset()
+
+    async def run_callers(harness: relay.Harness) -> None:
+        for listener in harness.listeners:
+            raw = listener.extra(abc.SocketAttribute.raw_socket)
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, KERNEL_BYTES)
+        request = relay._encode_request("r1", path, LONG_BODY)
+        _assert_not_whole(harness, await harness.call(request))
+
+    relay.run_with_frontend(script, run_callers, routes=routes)
+
+
+# The entry has read the end of an answer before it learns that the rest of its
+# request was rejected.
+def test_reset_after_a_normal_close_is_noticed() -> None:
+    async def main() -> None:
+        listener = socket.create_server(("127.0.0.1", 0))
+        host, port = listener.getsockname()
+        connection = await connections.connect(f"{host}:{port}", 1_000)
+        accepted, _ = listener.accept()
+        body = b"x" * 60_000
+        headers = [(b"Host", b"h"), (b"Content-Length", b"60000")]
+        await connection.send(b"POST", b"/", headers, body)
+        accepted.sendall(ends.OPEN_HEAD + HALF)
+        accepted.shutdown(socket.SHUT_WR)
+        await connection.head()
+        while await connection.chunk():
+            pass
+        assert connection.has_sent_request()
+        accepted.close()  # The request is unread.
+        with anyio.fail_after(5):
+            while connection.has_sent_request():
+                await anyio.sleep(0.01)
+        connection.close()
+        listener.close()
+
+    anyio.run(main)
