Read no answer from a status above 599

With 600 to 999 the upstream's answer with its receipt, or with `Not-Executed` a 503 that promised "not run".

Cause: the parser takes statuses up to 999, and `classify` compares with lower bounds only.

Change: `ClientConnection.head` raises for them, so that nothing of such an answer is passed on or believed.

--- a/laburnumpin/forwarding/connections.py
+++ b/laburnumpin/forwarding/connections.py
@@ -14,6 +14,9 @@
 SENT_SLICE_BYTES = 65_536
 # Interim responses (1xx) before a final one.
 MAX_INFORMATIONAL_RESPONSES = 16
+# Statuses above this are invalid (RFC 9110, section 15); the parser rejects
+# those below 100.
+MAX_STATUS = 599
 # Parsing a chunk takes the same time whatever its length. Of bodies in chunks
 # below this length, so many are read at once, and then so many a second.
 MIN_CHUNK_BYTES = 16
@@ -124,6 +127,10 @@
         for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
+                if event.status_code > MAX_STATUS:
+                    raise ProtocolError(
+                        f"the status {event.status_code} is not valid"
+                    )
                 return event
             if isinstance(event, h11.InformationalResponse):
                 continue
--- a/laburnumpin/tests/test_platform_statuses.py
+++ b/laburnumpin/tests/test_platform_statuses.py
@@ -159,3 +159,58 @@
     relay.run_with_frontend(
         relay.answering(answer), run_callers, routes=SINGLE_CALL
     )
+
+
+# An upstream in trouble sent an answer whose status was 000, and its caller got
+# it as an answer. Such an answer says nothing, not even that nothing has run.
+@pytest.mark.parametrize(
+    "status",
+    [b"000 ", b"099 No", b"199 No", b"101 Switch", b"600 No", b"999 No"],
+)
+@pytest.mark.parametrize("extra", [b"", NOT_EXECUTED], ids=["", "not run"])
+@every_route
+def test_status_that_no_answer_can_have_is_no_answer(
+    request_text: bytes, routes: Routes, extra: bytes, status: bytes
+) -> None:
+    leaving = b"Server-Leaving: 1\r\nServer-Limit: 1\r\nRetry-After: 9\r\n"
+
+    async def run_callers(harness: relay.Harness) -> None:
+        _assert_promises_nothing(await harness.call(request_text))
+        for upstream in harness.state.upstreams.all():
+            assert upstream.registration.lifecycle.value == "ready"
+        counters = harness.state.counters
+        assert not counters.value("attempts_failed", "rejected")
+        assert not counters.value("upstreams_said_leaving")
+
+    relay.run_with_frontend(
+        relay.answering(_answer(status, extra + leaving)),
+        run_callers,
+        routes=routes,
+    )
+
+
+@pytest.mark.parametrize("status", [b"000 ", b"600 No"])
+def test_status_that_no_answer_can_have_ends_no_stream(status: bytes) -> None:
+    event = b"id: 1\ndata: one\n\n"
+    stream = (
+        b"HTTP/1.1 200 OK\r\n" + IDENTITY + b"Content-Type: text/event-stream"
+        b"\r\nTransfer-Encoding: chunked\r\n\r\n"
+        + f"{len(event):x}\r\n".encode()
+        + event
+        + b"\r\n"
+    )
+
+    async def script(connection: relay.UpstreamConnection) -> None:
+        request = await connection.read_request()
+        resumed = b"Last-Event-Id: 1" in request
+        await connection.stream.send(_answer(status) if resumed else stream)
+
+    async def run_callers(harness: relay.Harness) -> None:
+        received = await harness.call(STREAM)
+        assert received.count(event) == 1
+        assert b"body" not in received
+        assert not received.endswith(b"0\r\n\r\n")
+
+    relay.run_with_frontend(
+        script, run_callers, routes=REPEATABLE_STREAM, upstreams=2
+    )
