Look for a new incarnation after the check of an upstream too

A registration that is read while the upstream is asked shows that another incarnation has its id and its address. The test of it failed before. Also a test that `explain` shows a status that was not passed on, and one copy of the tests' requests.

--- a/laburnumpin/forwarding/budgets.py
+++ b/laburnumpin/forwarding/budgets.py
@@ -304,7 +304,7 @@
     ) -> dict[str, float]:
         """Return the units left to customers that have used much, for peers.
 
-        A new process takes the others to have what it starts with.
+        The others have at least what a new process starts with.
         """
         levels = {}
         for name in self._buckets:
--- a/laburnumpin/forwarding/end_checks.py
+++ b/laburnumpin/forwarding/end_checks.py
@@ -87,13 +87,25 @@
     async def _find_state(
         self, registration: upstreams.Registration
     ) -> completeness.UpstreamState:
+        found = completeness.UpstreamState.UNCHECKED
+        if self.timeout_ms and not self._has_restarted(registration):
+            found = await self._ask_upstream(registration)
+        # A new incarnation may have registered in the meantime.
+        if self._has_restarted(registration):
+            return completeness.UpstreamState.REPLACED
+        return found
+
+    def _has_restarted(self, registration: upstreams.Registration) -> bool:
         current = self._state.upstreams.get(registration.upstream_id)
-        if current is not None:
-            incarnation_ms = current.registration.incarnation_ms
-            if incarnation_ms > registration.incarnation_ms:
-                return completeness.UpstreamState.REPLACED
-        if not self.timeout_ms:
-            return completeness.UpstreamState.UNCHECKED
+        if current is None:
+            return False
+        incarnation_ms = current.registration.incarnation_ms
+        return incarnation_ms > registration.incarnation_ms
+
+    async def _ask_upstream(
+        self, registration: upstreams.Registration
+    ) -> completeness.UpstreamState:
+        """Ask over one connection after the other until somebody answers."""
         found = completeness.UpstreamState.SILENT
         with anyio.move_on_after(self.timeout_ms / 1_000):
             for number in range(MAX_TRIES):
--- a/laburnumpin/tests/test_commands_explain.py
+++ b/laburnumpin/tests/test_commands_explain.py
@@ -227,3 +227,31 @@
     types = [line["message_type"] for line in related]
     assert types == ["callers_crowded", "buffers_full"]
     assert "it had not run" in explain.cause("r1", related)
+
+
+def test_status_of_an_upstream_that_was_not_passed_on() -> None:
+    """Guards against a 502 without the status that the upstream has sent."""
+    reason = "answered with 503, which promises that the request has not run"
+    related = _related(
+        _line(
+            1.1,
+            "attempt_failed",
+            request_id="r1",
+            upstream="u1",
+            attempt=1,
+            ending="error_status",
+            verdict="may_have_run",
+            reason=reason,
+        ),
+        _line(
+            1.1,
+            "request_rejected",
+            request_id="r1",
+            reason="upstream_failed",
+            status=502,
+            not_run=False,
+        ),
+    )
+    text = explain.cause("r1", related)
+    assert "answered 502, it may have run" in text
+    assert reason in text
--- a/laburnumpin/tests/test_platform_ends.py
+++ b/laburnumpin/tests/test_platform_ends.py
@@ -336,6 +336,30 @@
     assert state is completeness.UpstreamState.UNCHECKED
 
 
+# The next incarnation of an upstream has its id and its address.
+def test_incarnation_that_registers_during_the_check_is_another_one() -> None:
+    upstream = _Upstream(["mute"])
+    checks = _end_checks(upstream)
+    registration = build.registration()
+    states: list[completeness.UpstreamState] = []
+
+    async def check() -> None:
+        states.append(await checks.check(registration))
+
+    async def main() -> None:
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(check)
+            while not upstream.opened:
+                await anyio.sleep(0)
+            restarted = build.registration(incarnation_ms=2)
+            reducer.reduce(
+                checks._state, events.UpstreamChanged(1, 2, restarted)
+            )
+
+    anyio.run(main)
+    assert states == [completeness.UpstreamState.REPLACED]
+
+
 _GONE = (
     completeness.UpstreamState.REPLACED,
     completeness.UpstreamState.REFUSED,
--- a/laburnumpin/tests/test_platform_statuses.py
+++ b/laburnumpin/tests/test_platform_statuses.py
@@ -7,19 +7,12 @@
 
 from laburnumpin.forwarding import deployment
 from laburnumpin.tests import forwarding_builders as build
+from laburnumpin.tests import test_platform_completeness as ends
 from laburnumpin.tests import test_platform_relay as relay
 
 IDENTITY = b"X-Laburnumpin-Attempt-Id: r1\r\nX-Laburnumpin-Response-Seal: s\r\n"
 NOT_EXECUTED = b"X-Laburnumpin-Not-Executed: 1\r\n"
-CALL = relay._encode_request("r1")
 LONG_CALL = relay._encode_request("r1", "/reads/x", b"x" * 400_000)
-STREAM = relay._encode_request(
-    "r1",
-    "/drafts/x",
-    b"hi",
-    "X-Laburnumpin-Token-Count: 100,10",
-    "X-Laburnumpin-Prompt-Prefix: a1:40,c3:20",
-)
 SINGLE_CALL = (build.calls(may_repeat=False, max_attempts=2),)
 REPEATABLE_CALL = (build.calls(may_repeat=True, max_attempts=2),)
 SINGLE_STREAM = (build.route(max_attempts=2),)
@@ -29,11 +22,11 @@
 every_route = pytest.mark.parametrize(
     ("request_text", "routes"),
     [
-        (CALL, SINGLE_CALL),
-        (CALL, REPEATABLE_CALL),
+        (ends.CALL, SINGLE_CALL),
+        (ends.CALL, REPEATABLE_CALL),
         (LONG_CALL, SINGLE_CALL),
-        (STREAM, SINGLE_STREAM),
-        (STREAM, REPEATABLE_STREAM),
+        (ends.STREAM, SINGLE_STREAM),
+        (ends.STREAM, REPEATABLE_STREAM),
     ],
     ids=["call", "repeatable call", "long call", "stream", "resumable stream"],
 )
@@ -80,7 +73,7 @@
 @statuses_that_promise
 def test_call_that_may_have_run_is_not_sent_again(status: bytes) -> None:
     async def run_callers(harness: relay.Harness) -> None:
-        _assert_promises_nothing(await harness.call(CALL))
+        _assert_promises_nothing(await harness.call(ends.CALL))
         assert harness.connection_count == 1
 
     relay.run_with_frontend(
@@ -102,7 +95,7 @@
         await connection.send_answer("r1", b"ran")
 
     async def run_callers(harness: relay.Harness) -> None:
-        assert (await harness.call(CALL)).endswith(b"ran")
+        assert (await harness.call(ends.CALL)).endswith(b"ran")
 
     relay.run_with_frontend(
         script, run_callers, routes=REPEATABLE_CALL, upstreams=2
@@ -118,7 +111,7 @@
         await connection.stream.receive()
 
     async def run_callers(harness: relay.Harness) -> None:
-        _assert_promises_nothing(await harness.call(CALL))
+        _assert_promises_nothing(await harness.call(ends.CALL))
         assert harness.connection_count == 2
 
     relay.run_with_frontend(
@@ -150,8 +143,8 @@
     answer = _answer(b"503 Failed", b"Retry-After: 3\r\n")
 
     async def run_callers(harness: relay.Harness) -> None:
-        await harness.call(CALL)
-        received = await harness.call(CALL)
+        await harness.call(ends.CALL)
+        received = await harness.call(ends.CALL)
         assert relay._status_code(received) == 503
         assert b"Retry-After" in received
         assert harness.connection_count == 1
@@ -206,7 +199,7 @@
         await connection.stream.send(_answer(status) if resumed else stream)
 
     async def run_callers(harness: relay.Harness) -> None:
-        received = await harness.call(STREAM)
+        received = await harness.call(ends.STREAM)
         assert received.count(event) == 1
         assert b"body" not in received
         assert not received.endswith(b"0\r\n\r\n")
