Test the soak's stricter check of short answers without length

`test_short_response_is_found_unless_its_runner_gave_no_length` allowed any short answer of a runner that gave no length, and failed since such an answer is a violation unless its runner sent it short or a fault closed the connection.

--- a/laburnumpin/tests/test_soak.py
+++ b/laburnumpin/tests/test_soak.py
@@ -77,22 +77,32 @@
 
 
 @pytest.mark.parametrize(
-    ("body", "was_sent_so", "is_allowed"),
+    ("body", "was_sent_so", "was_cut_by", "is_allowed"),
     [
-        (b"answer", True, True),
-        (b"answer", False, False),
-        (b"other", True, False),
-        (b"", True, False),
+        (b"answer", True, "its runner", True),
+        (b"answer", True, "runner_reset", True),
+        # The end of a runner, announced or not, ends none of its answers.
+        (b"answer", True, "", False),
+        (b"answer", True, "runner_reclaimed", False),
+        (b"answer", True, "runner_crash", False),
+        (b"answer", False, "its runner", False),
+        (b"other", True, "its runner", False),
+        (b"", True, "its runner", False),
     ],
 )
 def test_short_response_is_found_unless_its_runner_gave_no_length(
-    body: bytes, was_sent_so: bool, is_allowed: bool
+    body: bytes, was_sent_so: bool, was_cut_by: str, is_allowed: bool
 ) -> None:
     history = _history()
     call = _outcome(promises.RequestKind.CALL, 200, body)
     history.outcomes.append(dataclasses.replace(call, is_open_ended=True))
     if was_sent_so:
         history.open_ended_ids.add("r1")
+    if was_cut_by == "its runner":
+        history.cut_short_ids.add("r1")
+    elif was_cut_by:
+        span = promises.FaultSpan(was_cut_by, 0, 2**62, planned=False)
+        history.fault_spans.append(span)
     assert (not promises.find_violations(history, _store())) is is_allowed
     history.outcomes.append(call)
     assert promises.find_violations(history, _store())
