--- a/laburnumpin/tests/test_forwarding_budgets.py
+++ b/laburnumpin/tests/test_forwarding_budgets.py
@@ -429,8 +429,6 @@
     customers = {customer.name: customer}
     started_ms = dict.fromkeys(range(9), -60_000)
     quotas = {index: budgets.Quotas(1_650.0) for index in range(9)}
-    for quota in quotas.values():
-        quota.used()
     admitted: list[tuple[int, float]] = []
     for now_ms in range(0, 36_000, 20):
         if now_ms >= 12_000 and now_ms % 2_000 == 0 and now_ms < 30_000:
