Use one copy of the limit of idle connections and of the expected id

`EndChecks` computed the limit that `Shell.idle_limit` returns, and a health check built the header of an attempt once more. No change of behaviour: test_platform_ends, _completeness, _statuses, _wire, _names, _relay, _crashes, _moved_ends, _documents, _exit and the soak's own tests pass.

--- a/laburnumpin/forwarding/end_checks.py
+++ b/laburnumpin/forwarding/end_checks.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import anyio
 
 from laburnumpin.forwarding import completeness
@@ -41,11 +43,13 @@
 
     One check of an upstream runs at a time. Answers that ended before it
     started share its result. A check takes `timeout_ms` at most; with 0 nothing
-    is asked.
+    is asked. `idle_limit` returns how many idle connections to keep to each
+    upstream of a service.
     """
 
     __slots__ = (
         "_checked",
+        "_idle_limit",
         "_pool",
         "_state",
         "_wire",
@@ -57,7 +61,9 @@
         state: forwarding_state.ForwardingState,
         wire: interfaces.Wire,
         upstream_pool: pool.Pool,
+        idle_limit: Callable[[str], int],
     ) -> None:
+        self._idle_limit = idle_limit
         self._state = state
         self._wire = wire
         self._pool = upstream_pool
@@ -153,10 +159,9 @@
         service = self._state.service(registration.service)
         current = self._state.upstreams.get(registration.upstream_id)
         max_idle = 0
-        if service is not None and current is not None:
+        if current is not None:
             if current.registration.lifecycle is upstreams.Lifecycle.READY:
-                entries = self._state.members.count()
-                max_idle = pool.idle_limit(service.max_connections, entries)
+                max_idle = self._idle_limit(registration.service)
         if service is None or not service.identity_path:
             self._pool.release(registration, connection, max_idle)
             return completeness.UpstreamState.LISTENING
--- a/laburnumpin/forwarding/shell.py
+++ b/laburnumpin/forwarding/shell.py
@@ -76,7 +76,9 @@
         self.admission = admission_settings.default()
         # Of the callers' connections; set by `Frontend`.
         self.gate: gates.Gate | None = None
-        self.end_checks = end_checks.EndChecks(state, wire, upstream_pool)
+        self.end_checks = end_checks.EndChecks(
+            state, wire, upstream_pool, self.idle_limit
+        )
         # Callbacks that move a stream, by request id.
         self.stream_movers: dict[str, Callable[[effects.MoveStream], None]] = {}
         self.metrics = metrics.Metrics()
--- a/laburnumpin/platform/standins.py
+++ b/laburnumpin/platform/standins.py
@@ -813,9 +813,8 @@
 ) -> dict[str, Any]:
     """Return a configuration with `probe_route`.
 
-    Without `moves_streams`, engines don't move their streams when they leave.
-
     A route that is named after the version shows which version is in force.
+    Without `moves_streams`, engines don't move their streams when they leave.
     """
     routes = [
         _route("calls", "/calls/", "non_idempotent", "desk", max_attempts=3),
--- a/laburnumpin/platform/wire.py
+++ b/laburnumpin/platform/wire.py
@@ -168,12 +168,7 @@
         headers.append(
             (b"X-Laburnumpin-Deadline-Ms", str(remaining_ms).encode())
         )
-        headers.append(
-            (
-                b"X-Laburnumpin-Expect-Instance",
-                registration.upstream_id.encode(),
-            )
-        )
+        headers.append(_expected_upstream(registration))
         if request.customer is not None:
             headers.append(
                 (b"X-Laburnumpin-Tenant", request.customer.name.encode())
@@ -219,10 +214,7 @@
         """Return the headers of a health check of an upstream."""
         return [
             (b"Host", registration.address.encode()),
-            (
-                b"X-Laburnumpin-Expect-Instance",
-                registration.upstream_id.encode(),
-            ),
+            _expected_upstream(registration),
         ]
 
     def identify(
@@ -309,6 +301,16 @@
         return None
 
 
+def _expected_upstream(
+    registration: upstreams.Registration,
+) -> tuple[bytes, bytes]:
+    """Return the header that makes any other upstream answer 421."""
+    return (
+        b"X-Laburnumpin-Expect-Instance",
+        registration.upstream_id.encode(),
+    )
+
+
 def _decode_limit(value: bytes) -> float:
     """Return a limit in requests a second.
 
--- a/laburnumpin/tests/test_platform_ends.py
+++ b/laburnumpin/tests/test_platform_ends.py
@@ -287,6 +287,7 @@
         state,
         wire.PlatformWire(),
         upstream,  # type: ignore[arg-type]
+        lambda service: 1,
     )
     checks.timeout_ms = 60
     return checks
