--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -45,6 +45,8 @@
 
 Headers = dict[str, str]
 
+_given_ports: set[int] = set()
+
 
 def is_troubled() -> bool:
     """Return whether the disruption is played; `TROUBLE=0` leaves it out."""
@@ -354,7 +356,8 @@
         port = random.randrange(10_000, max(lowest_ephemeral, 11_000))
         with contextlib.suppress(OSError), socket.socket() as probe:
             probe.bind(("127.0.0.1", port))
-            if port not in ports:
+            if port not in _given_ports:
+                _given_ports.add(port)
                 ports.append(port)
     return ports
 
