Run nothing that follows an ambiguous end of a request

Cause: h11 follows the chunks and leaves the close that RFC 9112 (6.1) requires to its user; `Caller.prepare_next_request` read on. It also tolerates chunks in HTTP/1.0, repeated and listed lengths, folded lines, bare line feeds, odd sizes of chunks and framing fields in trailers, so that the leniency of a library decided where a message ends. Ruled out: that both fields are forwarded; `upstream_headers` writes one length.

Change: `laburnumpin/framing` judges the lines as they were sent. A length beside chunks is served by the chunks, and nothing after it is read; every other ambiguous end is refused before anything is sent. For answers, `completeness.is_no_answer` says which defects prove nothing; the connection is not used again after any. The project's own interface judges the fields that its libraries pass on. Log line `request_ambiguous`, counter `requests_ambiguous`, shown by `explain`.

--- a/laburnumpin/commands/explain.py
+++ b/laburnumpin/commands/explain.py
@@ -243,6 +243,7 @@
         )
         text += f"; answered {rejection.get('status')}, it {execution}"
         text += _describe_losses(rejection)
+    text += _describe_framing(request_id, related)
     text += _describe_end(request_id, related)
     text += _describe_version(request_id, related)
     if failure is not None:
@@ -256,6 +257,23 @@
     return text
 
 
+def _describe_framing(request_id: str, related: list[LogLine]) -> str:
+    """Return what to say of a request whose end is ambiguous."""
+    for line in related:
+        if line.get("request_id") != request_id:
+            continue
+        if line.get("message_type") != "request_ambiguous":
+            continue
+        defect = line.get("defect")
+        if line.get("action") == "refused":
+            return f"; refused unread, as its end is ambiguous ({defect})"
+        return (
+            f"; its end is ambiguous ({defect}), so the entry closed the "
+            "connection after the answer"
+        )
+    return ""
+
+
 def _describe_end(request_id: str, related: list[LogLine]) -> str:
     """Return what to say of an answer that is not proved to be whole."""
     for line in related:
--- a/laburnumpin/forwarding/caller.py
+++ b/laburnumpin/forwarding/caller.py
@@ -13,6 +13,8 @@
 from laburnumpin.forwarding.admission import caller_stream
 from laburnumpin.forwarding.admission import gate as gates
 from laburnumpin.forwarding.admission import turns
+from laburnumpin.framing import defects
+from laburnumpin.framing import parser
 
 # A caller that does not read its response for this long counts as disconnected.
 # A blocked write holds up only the pipelined requests of the same connection.
@@ -33,15 +35,21 @@
     """The request is malformed, too long or late.
 
     `status` is the HTTP status to answer with before closing the connection,
-    and `retry_after_ms` when to send the request again, None for never.
+    `retry_after_ms` when to send the request again, None for never, and
+    `defect` what is wrong with its framing, if that is why.
     """
 
     def __init__(
-        self, status: int, message: str, retry_after_ms: int | None = None
+        self,
+        status: int,
+        message: str,
+        retry_after_ms: int | None = None,
+        defect: defects.Defect | None = None,
     ) -> None:
         super().__init__(message)
         self.status = status
         self.retry_after_ms = retry_after_ms
+        self.defect = defect
 
 
 class Caller:
@@ -50,7 +58,14 @@
     With a `gate` the connection is one that it has admitted.
     """
 
-    __slots__ = ("_admitted", "_gate", "_h11", "_small_chunks", "stream")
+    __slots__ = (
+        "_admitted",
+        "_gate",
+        "_h11",
+        "_lines",
+        "_small_chunks",
+        "stream",
+    )
 
     def __init__(
         self,
@@ -65,9 +80,20 @@
             self._admitted = stream
         # Small chunks of the current request's body.
         self._small_chunks = 0
-        self._h11 = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=max_header_bytes
-        )
+        self._h11, self._lines = parser.create(h11.SERVER, max_header_bytes)
+
+    @property
+    def defect(self) -> defects.Defect | None:
+        """Return the defect of the current request's framing, if any."""
+        return self._lines.defect
+
+    def head_fields(self) -> connections.Headers:
+        """Return the fields of the last head, also of one that is malformed."""
+        fields = []
+        for line in self._lines.head_lines[1:]:
+            name, _, value = bytes(line).partition(b":")
+            fields.append((name.strip(), value.strip()))
+        return fields
 
     def enter(self, phase: Phase) -> None:
         """Record what the connection is doing."""
@@ -96,6 +122,7 @@
             CallerDisconnectedError: The connection was reset.
         """
         header_deadline_s: float | None = None
+        self._lines.start_message()
         self.enter(Phase.IDLE)
         head_bytes = len(self._h11.trailing_data[0])
         holds_head = False
@@ -350,6 +377,8 @@
 
     def prepare_next_request(self) -> bool:
         """Reset for the next request; return False if none can follow."""
+        if self._lines.defect is not None:
+            return False
         return connections.start_next_cycle(self._h11)
 
     def close(self) -> None:
@@ -361,11 +390,24 @@
         self.stream.abort()
 
     def _parse(self) -> object:
+        event: object = None
+        problem: h11.RemoteProtocolError | None = None
         try:
-            return self._h11.next_event()
+            event = self._h11.next_event()
         except h11.RemoteProtocolError as error:
-            status = error.error_status_hint
-            raise CallerInputError(status, str(error)) from error
+            problem = error
+        defect = self._lines.defect
+        if defects.judge_request(defect) is defects.RequestVerdict.REFUSED:
+            assert defect is not None
+            raise CallerInputError(
+                defects.refusal_status(defect),
+                f"the end of the request is ambiguous: {defect.value}",
+                defect=defect,
+            ) from problem
+        if problem is not None:
+            status = problem.error_status_hint
+            raise CallerInputError(status, str(problem)) from problem
+        return event
 
     def _feed_parser(self, data: bytes) -> None:
         try:
--- a/laburnumpin/forwarding/completeness.py
+++ b/laburnumpin/forwarding/completeness.py
@@ -9,8 +9,12 @@
 
 import dataclasses
 import enum
+import typing
 
-from laburnumpin.forwarding import connections
+from laburnumpin.framing import defects
+
+if typing.TYPE_CHECKING:
+    from laburnumpin.forwarding import connections
 
 _STATUSES_WITHOUT_BODY = (204, 304)
 # As long as the check of an upstream whose connections have broken.
@@ -55,6 +59,34 @@
     return Framing.CLOSE
 
 
+# Defects after which readers may disagree about which bytes are the body. The
+# others leave open only where the next answer begins.
+_CONTRADICTIONS = frozenset(
+    (
+        defects.Defect.LENGTH_AND_CHUNKS,
+        defects.Defect.CODING_IN_HTTP_1_0,
+        defects.Defect.UNKNOWN_CODING,
+        defects.Defect.UNKNOWN_VERSION,
+        defects.Defect.BLANK_BEFORE_COLON,
+        defects.Defect.BARE_CARRIAGE_RETURN,
+        defects.Defect.MALFORMED_CHUNK_SIZE,
+    )
+)
+
+
+def is_no_answer(defect: defects.Defect, status: int | None = None) -> bool:
+    """Return whether a message with a defect proves nothing.
+
+    `status` is that of its head, None in its body. A body of an interim
+    response could be read as the final one. Repeated equal lengths name one
+    end (RFC 9110, section 8.6); unequal ones are rejected by the parser.
+    """
+    if defect in _CONTRADICTIONS:
+        return True
+    is_interim = status is not None and status < 200
+    return is_interim and defect is defects.Defect.UNEXPECTED_BODY
+
+
 def may_continue(
     status: int,
     headers: connections.Headers,
--- a/laburnumpin/forwarding/connections.py
+++ b/laburnumpin/forwarding/connections.py
@@ -7,6 +7,9 @@
 
 from laburnumpin.forwarding import buffers
 from laburnumpin.forwarding import byte_stream
+from laburnumpin.forwarding import completeness
+from laburnumpin.framing import defects
+from laburnumpin.framing import parser
 
 # Longest body of an answer to an earlier request that is skipped.
 MAX_SKIPPED_BODY_BYTES = 1_048_576
@@ -47,6 +50,7 @@
         "_h11",
         "_is_sent",
         "_last_request",
+        "_lines",
         "_small_chunks",
         "_stream",
         "idle_since_ms",
@@ -56,7 +60,7 @@
 
     def __init__(self, stream: byte_stream.ByteStream) -> None:
         self._stream = stream
-        self._h11 = h11.Connection(h11.CLIENT)
+        self._h11, self._lines = parser.create(h11.CLIENT)
         # Whether the stream has taken the whole last request. An answer may
         # come earlier, while the peer still expects the rest of the body.
         self._is_sent = True
@@ -91,6 +95,7 @@
         """
         self.requests_sent += 1
         self._small_chunks = 0
+        self._lines.start_message()
         self._last_request = (method, target, headers)
         data = self._h11.send(
             h11.Request(method=method, target=target, headers=headers)
@@ -126,6 +131,13 @@
         """
         for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
             event = await self._next_event()
+            if isinstance(event, h11.Response | h11.InformationalResponse):
+                self._lines.note(
+                    defects.find_in_status(
+                        event.status_code, event.headers.raw_items()
+                    )
+                )
+                self._check_framing(event.status_code)
             if isinstance(event, h11.Response):
                 if event.status_code > MAX_STATUS:
                     raise ProtocolError(
@@ -146,6 +158,7 @@
         """
         while True:
             event = await self._next_event()
+            self._check_framing()
             if isinstance(event, h11.Data):
                 if event.data:
                     await self._pace(len(event.data))
@@ -155,6 +168,14 @@
                 return b""
             raise ConnectionLostError("the connection was closed")
 
+    def _check_framing(self, status: int | None = None) -> None:
+        """Raise if the framing shows that this is no answer."""
+        defect = self._lines.defect
+        if defect is not None and completeness.is_no_answer(defect, status):
+            raise ProtocolError(
+                f"the end of the answer is ambiguous: {defect.value}"
+            )
+
     async def _pace(self, chunk_bytes: int) -> None:
         """Wait if the peer sends many small chunks.
 
@@ -211,8 +232,10 @@
         unparsed = bytes(self._h11.trailing_data[0])
         if self._h11.their_state is h11.MUST_CLOSE:
             raise ConnectionLostError("the connection was closed")
+        if self._lines.defect is not None:
+            raise ProtocolError("what follows may be a part of that response")
         method, target, headers = self._last_request
-        self._h11 = h11.Connection(h11.CLIENT)
+        self._h11, self._lines = parser.create(h11.CLIENT)
         self._h11.send(
             h11.Request(method=method, target=target, headers=headers)
         )
@@ -240,6 +263,8 @@
             return False
         if self._stream.ended or not self._is_sent:
             return False
+        if self._lines.defect is not None:
+            return False  # What follows may be a part of the last answer.
         return start_next_cycle(self._h11)
 
     def close(self) -> None:
--- a/laburnumpin/forwarding/frontend.py
+++ b/laburnumpin/forwarding/frontend.py
@@ -25,6 +25,7 @@
 from laburnumpin.forwarding.admission import gate as gates
 from laburnumpin.forwarding.admission import listener
 from laburnumpin.forwarding.rollouts import routing
+from laburnumpin.framing import defects
 from laburnumpin.server import logs
 
 LISTEN_BACKLOG = 512
@@ -130,7 +131,7 @@
         except callers.CallerInputError as error:
             # A copy: the error and this frame would hold each other.
             refusal = callers.CallerInputError(
-                error.status, str(error), error.retry_after_ms
+                error.status, str(error), error.retry_after_ms, error.defect
             )
         except _RefusedOnHeadError:
             pass
@@ -149,6 +150,9 @@
         caller.enter(callers.Phase.RUNNING)
         gate = self._shell.gate
         exchange.closes_connection = gate is not None and gate.is_full()
+        if caller.defect is not None:
+            exchange.closes_connection = True
+            self._report_ambiguous(caller, caller.defect, "connection_closed")
         try:
             keep_alive = await exchange.run()
         finally:
@@ -181,6 +185,8 @@
         else:
             if refusal.retry_after_ms is not None:
                 self._report_without_room(head, refusal)
+            if refusal.defect is not None:
+                self._report_ambiguous(caller, refusal.defect, "refused")
             await self._answer_input_error(caller, refusal)
         await self._end_connection(caller, account)
 
@@ -197,6 +203,22 @@
             raise _RefusedOnHeadError
         caller.show_customer(customer)
 
+    def _report_ambiguous(
+        self, caller: callers.Caller, defect: defects.Defect, action: str
+    ) -> None:
+        """Count and log a request whose end readers may place differently."""
+        self._shell.state.counters.increment("requests_ambiguous", defect.value)
+        fields = caller.head_fields()
+        logs.write(
+            "request_ambiguous",
+            "warning",
+            {
+                "request_id": self._shell.wire.request_id(fields),
+                "defect": defect.value,
+                "action": action,
+            },
+        )
+
     def _report_without_room(
         self, head: h11.Request | None, error: callers.CallerInputError
     ) -> None:
--- a/laburnumpin/forwarding/interfaces.py
+++ b/laburnumpin/forwarding/interfaces.py
@@ -264,6 +264,9 @@
             DocumentError: A required header is missing or malformed.
         """
 
+    def request_id(self, headers: connections.Headers) -> str:
+        """Return the id in the fields of a head, empty if it has none."""
+
     def upstream_headers(
         self,
         head: CallerHead,
--- /dev/null
+++ b/laburnumpin/framing/parser.py
@@ -0,0 +1,81 @@
+"""An HTTP/1.1 parser that tells in which messages readers may disagree."""
+
+from __future__ import annotations
+
+import h11
+from h11 import _receivebuffer as receive_buffer
+
+from laburnumpin.framing import defects
+
+DEFAULT_MAX_HEAD_BYTES = 16_384
+_Role = type[h11.SERVER] | type[h11.CLIENT]
+
+
+class LineBuffer(receive_buffer.ReceiveBuffer):
+    """The bytes that `h11` has yet to parse.
+
+    `h11` accepts line ends, folded lines and framing fields that other readers
+    read otherwise, and drops them. `defect` is the first one of the current
+    message, and `head_lines` are the lines of its head.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.defect: defects.Defect | None = None
+        self.head_lines: list[bytearray] = []
+        self._has_chunks = False
+
+    def start_message(self) -> None:
+        """Forget the message before."""
+        self.defect = None
+        self.head_lines = []
+        self._has_chunks = False
+
+    def note(self, defect: defects.Defect | None) -> None:
+        """Record a defect of the current message."""
+        self.defect = self.defect or defect
+
+    def maybe_extract_lines(self) -> list[bytearray] | None:
+        """Extract the lines up to the first blank one, if it has arrived."""
+        before = self._data
+        if before[:1] == b"\n":
+            self.note(defects.Defect.BARE_LINE_FEED)
+        end = None
+        if before[:1] != b"\n" and before[:2] != b"\r\n":
+            end = receive_buffer.blank_line_regex.search(
+                before, self._multiple_lines_search
+            )
+        raw = bytes(before[: end.end()]) if end else b""
+        lines = super().maybe_extract_lines()
+        if not lines:
+            return lines
+        self.note(defects.find_in_lines(raw))
+        if self._has_chunks:
+            self.note(defects.find_in_trailer(lines))
+        else:
+            self.note(defects.find_in_head(lines))
+            self.head_lines = lines
+        return lines
+
+    def maybe_extract_next_line(self) -> bytearray | None:
+        """Extract the line that begins a chunk, if it has arrived."""
+        line = super().maybe_extract_next_line()
+        if line is not None:
+            self._has_chunks = True
+            self.note(defects.find_in_chunk_line(line))
+        return line
+
+
+def create(
+    role: _Role, max_head_bytes: int = DEFAULT_MAX_HEAD_BYTES
+) -> tuple[h11.Connection, LineBuffer]:
+    """Return a parser for one connection, and its buffer.
+
+    `h11` has no public way to see the lines as they were sent, so its buffer
+    is replaced. `constraints.txt` pins its version.
+    """
+    connection = h11.Connection(role, max_incomplete_event_size=max_head_bytes)
+    lines = LineBuffer()
+    assert type(connection._receive_buffer) is receive_buffer.ReceiveBuffer
+    connection._receive_buffer = lines
+    return connection, lines
--- a/laburnumpin/platform/wire.py
+++ b/laburnumpin/platform/wire.py
@@ -144,6 +144,13 @@
             resume_after=_decode_number(values.get(LAST_EVENT_ID)),
         )
 
+    def request_id(self, headers: connections.Headers) -> str:
+        """Return the id in the fields of a head, empty if it has none."""
+        for name, value in headers:
+            if name.lower() == ATTEMPT_ID:
+                return value.decode("latin-1")
+        return ""
+
     def upstream_headers(
         self,
         head: interfaces.CallerHead,
--- a/laburnumpin/server/caller_errors.py
+++ b/laburnumpin/server/caller_errors.py
@@ -14,6 +14,7 @@
 # HTTP status by error code. A code that is missing here becomes 503 if the
 # failure has a retry delay, and 500 otherwise.
 STATUS_BY_CODE = {
+    "ambiguous_request": 400,
     "body_timeout": 408,
     "body_too_large": 413,
     "cancelled": 409,
--- a/laburnumpin/server/entry.py
+++ b/laburnumpin/server/entry.py
@@ -16,7 +16,7 @@
 from anyio import lowlevel
 from hypercorn import asyncio as hypercorn_asyncio
 from hypercorn import config as hypercorn_config
-from starlette import applications
+from starlette import types
 
 from laburnumpin import clock as clocks
 from laburnumpin import signals
@@ -31,6 +31,7 @@
 from laburnumpin.server import bridge as bridges
 from laburnumpin.server import caller_api
 from laburnumpin.server import caller_input
+from laburnumpin.server import framing_guard
 from laburnumpin.server import logs
 from laburnumpin.server import metrics
 from laburnumpin.server import operator_api
@@ -258,8 +259,11 @@
                     (callers.application(), self._sockets.caller),
                     (operators.application(), self._sockets.operator),
                 ):
+                    guarded = framing_guard.FramingGuard(
+                        application, self._bridge.state.counters
+                    )
                     http_group.start_soon(
-                        _serve_http, application, listener, self.loop.exited
+                        _serve_http, guarded, listener, self.loop.exited
                     )
             http_finished.set()
 
@@ -377,7 +381,7 @@
 
 
 async def _serve_http(
-    application: applications.Starlette,
+    application: types.ASGIApp,
     listener: socket.socket,
     exited: anyio.Event,
 ) -> None:
--- a/laburnumpin/server/http_calls.py
+++ b/laburnumpin/server/http_calls.py
@@ -10,6 +10,7 @@
 import httpx
 
 from laburnumpin import clock as clocks
+from laburnumpin.server import framing_guard
 
 # After a longer idle time a connection may be closed or half-open.
 KEEPALIVE_EXPIRY_MS = 2_000
@@ -82,6 +83,7 @@
         verify=_ssl_context(),
         trust_env=False,
         follow_redirects=False,
+        event_hooks={"response": [framing_guard.check_response]},
         timeout=httpx.Timeout(
             None, connect=connect_timeout_s, pool=connect_timeout_s
         ),
--- a/laburnumpin/tests/test_commands_explain.py
+++ b/laburnumpin/tests/test_commands_explain.py
@@ -255,3 +255,24 @@
     text = explain.cause("r1", related)
     assert "answered 502, it may have run" in text
     assert reason in text
+
+
+@pytest.mark.parametrize(
+    ("action", "text"),
+    [
+        ("refused", "refused unread, as its end is ambiguous (folded_line)"),
+        ("connection_closed", "closed the connection after the answer"),
+    ],
+)
+def test_request_with_an_ambiguous_end(action: str, text: str) -> None:
+    """Guards against a closed connection without its reason."""
+    related = _related(
+        _line(
+            1.0,
+            "request_ambiguous",
+            request_id="r1",
+            defect="folded_line",
+            action=action,
+        ),
+    )
+    assert text in explain.cause("r1", related)
--- a/laburnumpin/tests/test_platform_relay.py
+++ b/laburnumpin/tests/test_platform_relay.py
@@ -29,6 +29,7 @@
 TIMEOUT_S = 10.0
 
 UpstreamScript = Callable[["UpstreamConnection"], Awaitable[None]]
+RunCallers = Callable[["Harness"], Awaitable[None]]
 
 
 class UpstreamConnection:
@@ -95,6 +96,20 @@
         self.listeners: list[abc.Listener[abc.SocketStream]] = []
         self.frontend: frontend.Frontend | None = None
 
+    async def send_slices(self, text: bytes, slice_bytes: int) -> bytes:
+        """Send bytes in slices; return what comes until the connection ends."""
+        host, _, port = self.address.rpartition(":")
+        received = b""
+        async with await anyio.connect_tcp(host, int(port)) as stream:
+            with contextlib.suppress(anyio.BrokenResourceError):
+                for start in range(0, len(text), slice_bytes):
+                    await stream.send(text[start : start + slice_bytes])
+                    await anyio.sleep(0)
+            with contextlib.suppress(anyio.EndOfStream):
+                while True:
+                    received += await stream.receive()
+        return received
+
     async def call(self, text: bytes, *, answers: int = 1) -> bytes:
         """Send bytes and return the bytes of that many complete answers.
 
@@ -162,6 +177,7 @@
     routes: tuple[deployment.Route, ...] | None = None,
     upstreams: int = 1,
     identity_path: str = "",
+    customers: tuple[deployment.Customer, ...] = (),
 ) -> None:
     """Run a frontend before scripted upstreams while callers use it."""
 
@@ -173,7 +189,9 @@
                     script,
                     run_callers,
                     build.configuration(
-                        routes=routes, identity_path=identity_path
+                        routes=routes,
+                        customers=customers,
+                        identity_path=identity_path,
                     ),
                     upstreams,
                 )
