Order the statements of an upstream by its own count

Cause: the store carried out a heartbeat from before the removal 1.5 s later. Within one history the version of the row decided whether it was newer, which is the order in which the store carried the writes out; `born` and `seq` were compared only across a restore. Ruled out: that the removal was not read; the log has `change=removed` and then `change=added`.

A row that says nothing newer than what was known at the removal is held, an older one changes nothing, and an incarnation that was leaving when it was removed is never ready again. The hold follows the heartbeat of the settings.

One case of test_engine_that_has_left_does_not_come_back demanded that an engine which had said that it leaves is ready again once its row has stayed. An upstream that reports `draining` only goes on to exit, so the case is wrong: it demands `leaving` now, and a new case has the engine that was removed without having said so, which is used again.

--- a/laburnumpin/commands/explain.py
+++ b/laburnumpin/commands/explain.py
@@ -80,6 +80,7 @@
     "entry_started",
     "registration_held",
     "registration_malformed",
+    "registration_outdated",
     "rows_of_lost_era",
     "store_era_changed",
     "store_lost",
--- a/laburnumpin/forwarding/daemon.py
+++ b/laburnumpin/forwarding/daemon.py
@@ -23,6 +23,7 @@
 from laburnumpin.forwarding import state as forwarding_state
 from laburnumpin.forwarding import synchronization
 from laburnumpin.forwarding import withholding_store
+from laburnumpin.forwarding.registrations import history
 from laburnumpin.forwarding.rollouts import documents as rollout_documents
 from laburnumpin.forwarding.rollouts import holder
 from laburnumpin.forwarding.rollouts import orders
@@ -103,6 +104,7 @@
             load_shared_rows,
             settings.call_times,
             settings.max_configuration_bytes,
+            history.hold_ms(settings.upstream_heartbeat_ms),
         )
         if rollouts is not None and rollout_holder is not None:
             order_reader = orders.OrderReader(shell, rollouts)
--- a/laburnumpin/forwarding/settings.py
+++ b/laburnumpin/forwarding/settings.py
@@ -10,6 +10,7 @@
 from laburnumpin.forwarding import completeness
 from laburnumpin.forwarding import freshness
 from laburnumpin.forwarding import part_losses
+from laburnumpin.forwarding import upstreams
 from laburnumpin.forwarding.admission import settings as admission_settings
 from laburnumpin.forwarding.configurations import limits
 from laburnumpin.forwarding.rollouts import model
@@ -31,7 +32,8 @@
     answers. `call_times` are those of calls to the platform, and `buffers`
     is for the bytes of requests and answers, `admission` for the connections
     of callers. A configuration that is longer than `max_configuration_bytes` is
-    rejected. `rollouts` limits staged roll-outs, None if the deployment has
+    rejected. Upstreams register anew each `upstream_heartbeat_ms`.
+    `rollouts` limits staged roll-outs, None if the deployment has
     none. `is_first_start` is whether the whole system starts for the first
     time.
     """
@@ -73,3 +75,4 @@
         default_factory=admission_settings.default
     )
     is_first_start: bool = False
+    upstream_heartbeat_ms: int = upstreams.DEFAULT_HEARTBEAT_MS
--- a/laburnumpin/forwarding/synchronization.py
+++ b/laburnumpin/forwarding/synchronization.py
@@ -25,6 +25,7 @@
 from laburnumpin.forwarding.configurations import reader
 from laburnumpin.forwarding.configurations import tables
 from laburnumpin.forwarding.configurations import values
+from laburnumpin.forwarding.registrations import history
 from laburnumpin.server import logs
 
 # With more entries than this, each one retries a failing store less often, so
@@ -52,8 +53,6 @@
 ENTRY_WRITE_SPREAD_S = 0.01
 # Pause before a table is read again whose answer was too large.
 TOO_LARGE_PAUSE_S = 2.0
-# Removed registrations whose version is kept.
-MAX_TOMBSTONES = 1_000
 # Malformed registrations whose version was logged.
 MAX_LOGGED_ROWS = 256
 MAX_LOGGED_KEY_CHARS = 200
@@ -61,28 +60,14 @@
 # In a new era of the store, entries that a relay keeps in sync wait this long
 # for the relay's rows before they read the store themselves.
 RELAY_ERA_GRACE_MS = 2_000
-# A registration that was removed before a restore and is in the restored copy
-# is used again if it stays there this long: three heartbeats of an upstream,
-# after which the platform removes it, and a margin.
-RESTORED_HOLD_MS = 5_000
+
+DEFAULT_HOLD_MS = history.hold_ms(upstreams.DEFAULT_HEARTBEAT_MS)
 
 Table = interfaces.Table
 # Tables whose changes an entry follows.
 FOLLOWED = (Table.OPERATOR, Table.UPSTREAMS)
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class _Tombstone:
-    """A removed registration.
-
-    `position` is that of the removal, `written` the upstream's own order of its
-    last registration.
-    """
-
-    position: interfaces.Position
-    written: tuple[int, int]
-
-
 class Synchronizer:
     """Keeps the state in sync with the store, directly or through peers.
 
@@ -100,7 +85,7 @@
         "_entries_read",
         "_era_changed",
         "_failing_tables",
-        "_held_rows",
+        "_history",
         "_ignored_eras",
         "_malformed_rows",
         "_noted_era",
@@ -112,9 +97,7 @@
         "_relay_lost",
         "_shell",
         "_store",
-        "_tombstones",
         "_too_large_reason",
-        "_upstream_rows",
         "is_synced_by_relay",
         "large_values",
         "max_value_bytes",
@@ -130,6 +113,7 @@
         on_entries_read: Callable[[], Awaitable[None]] | None = None,
         call_times: freshness.CallTimes | None = None,
         max_configuration_bytes: int = limits.MAX_CONFIGURATION_BYTES,
+        hold_ms: int = DEFAULT_HOLD_MS,
     ) -> None:
         self._shell = shell
         self._call_times = call_times or freshness.CallTimes()
@@ -146,15 +130,14 @@
         self._on_entries_read = on_entries_read
         # Rows of the store, for snapshots to peers that cannot reach it.
         self._operator_rows: dict[str, interfaces.Row] = {}
-        self._upstream_rows: dict[str, interfaces.Row] = {}
+        self._history = history.History(
+            self._decode_registration,
+            shell.state.upstreams,
+            shell.state.counters.increment,
+        )
+        self._history.hold_ms = hold_ms
         # Position of the newest change that was applied, by table.
         self._positions = dict.fromkeys(FOLLOWED, interfaces.Position(0, 0))
-        # By the key of the removed registration. A late change of an older
-        # version must not undo a removal, nor must an older copy of the store.
-        self._tombstones: dict[str, _Tombstone] = {}
-        # Rows of a restored store that may belong to upstreams that have ended,
-        # and since when they are held, by key.
-        self._held_rows: dict[str, tuple[interfaces.Row, int]] = {}
         # Era in which the configuration in force was read.
         self._configuration_era = 0
         # Set when the store's era has changed since `_noted_era`.
@@ -505,7 +488,7 @@
         now_ms = self._shell.now_ms()
         return {
             "operator": encode_rows(tuple(self._operator_rows.values())),
-            "upstreams": encode_rows(tuple(self._upstream_rows.values())),
+            "upstreams": encode_rows(tuple(self._history.rows.values())),
             "operator_version": self._positions[Table.OPERATOR].version,
             "upstreams_version": self._positions[Table.UPSTREAMS].version,
             "operator_era": self._positions[Table.OPERATOR].era,
@@ -647,27 +630,22 @@
         if rows.era == previous.era and not is_restored:
             newest_version = max(newest_version, previous.version)
         self._positions[table] = interfaces.Position(rows.era, newest_version)
-        by_key = {row.key: row for row in rows.rows}
         if table is Table.OPERATOR:
-            self._apply_operator_rows(by_key)
+            self._apply_operator_rows({row.key: row for row in rows.rows})
             self._publish_rows(table, rows, previous, complete=True)
             return
         now_ms = self._shell.now_ms()
-        if is_restored:
-            # What upstreams registered after the copy was made is missing until
-            # they register again.
-            after_outage = True
-            self._held_rows.clear()
-            self._keep_newer_registrations(by_key)
-        by_key = self._hold_ended(by_key, rows.version, now_ms)
-        self._upstream_rows = by_key
+        # What upstreams registered after a copy was made is missing until they
+        # register again.
+        after_outage |= is_restored
+        registrations = self._history.replace_all(
+            rows.rows,
+            interfaces.Position(rows.era, rows.version),
+            now_ms,
+            is_other_history=is_restored,
+        )
         if after_outage:
             self._outage_ended_ms = now_ms
-        registrations: list[upstreams.Registration] = []
-        for row in by_key.values():
-            registration = self._decode_registration(row)
-            if registration is not None:
-                registrations.append(registration)
         self._shell.apply(
             events.UpstreamsListed(
                 now_ms,
@@ -727,28 +705,19 @@
     def _apply_row(
         self, row: interfaces.Row, now_ms: int, after_outage: bool
     ) -> None:
-        era = self._positions[Table.UPSTREAMS].era
-        current_row = self._upstream_rows.get(row.key)
-        known = interfaces.Position(era, 0)
-        if current_row is not None:
-            known = interfaces.Position(era, current_row.version)
-        elif row.key in self._tombstones:
-            known = self._tombstones[row.key].position
-        if known.era == era and row.version <= known.version:
-            return  # A peer has delivered this or a newer change.
-        registration = self._decode_registration(row)
+        change = self._history.apply(
+            row, self._positions[Table.UPSTREAMS].era, now_ms
+        )
+        if change is history.Change.NONE:
+            return
+        registration = self._history.read(row)
         if registration is None:
-            self._remove_row(row, era)
             self._shell.apply(
                 events.UpstreamRemoved(
                     now_ms, row.version, row.key, after_outage
                 )
             )
             return
-        if self._is_held(row, registration, row.version, now_ms):
-            return
-        self._tombstones.pop(row.key, None)
-        self._upstream_rows[row.key] = row
         self._shell.apply(
             events.UpstreamChanged(now_ms, row.version, registration)
         )
@@ -786,98 +755,12 @@
             },
         )
 
-    def _remove_row(self, row: interfaces.Row, era: int) -> None:
-        """Remove a row, and remember that it was removed."""
-        self._held_rows.pop(row.key, None)
-        removed = self._upstream_rows.pop(row.key, None)
-        written = (0, 0)
-        if row.key in self._tombstones:
-            written = self._tombstones[row.key].written
-        if removed is not None:
-            last = self._decode_registration(removed)
-            written = max(written, (0, 0) if last is None else last.written)
-        self._tombstones[row.key] = _Tombstone(
-            interfaces.Position(era, row.version), written
-        )
-        if len(self._tombstones) > MAX_TOMBSTONES:
-            del self._tombstones[next(iter(self._tombstones))]
-
-    def _keep_newer_registrations(
-        self, rows: dict[str, interfaces.Row]
-    ) -> None:
-        """Replace an older copy's values by newer ones of the upstreams."""
-        for key, row in rows.items():
-            known_row = self._upstream_rows.get(key)
-            if known_row is None:
-                continue
-            known = self._decode_registration(known_row)
-            copied = self._decode_registration(row)
-            if known is None or copied is None:
-                continue
-            if known.written > copied.written:
-                rows[key] = dataclasses.replace(known_row, version=row.version)
-
-    def _hold_ended(
-        self, rows: dict[str, interfaces.Row], version: int, now_ms: int
-    ) -> dict[str, interfaces.Row]:
-        """Return the rows of a table that was read at a version.
-
-        Those to be held are left out.
-        """
-        for key in list(self._held_rows):
-            if key not in rows:
-                del self._held_rows[key]
-        kept: dict[str, interfaces.Row] = {}
-        for key, row in rows.items():
-            registration = self._decode_registration(row)
-            if registration is not None and self._is_held(
-                row, registration, version, now_ms
-            ):
-                continue
-            kept[key] = row
-        return kept
-
-    def _is_held(
-        self,
-        row: interfaces.Row,
-        registration: upstreams.Registration,
-        version: int,
-        now_ms: int,
-    ) -> bool:
-        """Hold a row that may have come back only with an older copy.
-
-        Its registration was removed in an earlier era, or after `version`, at
-        which the row was read, and nothing shows that the upstream has written
-        it since.
-        """
-        tombstone = self._tombstones.get(row.key)
-        if tombstone is None:
-            return False
-        era = self._positions[Table.UPSTREAMS].era
-        if tombstone.position.era == era:
-            if tombstone.position.version <= version:
-                return False
-        if registration.written > tombstone.written:
-            return False
-        _, since_ms = self._held_rows.get(row.key, (row, now_ms))
-        if row.key not in self._held_rows:
-            self._shell.state.counters.increment("registrations_held")
-            logs.write(
-                "registration_held",
-                "info",
-                {"upstream": row.key, "hold_ms": RESTORED_HOLD_MS},
-            )
-        self._held_rows[row.key] = (row, since_ms)
-        return True
-
     def _release_held_rows(self, now_ms: int) -> None:
         """Use the held registrations that have stayed in the store."""
-        for key, (row, since_ms) in list(self._held_rows.items()):
-            if now_ms < since_ms + RESTORED_HOLD_MS:
-                continue
-            del self._held_rows[key]
-            self._tombstones.pop(key, None)
-            self._apply_row(row, now_ms, after_outage=False)
+        for row, registration in self._history.release(now_ms):
+            self._shell.apply(
+                events.UpstreamChanged(now_ms, row.version, registration)
+            )
             if self.on_rows is not None:
                 position = self._positions[Table.UPSTREAMS]
                 self.on_rows(
--- a/laburnumpin/forwarding/upstreams.py
+++ b/laburnumpin/forwarding/upstreams.py
@@ -15,6 +15,8 @@
 from laburnumpin.forwarding import limit_shares
 from laburnumpin.forwarding.capacity import model
 
+# How often an upstream registers anew, if the deployment names no other time.
+DEFAULT_HEARTBEAT_MS = 1_200
 # An upstream whose registration expired while the store was unavailable is
 # registered again within this time of the end of the outage, as the platform
 # states.
@@ -466,9 +468,9 @@
             self._add(registration, now_ms)
             changes.restarted.append(upstream_id)
             return changes
-        existing.missing_since_ms = None
         if registration.revision and registration.revision < current.revision:
-            return changes  # An older copy of the store.
+            return changes  # Late, or of an older copy of the store.
+        existing.missing_since_ms = None
         existing.seen_ms = now_ms
         existing.cold_until_ms = now_ms + registration.cold_ms
         if current.lifecycle is Lifecycle.LEAVING:
--- a/laburnumpin/platform/settings.py
+++ b/laburnumpin/platform/settings.py
@@ -16,6 +16,7 @@
 from laburnumpin.forwarding import part_losses
 from laburnumpin.forwarding import settings as forwarding_settings
 from laburnumpin.forwarding import untrusted
+from laburnumpin.forwarding import upstreams
 from laburnumpin.forwarding.admission import settings as admission_settings
 from laburnumpin.forwarding.configurations import limits
 from laburnumpin.forwarding.rollouts import model
@@ -184,6 +185,7 @@
         rollouts=_read_rollouts(reader),
         admission=_read_admission(reader),
         is_first_start=document.get("bootstrap") is True,
+        upstream_heartbeat_ms=_read_heartbeat_ms(reader),
     )
     if reader.errors:
         raise exceptions.ConfigurationError(reader.errors)
@@ -365,6 +367,20 @@
     )
 
 
+def _read_heartbeat_ms(reader: _Reader) -> int:
+    """Return how often upstreams register anew."""
+    heartbeat_ms = reader.number(
+        "heartbeat_ms", default=upstreams.DEFAULT_HEARTBEAT_MS
+    )
+    if heartbeat_ms > untrusted.MAX_DURATION_MS:
+        reader.add_error(
+            ("heartbeat_ms",),
+            f"a number up to {untrusted.MAX_DURATION_MS} is expected",
+        )
+        return upstreams.DEFAULT_HEARTBEAT_MS
+    return int(heartbeat_ms)
+
+
 def _bound_ms(reader: _Reader, name: str, default: float) -> int:
     """Return a field of the `bounds` table, given in seconds, in ms."""
     return int(reader.number("bounds", name, default=default) * 1_000)
--- a/laburnumpin/tests/test_forwarding_store_era.py
+++ b/laburnumpin/tests/test_forwarding_store_era.py
@@ -308,9 +308,11 @@
 
 
 # The older copy has an engine that has left: it gets no request again.
-@pytest.mark.parametrize("removed", [False, True])
+@pytest.mark.parametrize(
+    ("said_leaving", "removed"), [(True, False), (True, True), (False, True)]
+)
 def test_engine_that_has_left_does_not_come_back(
-    removed: bool,
+    said_leaving: bool, removed: bool
 ) -> None:
     async def check(
         store: standins.Store, address: str, task_group: anyio.abc.TaskGroup
@@ -318,8 +320,9 @@
         store.put_registration("u2", 1)
         entry = await start_entry(store, address, task_group)
         copy = store.copy()
-        store.put_registration("u1", 5, leaving=True)
-        await until(lambda: entry.lifecycle("u1") == "leaving")
+        if said_leaving:
+            store.put_registration("u1", 5, leaving=True)
+            await until(lambda: entry.lifecycle("u1") == "leaving")
         if removed:
             store.unregister("u1")
             await until(lambda: entry.lifecycle("u1") == "gone")
@@ -332,9 +335,11 @@
         assert [u.registration.upstream_id for u in usable] == ["u2"]
         if not removed:
             return
-        # It is used again if its row stays, which only a live one's does.
-        entry.clock.offset_ms += synchronization.RESTORED_HOLD_MS
-        await until(lambda: entry.lifecycle("u1") == "ready")
+        # Its row is used if it stays, which only a live one's does, but an
+        # engine that has said that it leaves is not ready again.
+        entry.clock.offset_ms += synchronization.DEFAULT_HOLD_MS
+        expected = "leaving" if said_leaving else "ready"
+        await until(lambda: entry.lifecycle("u1") == expected)
 
     run_with_store(check)
 
