Keep the lines of a head only until its reader has taken it

The lines that are kept for the id of a refused request stayed with each connection, also while it was idle or its request ran, beside the parsed head. They are dropped once the head has been read, and clients keep none.

--- a/laburnumpin/forwarding/caller.py
+++ b/laburnumpin/forwarding/caller.py
@@ -87,8 +87,8 @@
         """Return the defect of the current request's framing, if any."""
         return self._lines.defect
 
-    def head_fields(self) -> connections.Headers:
-        """Return the fields of the last head, also of one that is malformed."""
+    def refused_fields(self) -> connections.Headers:
+        """Return the fields of a head that was refused for its framing."""
         fields = []
         for line in self._lines.head_lines[1:]:
             name, _, value = bytes(line).partition(b":")
@@ -129,6 +129,7 @@
         while True:
             event = self._parse()
             if isinstance(event, h11.Request):
+                self._lines.head_lines = []
                 if holds_head:
                     await self._hold(account, "head", 0)
                 return event
--- a/laburnumpin/forwarding/frontend.py
+++ b/laburnumpin/forwarding/frontend.py
@@ -152,7 +152,9 @@
         exchange.closes_connection = gate is not None and gate.is_full()
         if caller.defect is not None:
             exchange.closes_connection = True
-            self._report_ambiguous(caller, caller.defect, "connection_closed")
+            self._report_ambiguous(
+                caller, head, caller.defect, "connection_closed"
+            )
         try:
             keep_alive = await exchange.run()
         finally:
@@ -186,7 +188,7 @@
             if refusal.retry_after_ms is not None:
                 self._report_without_room(head, refusal)
             if refusal.defect is not None:
-                self._report_ambiguous(caller, refusal.defect, "refused")
+                self._report_ambiguous(caller, head, refusal.defect, "refused")
             await self._answer_input_error(caller, refusal)
         await self._end_connection(caller, account)
 
@@ -204,11 +206,15 @@
         caller.show_customer(customer)
 
     def _report_ambiguous(
-        self, caller: callers.Caller, defect: defects.Defect, action: str
+        self,
+        caller: callers.Caller,
+        head: h11.Request | None,
+        defect: defects.Defect,
+        action: str,
     ) -> None:
         """Count and log a request whose end readers may place differently."""
         self._shell.state.counters.increment("requests_ambiguous", defect.value)
-        fields = caller.head_fields()
+        fields = caller.refused_fields() if head is None else list(head.headers)
         logs.write(
             "request_ambiguous",
             "warning",
--- a/laburnumpin/framing/parser.py
+++ b/laburnumpin/framing/parser.py
@@ -16,11 +16,13 @@
 
     `h11` accepts line ends, folded lines and framing fields that other readers
     read otherwise, and drops them. `defect` is the first one of the current
-    message, and `head_lines` are the lines of its head.
+    message. With `keeps_head`, `head_lines` are the lines of its head until its
+    reader has taken it.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, keeps_head: bool) -> None:
         super().__init__()
+        self._keeps_head = keeps_head
         self.defect: defects.Defect | None = None
         self.head_lines: list[bytearray] = []
         self._has_chunks = False
@@ -54,7 +56,8 @@
             self.note(defects.find_in_trailer(lines))
         else:
             self.note(defects.find_in_head(lines))
-            self.head_lines = lines
+            if self._keeps_head:
+                self.head_lines = lines
         return lines
 
     def maybe_extract_next_line(self) -> bytearray | None:
@@ -75,7 +78,7 @@
     is replaced. `constraints.txt` pins its version.
     """
     connection = h11.Connection(role, max_incomplete_event_size=max_head_bytes)
-    lines = LineBuffer()
+    lines = LineBuffer(keeps_head=role is h11.SERVER)
     assert type(connection._receive_buffer) is receive_buffer.ReceiveBuffer
     connection._receive_buffer = lines
     return connection, lines
