Let the soak send ambiguous requests and late heartbeats

Runners of the soak now go without a notice, and the store carries out an earlier heartbeat of theirs after that; callers send requests with other requests in their bodies. Its checks find requests that reach removed runners and requests that nobody sent. Registrations of the stand-in count up, and those written again after a restore are later ones, as of real upstreams.

--- a/laburnumpin/platform/standins.py
+++ b/laburnumpin/platform/standins.py
@@ -108,6 +108,19 @@
             return
 
 
+def _next_heartbeat(value: str) -> str:
+    """Return the next registration of the runner that has written a value.
+
+    Values of other writers stay as they are.
+    """
+    try:
+        document = json.loads(base64.b64decode(value))
+        document["seq"] += 1
+    except (ValueError, TypeError, KeyError, RecursionError):
+        return value
+    return base64.b64encode(json.dumps(document).encode()).decode()
+
+
 def _json_answer(status: int, document: dict[str, Any]) -> Answer:
     body = json.dumps(document).encode()
     length = (b"Content-Length", str(len(body)).encode())
@@ -301,8 +314,11 @@
         """Write lost values again, unless newer ones were written since."""
         for table, key, value in lost:
             _, version = self._rows.get((table, key), (None, 0))
-            if version <= copy.version:
-                self._write([(table, key, value)])
+            if version > copy.version:
+                continue
+            if table == "servers" and value is not None:
+                value = _next_heartbeat(value)
+            self._write([(table, key, value)])
 
     def _write(self, row_changes: list[tuple[str, str, str | None]]) -> None:
         self.version += 1
@@ -390,19 +406,23 @@
 
     async def _read_changes(self, query: dict[str, str]) -> Answer:
         after = int(query["after_revision"])
-        changed_rows: list[dict[str, Any]] = []
-        with anyio.move_on_after(int(query["wait_ms"]) / 1_000):
-            while True:
-                if not self._compacted_version <= after <= self.version:
-                    return _json_answer(410, {})
-                changed_rows = []
-                for row in self._history:
-                    if row["ver"] > after and row["table"] == query["table"]:
-                        changed_rows.append(row)
-                if changed_rows:
-                    break
-                await self._changed.wait()
-        return _json_answer(200, {"rows": changed_rows, "ver": self.version})
+        deadline_s = anyio.current_time() + int(query["wait_ms"]) / 1_000
+        while True:
+            if not self._compacted_version <= after <= self.version:
+                return _json_answer(410, {})
+            changed_rows = [
+                row
+                for row in self._history
+                if row["ver"] > after and row["table"] == query["table"]
+            ]
+            if changed_rows or anyio.current_time() >= deadline_s:
+                # Rows and version are of one moment, also at the time limit.
+                return _json_answer(
+                    200, {"rows": changed_rows, "ver": self.version}
+                )
+            changed = self._changed
+            with anyio.move_on_at(deadline_s):
+                await changed.wait()
 
     def _transact(self, fields: dict[str, Any]) -> Answer:
         for row in fields["expected_revision"]:
@@ -544,11 +564,14 @@
         self.busy_until_ms = 0
         self.retry_after: bytes | None = None
         self.refusals: list[Refusal] = []
+        # Registrations that it has written.
+        self.registrations = 0
 
     def registration(
         self, address: str, state: str, *, reclaimable: bool = False
     ) -> dict[str, Any]:
-        """Return the registration of the runner."""
+        """Return the next registration of the runner."""
+        self.registrations += 1
         return {
             "spot": reclaimable,
             "service": self.service,
@@ -559,7 +582,7 @@
             "state": state,
             "cold_remaining_ms": 0,
             "born": 1,
-            "seq": 1,
+            "seq": self.registrations,
         }
 
     async def handle(
--- a/laburnumpin/soak/calls.py
+++ b/laburnumpin/soak/calls.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from laburnumpin.forwarding import byte_stream
 from laburnumpin.forwarding import completeness
 from laburnumpin.forwarding import connections
 from laburnumpin.platform import standins
@@ -99,3 +100,39 @@
         ):
             connection.close()
     return Answer(status, complete, bytes(body), is_open_ended)
+
+
+async def send_ambiguous(
+    address: str, path: str, request_id: str, inner_id: str, key: str
+) -> None:
+    """Send a request with two framings and another request in its body.
+
+    Returns when the entry has closed the connection.
+
+    Raises:
+        ConnectionLostError: The connection was lost.
+        TimeoutError: The entry keeps the connection open.
+    """
+
+    def encode(name: str, framing: bytes) -> bytes:
+        headers = standins.request_headers(
+            name, is_stream=False, key=key, deadline_ms=DEADLINE_MS
+        )
+        lines = [b"POST " + path.encode() + b" HTTP/1.1"]
+        lines += [field + b": " + value for field, value in headers]
+        return b"\r\n".join(lines) + b"\r\n" + framing + b"\r\n"
+
+    body = b"0\r\n\r\n" + encode(inner_id, b"Content-Length: 0\r\n")
+    framing = b"Transfer-Encoding: chunked\r\nContent-Length: %d\r\n"
+    try:
+        stream = await byte_stream.connect(address)
+        try:
+            with anyio.fail_after(REQUEST_TIMEOUT_S):
+                await stream.send(encode(request_id, framing % len(body)))
+                await stream.send(body)
+                while await stream.receive():
+                    pass
+        finally:
+            stream.abort()
+    except (OSError, byte_stream.StreamClosedError) as error:
+        raise connections.ConnectionLostError(str(error)) from error
--- a/laburnumpin/soak/promises.py
+++ b/laburnumpin/soak/promises.py
@@ -44,6 +44,8 @@
 CRASH_BOUND_ENDS = 5
 CRASH_BOUND_MS = 3_000
 CRASH_BOUND_ARRIVALS = 3
+# Prefix of the ids of requests that stand in the bodies of others.
+SMUGGLED_ID_PREFIX = "smuggled"
 # From this time after a runner has named a limit, it gets in any window at most
 # a multiple of what the limit allows, and some requests.
 LIMIT_BOUND_MS = 3_000
@@ -144,6 +146,7 @@
         "open_ended_ids",
         "outcomes",
         "refusals",
+        "removed_since_ms",
         "said_leaving_ms",
         "stopped_ids",
         "versions_in_force",
@@ -176,6 +179,9 @@
         self.fault_spans: list[FaultSpan] = []
         # Time at which each runner was registered as leaving.
         self.leaving_since_ms: dict[str, int] = {}
+        # Time at which the row of each runner that had not said that it leaves
+        # was removed.
+        self.removed_since_ms: dict[str, int] = {}
         # Time at which each runner first answered that it leaves.
         self.said_leaving_ms: dict[str, int] = {}
         # Versions that probes found in force:
@@ -228,6 +234,15 @@
     lines.extend(
         _check_leaving(history, history.said_leaving_ms, FAULTS_OF_STORE)
     )
+    # A process that starts after the removal does not know of it.
+    lines.extend(
+        _check_leaving(
+            history,
+            history.removed_since_ms,
+            FAULTS_OUTSIDE_STORE,
+            allow_planned=False,
+        )
+    )
     lines.extend(_check_configuration_order(history))
     lines.extend(_check_configuration_delay(history))
     lines.extend(_check_duties(store))
@@ -236,6 +251,7 @@
     lines.extend(_check_crashing_requests(history))
     lines.extend(_check_limits(history))
     lines.extend(_check_backoffs(history))
+    lines.extend(_check_smuggled(history))
     return lines
 
 
@@ -313,6 +329,8 @@
     history: History,
     since_ms: dict[str, int],
     allowed_prefixes: tuple[str, ...],
+    *,
+    allow_planned: bool = True,
 ) -> list[str]:
     """Check that runners get nothing new some time after they leave.
 
@@ -328,7 +346,7 @@
         fault_free = history.is_fault_free(
             leaving_since_ms,
             execution.at_ms,
-            allow_planned=True,
+            allow_planned=allow_planned,
             allowed_prefixes=allowed_prefixes,
         )
         if late_ms > DELAY_TOLERANCE_MS and fault_free:
@@ -483,6 +501,15 @@
     ]
 
 
+def _check_smuggled(history: History) -> list[str]:
+    """Check that no request runs that stands in the body of another one."""
+    return [
+        f"{arrival.request_id}: reached {arrival.runner_id}"
+        for arrival in history.arrivals
+        if arrival.request_id.startswith(SMUGGLED_ID_PREFIX)
+    ]
+
+
 def _check_limits(history: History) -> list[str]:
     lines = []
     for span in history.limit_spans:
--- a/laburnumpin/soak/run.py
+++ b/laburnumpin/soak/run.py
@@ -103,6 +103,14 @@
 MAX_ENTRY_MB = 300
 # Share of the soaks in which all open connections to the store go silent.
 STALLED_STORE_SOAK_SHARE = 0.5
+# Share of the soaks in which runners go without a notice and the store carries
+# out a heartbeat of theirs late, and when; its row stays until its silence.
+LATE_SOAK_SHARE = 0.5
+MIN_LATE_S = 0.1
+MAX_LATE_S = 2.0
+SILENCE_S = 3.6
+# Share of the soaks with requests in the bodies of others.
+SMUGGLING_SOAK_SHARE = 0.5
 # Signals to entries that drain, and the chance of one each 20 ms.
 DRAIN_SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
 DRAIN_SIGNAL_SHARE = 0.02
@@ -188,6 +196,8 @@
         self._odd_row_random = random.Random(f"{seed}/odd-rows")
         self._signal_random = random.Random(f"{seed}/signals")
         self._stall_random = random.Random(f"{seed}/stall")
+        self._late_random = random.Random(f"{seed}/late")
+        self._smuggling_random = random.Random(f"{seed}/smuggling")
         self._endless_random = random.Random(f"{seed}/endless")
         self._seed = seed
         self._entry_count = entries
@@ -361,6 +371,10 @@
             task_group.start_soon(self._keep_runners_busy)
         if self._leaving_random.random() < LEAVING_SOAK_SHARE or is_calm:
             task_group.start_soon(self._let_runners_say_they_leave, task_group)
+        if self._late_random.random() < LATE_SOAK_SHARE or is_calm:
+            task_group.start_soon(self._carry_heartbeats_out_late, task_group)
+        if self._smuggling_random.random() < SMUGGLING_SOAK_SHARE or is_calm:
+            task_group.start_soon(self._smuggle_requests)
 
     async def _run_caller(
         self, entry: processes.EntryProcess, key: str
@@ -532,6 +546,50 @@
             self._store.register(runner.runner, runner.address, leaving=True)
             task_group.start_soon(self._unregister_later, runner)
 
+    async def _carry_heartbeats_out_late(
+        self, task_group: abc.TaskGroup
+    ) -> None:
+        """Let runners go without a notice, and be heard of again."""
+        rng = self._late_random
+        while True:
+            await anyio.sleep(rng.uniform(0.5, 4.0))
+            runner = rng.choice(self._runners)
+            if runner.leaving:
+                continue
+            runner.leaving = True
+            self._runners.remove(runner)
+            await self._add_runner(task_group, runner.runner.service)
+            late = runner.runner.registration(runner.address, "ready")
+            self._store.register(runner.runner, runner.address)
+            # Entries have to have read its last row to know that one is older.
+            await anyio.sleep(promises.CONTACT_MS / 1_000)
+            runner_id = runner.runner.runner_id
+            self._store.unregister(runner_id)
+            self._history.removed_since_ms[runner_id] = self._clock.now_ms()
+            for _ in range(rng.randrange(1, 3)):
+                await anyio.sleep(rng.uniform(MIN_LATE_S, MAX_LATE_S))
+                self._store.put("servers", runner_id, late)
+                await anyio.sleep(SILENCE_S)
+                self._store.unregister(runner_id)
+
+    async def _smuggle_requests(self) -> None:
+        """Send requests with other requests in their bodies."""
+        rng = self._smuggling_random
+        while True:
+            await anyio.sleep(rng.uniform(0.05, 0.5))
+            entry = rng.choice(self._entries)
+            number = next(self._numbers)
+            with contextlib.suppress(
+                connections.ConnectionLostError, TimeoutError
+            ):
+                await calls.send_ambiguous(
+                    entry.address,
+                    "/calls/x",
+                    f"ambiguous{number}",
+                    f"{promises.SMUGGLED_ID_PREFIX}{number}",
+                    CUSTOMER_KEY,
+                )
+
     async def _write_odd_registrations(self) -> None:
         """Write rows among the registrations that no runner has written."""
         rng = self._odd_row_random
--- a/laburnumpin/tests/test_soak.py
+++ b/laburnumpin/tests/test_soak.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import dataclasses
+import json
 import pathlib
 import random
 
+import anyio
 import pytest
 
 from laburnumpin.platform import standins
@@ -258,3 +260,59 @@
             arrival = standins.Arrival(f"r{number}", "engines", 200 + number)
             history.arrivals.append(arrival)
     assert promises.find_violations(history, _store())
+
+
+def test_request_from_another_ones_body_is_found() -> None:
+    history = _history()
+    history.arrivals.append(standins.Arrival("r1", "desk", 5, "u1"))
+    assert not promises.find_violations(history, _store())
+    inner_id = f"{promises.SMUGGLED_ID_PREFIX}2"
+    history.arrivals.append(standins.Arrival(inner_id, "desk", 5, "u1"))
+    assert promises.find_violations(history, _store())
+
+
+@pytest.mark.parametrize(
+    ("name", "planned", "is_found"),
+    [
+        ("runner_silent", False, True),
+        ("store_busy", False, False),
+        ("entry-0", True, False),
+    ],
+)
+def test_request_to_a_removed_runner_is_found(
+    name: str, planned: bool, is_found: bool
+) -> None:
+    late_ms = promises.DRAIN_BOUND_MS + promises.DELAY_TOLERANCE_MS + 1
+    history = _history()
+    history.removed_since_ms["u1"] = 0
+    history.executions.append(standins.Execution("r1", "u1", late_ms, 1))
+    history.fault_spans.append(promises.FaultSpan(name, 10, 20, planned))
+    assert bool(promises.find_violations(history, _store())) is is_found
+
+
+def test_waits_for_changes_lose_no_row() -> None:
+    """Guards against an answer with the version of a row that it lacks."""
+    lost = []
+
+    async def wait(store: standins.Store, wait_ms: int) -> None:
+        before = store.version
+        query = {
+            "table": "servers",
+            "after_revision": str(before),
+            "wait_ms": str(wait_ms),
+        }
+        _, _, body = await store._read_changes(query)
+        document = json.loads(body)
+        if document["ver"] > before and not document["rows"]:
+            lost.append(wait_ms)
+
+    async def main() -> None:
+        for wait_ms in range(1, 41):
+            store = _store()
+            async with anyio.create_task_group() as task_group:
+                task_group.start_soon(wait, store, wait_ms)
+                await anyio.sleep(wait_ms / 1_000)
+                store.put_registration("u1", 1)
+
+    anyio.run(main)
+    assert not lost
