--- a/laburnumpin/forwarding/registrations/history.py
+++ b/laburnumpin/forwarding/registrations/history.py
@@ -145,10 +145,13 @@
         now_ms: int,
         *,
         is_other_history: bool,
+        is_peers: bool,
     ) -> list[upstreams.Registration]:
         """Apply a whole table that was read at a position.
 
-        With `is_other_history` the store was restored from an older copy.
+        With `is_other_history` the store was restored from an older copy. With
+        `is_peers` the table is a peer's, without the rows that it holds: one
+        that is missing there may follow with the version that it has here.
         Return the registrations to use.
         """
         by_key = {row.key: row for row in rows}
@@ -158,10 +161,7 @@
                 self._removals[key] = dataclasses.replace(
                     removal, position=interfaces.Position(_LOST_ERA, 0)
                 )
-        for key in [key for key in self._rows if key not in by_key]:
-            self._remove(key, position)
-        for key in [key for key in self._held if key not in by_key]:
-            del self._held[key]
+        self._remove_missing(by_key, position, is_peers=is_peers)
         used = []
         for key, row in by_key.items():
             registration = self.read(row)
@@ -185,6 +185,24 @@
             used.append(registration)
         return used
 
+    def _remove_missing(
+        self,
+        listed: Mapping[str, interfaces.Row],
+        position: interfaces.Position,
+        *,
+        is_peers: bool,
+    ) -> None:
+        """Remove the rows that a table does not have."""
+        for key, row in list(self._rows.items()):
+            if key in listed:
+                continue
+            removed_at = position
+            if is_peers:
+                removed_at = interfaces.Position(position.era, row.version - 1)
+            self._remove(key, removed_at)
+        for key in [key for key in self._held if key not in listed]:
+            del self._held[key]
+
     def release(
         self, now_ms: int
     ) -> Iterator[tuple[interfaces.Row, upstreams.Registration]]:
--- a/laburnumpin/forwarding/synchronization.py
+++ b/laburnumpin/forwarding/synchronization.py
@@ -643,6 +643,7 @@
             interfaces.Position(rows.era, rows.version),
             now_ms,
             is_other_history=is_restored,
+            is_peers=snapshot_version > 0,
         )
         if after_outage:
             self._outage_ended_ms = now_ms
--- a/laburnumpin/tests/test_platform_registration_order.py
+++ b/laburnumpin/tests/test_platform_registration_order.py
@@ -385,3 +385,29 @@
             UPSTREAMS, interfaces.Rows(changed, (step + 1) * count, 1)
         )
     assert not list(entry.state.upstreams.all())
+
+
+# A peer leaves the rows that it holds out of its snapshots, and passes each on
+# when it uses it, at the version at which it was written.
+@pytest.mark.parametrize("knows_row", [False, True])
+def test_row_that_a_peer_has_held_is_used_after_its_snapshot(
+    knows_row: bool,
+) -> None:
+    entry = _start()
+    if knows_row:
+        entry.put(_value(LAST_SEQ))
+        _read_change(entry)
+    held, held_version = _value(LAST_SEQ), entry.row_version
+    if not knows_row:
+        entry.put(held)
+        held_version = entry.row_version
+    entry.version += 5
+    entry.store = None
+    _read_snapshot(entry)
+    assert not entry.is_ready()
+    row = interfaces.Row("u1", held, held_version)
+    rows = interfaces.Rows((row,), entry.version, entry.era)
+    entry.synchronizer.apply_peer_changes(UPSTREAMS, rows)
+    entry.clock.time_ms += HOLD_MS
+    entry.synchronizer.on_tick()
+    assert entry.is_ready()
