Do not adopt a table that a peer has not read

What callers saw: nothing that was recorded; an entry without the store could take the empty table of a peer that had just started for its list of upstreams, and refuse requests for want of upstreams instead of as not ready.

--- a/laburnumpin/forwarding/synchronization.py
+++ b/laburnumpin/forwarding/synchronization.py
@@ -544,6 +544,8 @@
         peer_version: int,
         peer_era: int,
     ) -> None:
+        if not rows and not peer_version:
+            return  # The peer has not read the table yet.
         era = self._resolve_era(peer_era)
         if era is None:
             self._ignore_rows(table, peer_era, peer_version)
--- a/laburnumpin/tests/test_forwarding_store_era.py
+++ b/laburnumpin/tests/test_forwarding_store_era.py
@@ -294,12 +294,14 @@
         copy = store.copy()
         store.configure(9, "first")
         await until(lambda: peer.configuration() == 9)
+        await until(lambda: peer.state.registry_read)
         snapshot_of_peer = peer.synchronizer.snapshot()
         store.restore(copy)
         store.configure(9, "second")
         entry = Entry("entry", address)
         entry.start(task_group)
         await until(lambda: entry.configuration() == 9)
+        await until(lambda: entry.state.registry_read)
         before = entry.synchronizer.snapshot()
         entry.synchronizer.apply_snapshot(snapshot_of_peer)
         assert entry.synchronizer.snapshot() == before
@@ -307,6 +309,21 @@
     run_with_store(check)
 
 
+# The snapshot of a peer that had not read a table yet was taken for an empty
+# table, so that the entry had no upstreams until its own read.
+def test_table_that_a_peer_has_not_read_is_not_adopted() -> None:
+    async def check(
+        store: standins.Store, address: str, task_group: anyio.abc.TaskGroup
+    ) -> None:
+        del store, address, task_group
+        peer = Entry("peer", "127.0.0.1:1")
+        entry = Entry("entry", "127.0.0.1:1")
+        entry.synchronizer.apply_snapshot(peer.synchronizer.snapshot())
+        assert not entry.state.registry_read
+
+    run_with_store(check)
+
+
 # The older copy has an engine that has left: it gets no request again.
 @pytest.mark.parametrize(
     ("said_leaving", "removed"), [(True, False), (True, True), (False, True)]
