Let the gravest defect of a message decide

A request with both a length and chunks whose chunks are malformed as well was served by a lenient reading of these, and an answer with a bare line feed before its two framings counted as an answer. All defects of a message are kept now, and the gravest one decides.

--- a/laburnumpin/forwarding/caller.py
+++ b/laburnumpin/forwarding/caller.py
@@ -84,8 +84,8 @@
 
     @property
     def defect(self) -> defects.Defect | None:
-        """Return the defect of the current request's framing, if any."""
-        return self._lines.defect
+        """Return the gravest defect of the current request's framing."""
+        return defects.find_gravest(self._lines.found)
 
     def refused_fields(self) -> connections.Headers:
         """Return the fields of a head that was refused for its framing."""
@@ -378,7 +378,7 @@
 
     def prepare_next_request(self) -> bool:
         """Reset for the next request; return False if none can follow."""
-        if self._lines.defect is not None:
+        if self._lines.found:
             return False
         return connections.start_next_cycle(self._h11)
 
@@ -397,9 +397,10 @@
             event = self._h11.next_event()
         except h11.RemoteProtocolError as error:
             problem = error
-        defect = self._lines.defect
-        if defects.judge_request(defect) is defects.RequestVerdict.REFUSED:
-            assert defect is not None
+        defect = self.defect
+        if defect and (
+            defects.judge_request(defect) is defects.RequestVerdict.REFUSED
+        ):
             raise CallerInputError(
                 defects.refusal_status(defect),
                 f"the end of the request is ambiguous: {defect.value}",
--- a/laburnumpin/forwarding/connections.py
+++ b/laburnumpin/forwarding/connections.py
@@ -170,11 +170,11 @@
 
     def _check_framing(self, status: int | None = None) -> None:
         """Raise if the framing shows that this is no answer."""
-        defect = self._lines.defect
-        if defect is not None and completeness.is_no_answer(defect, status):
-            raise ProtocolError(
-                f"the end of the answer is ambiguous: {defect.value}"
-            )
+        for defect in self._lines.found:
+            if completeness.is_no_answer(defect, status):
+                raise ProtocolError(
+                    f"the end of the answer is ambiguous: {defect.value}"
+                )
 
     async def _pace(self, chunk_bytes: int) -> None:
         """Wait if the peer sends many small chunks.
@@ -232,7 +232,7 @@
         unparsed = bytes(self._h11.trailing_data[0])
         if self._h11.their_state is h11.MUST_CLOSE:
             raise ConnectionLostError("the connection was closed")
-        if self._lines.defect is not None:
+        if self._lines.found:
             raise ProtocolError("what follows may be a part of that response")
         method, target, headers = self._last_request
         self._h11, self._lines = parser.create(h11.CLIENT)
@@ -263,7 +263,7 @@
             return False
         if self._stream.ended or not self._is_sent:
             return False
-        if self._lines.defect is not None:
+        if self._lines.found:
             return False  # What follows may be a part of the last answer.
         return start_next_cycle(self._h11)
 
--- a/laburnumpin/framing/defects.py
+++ b/laburnumpin/framing/defects.py
@@ -73,6 +73,14 @@
     return RequestVerdict.REFUSED
 
 
+def find_gravest(found: Sequence[Defect]) -> Defect | None:
+    """Return the defect of a request that decides what becomes of it."""
+    for defect in found:
+        if judge_request(defect) is RequestVerdict.REFUSED:
+            return defect
+    return found[0] if found else None
+
+
 def refusal_status(defect: Defect) -> int:
     """Return the status with which a request is refused."""
     if defect is Defect.UNKNOWN_CODING:
--- a/laburnumpin/framing/parser.py
+++ b/laburnumpin/framing/parser.py
@@ -15,7 +15,7 @@
     """The bytes that `h11` has yet to parse.
 
     `h11` accepts line ends, folded lines and framing fields that other readers
-    read otherwise, and drops them. `defect` is the first one of the current
+    read otherwise, and drops them. `found` has the defects of the current
     message. With `keeps_head`, `head_lines` are the lines of its head until its
     reader has taken it.
     """
@@ -23,19 +23,20 @@
     def __init__(self, *, keeps_head: bool) -> None:
         super().__init__()
         self._keeps_head = keeps_head
-        self.defect: defects.Defect | None = None
+        self.found: list[defects.Defect] = []
         self.head_lines: list[bytearray] = []
         self._has_chunks = False
 
     def start_message(self) -> None:
         """Forget the message before."""
-        self.defect = None
+        self.found = []
         self.head_lines = []
         self._has_chunks = False
 
     def note(self, defect: defects.Defect | None) -> None:
-        """Record a defect of the current message."""
-        self.defect = self.defect or defect
+        """Record a defect of the current message, if there is one."""
+        if defect is not None and defect not in self.found:
+            self.found.append(defect)
 
     def maybe_extract_lines(self) -> list[bytearray] | None:
         """Extract the lines up to the first blank one, if it has arrived."""
--- a/laburnumpin/tests/test_platform_framing.py
+++ b/laburnumpin/tests/test_platform_framing.py
@@ -67,6 +67,18 @@
         HIDDEN,
         Defect.LENGTH_AND_CHUNKS,
     ),
+    Way(
+        "length and a blank after a chunk's size",
+        _length(HIDDEN) + CHUNKED,
+        b"0 \r\n\r\n" + INNER,
+        Defect.BLANK_IN_CHUNK_SIZE,
+    ),
+    Way(
+        "length, chunks and a line feed in the trailers",
+        _length(HIDDEN) + CHUNKED,
+        b"0\r\nX-Sum: 1\n\n" + INNER,
+        Defect.BARE_LINE_FEED,
+    ),
     Way(
         "chunks in HTTP/1.0",
         CHUNKED,
@@ -493,6 +505,12 @@
         BODY_IN_CHUNKS,
         False,
     ),
+    AnswerWay(
+        "line feed alone, length and chunks",
+        OK + b"X-Note: a\n" + CHUNKED + _length(b"body"),
+        BODY_IN_CHUNKS,
+        False,
+    ),
     AnswerWay(
         "chunks in HTTP/1.0",
         OK.replace(b"1.1", b"1.0") + CHUNKED,
