--- a/laburnumpin/platform/standins.py
+++ b/laburnumpin/platform/standins.py
@@ -257,6 +257,10 @@
         document = runner.registration(address, state, reclaimable=reclaimable)
         self.put("servers", runner.runner_id, document)
 
+    def write_late(self, runner_id: str, registration: dict[str, Any]) -> None:
+        """Carry out a registration that a runner has sent before."""
+        self.put("servers", runner_id, registration)
+
     def put_registration(
         self, runner_id: str, revision: int, *, leaving: bool = False
     ) -> None:
--- a/laburnumpin/soak/run.py
+++ b/laburnumpin/soak/run.py
@@ -568,7 +568,7 @@
             self._history.removed_since_ms[runner_id] = self._clock.now_ms()
             for _ in range(rng.randrange(1, 3)):
                 await anyio.sleep(rng.uniform(MIN_LATE_S, MAX_LATE_S))
-                self._store.put("servers", runner_id, late)
+                self._store.write_late(runner_id, late)
                 await anyio.sleep(SILENCE_S)
                 self._store.unregister(runner_id)
 
