--- a/laburnumpin/tests/test_platform_documents.py
+++ b/laburnumpin/tests/test_platform_documents.py
@@ -325,3 +325,22 @@
 ) -> None:
     service = documents._decode_service({"name": "s", "health_path": path})
     assert service.identity_path == expected
+
+
+def _decode_heartbeat(heartbeat_ms: object) -> Any:
+    text = standins.settings_text("e", "127.0.0.1", (1, 2, 3, 4), "127.0.0.1:5")
+    return settings.decode(
+        {**tomllib.loads(text), "heartbeat_ms": heartbeat_ms}
+    )
+
+
+def test_heartbeat_of_upstreams_is_decoded() -> None:
+    assert _decode_heartbeat(None).upstream_heartbeat_ms == 1_200
+    assert _decode_heartbeat(3_000).upstream_heartbeat_ms == 3_000
+
+
+@pytest.mark.parametrize("value", [-1, 1e12, "soon", float("nan")])
+def test_malformed_heartbeat_is_reported(value: object) -> None:
+    with pytest.raises(exceptions.ConfigurationError) as raised:
+        _decode_heartbeat(value)
+    assert "heartbeat_ms" in str(raised.value)
