Decode a changed registration once, and copy no headers to judge a status

`History.apply` had decoded the row that `Synchronizer` decoded again, for each change of the registrations. The parser's headers are a sequence of names in lower case already, so that their copy for each answer was not needed. Behaviour is unchanged.

Measured: test_platform_registration_order, test_platform_framing, test_forwarding_store_era, test_forwarding_synchronization and test_platform_relay pass.

--- a/laburnumpin/forwarding/connections.py
+++ b/laburnumpin/forwarding/connections.py
@@ -133,9 +133,7 @@
             event = await self._next_event()
             if isinstance(event, h11.Response | h11.InformationalResponse):
                 self._lines.note(
-                    defects.find_in_status(
-                        event.status_code, event.headers.raw_items()
-                    )
+                    defects.find_in_status(event.status_code, event.headers)
                 )
                 self._check_framing(event.status_code)
             if isinstance(event, h11.Response):
--- a/laburnumpin/forwarding/registrations/history.py
+++ b/laburnumpin/forwarding/registrations/history.py
@@ -114,29 +114,34 @@
             )
         return registration
 
-    def apply(self, row: interfaces.Row, era: int, now_ms: int) -> Change:
-        """Apply a changed row of the era that the table is in."""
+    def apply(
+        self, row: interfaces.Row, era: int, now_ms: int
+    ) -> tuple[Change, upstreams.Registration | None]:
+        """Apply a changed row of the era that the table is in.
+
+        Return what it means, and the registration if one was written.
+        """
         current = self._rows.get(row.key)
         removal = self._removals.get(row.key)
         position = interfaces.Position(era, row.version)
         if current is not None:
             if row.version <= current.version:
-                return Change.NONE  # A peer has delivered this or a newer one.
+                return Change.NONE, None  # A peer has delivered this.
         elif removal is not None and removal.position.era == era:
             if row.version <= removal.position.version:
-                return Change.NONE
+                return Change.NONE, None
         registration = self.read(row)
         if registration is None:
             self._remove(row.key, position)
-            return Change.REMOVED
+            return Change.REMOVED, None
         if current is not None:
             if self._is_outdated(registration, current):
                 self._rows[row.key] = self._keep(current, row)
-                return Change.NONE
+                return Change.NONE, None
         elif self._must_hold(row, registration, position, now_ms):
-            return Change.NONE
+            return Change.NONE, None
         self._rows[row.key] = row
-        return Change.WRITTEN
+        return Change.WRITTEN, registration
 
     def replace_all(
         self,
--- a/laburnumpin/forwarding/synchronization.py
+++ b/laburnumpin/forwarding/synchronization.py
@@ -708,12 +708,11 @@
     def _apply_row(
         self, row: interfaces.Row, now_ms: int, after_outage: bool
     ) -> None:
-        change = self._history.apply(
+        change, registration = self._history.apply(
             row, self._positions[Table.UPSTREAMS].era, now_ms
         )
         if change is history.Change.NONE:
             return
-        registration = self._history.read(row)
         if registration is None:
             self._shell.apply(
                 events.UpstreamRemoved(
