--- a/laburnumpin/soak/run.py
+++ b/laburnumpin/soak/run.py
@@ -536,11 +536,8 @@
         while True:
             await anyio.sleep(rng.uniform(0.5, 3.0))
             runner = rng.choice(self._runners)
-            if runner.leaving:
+            if not await self._take_out(runner, task_group):
                 continue
-            runner.leaving = True
-            self._runners.remove(runner)
-            await self._add_runner(task_group, runner.runner.service)
             runner.runner.says_leaving = True
             await anyio.sleep(rng.uniform(MIN_UNTOLD_S, MAX_UNTOLD_S))
             self._store.register(runner.runner, runner.address, leaving=True)
@@ -554,11 +551,8 @@
         while True:
             await anyio.sleep(rng.uniform(0.5, 4.0))
             runner = rng.choice(self._runners)
-            if runner.leaving:
+            if not await self._take_out(runner, task_group):
                 continue
-            runner.leaving = True
-            self._runners.remove(runner)
-            await self._add_runner(task_group, runner.runner.service)
             late = runner.runner.registration(runner.address, "ready")
             self._store.register(runner.runner, runner.address)
             # Entries have to have read its last row to know that one is older.
@@ -857,6 +851,17 @@
             await runner.proxy.reset_all()
         self._store.unregister(runner.runner.runner_id)
 
+    async def _take_out(
+        self, runner: _ProxiedRunner, task_group: abc.TaskGroup
+    ) -> bool:
+        """Replace a runner; return False if it is leaving already."""
+        if runner.leaving:
+            return False
+        runner.leaving = True
+        self._runners.remove(runner)
+        await self._add_runner(task_group, runner.runner.service)
+        return True
+
     async def _register_as_leaving(
         self,
         runner: _ProxiedRunner,
@@ -869,11 +874,8 @@
         Returns:
             False if the runner is leaving already.
         """
-        if runner.leaving:
+        if not await self._take_out(runner, task_group):
             return False
-        runner.leaving = True
-        self._runners.remove(runner)
-        await self._add_runner(task_group, runner.runner.service)
         runner_id = runner.runner.runner_id
         self._history.leaving_since_ms[runner_id] = self._clock.now_ms()
         self._store.register(
